Add the whole path: entry hosts, view lease, planner, stand-ins

Cause: an empty repository. A request has to travel caller -> any entry host -> owning server -> caller through separate processes, with the assignment in the platform's table service.

Ruled out: leases renewed through the table (a table outage would stop all service) and leases given by the planner (its loss would). Chosen: a view lease by majority of the dispatch group, promises in memory only.

--- /dev/null
+++ b/include/tamarackdrum/http.h
@@ -0,0 +1,168 @@
+/// \file
+/// HTTP/1.1 server and client over Boost.Beast.
+
+#ifndef TAMARACKDRUM_HTTP_H
+#define TAMARACKDRUM_HTTP_H
+
+#include "tamarackdrum/core.h"
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace tamarackdrum {
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+using Endpoint = boost::asio::ip::tcp::endpoint;
+
+/// Parses "IP:PORT", e.g. `parseEndpoint("127.0.0.1:8080")`.
+Result<Endpoint> parseEndpoint(const std::string &Text);
+
+/// Makes a response with a body and a content type.
+HttpResponse makeResponse(unsigned Status, std::string Body,
+                          const char *ContentType = "application/json");
+
+/// Bounds that protect a server from its clients.
+struct HttpLimits {
+  std::size_t m_maxHeaderBytes = 16UL * 1024;
+  std::size_t m_maxBodyBytes = 1024UL * 1024;
+  Millis m_idleTimeout{60000};
+  std::size_t m_maxConnections = 20000;
+
+  bool operator==(const HttpLimits &) const = default;
+};
+
+/// Answers one request. The address is that of the client.
+using HttpHandler = std::function<boost::asio::awaitable<HttpResponse>(
+    const HttpRequest &Request)>;
+
+/// Counters of an HttpServer.
+struct HttpServerCounters {
+  std::atomic<std::uint64_t> m_accepted{0};
+  std::atomic<std::uint64_t> m_malformed{0};
+  std::atomic<std::uint64_t> m_tooLarge{0};
+  std::atomic<std::uint64_t> m_overLimit{0};
+};
+
+namespace detail {
+
+struct HttpSession;
+
+/// An open connection that belongs to no executor, so that any coroutine can
+/// take it over and it may outlive every io_context.
+class IdleConnection {
+public:
+  explicit IdleConnection(int Handle) noexcept : m_handle(Handle) {}
+  IdleConnection(IdleConnection &&Other) noexcept
+      : m_handle(std::exchange(Other.m_handle, -1)) {}
+  IdleConnection &operator=(IdleConnection &&Other) noexcept {
+    std::swap(m_handle, Other.m_handle);
+    return *this;
+  }
+  IdleConnection(const IdleConnection &) = delete;
+  IdleConnection &operator=(const IdleConnection &) = delete;
+  ~IdleConnection();
+
+  /// Returns whether the peer neither closed the connection nor sent bytes
+  /// that belong to no request.
+  bool isReusable() const noexcept;
+
+  /// Gives up the file descriptor.
+  int release() noexcept { return std::exchange(m_handle, -1); }
+
+private:
+  int m_handle;
+};
+
+} // namespace detail
+
+/// Accepts connections and answers requests with a handler.
+///
+/// \code
+/// HttpServer Server(Workers, Address, HttpLimits{}, Handler);
+/// Server.start();
+/// \endcode
+class HttpServer {
+public:
+  /// Binds at once; throws boost::system::system_error if it cannot.
+  HttpServer(boost::asio::io_context &Workers, const Endpoint &Address,
+             HttpLimits Limits, HttpHandler Handler);
+  ~HttpServer();
+
+  void start();
+
+  /// Stops accepting, closes idle connections and lets requests in flight
+  /// finish. Returns at once; poll openConnections().
+  void stop();
+
+  std::size_t openConnections() const;
+  Endpoint address() const { return m_address; }
+  const HttpServerCounters &counters() const { return m_counters; }
+
+private:
+  using SessionPtr = std::shared_ptr<detail::HttpSession>;
+
+  boost::asio::awaitable<void> acceptLoop();
+  boost::asio::awaitable<void> serve(SessionPtr Session);
+  boost::asio::awaitable<bool> serveOne(detail::HttpSession &Session);
+
+  boost::asio::io_context &m_workers;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  Endpoint m_address;
+  const HttpLimits m_limits;
+  const HttpHandler m_handler;
+  std::atomic<bool> m_stopping{false};
+  HttpServerCounters m_counters;
+  mutable std::mutex m_mutex;
+  std::set<SessionPtr> m_sessions;
+};
+
+/// Bounds of an HttpClient.
+struct HttpClientLimits {
+  std::size_t m_maxIdlePerPeer = 16;
+  std::size_t m_maxOpenPerPeer = 64;
+  std::size_t m_maxReplyBytes = 8UL * 1024 * 1024;
+
+  bool operator==(const HttpClientLimits &) const = default;
+};
+
+/// Sends requests over pooled connections. A connection is reused only after
+/// a whole reply and only if no further byte has arrived on it.
+class HttpClient {
+public:
+  explicit HttpClient(HttpClientLimits Limits) : m_limits(Limits) {}
+
+  /// Sends \p Request and reads the whole reply before \p Deadline. Errors
+  /// are of HttpErrc; after ConnectFailed and PoolExhausted nothing was sent.
+  boost::asio::awaitable<Result<HttpResponse>>
+  send(Endpoint Peer, HttpRequest Request, TimePoint Deadline);
+
+private:
+  struct PeerPool {
+    std::vector<detail::IdleConnection> m_idle;
+    std::size_t m_open = 0;
+  };
+  class Lease;
+
+  const HttpClientLimits m_limits;
+  std::mutex m_mutex;
+  std::map<Endpoint, PeerPool> m_pools;
+};
+
+} // namespace tamarackdrum
+
+#endif // TAMARACKDRUM_HTTP_H
--- /dev/null
+++ b/src/adapter/http-client.cc
@@ -0,0 +1,121 @@
+#include "tamarackdrum/error.h"
+#include "tamarackdrum/http.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cerrno>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace tamarackdrum {
+
+namespace detail {
+
+IdleConnection::~IdleConnection() {
+  if (m_handle >= 0)
+    ::close(m_handle);
+}
+
+bool IdleConnection::isReusable() const noexcept {
+  char Byte = 0;
+  return ::recv(m_handle, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace detail
+
+/// The right to one of the peer's connections.
+class HttpClient::Lease {
+public:
+  Lease(HttpClient &Client, const Endpoint &Peer)
+      : m_client(Client), m_peer(Peer) {}
+  Lease(const Lease &) = delete;
+  Lease &operator=(const Lease &) = delete;
+
+  ~Lease() {
+    const std::lock_guard<std::mutex> Lock(m_client.m_mutex);
+    PeerPool &Pool = m_client.m_pools[m_peer];
+    if (m_isTaken)
+      --Pool.m_open;
+  }
+
+  /// Returns whether a connection may be used; \p Idle gets a pooled one.
+  bool take(std::optional<detail::IdleConnection> &Idle) {
+    const std::lock_guard<std::mutex> Lock(m_client.m_mutex);
+    PeerPool &Pool = m_client.m_pools[m_peer];
+    if (Pool.m_open >= m_client.m_limits.m_maxOpenPerPeer)
+      return false;
+    ++Pool.m_open;
+    m_isTaken = true;
+    if (!Pool.m_idle.empty()) {
+      Idle.emplace(std::move(Pool.m_idle.back()));
+      Pool.m_idle.pop_back();
+    }
+    return true;
+  }
+
+  void giveBack(asio::ip::tcp::socket Socket) {
+    boost::system::error_code Error;
+    detail::IdleConnection Idle(Socket.release(Error));
+    if (Error)
+      return;
+    const std::lock_guard<std::mutex> Lock(m_client.m_mutex);
+    PeerPool &Pool = m_client.m_pools[m_peer];
+    if (Pool.m_idle.size() < m_client.m_limits.m_maxIdlePerPeer)
+      Pool.m_idle.push_back(std::move(Idle));
+  }
+
+private:
+  HttpClient &m_client;
+  const Endpoint m_peer;
+  bool m_isTaken = false;
+};
+
+asio::awaitable<Result<HttpResponse>>
+HttpClient::send(Endpoint Peer, HttpRequest Request, TimePoint Deadline) {
+  Lease Connection(*this, Peer);
+  std::optional<detail::IdleConnection> Idle;
+  if (!Connection.take(Idle))
+    co_return std::error_code(HttpErrc::PoolExhausted);
+  const asio::any_io_executor Executor = co_await asio::this_coro::executor;
+  beast::tcp_stream Stream(Executor);
+  Stream.expires_after(Deadline - BootClock::now());
+  beast::error_code Error;
+  if (Idle && Idle->isReusable())
+    Stream.socket().assign(Peer.protocol(), Idle->release(), Error);
+  if (!Stream.socket().is_open()) {
+    co_await Stream.async_connect(
+        Peer, asio::redirect_error(asio::use_awaitable, Error));
+    if (Error)
+      co_return std::error_code(HttpErrc::ConnectFailed);
+    Stream.socket().set_option(asio::ip::tcp::no_delay(true), Error);
+  }
+  Request.prepare_payload();
+  co_await http::async_write(Stream, Request,
+                             asio::redirect_error(asio::use_awaitable, Error));
+  if (Error)
+    co_return std::error_code(HttpErrc::SendFailed);
+  beast::flat_buffer Buffer;
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(m_limits.m_maxReplyBytes);
+  co_await http::async_read(Stream, Buffer, Parser,
+                            asio::redirect_error(asio::use_awaitable, Error));
+  if (Error == beast::error::timeout)
+    co_return std::error_code(HttpErrc::TimedOut);
+  if (Error)
+    co_return std::error_code(HttpErrc::ReplyTorn);
+  HttpResponse Response = Parser.release();
+  if (Response.keep_alive() && Buffer.size() == 0) {
+    Stream.expires_never();
+    Connection.giveBack(Stream.release_socket());
+  }
+  co_return Response;
+}
+
+} // namespace tamarackdrum
--- /dev/null
+++ b/src/core/routing.cc
@@ -0,0 +1,294 @@
+#include "tamarackdrum/routing.h"
+
+#include "tamarackdrum/error.h"
+
+#include <algorithm>
+#include <random>
+
+namespace tamarackdrum {
+namespace {
+
+/// Returns a route server for each record; unchanged records keep theirs.
+ServerByName carryServers(const ServerByName &Old,
+                          const std::vector<ServerRecord> &Records) {
+  ServerByName Servers;
+  for (const ServerRecord &Record : Records) {
+    const auto Found = Old.find(Record.m_name);
+    if (Found != Old.end() && Found->second->m_record == Record) {
+      Servers.insert(*Found);
+      continue;
+    }
+    const std::shared_ptr<ServerLoad> Load =
+        Found != Old.end() ? Found->second->m_load
+                           : std::make_shared<ServerLoad>();
+    Servers[Record.m_name] =
+        std::make_shared<const RouteServer>(RouteServer{Record, Load});
+  }
+  return Servers;
+}
+
+/// Returns the old term if it still stands, or a new one.
+std::shared_ptr<SliceTerm> carryTerm(const std::shared_ptr<SliceTerm> &Old,
+                                     const SliceRecord &Record,
+                                     const ServerByName &Servers) {
+  const auto Found = Servers.find(Record.m_owner);
+  const std::shared_ptr<const RouteServer> Owner =
+      Found == Servers.end() ? nullptr : Found->second;
+  if (Old && Old->m_epoch == Record.m_epoch && Old->m_server == Owner)
+    return Old;
+  const std::shared_ptr<SliceTerm> Term = std::make_shared<SliceTerm>();
+  Term->m_server = Owner;
+  Term->m_epoch = Record.m_epoch;
+  Term->m_since = Record.m_since;
+  return Term;
+}
+
+std::shared_ptr<SliceTerm> findHotKey(const ClassRoutes &Routes,
+                                      std::uint64_t Hash) {
+  const auto Found =
+      std::lower_bound(Routes.m_hotKeys.begin(), Routes.m_hotKeys.end(), Hash,
+                       [](const auto &Item, std::uint64_t Wanted) {
+                         return Item.first < Wanted;
+                       });
+  if (Found == Routes.m_hotKeys.end() || Found->first != Hash)
+    return nullptr;
+  return Found->second;
+}
+
+void addKeyedTerms(ClassRoutes &Routes, const ClassAssignment &Assignment,
+                   const ClassRoutes *Old, const ServerByName &Servers) {
+  for (std::size_t I = 0; I < Assignment.m_slices.size(); ++I) {
+    const std::shared_ptr<SliceTerm> Previous =
+        Old != nullptr && I < Old->m_slices.size() ? Old->m_slices[I] : nullptr;
+    Routes.m_slices.push_back(
+        carryTerm(Previous, Assignment.m_slices[I], Servers));
+  }
+  for (const HotKeyRecord &HotKey : Assignment.m_hotKeys)
+    Routes.m_hotKeys.emplace_back(
+        HotKey.m_hash,
+        carryTerm(Old != nullptr ? findHotKey(*Old, HotKey.m_hash) : nullptr,
+                  HotKey.m_slice, Servers));
+}
+
+void addUnkeyedTerms(ClassRoutes &Routes, const ClassRoutes *Old,
+                     const ServerByName &Servers) {
+  for (const ServerByName::value_type &Entry : Servers) {
+    const ServerRecord &Record = Entry.second->m_record;
+    if (Record.m_workClass != Routes.m_target.m_name || !takesWork(Record))
+      continue;
+    std::shared_ptr<SliceTerm> Previous;
+    if (Old != nullptr)
+      for (const std::shared_ptr<SliceTerm> &Term : Old->m_servers)
+        if (Term->m_server == Entry.second)
+          Previous = Term;
+    Routes.m_servers.push_back(
+        carryTerm(Previous, {Record.m_name, Record.m_changedAt, 0}, Servers));
+  }
+}
+
+void collectTerms(const RoutingTable &Table,
+                  std::vector<std::shared_ptr<SliceTerm>> &Terms) {
+  for (const auto &Entry : Table.m_classes) {
+    const ClassRoutes &Routes = Entry.second;
+    Terms.insert(Terms.end(), Routes.m_slices.begin(), Routes.m_slices.end());
+    Terms.insert(Terms.end(), Routes.m_servers.begin(), Routes.m_servers.end());
+    for (const auto &HotKey : Routes.m_hotKeys)
+      Terms.push_back(HotKey.second);
+  }
+  std::sort(Terms.begin(), Terms.end());
+}
+
+std::size_t randomBelow(std::size_t Bound) {
+  thread_local std::minstd_rand Engine(std::random_device{}());
+  return Engine() % Bound;
+}
+
+/// Picks the less loaded of two servers chosen at random.
+std::shared_ptr<SliceTerm> pickOfTwo(const ClassRoutes &Routes,
+                                     std::string_view Exclude) {
+  const std::vector<std::shared_ptr<SliceTerm>> &Terms = Routes.m_servers;
+  const std::size_t First = randomBelow(Terms.size());
+  const std::size_t Second = randomBelow(Terms.size());
+  const auto Load = [&](std::size_t Index) {
+    const RouteServer &Server = *Terms[Index]->m_server;
+    const int Penalty = Server.m_record.m_name == Exclude ? 1 << 20 : 0;
+    return Server.m_load->m_inFlight.load(std::memory_order_relaxed) + Penalty;
+  };
+  return Load(First) <= Load(Second) ? Terms[First] : Terms[Second];
+}
+
+} // namespace
+
+Dispatch::Dispatch(Router &Owner, std::shared_ptr<SliceTerm> Term,
+                   TimePoint Deadline)
+    : m_router(&Owner), m_term(std::move(Term)), m_deadline(Deadline) {}
+
+Dispatch::Dispatch(Dispatch &&Other) noexcept
+    : m_router(std::exchange(Other.m_router, nullptr)),
+      m_term(std::move(Other.m_term)), m_deadline(Other.m_deadline) {}
+
+Dispatch &Dispatch::operator=(Dispatch &&Other) noexcept {
+  if (this == &Other)
+    return *this;
+  abandon();
+  m_router = std::exchange(Other.m_router, nullptr);
+  m_term = std::move(Other.m_term);
+  m_deadline = Other.m_deadline;
+  return *this;
+}
+
+Dispatch::~Dispatch() { abandon(); }
+
+void Dispatch::complete() {
+  if (m_router != nullptr)
+    m_router->release(*m_term);
+  m_router = nullptr;
+}
+
+void Dispatch::abandon() {
+  if (m_router != nullptr)
+    m_router->linger(m_term, m_deadline);
+  m_router = nullptr;
+}
+
+void Router::install(const View &Next) {
+  const std::lock_guard<std::mutex> InstallLock(m_installMutex);
+  const RoutingTablePtr Old = table();
+  if (Old && Old->m_generation >= Next.m_generation)
+    return;
+  const ServerByName Servers = carryServers(m_servers, Next.m_servers);
+  m_servers = Servers;
+  const std::shared_ptr<RoutingTable> Table = std::make_shared<RoutingTable>();
+  Table->m_generation = Next.m_generation;
+  for (const ClassTarget &Target : Next.m_classes) {
+    const ClassRoutes *OldRoutes = nullptr;
+    if (Old) {
+      const auto Found = Old->m_classes.find(Target.m_name);
+      OldRoutes = Found == Old->m_classes.end() ? nullptr : &Found->second;
+    }
+    ClassRoutes &Routes = Table->m_classes[Target.m_name];
+    Routes.m_target = Target;
+    const ClassAssignment *Assignment = findAssignment(Next, Target.m_name);
+    if (Assignment != nullptr)
+      addKeyedTerms(Routes, *Assignment, OldRoutes, Servers);
+    else
+      addUnkeyedTerms(Routes, OldRoutes, Servers);
+  }
+  {
+    const std::lock_guard<std::mutex> TableLock(m_tableMutex);
+    m_table = Table;
+  }
+  if (Old)
+    retireDropped(*Old, *Table);
+}
+
+void Router::retireDropped(const RoutingTable &Old, const RoutingTable &Next) {
+  std::vector<std::shared_ptr<SliceTerm>> Kept;
+  collectTerms(Next, Kept);
+  std::vector<std::shared_ptr<SliceTerm>> Dropped;
+  collectTerms(Old, Dropped);
+  std::erase_if(m_retired, [](const RetiredTerm &Retired) {
+    return Retired.m_term->m_inFlight.load() == 0;
+  });
+  for (const std::shared_ptr<SliceTerm> &Term : Dropped) {
+    if (std::binary_search(Kept.begin(), Kept.end(), Term))
+      continue;
+    Term->m_retired.store(true);
+    m_retired.push_back({Next.m_generation, Term});
+  }
+}
+
+void Router::setLease(TimePoint LeaseUntil, Generation Settled) noexcept {
+  m_leaseUntilNs.store(LeaseUntil.time_since_epoch().count());
+  m_settled.store(Settled);
+}
+
+Result<std::shared_ptr<SliceTerm>> Router::pick(const ClassRoutes &Routes,
+                                                const RouteQuery &Query) const {
+  if (!Routes.m_target.m_keyed) {
+    if (Routes.m_servers.empty())
+      return std::error_code(RouteErrc::NoServer);
+    return pickOfTwo(Routes, Query.m_excludeServer);
+  }
+  if (Query.m_key.empty())
+    return std::error_code(RouteErrc::KeyMissing);
+  const std::uint64_t Hash = hashKey(Query.m_key);
+  std::shared_ptr<SliceTerm> Term = findHotKey(Routes, Hash);
+  if (!Term)
+    Term = Routes.m_slices[sliceIndex(Hash, Routes.m_slices.size())];
+  if (!Term->m_server || !takesWork(Term->m_server->m_record))
+    return std::error_code(RouteErrc::NoServer);
+  if (Term->m_since > m_settled.load(std::memory_order_acquire))
+    return std::error_code(RouteErrc::SliceMoving);
+  return Term;
+}
+
+Result<Dispatch> Router::decide(const RouteQuery &Query, TimePoint Now) {
+  for (;;) {
+    const RoutingTablePtr Table = table();
+    if (!Table)
+      return std::error_code(RouteErrc::NoLease);
+    const auto Found = Table->m_classes.find(Query.m_workClass);
+    if (Found == Table->m_classes.end())
+      return std::error_code(RouteErrc::UnknownClass);
+    const Result<std::shared_ptr<SliceTerm>> Picked =
+        pick(Found->second, Query);
+    if (!Picked)
+      return Picked.error();
+    const std::shared_ptr<SliceTerm> &Term = Picked.value();
+    Term->m_inFlight.fetch_add(1);
+    // install() sets m_retired before it reads m_inFlight, so that either it
+    // sees this dispatch or this dispatch sees the retirement.
+    if (Term->m_retired.load()) {
+      Term->m_inFlight.fetch_sub(1);
+      continue;
+    }
+    Term->m_server->m_load->m_inFlight.fetch_add(1);
+    m_inFlight.fetch_add(1);
+    if (Now.time_since_epoch().count() >= m_leaseUntilNs.load()) {
+      release(*Term);
+      return std::error_code(RouteErrc::NoLease);
+    }
+    Term->m_server->m_load->m_dispatched.fetch_add(1,
+                                                   std::memory_order_relaxed);
+    return Dispatch(*this, Term, Now + Found->second.m_target.m_deadline);
+  }
+}
+
+void Router::release(SliceTerm &Term) noexcept {
+  Term.m_server->m_load->m_inFlight.fetch_sub(1);
+  Term.m_inFlight.fetch_sub(1);
+  m_inFlight.fetch_sub(1);
+}
+
+void Router::linger(std::shared_ptr<SliceTerm> Term, TimePoint Deadline) {
+  const std::lock_guard<std::mutex> Lock(m_lingerMutex);
+  m_lingering.emplace_back(Deadline, std::move(Term));
+}
+
+void Router::releaseExpired(TimePoint Now, Millis Skew) {
+  const std::lock_guard<std::mutex> Lock(m_lingerMutex);
+  std::erase_if(m_lingering, [&](const auto &Entry) {
+    if (Now < Entry.first + Skew)
+      return false;
+    release(*Entry.second);
+    return true;
+  });
+}
+
+Generation Router::drainedGeneration() const {
+  const std::lock_guard<std::mutex> Lock(m_installMutex);
+  const RoutingTablePtr Table = table();
+  Generation Drained = Table ? Table->m_generation : 0;
+  for (const RetiredTerm &Retired : m_retired)
+    if (Retired.m_term->m_inFlight.load() > 0)
+      Drained = std::min(Drained, Retired.m_retiredAt - 1);
+  return Drained;
+}
+
+RoutingTablePtr Router::table() const {
+  const std::lock_guard<std::mutex> Lock(m_tableMutex);
+  return m_table;
+}
+
+} // namespace tamarackdrum
--- /dev/null
+++ b/src/core/settings.cc
@@ -0,0 +1,186 @@
+#include "tamarackdrum/settings.h"
+
+#include "tamarackdrum/view-json.h"
+
+#include <functional>
+#include <set>
+
+namespace tamarackdrum {
+namespace {
+
+constexpr std::int64_t MaxMillis = 600000;
+constexpr std::int64_t MaxWorkers = 64;
+constexpr std::size_t MinKeyLength = 8;
+
+/// Reads the members of one JSON object and collects faults.
+class ObjectReader {
+public:
+  ObjectReader(const Json::Value &Object, std::string Path,
+               std::vector<SettingsFault> &Faults)
+      : m_object(Object), m_path(std::move(Path)), m_faults(Faults) {
+    if (!m_object.isObject())
+      fault("", m_object, "an object");
+  }
+
+  std::string text(const char *Name, bool IsRequired) {
+    const Json::Value *Value = find(Name);
+    if (Value == nullptr || !Value->isString() ||
+        (IsRequired && Value->asString().empty())) {
+      if (Value != nullptr || IsRequired)
+        fault(Name, Value == nullptr ? Json::Value() : *Value,
+              "a non-empty string");
+      return {};
+    }
+    return Value->asString();
+  }
+
+  std::string address(const char *Name, bool IsRequired) {
+    const std::string Out = text(Name, IsRequired);
+    if (!Out.empty() && Out.find(':') == std::string::npos)
+      fault(Name, Json::Value(Out), "an address, \"IP:PORT\"");
+    return Out;
+  }
+
+  std::int64_t integer(const char *Name, std::int64_t Default, std::int64_t Min,
+                       std::int64_t Max) {
+    const Json::Value *Value = find(Name);
+    if (Value == nullptr)
+      return Default;
+    if (!Value->isInt64() || Value->asInt64() < Min || Value->asInt64() > Max) {
+      fault(Name, *Value,
+            "an integer from " + std::to_string(Min) + " to " +
+                std::to_string(Max));
+      return Default;
+    }
+    return Value->asInt64();
+  }
+
+  Millis millis(const char *Name, Millis Default) {
+    return Millis(integer(Name, Default.count(), 1, MaxMillis));
+  }
+
+  bool boolean(const char *Name, bool Default) {
+    const Json::Value *Value = find(Name);
+    if (Value == nullptr)
+      return Default;
+    if (!Value->isBool())
+      fault(Name, *Value, "true or false");
+    return Value->isBool() ? Value->asBool() : Default;
+  }
+
+  const Json::Value &object(const char *Name) {
+    static const Json::Value Empty(Json::objectValue);
+    const Json::Value *Value = find(Name);
+    return Value == nullptr ? Empty : *Value;
+  }
+
+  template <typename Item>
+  std::vector<Item> list(const char *Name,
+                         Result<Item> (*Parse)(const Json::Value &)) {
+    std::vector<Item> Out;
+    const Json::Value *Value = find(Name);
+    if (Value == nullptr)
+      return Out;
+    if (!Value->isArray())
+      fault(Name, *Value, "an array");
+    for (Json::ArrayIndex I = 0; Value->isArray() && I < Value->size(); ++I) {
+      Result<Item> Parsed = Parse((*Value)[I]);
+      if (Parsed)
+        Out.push_back(std::move(Parsed).value());
+      else
+        fault(std::string(Name) + "[" + std::to_string(I) + "]", (*Value)[I],
+              "an entry as docs/CONFIG.md describes");
+    }
+    return Out;
+  }
+
+  void rejectUnknown() {
+    if (!m_object.isObject())
+      return;
+    for (const std::string &Name : m_object.getMemberNames())
+      if (!m_known.contains(Name))
+        fault(Name, m_object[Name], "no such setting");
+  }
+
+  void fault(const std::string &Name, const Json::Value &Found,
+             std::string Expected) {
+    m_faults.push_back({Name.empty() ? m_path : m_path + "." + Name,
+                        Found.isNull() ? "nothing" : toText(Found),
+                        std::move(Expected)});
+  }
+
+private:
+  const Json::Value *find(const char *Name) {
+    m_known.insert(Name);
+    if (!m_object.isObject() || !m_object.isMember(Name))
+      return nullptr;
+    return &m_object[Name];
+  }
+
+  const Json::Value &m_object;
+  const std::string m_path;
+  std::vector<SettingsFault> &m_faults;
+  std::set<std::string> m_known;
+};
+
+LeaseTiming readLease(const Json::Value &Object,
+                      std::vector<SettingsFault> &Faults) {
+  constexpr std::int64_t MaxDriftPerMille = 100;
+  ObjectReader Reader(Object, "$.lease", Faults);
+  LeaseTiming Timing;
+  Timing.m_lease = Reader.millis("lease_ms", Timing.m_lease);
+  Timing.m_renewInterval = Reader.millis("renew_ms", Timing.m_renewInterval);
+  Timing.m_maxDispatch = Reader.millis("max_dispatch_ms", Timing.m_maxDispatch);
+  Timing.m_clockSkew = Reader.millis("clock_skew_ms", Timing.m_clockSkew);
+  Timing.m_driftPerMille = static_cast<int>(Reader.integer(
+      "drift_per_mille", Timing.m_driftPerMille, 0, MaxDriftPerMille));
+  Reader.rejectUnknown();
+  if (Timing.m_renewInterval * 2 > Timing.m_lease)
+    Reader.fault("renew_ms", Json::Int64(Timing.m_renewInterval.count()),
+                 "at most half of lease_ms");
+  return Timing;
+}
+
+void readBootstrap(const Json::Value &Object, Settings &Out,
+                   std::vector<SettingsFault> &Faults) {
+  ObjectReader Reader(Object, "$.bootstrap", Faults);
+  Out.m_bootstrapGroup = Reader.list<Member>("group", memberFromJson);
+  Out.m_bootstrapClasses = Reader.list<ClassTarget>("classes", classFromJson);
+  Out.m_bootstrapServers = Reader.list<ServerRecord>("servers", serverFromJson);
+  Reader.rejectUnknown();
+}
+
+} // namespace
+
+SettingsReport parseSettings(const std::string &Text) {
+  SettingsReport Report;
+  const Result<Json::Value> Root = parseJson(Text);
+  if (!Root) {
+    Report.m_faults.push_back({"$", "text that is not JSON", "a JSON object"});
+    return Report;
+  }
+  Settings &Out = Report.m_settings;
+  ObjectReader Reader(Root.value(), "$", Report.m_faults);
+  Out.m_name = Reader.text("name", true);
+  Out.m_zone = Reader.text("zone", true);
+  Out.m_callerAddress = Reader.address("caller_address", true);
+  Out.m_controlAddress = Reader.address("control_address", true);
+  Out.m_platformAddress = Reader.address("platform_address", false);
+  Out.m_sharedKey = Reader.text("shared_key", true);
+  if (!Out.m_sharedKey.empty() && Out.m_sharedKey.size() < MinKeyLength)
+    Reader.fault("shared_key", Json::Value("(hidden)"),
+                 "at least 8 characters");
+  Out.m_workers =
+      static_cast<unsigned>(Reader.integer("workers", 2, 1, MaxWorkers));
+  Out.m_stopTimeout = Reader.millis("stop_timeout_ms", Out.m_stopTimeout);
+  Out.m_tablePollInterval =
+      Reader.millis("table_poll_ms", Out.m_tablePollInterval);
+  Out.m_tableTimeout = Reader.millis("table_timeout_ms", Out.m_tableTimeout);
+  Out.m_allowFaults = Reader.boolean("allow_faults", false);
+  Out.m_lease = readLease(Reader.object("lease"), Report.m_faults);
+  readBootstrap(Reader.object("bootstrap"), Out, Report.m_faults);
+  Reader.rejectUnknown();
+  return Report;
+}
+
+} // namespace tamarackdrum
