--- /dev/null
+++ b/include/tamarackdrum/view-keeper.h
@@ -0,0 +1,83 @@
+/// \file
+/// Keeps the view of this process current, renews its lease with the other
+/// members, and commits changes of the view to the table.
+///
+/// Lock order: ViewKeeper::m_leaseMutex before the mutexes of Router.
+
+#ifndef TAMARACKDRUM_VIEW_KEEPER_H
+#define TAMARACKDRUM_VIEW_KEEPER_H
+
+#include "tamarackdrum/declaration.h"
+#include "tamarackdrum/http.h"
+#include "tamarackdrum/routing.h"
+#include "tamarackdrum/rpc.h"
+#include "tamarackdrum/settings.h"
+#include "tamarackdrum/table.h"
+
+namespace tamarackdrum {
+
+/// State of the lease at one instant.
+struct LeaseStatus {
+  bool m_hasLease = false;
+  Generation m_settled = 0;
+  Generation m_drained = 0;
+  ViewPtr m_view;
+};
+
+/// Derives the next view, or says why it cannot. It is called again after
+/// each conflict, with the base made from the newer view.
+using ViewChange = std::function<Result<View>(View Next)>;
+
+/// The keeper. All dependencies outlive it. Thread-safe.
+class ViewKeeper {
+public:
+  ViewKeeper(const Settings &Config, std::uint64_t Incarnation,
+             boost::asio::io_context &Workers, TableStore &Table,
+             HttpClient &PeerClient, Router &Routes);
+
+  void start();
+  void beginStop() { m_stopping = true; }
+
+  /// Answers a member's renewal.
+  RenewReply onRenew(const RenewRequest &Request);
+
+  /// Adopts \p Next if it is newer than the current view.
+  void adopt(ViewPtr Next, ViewSource Source);
+
+  LeaseStatus status() const;
+  ViewPtr view() const;
+
+  /// Commits a change, retrying on conflicts. Errors are of ChangeErrc.
+  boost::asio::awaitable<Result<ViewPtr>> commitChange(ViewChange Apply,
+                                                       std::string Operation);
+
+  /// Waits until a majority has promised \p Wanted, so that no lease on an
+  /// older view can be renewed.
+  boost::asio::awaitable<std::error_code> awaitInForce(Generation Wanted);
+
+private:
+  boost::asio::awaitable<void> leaseLoop();
+  boost::asio::awaitable<void> renewWith(Member Peer);
+  boost::asio::awaitable<void> pushView(Member Peer, ViewPtr Next);
+  boost::asio::awaitable<void> tableLoop();
+  boost::asio::awaitable<void> readTable();
+  boost::asio::awaitable<void> bootstrap();
+  boost::asio::awaitable<Result<CommitResult>> commitView(const View &Next);
+  boost::asio::awaitable<bool> isCommitted(std::string Operation);
+  void publishLease(TimePoint Now);
+  RpcClient peerClient(const std::string &Address);
+
+  const Settings &m_settings;
+  const std::uint64_t m_incarnation;
+  boost::asio::io_context &m_workers;
+  TableStore &m_table;
+  HttpClient &m_peerClient;
+  Router &m_router;
+  mutable std::mutex m_leaseMutex;
+  ViewLease m_lease;
+  std::atomic<bool> m_stopping{false};
+};
+
+} // namespace tamarackdrum
+
+#endif // TAMARACKDRUM_VIEW_KEEPER_H
--- /dev/null
+++ b/src/adapter/control-api.cc
@@ -0,0 +1,148 @@
+#include "tamarackdrum/control-api.h"
+
+#include "tamarackdrum/error.h"
+#include "tamarackdrum/view-json.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+#include <future>
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace tamarackdrum {
+namespace {
+
+constexpr std::size_t OperatorThreads = 4;
+
+} // namespace
+
+ControlApi::ControlApi(const Settings &Config, asio::io_context &Workers,
+                       ViewKeeper &Keeper, const RequestProxy &Proxy)
+    : m_settings(Config), m_workers(Workers), m_keeper(Keeper), m_proxy(Proxy),
+      m_operatorPool(OperatorThreads) {
+  addMethods();
+}
+
+void ControlApi::addMethods() {
+  m_peerRpc.addMethod("renew", [this](const Json::Value &Parameters) {
+    return rpcRenew(Parameters);
+  });
+  m_peerRpc.addMethod("install", [this](const Json::Value &Parameters) {
+    return rpcInstall(Parameters);
+  });
+  m_operatorRpc.addMethod("change", [this](const Json::Value &Parameters) {
+    return rpcChange(Parameters);
+  });
+  m_operatorRpc.addMethod("classes", [this](const Json::Value &Parameters) {
+    return rpcClasses(Parameters);
+  });
+  m_operatorRpc.addMethod("status", [this](const Json::Value &Parameters) {
+    return rpcStatus(Parameters);
+  });
+}
+
+asio::awaitable<HttpResponse> ControlApi::onControl(const HttpRequest &Call) {
+  const std::error_code Refused =
+      checkControlCall(Call, m_settings.m_sharedKey);
+  if (Refused) {
+    m_refused.fetch_add(1);
+    const unsigned Status = Refused == ControlErrc::WrongVersion ? 426 : 401;
+    co_return makeResponse(Status, "{\"error\":\"" + Refused.message() + "\"}");
+  }
+  if (Call.target() == "/rpc/peer")
+    co_return makeResponse(200, m_peerRpc.handle(Call.body()));
+  if (Call.target() != "/rpc/operator")
+    co_return makeResponse(404, "{}");
+  // Operator calls wait for commits, so they run outside the worker pool.
+  co_return co_await asio::co_spawn(
+      m_operatorPool,
+      [this, &Call]() -> asio::awaitable<HttpResponse> {
+        co_return makeResponse(200, m_operatorRpc.handle(Call.body()));
+      },
+      asio::use_awaitable);
+}
+
+Result<Json::Value> ControlApi::rpcRenew(const Json::Value &Parameters) {
+  const Result<RenewRequest> Request = renewRequestFromJson(Parameters);
+  if (!Request)
+    return Request.error();
+  return toJson(m_keeper.onRenew(Request.value()));
+}
+
+Result<Json::Value> ControlApi::rpcInstall(const Json::Value &Parameters) {
+  Result<View> Next = viewFromJson(Parameters["view"]);
+  if (!Next)
+    return Next.error();
+  m_keeper.adopt(std::make_shared<const View>(std::move(Next).value()),
+                 ViewSource::Peer);
+  return Json::Value(Json::objectValue);
+}
+
+Result<Json::Value> ControlApi::rpcChange(const Json::Value &Parameters) {
+  const Result<ServerChange> Change = changeFromJson(Parameters);
+  if (!Change)
+    return std::error_code(ChangeErrc::Malformed);
+  return runChange(
+      [&](View Next) {
+        return applyServerChange(std::move(Next), Change.value());
+      },
+      Change.value().m_operation);
+}
+
+Result<Json::Value> ControlApi::rpcClasses(const Json::Value &Parameters) {
+  std::vector<ClassTarget> Classes;
+  for (const Json::Value &Item : Parameters["classes"]) {
+    const Result<ClassTarget> Target = classFromJson(Item);
+    if (!Target || Target.value().m_deadline > m_settings.m_lease.m_maxDispatch)
+      return std::error_code(ChangeErrc::Malformed);
+    Classes.push_back(Target.value());
+  }
+  return runChange(
+      [&](View Next) { return applyClasses(std::move(Next), Classes); },
+      Parameters["operation"].asString());
+}
+
+Result<Json::Value> ControlApi::rpcStatus(const Json::Value & /*Parameters*/) {
+  Json::Value Out;
+  Out["process"] = m_settings.m_name;
+  const LeaseStatus Status = m_keeper.status();
+  Out["has_lease"] = Status.m_hasLease;
+  Out["settled"] = Json::UInt64(Status.m_settled);
+  Out["drained"] = Json::UInt64(Status.m_drained);
+  const RequestCounters &Counters = m_proxy.counters();
+  Out["answered"] = Json::UInt64(Counters.m_answered.load());
+  Out["not_run"] = Json::UInt64(Counters.m_notRun.load());
+  Out["unknown"] = Json::UInt64(Counters.m_unknown.load());
+  if (Status.m_view)
+    Out["view"] = toJson(*Status.m_view);
+  return Out;
+}
+
+Result<Json::Value> ControlApi::runChange(ViewChange Apply,
+                                          const std::string &Operation) {
+  if (Operation.empty())
+    return std::error_code(ChangeErrc::Malformed);
+  std::promise<Result<Json::Value>> Promise;
+  std::future<Result<Json::Value>> Done = Promise.get_future();
+  asio::co_spawn(
+      asio::make_strand(m_workers),
+      [&]() -> asio::awaitable<void> {
+        const Result<ViewPtr> Committed =
+            co_await m_keeper.commitChange(Apply, Operation);
+        if (!Committed) {
+          Promise.set_value(Committed.error());
+          co_return;
+        }
+        const std::error_code Error =
+            co_await m_keeper.awaitInForce(Committed.value()->m_generation);
+        Json::Value Out;
+        Out["generation"] = Json::UInt64(Committed.value()->m_generation);
+        Promise.set_value(Error ? Result<Json::Value>(Error)
+                                : Result<Json::Value>(Out));
+      },
+      asio::detached);
+  return Done.get();
+}
+
+} // namespace tamarackdrum
--- a/src/app/tamarackd.cc
+++ b/src/app/tamarackd.cc
@@ -116,13 +116,14 @@
   MemoryTable Embedded;
   const std::unique_ptr<TableStore> Table =
       makeTable(Line, Config, PeerClient, Embedded);
-  EntryHost Host(Config, Workers, *Table, PeerClient, ServerClient);
+  std::optional<EntryHost> Host;
   try {
-    Host.start();
+    Host.emplace(Config, Workers, *Table, PeerClient, ServerClient);
   } catch (const boost::system::system_error &Error) {
     SPDLOG_ERROR("cannot bind: {}", Error.what());
     return ExitBind;
   }
+  Host->start();
   asio::io_context SignalContext;
   asio::signal_set Signals(SignalContext, SIGTERM, SIGINT);
   Signals.async_wait([](const boost::system::error_code &, int) {});
@@ -135,8 +136,8 @@
               Config.m_zone, Config.m_callerAddress, Config.m_controlAddress);
   SignalContext.run();
   SPDLOG_INFO("stopping");
-  Host.beginStop();
-  const bool IsDrained = drain(Host, Config.m_stopTimeout);
+  Host->beginStop();
+  const bool IsDrained = drain(*Host, Config.m_stopTimeout);
   Workers.stop();
   Threads.clear();
   SPDLOG_INFO("stopped drained={}", IsDrained);
