Add group changes, the failure detector and the planner loop

Cause: a lost server kept its keys until an operator recalled it, and the group of entry hosts was fixed at the first start.

Ruled out: a planner lease row in the table (a write per heartbeat, and no planner in a table outage); every commit is conditional on the generation, so the first member heard is the planner and two planners are harmless. Changing a group in one commit (majorities of groups that differ by more than one member need not meet); a change keeps the old group until it has settled.

Found while writing: a removed process could renew its lease while nobody waited for it any more; it now loses its lease on learning the view (GroupChangeTest.RemovedMember_OnLearningIt_LosesItsLeaseAtOnce).

--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -24,6 +24,10 @@
   /// Returns whether nothing is in flight any more.
   bool isIdle() const;
 
+  /// Leaves the dispatch group; returns at once.
+  void beginLeave() { m_keeper.beginLeave(); }
+  bool hasLeft() const { return m_keeper.hasLeft(); }
+
 private:
   const Settings m_settings;
   Router m_router;
--- a/include/tamarackdrum/error.h
+++ b/include/tamarackdrum/error.h
@@ -42,12 +42,13 @@
 
 /// Failures of a change that an operator asked for.
 enum class ChangeErrc {
-  Malformed = 1,   ///< The declaration or command is not valid.
-  UnknownServer,   ///< A named server was never declared.
-  Superseded,      ///< A concurrent change of the same server came first.
-  EmptiesClass,    ///< The change would take the last server of a class.
-  NotInForce,      ///< Committed, but not yet promised by a majority.
-  TableUnavailable ///< The table service cannot be reached.
+  Malformed = 1,    ///< The declaration or command is not valid.
+  UnknownServer,    ///< A named server was never declared.
+  Superseded,       ///< A concurrent change of the same server came first.
+  EmptiesClass,     ///< The change would take the last server of a class.
+  NotInForce,       ///< Committed, but not yet promised by a majority.
+  TableUnavailable, ///< The table service cannot be reached.
+  GroupChanging,    ///< An earlier change of the group has not settled.
 };
 
 /// Failures of control calls between processes.
--- a/include/tamarackdrum/view-keeper.h
+++ b/include/tamarackdrum/view-keeper.h
@@ -8,6 +8,7 @@
 #define TAMARACKDRUM_VIEW_KEEPER_H
 
 #include "tamarackdrum/declaration.h"
+#include "tamarackdrum/failure-detector.h"
 #include "tamarackdrum/http.h"
 #include "tamarackdrum/routing.h"
 #include "tamarackdrum/rpc.h"
@@ -24,6 +25,9 @@
   ViewPtr m_view;
 };
 
+/// Returns the servers that this process suspects to have failed.
+using SuspectSource = std::function<std::vector<std::string>()>;
+
 /// Derives the next view, or says why it cannot. It is called again after
 /// each conflict, with the base made from the newer view.
 using ViewChange = std::function<Result<View>(View Next)>;
@@ -33,10 +37,16 @@
 public:
   ViewKeeper(const Settings &Config, std::uint64_t Incarnation,
              boost::asio::io_context &Workers, TableStore &Table,
-             HttpClient &PeerClient, Router &Routes);
+             HttpClient &PeerClient, Router &Routes, SuspectSource Suspects);
 
   void start();
-  void beginStop() { m_stopping = true; }
+
+  /// Leaves the group and ends all activities; returns at once. Call it when
+  /// nothing is in flight any more.
+  void beginLeave();
+
+  /// Returns whether this process has left the group, or had to give up.
+  bool hasLeft() const { return m_hasLeft; }
 
   /// Answers a member's renewal.
   RenewReply onRenew(const RenewRequest &Request);
@@ -64,7 +74,16 @@
   boost::asio::awaitable<void> bootstrap();
   boost::asio::awaitable<Result<CommitResult>> commitView(const View &Next);
   boost::asio::awaitable<bool> isCommitted(std::string Operation);
+  boost::asio::awaitable<void> joinGroup();
+  boost::asio::awaitable<void> leaveGroup();
+  boost::asio::awaitable<void> planLoop();
+  boost::asio::awaitable<void> plan();
+  boost::asio::awaitable<void> commitPlan(const char *Step, ViewChange Apply);
+  bool isPlanner(const View &Current, TimePoint Now) const;
   void publishLease(TimePoint Now);
+  void announce(const ViewPtr &Current);
+  Member self() const;
+  std::string makeOperation(const char *Step);
   RpcClient peerClient(const std::string &Address);
 
   const Settings &m_settings;
@@ -73,9 +92,13 @@
   TableStore &m_table;
   HttpClient &m_peerClient;
   Router &m_router;
+  const SuspectSource m_suspects;
   mutable std::mutex m_leaseMutex;
   ViewLease m_lease;
-  std::atomic<bool> m_stopping{false};
+  FailureDetector m_detector; ///< Guarded by m_leaseMutex.
+  std::atomic<std::uint64_t> m_operations{0};
+  std::atomic<bool> m_leaving{false};
+  std::atomic<bool> m_hasLeft{false};
 };
 
 } // namespace tamarackdrum
--- a/include/tamarackdrum/view-lease.h
+++ b/include/tamarackdrum/view-lease.h
@@ -50,6 +50,8 @@
   std::string m_from;
   std::uint64_t m_incarnation = 0;
   Generation m_generation = 0;
+  /// Servers that the sender suspects to have failed.
+  std::vector<std::string> m_suspects;
 
   bool operator==(const RenewRequest &) const = default;
 };
@@ -81,8 +83,10 @@
 /// \endcode
 class ViewLease {
 public:
+  /// With an address, a member of the same name counts as this process only
+  /// at that address.
   ViewLease(std::string Self, std::uint64_t Incarnation, LeaseTiming Timing,
-            TimePoint Start);
+            TimePoint Start, std::string Address = {});
 
   /// Adopts \p Next if it is newer than the current view. Returns whether it
   /// was adopted. A read of the table also ends recovery, whatever its age.
@@ -110,6 +114,9 @@
   bool recovered() const noexcept { return m_recovered; }
   ViewPtr view() const { return m_view; }
 
+  /// Returns whether this process is a member of its view's group.
+  bool isSelfMember() const;
+
   /// Returns whether a majority has promised \p Wanted or a newer view.
   bool isPromisedByMajority(Generation Wanted) const;
 
@@ -147,6 +154,7 @@
   const std::uint64_t m_incarnation;
   const LeaseTiming m_timing;
   const TimePoint m_start;
+  const std::string m_address;
   ViewPtr m_view;
   Generation m_promised = 0;
   Generation m_drained = 0;
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -20,7 +20,7 @@
                      HttpClient &ServerClient)
     : m_settings(std::move(Config)),
       m_keeper(m_settings, makeIncarnation(), Workers, Table, PeerClient,
-               m_router),
+               m_router, [] { return std::vector<std::string>(); }),
       m_proxy(m_router, ServerClient),
       m_control(m_settings, Workers, m_keeper, m_proxy),
       m_callerServer(
@@ -39,10 +39,7 @@
   m_keeper.start();
 }
 
-void EntryHost::beginStop() {
-  m_keeper.beginStop();
-  m_callerServer.stop();
-}
+void EntryHost::beginStop() { m_callerServer.stop(); }
 
 bool EntryHost::isIdle() const {
   return m_callerServer.openConnections() == 0 && m_router.inFlight() == 0;
--- a/src/adapter/view-keeper.cc
+++ b/src/adapter/view-keeper.cc
@@ -1,6 +1,7 @@
 #include "tamarackdrum/view-keeper.h"
 
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/group-change.h"
 #include "tamarackdrum/planner.h"
 #include "tamarackdrum/view-json.h"
 
@@ -15,6 +16,9 @@
 constexpr const char *ViewRow = "view/main";
 constexpr Millis InForceTimeout{3000};
 constexpr Millis InForcePoll{5};
+constexpr Millis LeavePoll{20};
+/// Renewal intervals without a reply after which a member is not the planner.
+constexpr int PlannerSilence = 3;
 constexpr int MaxCommitTries = 64;
 constexpr Millis SettleRetryDelay{100};
 constexpr int MaxSettleTries = 20;
@@ -29,19 +33,40 @@
 
 ViewKeeper::ViewKeeper(const Settings &Config, std::uint64_t Incarnation,
                        asio::io_context &Workers, TableStore &Table,
-                       HttpClient &PeerClient, Router &Routes)
+                       HttpClient &PeerClient, Router &Routes,
+                       SuspectSource Suspects)
     : m_settings(Config), m_incarnation(Incarnation), m_workers(Workers),
       m_table(Table), m_peerClient(PeerClient), m_router(Routes),
-      m_lease(Config.m_name, Incarnation, Config.m_lease, BootClock::now()) {}
+      m_suspects(std::move(Suspects)),
+      m_lease(Config.m_name, Incarnation, Config.m_lease, BootClock::now(),
+              Config.m_controlAddress),
+      m_detector(DetectorLimits{}) {}
 
 void ViewKeeper::start() {
   asio::co_spawn(asio::make_strand(m_workers), tableLoop(), asio::detached);
   asio::co_spawn(asio::make_strand(m_workers), leaseLoop(), asio::detached);
+  asio::co_spawn(asio::make_strand(m_workers), planLoop(), asio::detached);
+}
+
+void ViewKeeper::beginLeave() {
+  m_leaving = true;
+  asio::co_spawn(asio::make_strand(m_workers), leaveGroup(), asio::detached);
 }
 
 RenewReply ViewKeeper::onRenew(const RenewRequest &Request) {
   const std::lock_guard<std::mutex> Lock(m_leaseMutex);
-  return m_lease.onRenew(Request, BootClock::now());
+  const TimePoint Now = BootClock::now();
+  m_detector.report(Request.m_from, Request.m_suspects, Now);
+  return m_lease.onRenew(Request, Now);
+}
+
+Member ViewKeeper::self() const {
+  return {m_settings.m_name, m_settings.m_controlAddress, m_settings.m_zone};
+}
+
+std::string ViewKeeper::makeOperation(const char *Step) {
+  return std::string(Step) + "-" + std::to_string(m_incarnation) + "-" +
+         std::to_string(m_operations.fetch_add(1));
 }
 
 LeaseStatus ViewKeeper::status() const {
@@ -57,11 +82,31 @@
 }
 
 void ViewKeeper::adopt(ViewPtr Next, ViewSource Source) {
-  const std::lock_guard<std::mutex> Lock(m_leaseMutex);
-  const TimePoint Now = BootClock::now();
-  if (m_lease.install(std::move(Next), Source, Now))
-    SPDLOG_INFO("view generation={}", m_lease.view()->m_generation);
-  publishLease(Now);
+  ViewPtr Adopted;
+  {
+    const std::lock_guard<std::mutex> Lock(m_leaseMutex);
+    const TimePoint Now = BootClock::now();
+    if (m_lease.install(std::move(Next), Source, Now)) {
+      Adopted = m_lease.view();
+      m_detector.noteView(*Adopted, Now);
+    }
+    publishLease(Now);
+  }
+  if (!Adopted)
+    return;
+  SPDLOG_INFO("view generation={} committer={} operation={}",
+              Adopted->m_generation, Adopted->m_committer,
+              Adopted->m_operation);
+  announce(Adopted);
+}
+
+/// Renews with every member at once, so that a new view is promised and
+/// acknowledged without waiting for the next interval.
+void ViewKeeper::announce(const ViewPtr &Current) {
+  for (const Member &Peer : allMembers(*Current))
+    if (Peer.m_name != m_settings.m_name)
+      asio::co_spawn(asio::make_strand(m_workers), renewWith(Peer),
+                     asio::detached);
 }
 
 /// Hands the lease's state to the router. Requires m_leaseMutex.
@@ -71,24 +116,25 @@
     return;
   m_router.install(*Current);
   m_router.releaseExpired(Now, m_settings.m_lease.m_clockSkew);
-  m_lease.setDrained(m_router.drainedGeneration(), Now);
+  // Nobody waits for a process outside of the group, so that it is drained
+  // only when nothing at all is in flight.
+  if (m_lease.isSelfMember() || m_router.inFlight() == 0)
+    m_lease.setDrained(m_router.drainedGeneration(), Now);
   m_router.setLease(m_lease.leaseUntil(), m_lease.settled());
 }
 
 asio::awaitable<void> ViewKeeper::leaseLoop() {
-  while (!m_stopping) {
-    const ViewPtr Current = view();
-    if (Current) {
+  while (!m_hasLeft) {
+    if (const ViewPtr Current = view()) {
+      const std::vector<std::string> Suspects = m_suspects();
       {
         const std::lock_guard<std::mutex> Lock(m_leaseMutex);
         const TimePoint Now = BootClock::now();
+        m_detector.report(m_settings.m_name, Suspects, Now);
         m_lease.tick(Now);
         publishLease(Now);
       }
-      for (const Member &Peer : allMembers(*Current))
-        if (Peer.m_name != m_settings.m_name)
-          asio::co_spawn(asio::make_strand(m_workers), renewWith(Peer),
-                         asio::detached);
+      announce(Current);
     }
     co_await sleepFor(m_settings.m_lease.m_renewInterval);
   }
@@ -106,6 +152,7 @@
     const std::lock_guard<std::mutex> Lock(m_leaseMutex);
     Request = m_lease.makeRenew();
   }
+  Request.m_suspects = m_suspects();
   const TimePoint SentAt = BootClock::now();
   RpcClient Client = peerClient(Peer.m_address);
   const std::string Method = "renew";
@@ -121,7 +168,10 @@
   {
     const std::lock_guard<std::mutex> Lock(m_leaseMutex);
     const TimePoint Now = BootClock::now();
+    const ViewPtr Before = m_lease.view();
     m_lease.onRenewReply(Reply.value(), Request.m_generation, SentAt, Now);
+    if (m_lease.view() != Before)
+      m_detector.noteView(*m_lease.view(), Now);
     publishLease(Now);
     const ViewPtr Current = m_lease.view();
     if (Current && Current->m_generation > Reply.value().m_generation)
@@ -139,8 +189,9 @@
 }
 
 asio::awaitable<void> ViewKeeper::tableLoop() {
-  while (!m_stopping) {
+  while (!m_hasLeft) {
     co_await readTable();
+    co_await joinGroup();
     co_await sleepFor(m_settings.m_tablePollInterval);
   }
 }
@@ -239,16 +290,6 @@
 
 asio::awaitable<std::error_code> ViewKeeper::awaitInForce(Generation Wanted) {
   const TimePoint Limit = BootClock::now() + InForceTimeout;
-  const ViewPtr Current = view();
-  for (const Member &Peer : allMembers(*Current))
-    if (Peer.m_name != m_settings.m_name)
-      asio::co_spawn(
-          asio::make_strand(m_workers),
-          [this, Peer, Current]() -> asio::awaitable<void> {
-            co_await pushView(Peer, Current);
-            co_await renewWith(Peer);
-          },
-          asio::detached);
   while (BootClock::now() < Limit) {
     {
       const std::lock_guard<std::mutex> Lock(m_leaseMutex);
@@ -260,4 +301,98 @@
   co_return ChangeErrc::NotInForce;
 }
 
+// Group.
+
+asio::awaitable<void> ViewKeeper::joinGroup() {
+  const ViewPtr Current = view();
+  if (!Current || m_leaving || isMember(Current->m_members, self()))
+    co_return;
+  const Member Joining = self();
+  const ViewChange Apply = [Joining](View Next) {
+    return addMember(std::move(Next), Joining);
+  };
+  const std::string Operation = makeOperation("join");
+  (void)co_await commitChange(Apply, Operation);
+}
+
+asio::awaitable<void> ViewKeeper::leaveGroup() {
+  const TimePoint Limit = BootClock::now() + m_settings.m_stopTimeout;
+  const std::string Name = m_settings.m_name;
+  const ViewChange Apply = [Name](View Next) {
+    return removeMember(std::move(Next), Name);
+  };
+  while (BootClock::now() < Limit) {
+    const ViewPtr Current = view();
+    if (!Current || Current->m_members.size() <= 1)
+      break;
+    const bool IsOut = !isMember(Current->m_members, self());
+    if (IsOut && !isMember(Current->m_outgoing, self()))
+      break;
+    if (!IsOut && Current->m_outgoing.empty()) {
+      const std::string Operation = makeOperation("leave");
+      const Result<ViewPtr> Left = co_await commitChange(Apply, Operation);
+      if (!Left && Left.error() == ChangeErrc::TableUnavailable)
+        break;
+    }
+    co_await sleepFor(LeavePoll);
+  }
+  m_hasLeft = true;
+}
+
+// Planner.
+
+/// The planner is the first member, by name, that this process hears. Two
+/// planners are harmless: each commit is conditional on the generation.
+bool ViewKeeper::isPlanner(const View &Current, TimePoint Now) const {
+  if (!m_lease.mayDispatch(Now) || !isMember(Current.m_members, self()))
+    return false;
+  const TimePoint Since =
+      Now - PlannerSilence * m_settings.m_lease.m_renewInterval;
+  for (const Member &Item : Current.m_members)
+    if (Item.m_name < m_settings.m_name &&
+        m_lease.isHeardSince(Item.m_name, Since))
+      return false;
+  return true;
+}
+
+asio::awaitable<void> ViewKeeper::planLoop() {
+  while (!m_hasLeft) {
+    co_await plan();
+    co_await sleepFor(m_settings.m_lease.m_renewInterval);
+  }
+}
+
+asio::awaitable<void> ViewKeeper::plan() {
+  bool IsGroupSettled = false;
+  SuspensionChange Suspension;
+  {
+    const std::lock_guard<std::mutex> Lock(m_leaseMutex);
+    const ViewPtr Current = m_lease.view();
+    const TimePoint Now = BootClock::now();
+    if (!Current || m_leaving || !isPlanner(*Current, Now))
+      co_return;
+    IsGroupSettled = !Current->m_outgoing.empty() &&
+                     m_lease.settled() >= Current->m_groupChangedAt;
+    Suspension = m_detector.decide(*Current, Now);
+  }
+  if (IsGroupSettled) {
+    const ViewChange Finish = [](View Next) -> Result<View> {
+      return finishGroupChange(std::move(Next));
+    };
+    co_await commitPlan("settle", Finish);
+  }
+  if (!Suspension.empty()) {
+    const ViewChange Apply = [Suspension](View Next) -> Result<View> {
+      return applySuspension(std::move(Next), Suspension);
+    };
+    co_await commitPlan("suspend", Apply);
+  }
+}
+
+asio::awaitable<void> ViewKeeper::commitPlan(const char *Step,
+                                             ViewChange Apply) {
+  const std::string Operation = makeOperation(Step);
+  (void)co_await commitChange(Apply, Operation);
+}
+
 } // namespace tamarackdrum
--- a/src/app/tamarackd.cc
+++ b/src/app/tamarackd.cc
@@ -98,10 +98,10 @@
   return std::make_unique<EmbeddedTable>(Embedded);
 }
 
-/// Waits until nothing is in flight; returns whether that was in time.
-bool drain(const EntryHost &Host, Millis Timeout) {
+/// Polls \p Condition; returns whether it held within \p Timeout.
+template <typename Predicate> bool await(Predicate Condition, Millis Timeout) {
   const TimePoint Limit = BootClock::now() + Timeout;
-  while (!Host.isIdle()) {
+  while (!Condition()) {
     if (BootClock::now() >= Limit)
       return false;
     std::this_thread::sleep_for(StopPoll);
@@ -109,6 +109,16 @@
   return true;
 }
 
+/// Finishes what is in flight, then leaves the group. Returns whether nothing
+/// was cut off.
+bool stopGracefully(EntryHost &Host, Millis Timeout) {
+  Host.beginStop();
+  const bool IsDrained = await([&] { return Host.isIdle(); }, Timeout);
+  Host.beginLeave();
+  await([&] { return Host.hasLeft(); }, Timeout);
+  return IsDrained;
+}
+
 int runDaemon(const Options &Line, const Settings &Config) {
   asio::io_context Workers;
   HttpClient PeerClient(HttpClientLimits{});
@@ -136,8 +146,7 @@
               Config.m_zone, Config.m_callerAddress, Config.m_controlAddress);
   SignalContext.run();
   SPDLOG_INFO("stopping");
-  Host->beginStop();
-  const bool IsDrained = drain(*Host, Config.m_stopTimeout);
+  const bool IsDrained = stopGracefully(*Host, Config.m_stopTimeout);
   Workers.stop();
   Threads.clear();
   SPDLOG_INFO("stopped drained={}", IsDrained);
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -34,10 +34,10 @@
 const TableCategory<6> HttpCategory("http", {"ok", "connect-failed",
                                              "send-failed", "reply-torn",
                                              "timed-out", "pool-exhausted"});
-const TableCategory<7> ChangeCategory("change",
-                                      {"ok", "malformed", "unknown-server",
-                                       "superseded", "empties-class",
-                                       "not-in-force", "table-unavailable"});
+const TableCategory<8>
+    ChangeCategory("change", {"ok", "malformed", "unknown-server", "superseded",
+                              "empties-class", "not-in-force",
+                              "table-unavailable", "group-changing"});
 const TableCategory<5> ControlCategory("control",
                                        {"ok", "unauthorized", "wrong-version",
                                         "malformed", "unreachable"});
--- a/src/core/view-json.cc
+++ b/src/core/view-json.cc
@@ -304,14 +304,20 @@
   Out["from"] = Request.m_from;
   Out["incarnation"] = number(Request.m_incarnation);
   Out["generation"] = number(Request.m_generation);
+  for (const std::string &Server : Request.m_suspects)
+    Out["suspects"].append(Server);
   return Out;
 }
 
 Result<RenewRequest> renewRequestFromJson(const Json::Value &Value) {
   return guarded<RenewRequest>(Value, [&]() -> Result<RenewRequest> {
-    return RenewRequest{Value["from"].asString(),
-                        Value["incarnation"].asUInt64(),
-                        Value["generation"].asUInt64()};
+    RenewRequest Out{Value["from"].asString(),
+                     Value["incarnation"].asUInt64(),
+                     Value["generation"].asUInt64(),
+                     {}};
+    for (const Json::Value &Server : Value["suspects"])
+      Out.m_suspects.push_back(Server.asString());
+    return Out;
   });
 }
 
--- a/src/core/view-lease.cc
+++ b/src/core/view-lease.cc
@@ -14,11 +14,6 @@
   return Time + Millis(Extra + 1);
 }
 
-bool contains(const std::vector<Member> &Group, const std::string &Name) {
-  return std::any_of(Group.begin(), Group.end(),
-                     [&](const Member &Item) { return Item.m_name == Name; });
-}
-
 } // namespace
 
 Millis leaseLapse(const LeaseTiming &Timing) noexcept {
@@ -38,9 +33,19 @@
 }
 
 ViewLease::ViewLease(std::string Self, std::uint64_t Incarnation,
-                     LeaseTiming Timing, TimePoint Start)
+                     LeaseTiming Timing, TimePoint Start, std::string Address)
     : m_self(std::move(Self)), m_incarnation(Incarnation), m_timing(Timing),
-      m_start(Start), m_leaseUntil(Start) {}
+      m_start(Start), m_address(std::move(Address)), m_leaseUntil(Start) {}
+
+bool ViewLease::isSelfMember() const {
+  return m_view &&
+         std::any_of(m_view->m_members.begin(), m_view->m_members.end(),
+                     [&](const Member &Item) {
+                       return Item.m_name == m_self &&
+                              (m_address.empty() ||
+                               Item.m_address == m_address);
+                     });
+}
 
 bool ViewLease::install(ViewPtr Next, ViewSource Source, TimePoint Now) {
   if (Source == ViewSource::Table)
@@ -58,7 +63,7 @@
 }
 
 RenewRequest ViewLease::makeRenew() const {
-  return {m_self, m_incarnation, m_view ? m_view->m_generation : 0};
+  return {m_self, m_incarnation, m_view ? m_view->m_generation : 0, {}};
 }
 
 RenewReply ViewLease::onRenew(const RenewRequest &Request, TimePoint Now) {
@@ -149,6 +154,12 @@
 void ViewLease::extendLease(TimePoint Now) {
   if (selfGrants(Now))
     m_promised = m_view->m_generation;
+  // The others wait for members only, so that a process outside of the group
+  // must not dispatch at all.
+  if (!isSelfMember()) {
+    m_leaseUntil = std::min(m_leaseUntil, Now);
+    return;
+  }
   std::optional<TimePoint> Start = groupLeaseStart(m_view->m_members, Now);
   if (Start && !m_view->m_outgoing.empty()) {
     const std::optional<TimePoint> Old =
@@ -227,8 +238,7 @@
     return false;
   if (Now >= *Pending.m_majorityAt + dispatchLapse(m_timing))
     return true;
-  if (contains(m_view->m_members, m_self) &&
-      drained(Now) < Pending.m_generation)
+  if (isSelfMember() && drained(Now) < Pending.m_generation)
     return false;
   for (const Member &Item : allMembers(*m_view)) {
     if (Item.m_name == m_self)
