Remove lost members by the host list or an operator; add life cycles

Cause: a host that was replaced for good stayed in the group and counted against every majority.

Ruled out: removing a member because it is silent (a frozen process comes back); removing a dropped member without the outgoing group (the list may be wrong). Only an operator's declaration takes a lost majority out at once.

--- a/include/tamarackdrum/control-api.h
+++ b/include/tamarackdrum/control-api.h
@@ -26,6 +26,7 @@
   Result<Json::Value> rpcInstall(const Json::Value &Parameters);
   Result<Json::Value> rpcChange(const Json::Value &Parameters);
   Result<Json::Value> rpcClasses(const Json::Value &Parameters);
+  Result<Json::Value> rpcRemoveMembers(const Json::Value &Parameters);
   Result<Json::Value> rpcStatus(const Json::Value &Parameters);
 
   /// Commits a change and waits until it is in force; blocks.
--- a/include/tamarackdrum/declaration.h
+++ b/include/tamarackdrum/declaration.h
@@ -32,6 +32,9 @@
 /// Replaces the classes of \p Next. Servers of removed classes are removed.
 Result<View> applyClasses(View Next, std::vector<ClassTarget> Classes);
 
+/// Adds \p Operation to those that \p Next knows to be committed.
+View recordOperation(View Next, const std::string &Operation);
+
 /// Returns whether the operation \p Operation is part of \p Current.
 bool hasOperation(const View &Current, const std::string &Operation);
 
--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_ENTRY_HOST_H
 
 #include "tamarackdrum/control-api.h"
+#include "tamarackdrum/server-health.h"
 
 namespace tamarackdrum {
 
@@ -12,7 +13,7 @@
 class EntryHost {
 public:
   EntryHost(Settings Config, boost::asio::io_context &Workers,
-            TableStore &Table, HttpClient &PeerClient,
+            TableStore &Table, HostList &Hosts, HttpClient &PeerClient,
             HttpClient &ServerClient);
 
   /// Binds both addresses and starts all activities.
@@ -31,6 +32,7 @@
 private:
   const Settings m_settings;
   Router m_router;
+  ServerHealth m_health;
   ViewKeeper m_keeper;
   RequestProxy m_proxy;
   ControlApi m_control;
--- a/include/tamarackdrum/view-keeper.h
+++ b/include/tamarackdrum/view-keeper.h
@@ -9,7 +9,9 @@
 
 #include "tamarackdrum/declaration.h"
 #include "tamarackdrum/failure-detector.h"
+#include "tamarackdrum/host-list.h"
 #include "tamarackdrum/http.h"
+#include "tamarackdrum/life-cycle.h"
 #include "tamarackdrum/routing.h"
 #include "tamarackdrum/rpc.h"
 #include "tamarackdrum/settings.h"
@@ -20,6 +22,7 @@
 /// State of the lease at one instant.
 struct LeaseStatus {
   bool m_hasLease = false;
+  ProcessState m_state = ProcessState::Starting;
   Generation m_settled = 0;
   Generation m_drained = 0;
   ViewPtr m_view;
@@ -37,10 +40,14 @@
 public:
   ViewKeeper(const Settings &Config, std::uint64_t Incarnation,
              boost::asio::io_context &Workers, TableStore &Table,
-             HttpClient &PeerClient, Router &Routes, SuspectSource Suspects);
+             HostList &Hosts, HttpClient &PeerClient, Router &Routes,
+             SuspectSource Suspects);
 
   void start();
 
+  /// Notes that this process was asked to stop.
+  void noteStop() { noteEvent(ProcessEvent::StopAsked); }
+
   /// Leaves the group and ends all activities; returns at once. Call it when
   /// nothing is in flight any more.
   void beginLeave();
@@ -78,9 +85,14 @@
   boost::asio::awaitable<void> leaveGroup();
   boost::asio::awaitable<void> planLoop();
   boost::asio::awaitable<void> plan();
+  boost::asio::awaitable<void> watchHosts();
+  std::optional<std::string> findLostMember(const View &Current,
+                                            TimePoint Now) const;
   boost::asio::awaitable<void> commitPlan(const char *Step, ViewChange Apply);
   bool isPlanner(const View &Current, TimePoint Now) const;
   void publishLease(TimePoint Now);
+  void noteEvent(ProcessEvent Event);
+  void noteEventLocked(ProcessEvent Event);
   void announce(const ViewPtr &Current);
   Member self() const;
   std::string makeOperation(const char *Step);
@@ -90,12 +102,15 @@
   const std::uint64_t m_incarnation;
   boost::asio::io_context &m_workers;
   TableStore &m_table;
+  HostList &m_hosts;
   HttpClient &m_peerClient;
   Router &m_router;
   const SuspectSource m_suspects;
   mutable std::mutex m_leaseMutex;
   ViewLease m_lease;
-  FailureDetector m_detector; ///< Guarded by m_leaseMutex.
+  FailureDetector m_detector;   ///< Guarded by m_leaseMutex.
+  MemberWatch m_memberWatch;    ///< Guarded by m_leaseMutex.
+  ProcessLifeCycle m_lifeCycle; ///< Guarded by m_leaseMutex.
   std::atomic<std::uint64_t> m_operations{0};
   std::atomic<bool> m_leaving{false};
   std::atomic<bool> m_hasLeft{false};
--- a/src/adapter/control-api.cc
+++ b/src/adapter/control-api.cc
@@ -1,6 +1,7 @@
 #include "tamarackdrum/control-api.h"
 
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/group-change.h"
 #include "tamarackdrum/view-json.h"
 
 #include <boost/asio.hpp>
@@ -37,6 +38,10 @@
   m_operatorRpc.addMethod("classes", [this](const Json::Value &Parameters) {
     return rpcClasses(Parameters);
   });
+  m_operatorRpc.addMethod("remove_members",
+                          [this](const Json::Value &Parameters) {
+                            return rpcRemoveMembers(Parameters);
+                          });
   m_operatorRpc.addMethod("status", [this](const Json::Value &Parameters) {
     return rpcStatus(Parameters);
   });
@@ -103,11 +108,29 @@
       Parameters["operation"].asString());
 }
 
+/// Removes members whose processes an operator declares to have ended.
+Result<Json::Value>
+ControlApi::rpcRemoveMembers(const Json::Value &Parameters) {
+  std::vector<std::string> Names;
+  for (const Json::Value &Name : Parameters["names"])
+    Names.push_back(Name.asString());
+  const std::string Operation = Parameters["operation"].asString();
+  return runChange(
+      [&](View Next) -> Result<View> {
+        Result<View> Changed = removeLostMembers(std::move(Next), Names);
+        if (!Changed)
+          return Changed;
+        return recordOperation(std::move(Changed).value(), Operation);
+      },
+      Operation);
+}
+
 Result<Json::Value> ControlApi::rpcStatus(const Json::Value & /*Parameters*/) {
   Json::Value Out;
   Out["process"] = m_settings.m_name;
   const LeaseStatus Status = m_keeper.status();
   Out["has_lease"] = Status.m_hasLease;
+  Out["state"] = toText(Status.m_state);
   Out["settled"] = Json::UInt64(Status.m_settled);
   Out["drained"] = Json::UInt64(Status.m_drained);
   const RequestCounters &Counters = m_proxy.counters();
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -16,11 +16,12 @@
 } // namespace
 
 EntryHost::EntryHost(Settings Config, asio::io_context &Workers,
-                     TableStore &Table, HttpClient &PeerClient,
+                     TableStore &Table, HostList &Hosts, HttpClient &PeerClient,
                      HttpClient &ServerClient)
     : m_settings(std::move(Config)),
-      m_keeper(m_settings, makeIncarnation(), Workers, Table, PeerClient,
-               m_router, [] { return std::vector<std::string>(); }),
+      m_keeper(m_settings, makeIncarnation(), Workers, Table, Hosts, PeerClient,
+               m_router,
+               [this] { return m_health.suspects(BootClock::now()); }),
       m_proxy(m_router, ServerClient),
       m_control(m_settings, Workers, m_keeper, m_proxy),
       m_callerServer(
@@ -39,7 +40,10 @@
   m_keeper.start();
 }
 
-void EntryHost::beginStop() { m_callerServer.stop(); }
+void EntryHost::beginStop() {
+  m_keeper.noteStop();
+  m_callerServer.stop();
+}
 
 bool EntryHost::isIdle() const {
   return m_callerServer.openConnections() == 0 && m_router.inFlight() == 0;
--- a/src/adapter/view-keeper.cc
+++ b/src/adapter/view-keeper.cc
@@ -17,6 +17,10 @@
 constexpr Millis InForceTimeout{3000};
 constexpr Millis InForcePoll{5};
 constexpr Millis LeavePoll{20};
+constexpr Millis HostListInterval{5000};
+/// Time without a reply after which a member that the platform has dropped is
+/// removed from the group.
+constexpr Millis LostMemberSilence{3000};
 /// Renewal intervals without a reply after which a member is not the planner.
 constexpr int PlannerSilence = 3;
 constexpr int MaxCommitTries = 64;
@@ -33,11 +37,11 @@
 
 ViewKeeper::ViewKeeper(const Settings &Config, std::uint64_t Incarnation,
                        asio::io_context &Workers, TableStore &Table,
-                       HttpClient &PeerClient, Router &Routes,
+                       HostList &Hosts, HttpClient &PeerClient, Router &Routes,
                        SuspectSource Suspects)
     : m_settings(Config), m_incarnation(Incarnation), m_workers(Workers),
-      m_table(Table), m_peerClient(PeerClient), m_router(Routes),
-      m_suspects(std::move(Suspects)),
+      m_table(Table), m_hosts(Hosts), m_peerClient(PeerClient),
+      m_router(Routes), m_suspects(std::move(Suspects)),
       m_lease(Config.m_name, Incarnation, Config.m_lease, BootClock::now(),
               Config.m_controlAddress),
       m_detector(DetectorLimits{}) {}
@@ -46,10 +50,12 @@
   asio::co_spawn(asio::make_strand(m_workers), tableLoop(), asio::detached);
   asio::co_spawn(asio::make_strand(m_workers), leaseLoop(), asio::detached);
   asio::co_spawn(asio::make_strand(m_workers), planLoop(), asio::detached);
+  asio::co_spawn(asio::make_strand(m_workers), watchHosts(), asio::detached);
 }
 
 void ViewKeeper::beginLeave() {
   m_leaving = true;
+  noteEvent(ProcessEvent::Drained);
   asio::co_spawn(asio::make_strand(m_workers), leaveGroup(), asio::detached);
 }
 
@@ -72,8 +78,8 @@
 LeaseStatus ViewKeeper::status() const {
   const std::lock_guard<std::mutex> Lock(m_leaseMutex);
   const TimePoint Now = BootClock::now();
-  return {m_lease.mayDispatch(Now), m_lease.settled(), m_lease.drained(Now),
-          m_lease.view()};
+  return {m_lease.mayDispatch(Now), m_lifeCycle.state(), m_lease.settled(),
+          m_lease.drained(Now), m_lease.view()};
 }
 
 ViewPtr ViewKeeper::view() const {
@@ -121,6 +127,20 @@
   if (m_lease.isSelfMember() || m_router.inFlight() == 0)
     m_lease.setDrained(m_router.drainedGeneration(), Now);
   m_router.setLease(m_lease.leaseUntil(), m_lease.settled());
+  noteEventLocked(ProcessEvent::ViewLearnt);
+  noteEventLocked(m_lease.mayDispatch(Now) ? ProcessEvent::LeaseGained
+                                           : ProcessEvent::LeaseLost);
+}
+
+void ViewKeeper::noteEvent(ProcessEvent Event) {
+  const std::lock_guard<std::mutex> Lock(m_leaseMutex);
+  noteEventLocked(Event);
+}
+
+/// Requires m_leaseMutex.
+void ViewKeeper::noteEventLocked(ProcessEvent Event) {
+  if (m_lifeCycle.handle(Event))
+    SPDLOG_INFO("state={}", toText(m_lifeCycle.state()));
 }
 
 asio::awaitable<void> ViewKeeper::leaseLoop() {
@@ -337,6 +357,7 @@
     co_await sleepFor(LeavePoll);
   }
   m_hasLeft = true;
+  noteEvent(ProcessEvent::Left);
 }
 
 // Planner.
@@ -364,6 +385,7 @@
 
 asio::awaitable<void> ViewKeeper::plan() {
   bool IsGroupSettled = false;
+  std::optional<std::string> LostMember;
   SuspensionChange Suspension;
   {
     const std::lock_guard<std::mutex> Lock(m_leaseMutex);
@@ -374,6 +396,7 @@
     IsGroupSettled = !Current->m_outgoing.empty() &&
                      m_lease.settled() >= Current->m_groupChangedAt;
     Suspension = m_detector.decide(*Current, Now);
+    LostMember = findLostMember(*Current, Now);
   }
   if (IsGroupSettled) {
     const ViewChange Finish = [](View Next) -> Result<View> {
@@ -381,6 +404,13 @@
     };
     co_await commitPlan("settle", Finish);
   }
+  if (LostMember) {
+    const std::string Name = *LostMember;
+    const ViewChange Remove = [Name](View Next) {
+      return removeMember(std::move(Next), Name);
+    };
+    co_await commitPlan("remove", Remove);
+  }
   if (!Suspension.empty()) {
     const ViewChange Apply = [Suspension](View Next) -> Result<View> {
       return applySuspension(std::move(Next), Suspension);
@@ -389,6 +419,31 @@
   }
 }
 
+/// Returns a member that the platform has dropped and that is silent. The
+/// list may be wrong, so the member stays in the outgoing group and its lease
+/// is waited for.
+std::optional<std::string> ViewKeeper::findLostMember(const View &Current,
+                                                      TimePoint Now) const {
+  if (!Current.m_outgoing.empty())
+    return std::nullopt;
+  for (const std::string &Name : m_memberWatch.droppedMembers(Current))
+    if (Name != m_settings.m_name &&
+        !m_lease.isHeardSince(Name, Now - LostMemberSilence))
+      return Name;
+  return std::nullopt;
+}
+
+asio::awaitable<void> ViewKeeper::watchHosts() {
+  while (!m_hasLeft) {
+    Result<std::set<std::string>> Listed = co_await m_hosts.read();
+    if (Listed) {
+      const std::lock_guard<std::mutex> Lock(m_leaseMutex);
+      m_memberWatch.noteList(std::move(Listed).value());
+    }
+    co_await sleepFor(HostListInterval);
+  }
+}
+
 asio::awaitable<void> ViewKeeper::commitPlan(const char *Step,
                                              ViewChange Apply) {
   const std::string Operation = makeOperation(Step);
--- a/src/app/tamarackd.cc
+++ b/src/app/tamarackd.cc
@@ -6,6 +6,7 @@
 /// stop timeout.
 
 #include "tamarackdrum/entry-host.h"
+#include "tamarackdrum/http-host-list.h"
 #include "tamarackdrum/http-table.h"
 
 #include <boost/asio.hpp>
@@ -98,6 +99,15 @@
   return std::make_unique<EmbeddedTable>(Embedded);
 }
 
+std::unique_ptr<HostList>
+makeHostList(const Options &Line, const Settings &Config, HttpClient &Client) {
+  if (Line.m_embedded)
+    return std::make_unique<NoHostList>();
+  return std::make_unique<HttpHostList>(
+      Client, parseEndpoint(Config.m_platformAddress).value(), Config.m_name,
+      Config.m_tableTimeout);
+}
+
 /// Polls \p Condition; returns whether it held within \p Timeout.
 template <typename Predicate> bool await(Predicate Condition, Millis Timeout) {
   const TimePoint Limit = BootClock::now() + Timeout;
@@ -126,9 +136,11 @@
   MemoryTable Embedded;
   const std::unique_ptr<TableStore> Table =
       makeTable(Line, Config, PeerClient, Embedded);
+  const std::unique_ptr<HostList> Hosts =
+      makeHostList(Line, Config, PeerClient);
   std::optional<EntryHost> Host;
   try {
-    Host.emplace(Config, Workers, *Table, PeerClient, ServerClient);
+    Host.emplace(Config, Workers, *Table, *Hosts, PeerClient, ServerClient);
   } catch (const boost::system::system_error &Error) {
     SPDLOG_ERROR("cannot bind: {}", Error.what());
     return ExitBind;
--- a/src/core/declaration.cc
+++ b/src/core/declaration.cc
@@ -1,6 +1,7 @@
 #include "tamarackdrum/declaration.h"
 
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/life-cycle.h"
 
 #include <algorithm>
 
@@ -9,13 +10,6 @@
 
 constexpr std::size_t MaxRecentOperations = 256;
 
-void recordOperation(View &Next, const std::string &Operation) {
-  std::vector<std::string> &Recent = Next.m_recentOperations;
-  if (Recent.size() >= MaxRecentOperations)
-    Recent.erase(Recent.begin());
-  Recent.push_back(Operation);
-}
-
 ServerRecord *findMutable(View &Next, const std::string &Name) {
   const auto Found = std::find_if(
       Next.m_servers.begin(), Next.m_servers.end(),
@@ -23,19 +17,6 @@
   return Found == Next.m_servers.end() ? nullptr : &*Found;
 }
 
-ServerState stateAfter(ServerAction Action) {
-  switch (Action) {
-  case ServerAction::Leave:
-    return ServerState::Leaving;
-  case ServerAction::Recall:
-    return ServerState::Recalled;
-  case ServerAction::Join:
-  case ServerAction::Restore:
-    break;
-  }
-  return ServerState::Serving;
-}
-
 std::error_code joinServer(View &Next, const ServerRecord &Joining) {
   if (Joining.m_name.empty() || Joining.m_address.empty() ||
       findClass(Next, Joining.m_workClass) == nullptr)
@@ -45,8 +26,10 @@
   Record.m_suspended = false;
   Record.m_changedAt = Next.m_generation;
   if (ServerRecord *Existing = findMutable(Next, Joining.m_name)) {
-    if (Existing->m_state == ServerState::Recalled)
-      return ChangeErrc::Superseded;
+    const Result<ServerState> Wanted =
+        nextServerState(Existing->m_state, ServerAction::Join);
+    if (!Wanted)
+      return Wanted.error();
     *Existing = Record;
     return {};
   }
@@ -64,14 +47,17 @@
   ServerRecord *Server = findMutable(Next, Name);
   if (Server == nullptr)
     return ChangeErrc::UnknownServer;
-  const ServerState Wanted = stateAfter(Change.m_action);
-  if (Server->m_state == Wanted)
+  const Result<ServerState> Wanted =
+      nextServerState(Server->m_state, Change.m_action);
+  if (!Wanted)
+    return Wanted.error();
+  if (Server->m_state == Wanted.value())
     return {};
   if (Change.m_basedOn != 0 && Server->m_changedAt > Change.m_basedOn)
     return ChangeErrc::Superseded;
-  Server->m_state = Wanted;
+  Server->m_state = Wanted.value();
   Server->m_changedAt = Next.m_generation;
-  if (Wanted == ServerState::Serving)
+  if (Wanted.value() == ServerState::Serving)
     Server->m_suspended = false;
   return {};
 }
@@ -108,8 +94,7 @@
   }
   if (!Change.m_allowEmptyClass && emptiesClass(Before, Next))
     return std::error_code(ChangeErrc::EmptiesClass);
-  recordOperation(Next, Change.m_operation);
-  return Next;
+  return recordOperation(std::move(Next), Change.m_operation);
 }
 
 Result<View> applyClasses(View Next, std::vector<ClassTarget> Classes) {
@@ -126,7 +111,15 @@
   std::erase_if(Next.m_servers, [&](const ServerRecord &Server) {
     return findClass(Next, Server.m_workClass) == nullptr;
   });
-  recordOperation(Next, Next.m_operation);
+  const std::string Operation = Next.m_operation;
+  return recordOperation(std::move(Next), Operation);
+}
+
+View recordOperation(View Next, const std::string &Operation) {
+  std::vector<std::string> &Recent = Next.m_recentOperations;
+  if (Recent.size() >= MaxRecentOperations)
+    Recent.erase(Recent.begin());
+  Recent.push_back(Operation);
   return Next;
 }
 
