--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_ENTRY_HOST_H
 
 #include "tamarackdrum/control-api.h"
+#include "tamarackdrum/server-prober.h"
 
 namespace tamarackdrum {
 
@@ -27,8 +28,10 @@
 private:
   const Settings m_settings;
   Router m_router;
+  ServerHealth m_health;
   ViewKeeper m_keeper;
   RequestProxy m_proxy;
+  ServerProber m_prober;
   ControlApi m_control;
   HttpServer m_callerServer;
   HttpServer m_controlServer;
--- a/include/tamarackdrum/error.h
+++ b/include/tamarackdrum/error.h
@@ -8,7 +8,7 @@
 
 namespace tamarackdrum {
 
-/// Why a request was not dispatched. Each of these means "not run".
+/// Why a request got no answer. Each but ServerCancelled means "not run".
 enum class RouteErrc {
   UnknownClass = 1, ///< No class of this name is declared.
   KeyMissing,       ///< The class is keyed and the request has no key.
@@ -21,6 +21,10 @@
   Stopping,         ///< This process is shutting down.
   BudgetExhausted,  ///< The class has no retry budget left.
   ClaimUnavailable, ///< A once-only claim cannot be recorded now.
+  DeadlineInvalid,  ///< The caller's deadline is not a positive number.
+  DeadlinePassed,   ///< No time is left for a dispatch.
+  ServerRefused,    ///< The server refused the request before it ran.
+  ServerCancelled,  ///< The server cut the run off: the outcome is unknown.
 };
 
 /// Failures of the platform's table service.
@@ -38,6 +42,7 @@
   ReplyTorn,         ///< The reply ended early or was malformed.
   TimedOut,          ///< No whole reply by the deadline.
   PoolExhausted,     ///< Every connection to the peer is in use.
+  ConnectTimedOut,   ///< No connection by the deadline: nothing was sent.
 };
 
 /// Failures of a change that an operator asked for.
--- a/include/tamarackdrum/request-proxy.h
+++ b/include/tamarackdrum/request-proxy.h
@@ -7,6 +7,7 @@
 
 #include "tamarackdrum/http.h"
 #include "tamarackdrum/routing.h"
+#include "tamarackdrum/server-health.h"
 
 namespace tamarackdrum {
 
@@ -25,8 +26,8 @@
 /// Handler of the caller address. Thread-safe.
 class RequestProxy {
 public:
-  RequestProxy(Router &Routes, HttpClient &Client)
-      : m_router(Routes), m_client(Client) {}
+  RequestProxy(Router &Routes, HttpClient &Client, ServerHealth &Health)
+      : m_router(Routes), m_client(Client), m_health(Health) {}
 
   /// Answers one request, whatever happens to it.
   boost::asio::awaitable<HttpResponse> onCall(const HttpRequest &Call);
@@ -39,6 +40,7 @@
 
   Router &m_router;
   HttpClient &m_client;
+  ServerHealth &m_health;
   RequestCounters m_counters;
 };
 
--- a/include/tamarackdrum/server-health.h
+++ b/include/tamarackdrum/server-health.h
@@ -5,7 +5,7 @@
 #ifndef TAMARACKDRUM_SERVER_HEALTH_H
 #define TAMARACKDRUM_SERVER_HEALTH_H
 
-#include "tamarackdrum/core.h"
+#include "tamarackdrum/view.h"
 
 #include <map>
 #include <mutex>
@@ -13,6 +13,14 @@
 
 namespace tamarackdrum {
 
+/// Number of processes that probe one server.
+inline constexpr std::size_t ProbersPerServer = 3;
+
+/// Returns whether \p Process is one of the group's members that probe
+/// \p Server, by rendezvous hash: a change of the group changes few choices.
+bool isProber(const View &Current, const std::string &Server,
+              const std::string &Process);
+
 /// Bounds of the judgement on a server.
 struct HealthLimits {
   /// Consecutive failures that make a server a suspect.
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -21,7 +21,10 @@
     : m_settings(std::move(Config)),
       m_keeper(m_settings, makeIncarnation(), Workers, Table, PeerClient,
                m_router),
-      m_proxy(m_router, ServerClient),
+      m_proxy(m_router, ServerClient, m_health),
+      m_prober(
+          Workers, ServerClient, [this] { return m_keeper.view(); },
+          m_settings.m_name, m_health),
       m_control(m_settings, Workers, m_keeper, m_proxy),
       m_callerServer(
           Workers, parseEndpoint(m_settings.m_callerAddress).value(),
@@ -37,10 +40,12 @@
   m_callerServer.start();
   m_controlServer.start();
   m_keeper.start();
+  m_prober.start();
 }
 
 void EntryHost::beginStop() {
   m_keeper.beginStop();
+  m_prober.beginStop();
   m_callerServer.stop();
 }
 
--- a/src/adapter/http-client.cc
+++ b/src/adapter/http-client.cc
@@ -93,7 +93,9 @@
     co_await Stream.async_connect(
         Peer, asio::redirect_error(asio::use_awaitable, Error));
     if (Error)
-      co_return std::error_code(HttpErrc::ConnectFailed);
+      co_return std::error_code(Error == beast::error::timeout
+                                    ? HttpErrc::ConnectTimedOut
+                                    : HttpErrc::ConnectFailed);
     Stream.socket().set_option(asio::ip::tcp::no_delay(true), Error);
   }
   Request.prepare_payload();
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -24,16 +24,18 @@
   std::array<const char *, Size> m_messages;
 };
 
-const TableCategory<12> RouteCategory(
-    "route", {"ok", "unknown-class", "key-missing", "request-id-missing",
-              "no-lease", "slice-moving", "no-server", "overloaded", "poisoned",
-              "stopping", "retry-budget-exhausted", "claim-unavailable"});
+const TableCategory<16> RouteCategory(
+    "route",
+    {"ok", "unknown-class", "key-missing", "request-id-missing", "no-lease",
+     "slice-moving", "no-server", "overloaded", "poisoned", "stopping",
+     "retry-budget-exhausted", "claim-unavailable", "deadline-invalid",
+     "deadline-passed", "server-refused", "server-cancelled"});
 const TableCategory<5> TableServiceCategory("table", {"ok", "table-unavailable",
                                                       "conflict", "unsettled",
                                                       "malformed-reply"});
-const TableCategory<6> HttpCategory("http", {"ok", "connect-failed",
-                                             "send-failed", "reply-torn",
-                                             "timed-out", "pool-exhausted"});
+const TableCategory<7>
+    HttpCategory("http", {"ok", "connect-failed", "send-failed", "reply-torn",
+                          "timed-out", "pool-exhausted", "connect-timed-out"});
 const TableCategory<7> ChangeCategory("change",
                                       {"ok", "malformed", "unknown-server",
                                        "superseded", "empties-class",
--- a/src/core/server-health.cc
+++ b/src/core/server-health.cc
@@ -3,6 +3,26 @@
 #include <algorithm>
 
 namespace tamarackdrum {
+namespace {
+
+std::uint64_t probeRank(const std::string &Server, const std::string &Process) {
+  return hashKey(Server + '/' + Process);
+}
+
+} // namespace
+
+bool isProber(const View &Current, const std::string &Server,
+              const std::string &Process) {
+  const std::uint64_t Own = probeRank(Server, Process);
+  bool IsMember = false;
+  std::size_t Before = 0;
+  for (const Member &Other : Current.m_members) {
+    IsMember = IsMember || Other.m_name == Process;
+    if (probeRank(Server, Other.m_name) > Own)
+      ++Before;
+  }
+  return IsMember && Before < ProbersPerServer;
+}
 
 void ServerHealth::addFailure(Evidence &Item, TimePoint Now) const {
   const bool IsStale = Now - Item.m_lastFailure >= m_limits.m_suspicionMemory;
--- a/test/core/server-health-test.cc
+++ b/test/core/server-health-test.cc
@@ -81,5 +81,19 @@
   EXPECT_FALSE(isSuspect());
 }
 
+TEST(IsProber, OfTwelveMembers_ChoosesThreeForEachServer) {
+  View Current;
+  for (int I = 0; I < 12; ++I)
+    Current.m_members.push_back({"entry-" + std::to_string(I)});
+  for (int Server = 0; Server < 22; ++Server) {
+    std::size_t Chosen = 0;
+    for (const Member &One : Current.m_members)
+      if (isProber(Current, "s" + std::to_string(Server), One.m_name))
+        ++Chosen;
+    EXPECT_EQ(Chosen, ProbersPerServer);
+  }
+  EXPECT_FALSE(isProber(Current, "s1", "stranger"));
+}
+
 } // namespace
 } // namespace tamarackdrum
