--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -6,6 +6,7 @@
 
 #include "tamarackdrum/control-api.h"
 #include "tamarackdrum/server-health.h"
+#include "tamarackdrum/server-prober.h"
 
 namespace tamarackdrum {
 
@@ -35,6 +36,7 @@
   ServerHealth m_health;
   ViewKeeper m_keeper;
   RequestProxy m_proxy;
+  ServerProber m_prober;
   ControlApi m_control;
   HttpServer m_callerServer;
   HttpServer m_controlServer;
--- a/include/tamarackdrum/server-health.h
+++ b/include/tamarackdrum/server-health.h
@@ -5,7 +5,7 @@
 #ifndef TAMARACKDRUM_SERVER_HEALTH_H
 #define TAMARACKDRUM_SERVER_HEALTH_H
 
-#include "tamarackdrum/core.h"
+#include "tamarackdrum/view.h"
 
 #include <map>
 #include <mutex>
@@ -13,6 +13,14 @@
 
 namespace tamarackdrum {
 
+/// Number of processes that probe one server.
+inline constexpr std::size_t ProbersPerServer = 3;
+
+/// Returns whether \p Process is one of the group's members that probe
+/// \p Server, by rendezvous hash: a change of the group changes few choices.
+bool isProber(const View &Current, const std::string &Server,
+              const std::string &Process);
+
 /// Bounds of the judgement on a server.
 struct HealthLimits {
   /// Consecutive failures that make a server a suspect.
@@ -50,6 +58,10 @@
   /// opposite of a recent dispatch result is dropped.
   void noteReport(const std::string &Server, bool IsHealthy, TimePoint Now);
 
+  /// Notes that a probe of \p Server got no answer. Unlike a report, this is
+  /// evidence that counts whatever the dispatches say.
+  void noteNoAnswer(const std::string &Server, TimePoint Now);
+
   /// Returns the servers that should be put aside, sorted by name.
   std::vector<std::string> suspects(TimePoint Now) const;
 
