Guard once-only classes with claims in the table

OnceOnlyGate stands before the proxy: a request of a once-only class needs an id, is dispatched only after its claim is committed, and a re-sent id gets the first run's answer, a time to come back, unknown or not run. Claims and settlements of a process go to the table in batches; a write whose reply was lost is settled by reading and comparing its token. In a table outage new ids are refused at once. The proxy is not changed: the gate reads the outcome from its Tamarack-Outcome header.

Ruled out: deleting the row of a released claim, since versions start again after a delete and a late write could then pass its condition.

--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_ENTRY_HOST_H
 
 #include "tamarackdrum/control-api.h"
+#include "tamarackdrum/once-only.h"
 
 namespace tamarackdrum {
 
@@ -29,6 +30,8 @@
   Router m_router;
   ViewKeeper m_keeper;
   RequestProxy m_proxy;
+  ClaimStore m_claims;
+  OnceOnlyGate m_onceOnly;
   ControlApi m_control;
   HttpServer m_callerServer;
   HttpServer m_controlServer;
--- a/include/tamarackdrum/settings.h
+++ b/include/tamarackdrum/settings.h
@@ -4,6 +4,7 @@
 #ifndef TAMARACKDRUM_SETTINGS_H
 #define TAMARACKDRUM_SETTINGS_H
 
+#include "tamarackdrum/claim-batcher.h"
 #include "tamarackdrum/view-lease.h"
 
 #include <string>
@@ -34,6 +35,7 @@
   Millis m_tableTimeout{1000};
   bool m_allowFaults = false; ///< Enables the fault switches used in tests.
   LeaseTiming m_lease;
+  ClaimSettings m_claims;
   std::vector<Member> m_bootstrapGroup;
   std::vector<ClassTarget> m_bootstrapClasses;
   std::vector<ServerRecord> m_bootstrapServers;
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -22,11 +22,16 @@
       m_keeper(m_settings, makeIncarnation(), Workers, Table, PeerClient,
                m_router),
       m_proxy(m_router, ServerClient),
+      m_claims(m_settings.m_claims, m_settings.m_name, makeIncarnation(),
+               Workers, Table),
+      m_onceOnly(
+          m_router, m_claims,
+          [this](const HttpRequest &Call) { return m_proxy.onCall(Call); }),
       m_control(m_settings, Workers, m_keeper, m_proxy),
       m_callerServer(
           Workers, parseEndpoint(m_settings.m_callerAddress).value(),
           HttpLimits{},
-          [this](const HttpRequest &Call) { return m_proxy.onCall(Call); }),
+          [this](const HttpRequest &Call) { return m_onceOnly.onCall(Call); }),
       m_controlServer(Workers,
                       parseEndpoint(m_settings.m_controlAddress).value(),
                       HttpLimits{}, [this](const HttpRequest &Call) {
@@ -37,6 +42,7 @@
   m_callerServer.start();
   m_controlServer.start();
   m_keeper.start();
+  m_claims.startSweep();
 }
 
 void EntryHost::beginStop() {
@@ -45,7 +51,8 @@
 }
 
 bool EntryHost::isIdle() const {
-  return m_callerServer.openConnections() == 0 && m_router.inFlight() == 0;
+  return m_callerServer.openConnections() == 0 && m_router.inFlight() == 0 &&
+         m_claims.unsettled() == 0;
 }
 
 } // namespace tamarackdrum
--- a/src/core/settings.cc
+++ b/src/core/settings.cc
@@ -141,6 +141,28 @@
   return Timing;
 }
 
+ClaimSettings readClaims(const Json::Value &Object, const LeaseTiming &Lease,
+                         std::vector<SettingsFault> &Faults) {
+  constexpr std::int64_t MaxRetentionS = 30L * 24 * 3600;
+  constexpr std::int64_t MaxBatchRows = 1000;
+  ObjectReader Reader(Object, "$.claims", Faults);
+  ClaimSettings Out;
+  Out.m_policy.m_claimWindow =
+      Reader.millis("window_ms", Out.m_policy.m_claimWindow);
+  Out.m_policy.m_maxRun = Lease.m_maxDispatch + Lease.m_clockSkew;
+  const std::chrono::seconds Retention =
+      std::chrono::duration_cast<std::chrono::seconds>(
+          Out.m_policy.m_retention);
+  Out.m_policy.m_retention = std::chrono::seconds(
+      Reader.integer("retention_s", Retention.count(), 60, MaxRetentionS));
+  Out.m_batch.m_window = Reader.millis("batch_window_ms", Out.m_batch.m_window);
+  Out.m_batch.m_maxRows = static_cast<std::size_t>(Reader.integer(
+      "batch_rows", static_cast<std::int64_t>(Out.m_batch.m_maxRows), 1,
+      MaxBatchRows));
+  Reader.rejectUnknown();
+  return Out;
+}
+
 void readBootstrap(const Json::Value &Object, Settings &Out,
                    std::vector<SettingsFault> &Faults) {
   ObjectReader Reader(Object, "$.bootstrap", Faults);
@@ -178,6 +200,8 @@
   Out.m_tableTimeout = Reader.millis("table_timeout_ms", Out.m_tableTimeout);
   Out.m_allowFaults = Reader.boolean("allow_faults", false);
   Out.m_lease = readLease(Reader.object("lease"), Report.m_faults);
+  Out.m_claims =
+      readClaims(Reader.object("claims"), Out.m_lease, Report.m_faults);
   readBootstrap(Reader.object("bootstrap"), Out, Report.m_faults);
   Reader.rejectUnknown();
   return Report;
--- a/test/process/site.h
+++ b/test/process/site.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_SITE_H
 
 #include "process-group.h"
+#include "tamarackdrum/http-table.h"
 #include "tamarackdrum/rpc.h"
 #include "tamarackdrum/settings.h"
 #include "tamarackdrum/view-json.h"
@@ -153,6 +154,19 @@
     fetch(m_platformPort, boost::beast::http::verb::post, "/fault", Text);
   }
 
+  /// Values of the table's rows whose key starts with \p Prefix.
+  std::vector<std::string> tableValues(const std::string &Prefix) {
+    const std::optional<HttpResponse> Reply =
+        fetch(m_platformPort, boost::beast::http::verb::post, "/v1/read",
+              toText(toJson(TableQuery{Prefix, true, 0})));
+    std::vector<std::string> Out;
+    const Result<std::vector<TableRow>> Rows =
+        rowsFromJson(parseJson(Reply ? Reply->body() : "{}").value());
+    for (const TableRow &Row : Rows.value())
+      Out.push_back(Row.m_value);
+    return Out;
+  }
+
   Json::Value records(std::size_t Server) {
     const std::optional<HttpResponse> Reply = fetch(
         m_servers[Server].m_port, boost::beast::http::verb::get, "/records");
