--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_ENTRY_HOST_H
 
 #include "tamarackdrum/control-api.h"
+#include "tamarackdrum/once-only.h"
 #include "tamarackdrum/server-health.h"
 #include "tamarackdrum/server-prober.h"
 
@@ -37,6 +38,8 @@
   ViewKeeper m_keeper;
   RequestProxy m_proxy;
   ServerProber m_prober;
+  ClaimStore m_claims;
+  OnceOnlyGate m_onceOnly;
   ControlApi m_control;
   HttpServer m_callerServer;
   HttpServer m_controlServer;
