--- a/include/tamarackdrum/control-api.h
+++ b/include/tamarackdrum/control-api.h
@@ -4,6 +4,7 @@
 #ifndef TAMARACKDRUM_CONTROL_API_H
 #define TAMARACKDRUM_CONTROL_API_H
 
+#include "tamarackdrum/metrics.h"
 #include "tamarackdrum/request-proxy.h"
 #include "tamarackdrum/rpc.h"
 #include "tamarackdrum/view-keeper.h"
@@ -16,7 +17,8 @@
 class ControlApi {
 public:
   ControlApi(const Settings &Config, boost::asio::io_context &Workers,
-             ViewKeeper &Keeper, const RequestProxy &Proxy);
+             ViewKeeper &Keeper, const Router &Routes,
+             const RequestProxy &Proxy, const Metrics &Recorded);
 
   boost::asio::awaitable<HttpResponse> onControl(const HttpRequest &Call);
 
@@ -27,6 +29,10 @@
   Result<Json::Value> rpcChange(const Json::Value &Parameters);
   Result<Json::Value> rpcClasses(const Json::Value &Parameters);
   Result<Json::Value> rpcStatus(const Json::Value &Parameters);
+  Result<Json::Value> rpcReport(const Json::Value &Parameters);
+  HttpResponse exposeMetrics() const;
+
+  boost::asio::awaitable<Result<ViewPtr>> findStanding(ViewChange Apply);
 
   /// Commits a change and waits until it is in force; blocks.
   Result<Json::Value> runChange(ViewChange Apply, const std::string &Operation);
@@ -34,7 +40,9 @@
   const Settings &m_settings;
   boost::asio::io_context &m_workers;
   ViewKeeper &m_keeper;
+  const Router &m_router;
   const RequestProxy &m_proxy;
+  const Metrics &m_metrics;
   boost::asio::thread_pool m_operatorPool;
   RpcServer m_peerRpc;
   RpcServer m_operatorRpc;
--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -25,7 +25,14 @@
   bool isIdle() const;
 
 private:
+  boost::asio::awaitable<HttpResponse> answerCaller(const HttpRequest &Call);
+  boost::asio::awaitable<void> sampleLoop();
+  void sampleDispatches(std::int64_t Now);
+
   const Settings m_settings;
+  boost::asio::io_context &m_workers;
+  Metrics m_metrics;
+  std::atomic<bool> m_stopping{false};
   Router m_router;
   ViewKeeper m_keeper;
   RequestProxy m_proxy;
--- a/include/tamarackdrum/view-keeper.h
+++ b/include/tamarackdrum/view-keeper.h
@@ -47,6 +47,9 @@
   LeaseStatus status() const;
   ViewPtr view() const;
 
+  /// Reads the newest view from the table; an error if it cannot be read.
+  boost::asio::awaitable<std::error_code> refresh() { return readTable(); }
+
   /// Commits a change, retrying on conflicts. Errors are of ChangeErrc.
   boost::asio::awaitable<Result<ViewPtr>> commitChange(ViewChange Apply,
                                                        std::string Operation);
@@ -60,7 +63,7 @@
   boost::asio::awaitable<void> renewWith(Member Peer);
   boost::asio::awaitable<void> pushView(Member Peer, ViewPtr Next);
   boost::asio::awaitable<void> tableLoop();
-  boost::asio::awaitable<void> readTable();
+  boost::asio::awaitable<std::error_code> readTable();
   boost::asio::awaitable<void> bootstrap();
   boost::asio::awaitable<Result<CommitResult>> commitView(const View &Next);
   boost::asio::awaitable<bool> isCommitted(std::string Operation);
--- a/src/adapter/control-api.cc
+++ b/src/adapter/control-api.cc
@@ -1,6 +1,9 @@
 #include "tamarackdrum/control-api.h"
 
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/planner.h"
+#include "tamarackdrum/report-json.h"
+#include "tamarackdrum/view-diff.h"
 #include "tamarackdrum/view-json.h"
 
 #include <boost/asio.hpp>
@@ -18,8 +21,10 @@
 } // namespace
 
 ControlApi::ControlApi(const Settings &Config, asio::io_context &Workers,
-                       ViewKeeper &Keeper, const RequestProxy &Proxy)
-    : m_settings(Config), m_workers(Workers), m_keeper(Keeper), m_proxy(Proxy),
+                       ViewKeeper &Keeper, const Router &Routes,
+                       const RequestProxy &Proxy, const Metrics &Recorded)
+    : m_settings(Config), m_workers(Workers), m_keeper(Keeper),
+      m_router(Routes), m_proxy(Proxy), m_metrics(Recorded),
       m_operatorPool(OperatorThreads) {
   addMethods();
 }
@@ -40,9 +45,14 @@
   m_operatorRpc.addMethod("status", [this](const Json::Value &Parameters) {
     return rpcStatus(Parameters);
   });
+  m_operatorRpc.addMethod("report", [this](const Json::Value &Parameters) {
+    return rpcReport(Parameters);
+  });
 }
 
 asio::awaitable<HttpResponse> ControlApi::onControl(const HttpRequest &Call) {
+  if (Call.method() == http::verb::get && Call.target() == "/metrics")
+    co_return exposeMetrics();
   const std::error_code Refused =
       checkControlCall(Call, m_settings.m_sharedKey);
   if (Refused) {
@@ -119,6 +129,37 @@
   return Out;
 }
 
+Result<Json::Value> ControlApi::rpcReport(const Json::Value &Parameters) {
+  const Json::Value &Since = Parameters["since_unix_ms"];
+  if (!Since.isInt64())
+    return std::error_code(ControlErrc::Malformed);
+  return toJson(m_metrics.window(Since.asInt64()));
+}
+
+HttpResponse ControlApi::exposeMetrics() const {
+  const LeaseStatus Status = m_keeper.status();
+  const ProcessGauges Gauges{
+      Status.m_hasLease, Status.m_view ? Status.m_view->m_generation : 0,
+      Status.m_settled, m_router.inFlight(), m_refused.load()};
+  return makeResponse(200,
+                      toPrometheusText(m_metrics, m_settings.m_name, Gauges),
+                      "text/plain; version=0.0.4");
+}
+
+/// Returns the committed view if \p Apply would not change what it declares,
+/// null if it would.
+asio::awaitable<Result<ViewPtr>> ControlApi::findStanding(ViewChange Apply) {
+  if (co_await m_keeper.refresh())
+    co_return std::error_code(ChangeErrc::TableUnavailable);
+  const ViewPtr Current = m_keeper.view();
+  if (!Current)
+    co_return std::error_code(ChangeErrc::TableUnavailable);
+  const Result<View> Changed =
+      Apply(nextGeneration(*Current, m_settings.m_name, ""));
+  const bool IsStanding = Changed && declaresSame(*Current, Changed.value());
+  co_return IsStanding ? Current : ViewPtr();
+}
+
 Result<Json::Value> ControlApi::runChange(ViewChange Apply,
                                           const std::string &Operation) {
   if (Operation.empty())
@@ -128,8 +169,10 @@
   asio::co_spawn(
       asio::make_strand(m_workers),
       [&]() -> asio::awaitable<void> {
-        const Result<ViewPtr> Committed =
-            co_await m_keeper.commitChange(Apply, Operation);
+        Result<ViewPtr> Committed = co_await findStanding(Apply);
+        const bool IsChange = !Committed || !Committed.value();
+        if (IsChange)
+          Committed = co_await m_keeper.commitChange(Apply, Operation);
         if (!Committed) {
           Promise.set_value(Committed.error());
           co_return;
@@ -138,6 +181,7 @@
             co_await m_keeper.awaitInForce(Committed.value()->m_generation);
         Json::Value Out;
         Out["generation"] = Json::UInt64(Committed.value()->m_generation);
+        Out["changed"] = IsChange;
         Promise.set_value(Error ? Result<Json::Value>(Error)
                                 : Result<Json::Value>(Out));
       },
--- a/src/adapter/view-keeper.cc
+++ b/src/adapter/view-keeper.cc
@@ -140,21 +140,21 @@
 
 asio::awaitable<void> ViewKeeper::tableLoop() {
   while (!m_stopping) {
-    co_await readTable();
+    (void)co_await readTable();
     co_await sleepFor(m_settings.m_tablePollInterval);
   }
 }
 
-asio::awaitable<void> ViewKeeper::readTable() {
+asio::awaitable<std::error_code> ViewKeeper::readTable() {
   const ViewPtr Current = view();
   const Generation Known = Current ? Current->m_generation : 0;
   const TableQuery Query{ViewRow, false, Known};
   const Result<std::vector<TableRow>> Rows = co_await m_table.read(Query);
   if (!Rows)
-    co_return;
+    co_return Rows.error();
   if (Rows.value().empty() && Known == 0) {
     co_await bootstrap();
-    co_return;
+    co_return std::error_code();
   }
   ViewPtr Next;
   if (!Rows.value().empty()) {
@@ -162,10 +162,11 @@
     Result<View> Read =
         Parsed ? viewFromJson(Parsed.value()) : Result<View>(Parsed.error());
     if (!Read)
-      co_return;
+      co_return Read.error();
     Next = std::make_shared<const View>(std::move(Read).value());
   }
   adopt(std::move(Next), ViewSource::Table);
+  co_return std::error_code();
 }
 
 asio::awaitable<void> ViewKeeper::bootstrap() {
@@ -200,7 +201,7 @@
   for (int Try = 0; Try < MaxSettleTries; ++Try) {
     const Result<std::vector<TableRow>> Rows = co_await m_table.read(Query);
     if (Rows) {
-      co_await readTable();
+      (void)co_await readTable();
       const ViewPtr Current = view();
       co_return Current &&hasOperation(*Current, Operation);
     }
@@ -232,7 +233,7 @@
       co_return std::error_code(ChangeErrc::TableUnavailable);
     if (!Outcome && !co_await isCommitted(Operation))
       co_return std::error_code(ChangeErrc::TableUnavailable);
-    co_await readTable();
+    (void)co_await readTable();
   }
   co_return std::error_code(ChangeErrc::TableUnavailable);
 }
