--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -32,7 +32,14 @@
   bool hasLeft() const { return m_keeper.hasLeft(); }
 
 private:
+  boost::asio::awaitable<HttpResponse> answerCaller(const HttpRequest &Call);
+  boost::asio::awaitable<void> sampleLoop();
+  void sampleDispatches(std::int64_t Now);
+
   const Settings m_settings;
+  boost::asio::io_context &m_workers;
+  Metrics m_metrics;
+  std::atomic<bool> m_stopping{false};
   Router m_router;
   ServerHealth m_health;
   ViewKeeper m_keeper;
