--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -70,30 +70,57 @@
                           });
 }
 
-/// Moves the slices without an eligible owner, and those that a server has
-/// above its share.
-void balanceSlices(std::vector<SliceRecord> &Slices, LoadByServer &Loads,
-                   Generation At) {
-  countLoads(Slices, Loads);
-  const LoadByServer Shares = evenShares(Loads, Slices.size());
+/// Gives the slices without an eligible owner to the servers that lack most.
+void placeOrphans(std::vector<SliceRecord> &Slices, LoadByServer &Loads,
+                  const LoadByServer &Shares, Generation At) {
   for (SliceRecord &Slice : Slices) {
-    const auto Owner = Loads.find(Slice.m_owner);
-    const bool IsOrphan = Owner == Loads.end();
-    if (!IsOrphan && Owner->second <= Shares.at(Owner->first))
+    if (Loads.contains(Slice.m_owner))
       continue;
     const auto Target = mostLacking(Loads, Shares);
-    if (!IsOrphan)
-      --Owner->second;
     ++Target->second;
     moveSlice(Slice, Target->first, At);
   }
 }
 
+/// Fills the servers of \p Newcomers up to their shares from the servers that
+/// have more than theirs. Others keep what they have, so that what was moved
+/// for its load is not moved back for its number.
+void fillNewcomers(std::vector<SliceRecord> &Slices, LoadByServer &Loads,
+                   const LoadByServer &Shares, LoadByServer Newcomers,
+                   Generation At) {
+  for (SliceRecord &Slice : Slices) {
+    const auto Owner = Loads.find(Slice.m_owner);
+    if (Owner->second <= Shares.at(Owner->first))
+      continue;
+    for (LoadByServer::value_type &Newcomer : Newcomers)
+      Newcomer.second = Loads.at(Newcomer.first);
+    const auto Target = mostLacking(Newcomers, Shares);
+    if (Target->second >= Shares.at(Target->first))
+      return;
+    --Owner->second;
+    ++Loads.at(Target->first);
+    moveSlice(Slice, Target->first, At);
+  }
+}
+
+void placeSlices(std::vector<SliceRecord> &Slices, LoadByServer &Loads,
+                 Generation At) {
+  countLoads(Slices, Loads);
+  const LoadByServer Shares = evenShares(Loads, Slices.size());
+  LoadByServer Newcomers;
+  for (const LoadByServer::value_type &Entry : Loads)
+    if (Entry.second == 0)
+      Newcomers.insert(Entry);
+  placeOrphans(Slices, Loads, Shares, At);
+  if (!Newcomers.empty())
+    fillNewcomers(Slices, Loads, Shares, Newcomers, At);
+}
+
 void assignClass(ClassAssignment &Assignment, const View &Next) {
   LoadByServer Loads = eligibleServers(Next, Assignment.m_workClass);
   if (Loads.empty())
     return;
-  balanceSlices(Assignment.m_slices, Loads, Next.m_generation);
+  placeSlices(Assignment.m_slices, Loads, Next.m_generation);
   for (HotKeyRecord &HotKey : Assignment.m_hotKeys)
     if (!Loads.contains(HotKey.m_slice.m_owner))
       moveSlice(HotKey.m_slice, leastLoaded(Loads)->first, Next.m_generation);
@@ -116,8 +143,21 @@
             });
 }
 
+const std::string &ownerOf(const ClassAssignment &Assignment,
+                           std::uint64_t Hash) {
+  return findSlice(Assignment, Hash).m_owner;
+}
+
 } // namespace
 
+const SliceRecord &findSlice(const ClassAssignment &Assignment,
+                             std::uint64_t Hash) {
+  for (const HotKeyRecord &Key : Assignment.m_hotKeys)
+    if (Key.m_hash == Hash)
+      return Key.m_slice;
+  return Assignment.m_slices[sliceIndex(Hash, Assignment.m_slices.size())];
+}
+
 View nextGeneration(const View &Current, std::string Committer,
                     std::string Operation) {
   View Next = Current;
@@ -142,6 +182,8 @@
       continue;
     for (std::size_t I = 0; I < Old.m_slices.size(); ++I)
       Moves += Old.m_slices[I].m_owner != New->m_slices[I].m_owner ? 1 : 0;
+    for (const HotKeyRecord &Key : Old.m_hotKeys)
+      Moves += Key.m_slice.m_owner != ownerOf(*New, Key.m_hash) ? 1 : 0;
   }
   return Moves;
 }
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -55,6 +55,30 @@
   return Found->second;
 }
 
+/// Ends the terms of slices that a hot key has left or joined. Its dispatches
+/// in flight under such a term then count as old ones when it moves next.
+void renewChangedTerms(ClassRoutes &Routes, const ClassRoutes &Old) {
+  if (Routes.m_slices.size() != Old.m_slices.size())
+    return;
+  std::vector<std::uint64_t> Changed;
+  const auto Differs = [&](const ClassRoutes &Left, const ClassRoutes &Right) {
+    for (const auto &HotKey : Left.m_hotKeys)
+      if (!findHotKey(Right, HotKey.first))
+        Changed.push_back(HotKey.first);
+  };
+  Differs(Routes, Old);
+  Differs(Old, Routes);
+  for (const std::uint64_t Hash : Changed) {
+    std::shared_ptr<SliceTerm> &Term =
+        Routes.m_slices[sliceIndex(Hash, Routes.m_slices.size())];
+    const std::shared_ptr<SliceTerm> Fresh = std::make_shared<SliceTerm>();
+    Fresh->m_server = Term->m_server;
+    Fresh->m_epoch = Term->m_epoch;
+    Fresh->m_since = Term->m_since;
+    Term = Fresh;
+  }
+}
+
 void addKeyedTerms(ClassRoutes &Routes, const ClassAssignment &Assignment,
                    const ClassRoutes *Old, const ServerByName &Servers) {
   for (std::size_t I = 0; I < Assignment.m_slices.size(); ++I) {
@@ -68,6 +92,8 @@
         HotKey.m_hash,
         carryTerm(Old != nullptr ? findHotKey(*Old, HotKey.m_hash) : nullptr,
                   HotKey.m_slice, Servers));
+  if (Old != nullptr)
+    renewChangedTerms(Routes, *Old);
 }
 
 void addUnkeyedTerms(ClassRoutes &Routes, const ClassRoutes *Old,
