--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -5,6 +5,9 @@
 #define TAMARACKDRUM_ENTRY_HOST_H
 
 #include "tamarackdrum/control-api.h"
+#include "tamarackdrum/once-only.h"
+#include "tamarackdrum/server-health.h"
+#include "tamarackdrum/server-prober.h"
 
 namespace tamarackdrum {
 
@@ -12,7 +15,7 @@
 class EntryHost {
 public:
   EntryHost(Settings Config, boost::asio::io_context &Workers,
-            TableStore &Table, HttpClient &PeerClient,
+            TableStore &Table, HostList &Hosts, HttpClient &PeerClient,
             HttpClient &ServerClient);
 
   /// Binds both addresses and starts all activities.
@@ -24,11 +27,19 @@
   /// Returns whether nothing is in flight any more.
   bool isIdle() const;
 
+  /// Leaves the dispatch group; returns at once.
+  void beginLeave() { m_keeper.beginLeave(); }
+  bool hasLeft() const { return m_keeper.hasLeft(); }
+
 private:
   const Settings m_settings;
   Router m_router;
+  ServerHealth m_health;
   ViewKeeper m_keeper;
   RequestProxy m_proxy;
+  ServerProber m_prober;
+  ClaimStore m_claims;
+  OnceOnlyGate m_onceOnly;
   ControlApi m_control;
   HttpServer m_callerServer;
   HttpServer m_controlServer;
--- a/include/tamarackdrum/view-keeper.h
+++ b/include/tamarackdrum/view-keeper.h
@@ -8,7 +8,10 @@
 #define TAMARACKDRUM_VIEW_KEEPER_H
 
 #include "tamarackdrum/declaration.h"
+#include "tamarackdrum/failure-detector.h"
+#include "tamarackdrum/host-list.h"
 #include "tamarackdrum/http.h"
+#include "tamarackdrum/life-cycle.h"
 #include "tamarackdrum/routing.h"
 #include "tamarackdrum/rpc.h"
 #include "tamarackdrum/settings.h"
@@ -19,11 +22,15 @@
 /// State of the lease at one instant.
 struct LeaseStatus {
   bool m_hasLease = false;
+  ProcessState m_state = ProcessState::Starting;
   Generation m_settled = 0;
   Generation m_drained = 0;
   ViewPtr m_view;
 };
 
+/// Returns the servers that this process suspects to have failed.
+using SuspectSource = std::function<std::vector<std::string>()>;
+
 /// Derives the next view, or says why it cannot. It is called again after
 /// each conflict, with the base made from the newer view.
 using ViewChange = std::function<Result<View>(View Next)>;
@@ -33,10 +40,20 @@
 public:
   ViewKeeper(const Settings &Config, std::uint64_t Incarnation,
              boost::asio::io_context &Workers, TableStore &Table,
-             HttpClient &PeerClient, Router &Routes);
+             HostList &Hosts, HttpClient &PeerClient, Router &Routes,
+             SuspectSource Suspects);
 
   void start();
-  void beginStop() { m_stopping = true; }
+
+  /// Notes that this process was asked to stop.
+  void noteStop() { noteEvent(ProcessEvent::StopAsked); }
+
+  /// Leaves the group and ends all activities; returns at once. Call it when
+  /// nothing is in flight any more.
+  void beginLeave();
+
+  /// Returns whether this process has left the group, or had to give up.
+  bool hasLeft() const { return m_hasLeft; }
 
   /// Answers a member's renewal.
   RenewReply onRenew(const RenewRequest &Request);
@@ -64,18 +81,39 @@
   boost::asio::awaitable<void> bootstrap();
   boost::asio::awaitable<Result<CommitResult>> commitView(const View &Next);
   boost::asio::awaitable<bool> isCommitted(std::string Operation);
+  boost::asio::awaitable<void> joinGroup();
+  boost::asio::awaitable<void> leaveGroup();
+  boost::asio::awaitable<void> planLoop();
+  boost::asio::awaitable<void> plan();
+  boost::asio::awaitable<void> watchHosts();
+  std::optional<std::string> findLostMember(const View &Current,
+                                            TimePoint Now) const;
+  boost::asio::awaitable<void> commitPlan(const char *Step, ViewChange Apply);
+  bool isPlanner(const View &Current, TimePoint Now) const;
   void publishLease(TimePoint Now);
+  void noteEvent(ProcessEvent Event);
+  void noteEventLocked(ProcessEvent Event);
+  void announce(const ViewPtr &Current);
+  Member self() const;
+  std::string makeOperation(const char *Step);
   RpcClient peerClient(const std::string &Address);
 
   const Settings &m_settings;
   const std::uint64_t m_incarnation;
   boost::asio::io_context &m_workers;
   TableStore &m_table;
+  HostList &m_hosts;
   HttpClient &m_peerClient;
   Router &m_router;
+  const SuspectSource m_suspects;
   mutable std::mutex m_leaseMutex;
   ViewLease m_lease;
-  std::atomic<bool> m_stopping{false};
+  FailureDetector m_detector;   ///< Guarded by m_leaseMutex.
+  MemberWatch m_memberWatch;    ///< Guarded by m_leaseMutex.
+  ProcessLifeCycle m_lifeCycle; ///< Guarded by m_leaseMutex.
+  std::atomic<std::uint64_t> m_operations{0};
+  std::atomic<bool> m_leaving{false};
+  std::atomic<bool> m_hasLeft{false};
 };
 
 } // namespace tamarackdrum
