Give each request a typed outcome; retry within a budget

A server's refusal before the run (503 or 504 with X-Not-Run) is not-run with the server's time to come back; a run it cut off is unknown. Retries need a not-run outcome or an idempotent class, and a token of the class's budget. The retry of unkeyed work could pick the server it came from, since both random choices could be the same; they are distinct now. A reply of another exchange is torn, and a peer that sends excess bytes loses the reuse of its connections.

--- a/include/tamarackdrum/http.h
+++ b/include/tamarackdrum/http.h
@@ -77,9 +77,13 @@
   IdleConnection &operator=(const IdleConnection &) = delete;
   ~IdleConnection();
 
-  /// Returns whether the peer neither closed the connection nor sent bytes
-  /// that belong to no request.
-  bool isReusable() const noexcept;
+  /// What can be told of the connection without reading from it.
+  enum class State {
+    Reusable, ///< Open and silent.
+    Closed,   ///< The peer closed it.
+    Dirty,    ///< Bytes have arrived that belong to no request.
+  };
+  State state() const noexcept;
 
   /// Gives up the file descriptor.
   int release() noexcept { return std::exchange(m_handle, -1); }
@@ -141,7 +145,10 @@
 };
 
 /// Sends requests over pooled connections. A connection is reused only after
-/// a whole reply and only if no further byte has arrived on it.
+/// a whole reply and only if no further byte has arrived on it. A peer that
+/// once sent bytes that belong to no request gets a new connection for each
+/// request from then on. Each request carries a `Tamarack-Exchange` number; a
+/// reply with another number is no reply to it.
 class HttpClient {
 public:
   explicit HttpClient(HttpClientLimits Limits) : m_limits(Limits) {}
@@ -155,12 +162,14 @@
   struct PeerPool {
     std::vector<detail::IdleConnection> m_idle;
     std::size_t m_open = 0;
+    bool m_sendsExcess = false; ///< Its connections are not reused.
   };
   class Lease;
 
   const HttpClientLimits m_limits;
   std::mutex m_mutex;
   std::map<Endpoint, PeerPool> m_pools;
+  std::atomic<std::uint64_t> m_exchanges{0};
 };
 
 } // namespace tamarackdrum
--- a/include/tamarackdrum/request-proxy.h
+++ b/include/tamarackdrum/request-proxy.h
@@ -1,26 +1,37 @@
 /// \file
 /// Serves callers: routes a request, sends it to its server and tells the
-/// caller the outcome.
+/// caller the outcome. docs/OUTCOMES.md describes the headers.
 
 #ifndef TAMARACKDRUM_REQUEST_PROXY_H
 #define TAMARACKDRUM_REQUEST_PROXY_H
 
 #include "tamarackdrum/http.h"
+#include "tamarackdrum/outcome.h"
 #include "tamarackdrum/routing.h"
 #include "tamarackdrum/server-health.h"
 
 namespace tamarackdrum {
 
-/// Outcome of a request as the caller is told.
-enum class Outcome { Answered, NotRun, Unknown };
-
-const char *toText(Outcome Value) noexcept;
-
 /// Counters of requests by outcome.
 struct RequestCounters {
   std::atomic<std::uint64_t> m_answered{0};
   std::atomic<std::uint64_t> m_notRun{0};
   std::atomic<std::uint64_t> m_unknown{0};
+  std::atomic<std::uint64_t> m_retries{0};
+};
+
+/// A call that was admitted, with what is known about it.
+struct AdmittedCall {
+  const HttpRequest &m_request;
+  std::shared_ptr<const ClassRoutes> m_routes;
+  RouteQuery m_query;
+};
+
+/// What one attempt, or all attempts of a call, came to.
+struct Exchange {
+  Verdict m_verdict;
+  HttpResponse m_reply; ///< The server's answer if the outcome is answered.
+  std::string m_server; ///< The server of the last dispatch; empty if none.
 };
 
 /// Handler of the caller address. Thread-safe.
@@ -35,8 +46,15 @@
   const RequestCounters &counters() const { return m_counters; }
 
 private:
-  boost::asio::awaitable<HttpResponse> forward(const HttpRequest &Call,
-                                               Dispatch Granted);
+  Result<AdmittedCall> admit(const HttpRequest &Call, TimePoint Now) const;
+  boost::asio::awaitable<Exchange> runAttempts(AdmittedCall Call);
+  boost::asio::awaitable<Exchange> attempt(const AdmittedCall &Call);
+  boost::asio::awaitable<Exchange> forward(const AdmittedCall &Call,
+                                           Dispatch Granted);
+  bool mayRepeat(const AdmittedCall &Call, const Exchange &Last) const;
+  void noteHealth(const Exchange &Done, const ClassTarget &Target,
+                  Millis TimeGiven);
+  void count(Outcome Value);
 
   Router &m_router;
   HttpClient &m_client;
--- a/include/tamarackdrum/routing.h
+++ b/include/tamarackdrum/routing.h
@@ -8,6 +8,7 @@
 #ifndef TAMARACKDRUM_ROUTING_H
 #define TAMARACKDRUM_ROUTING_H
 
+#include "tamarackdrum/retry-budget.h"
 #include "tamarackdrum/view.h"
 
 #include <atomic>
@@ -45,6 +46,7 @@
 /// Routes of one class. Unkeyed classes use `m_servers` only.
 struct ClassRoutes {
   ClassTarget m_target;
+  std::shared_ptr<RetryBudget> m_budget; ///< Shared by all tables.
   std::vector<std::shared_ptr<SliceTerm>> m_slices;
   std::vector<std::pair<std::uint64_t, std::shared_ptr<SliceTerm>>> m_hotKeys;
   /// Terms of unkeyed dispatches, one a server that takes work.
@@ -103,6 +105,8 @@
   std::string_view m_workClass;
   std::string_view m_key;           ///< Empty if the request has none.
   std::string_view m_excludeServer; ///< For retries of unkeyed work.
+  /// Latest end of the dispatch, if before the class's own.
+  TimePoint m_deadline = TimePoint::max();
 };
 
 /// Thread-safe routing state of a process.
@@ -132,6 +136,9 @@
 
   RoutingTablePtr table() const;
 
+  /// Returns the routes of a class, or null.
+  std::shared_ptr<const ClassRoutes> findRoutes(std::string_view Name) const;
+
   /// Dispatches in flight or abandoned and not yet expired.
   int inFlight() const noexcept { return m_inFlight.load(); }
 
--- a/src/adapter/http-client.cc
+++ b/src/adapter/http-client.cc
@@ -14,6 +14,20 @@
 namespace http = boost::beast::http;
 
 namespace tamarackdrum {
+namespace {
+
+constexpr unsigned FirstFinalStatus = 200;
+constexpr const char *ExchangeHeader = "Tamarack-Exchange";
+
+/// Returns whether \p Reply is final and does not name another exchange.
+bool isReplyTo(const std::string &Number, const HttpResponse &Reply) {
+  if (Reply.result_int() < FirstFinalStatus)
+    return false;
+  const auto Found = Reply.find(ExchangeHeader);
+  return Found == Reply.end() || Found->value() == Number;
+}
+
+} // namespace
 
 namespace detail {
 
@@ -22,10 +36,13 @@
     ::close(m_handle);
 }
 
-bool IdleConnection::isReusable() const noexcept {
+IdleConnection::State IdleConnection::state() const noexcept {
   char Byte = 0;
-  return ::recv(m_handle, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-         (errno == EAGAIN || errno == EWOULDBLOCK);
+  const ssize_t Size = ::recv(m_handle, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Size > 0)
+    return State::Dirty;
+  const bool IsSilent = Size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return IsSilent ? State::Reusable : State::Closed;
 }
 
 } // namespace detail
@@ -53,13 +70,23 @@
       return false;
     ++Pool.m_open;
     m_isTaken = true;
-    if (!Pool.m_idle.empty()) {
-      Idle.emplace(std::move(Pool.m_idle.back()));
+    while (!Pool.m_idle.empty() && !Idle) {
+      const detail::IdleConnection::State State = Pool.m_idle.back().state();
+      if (State == detail::IdleConnection::State::Reusable)
+        Idle.emplace(std::move(Pool.m_idle.back()));
       Pool.m_idle.pop_back();
+      if (State == detail::IdleConnection::State::Dirty)
+        stopReuse(Pool);
     }
     return true;
   }
 
+  /// Notes that the peer sent bytes that belong to no request.
+  void noteExcess() {
+    const std::lock_guard<std::mutex> Lock(m_client.m_mutex);
+    stopReuse(m_client.m_pools[m_peer]);
+  }
+
   void giveBack(asio::ip::tcp::socket Socket) {
     boost::system::error_code Error;
     detail::IdleConnection Idle(Socket.release(Error));
@@ -67,11 +94,17 @@
       return;
     const std::lock_guard<std::mutex> Lock(m_client.m_mutex);
     PeerPool &Pool = m_client.m_pools[m_peer];
-    if (Pool.m_idle.size() < m_client.m_limits.m_maxIdlePerPeer)
+    if (!Pool.m_sendsExcess &&
+        Pool.m_idle.size() < m_client.m_limits.m_maxIdlePerPeer)
       Pool.m_idle.push_back(std::move(Idle));
   }
 
 private:
+  static void stopReuse(PeerPool &Pool) {
+    Pool.m_sendsExcess = true;
+    Pool.m_idle.clear();
+  }
+
   HttpClient &m_client;
   const Endpoint m_peer;
   bool m_isTaken = false;
@@ -87,7 +120,7 @@
   beast::tcp_stream Stream(Executor);
   Stream.expires_after(Deadline - BootClock::now());
   beast::error_code Error;
-  if (Idle && Idle->isReusable())
+  if (Idle)
     Stream.socket().assign(Peer.protocol(), Idle->release(), Error);
   if (!Stream.socket().is_open()) {
     co_await Stream.async_connect(
@@ -98,6 +131,9 @@
                                     : HttpErrc::ConnectFailed);
     Stream.socket().set_option(asio::ip::tcp::no_delay(true), Error);
   }
+  const bool IsHead = Request.method() == http::verb::head;
+  const std::string Number = std::to_string(m_exchanges.fetch_add(1));
+  Request.set(ExchangeHeader, Number);
   Request.prepare_payload();
   co_await http::async_write(Stream, Request,
                              asio::redirect_error(asio::use_awaitable, Error));
@@ -106,11 +142,14 @@
   beast::flat_buffer Buffer;
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(m_limits.m_maxReplyBytes);
+  Parser.skip(IsHead);
   co_await http::async_read(Stream, Buffer, Parser,
                             asio::redirect_error(asio::use_awaitable, Error));
   if (Error == beast::error::timeout)
     co_return std::error_code(HttpErrc::TimedOut);
-  if (Error)
+  if (Buffer.size() > 0)
+    Connection.noteExcess();
+  if (Error || !isReplyTo(Number, Parser.get()))
     co_return std::error_code(HttpErrc::ReplyTorn);
   HttpResponse Response = Parser.release();
   if (Response.keep_alive() && Buffer.size() == 0) {
--- a/src/adapter/http-server.cc
+++ b/src/adapter/http-server.cc
@@ -35,6 +35,13 @@
   return 400;
 }
 
+/// Returns whether bytes of a next request are here already.
+bool hasArrived(detail::HttpSession &Session) {
+  beast::error_code Error;
+  return Session.m_buffer.size() > 0 ||
+         Session.m_stream.socket().available(Error) > 0;
+}
+
 bool isProtocolError(const beast::error_code &Error) {
   return Error.category() ==
              make_error_code(http::error::bad_method).category() &&
@@ -101,7 +108,7 @@
   const std::lock_guard<std::mutex> Lock(m_mutex);
   for (const SessionPtr &Session : m_sessions)
     asio::post(Session->m_stream.get_executor(), [Session] {
-      if (!Session->m_isBusy)
+      if (!Session->m_isBusy && !hasArrived(*Session))
         Session->m_stream.close();
     });
 }
--- a/src/adapter/request-proxy.cc
+++ b/src/adapter/request-proxy.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -11,6 +12,12 @@
 namespace tamarackdrum {
 namespace {
 
+constexpr int MaxAttempts = 3;
+constexpr Millis RepeatPause{20};
+constexpr unsigned FirstServerError = 500;
+constexpr Millis OneSecond{1000};
+constexpr Millis MaxServerWish{60000};
+
 /// Splits "/class/key/..." into its first two segments.
 RouteQuery parseTarget(std::string_view Target) {
   RouteQuery Query;
@@ -26,84 +33,215 @@
   return Query;
 }
 
-unsigned statusOf(const std::error_code &Error) {
-  if (Error == RouteErrc::UnknownClass)
-    return 404;
-  if (Error == RouteErrc::KeyMissing || Error == RouteErrc::IdMissing)
-    return 400;
-  return 503;
+std::optional<std::int64_t> parseNumber(std::string_view Text) {
+  std::int64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  const std::from_chars_result Parsed =
+      std::from_chars(Text.data(), End, Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return Value;
+}
+
+std::string_view header(const HttpRequest &Call, std::string_view Name) {
+  const auto Found = Call.find(Name);
+  if (Found == Call.end())
+    return {};
+  return {Found->value().data(), Found->value().size()};
+}
+
+/// Returns the time that the caller gives, the class's at most.
+Result<Millis> timeGiven(const HttpRequest &Call, Millis ClassDeadline) {
+  const std::string_view Text = header(Call, "Tamarack-Deadline-Ms");
+  if (Text.empty())
+    return ClassDeadline;
+  const std::optional<std::int64_t> Wanted = parseNumber(Text);
+  if (!Wanted || *Wanted < 0)
+    return std::error_code(RouteErrc::DeadlineInvalid);
+  if (*Wanted == 0)
+    return std::error_code(RouteErrc::DeadlinePassed);
+  return std::min(Millis(*Wanted), ClassDeadline);
 }
 
-HttpResponse refusal(Outcome Kind, const std::error_code &Reason,
-                     unsigned Status) {
-  HttpResponse Response =
-      makeResponse(Status, std::string("{\"outcome\":\"") + toText(Kind) +
-                               "\",\"reason\":\"" + Reason.message() + "\"}");
-  Response.set("Tamarack-Outcome", toText(Kind));
-  Response.set("Tamarack-Reason", Reason.message());
-  if (Status == 503)
-    Response.set(http::field::retry_after, "1");
+ReplyFacts factsOf(const HttpResponse &Reply) {
+  ReplyFacts Out;
+  Out.m_status = Reply.result_int();
+  Out.m_saysNotRun = Reply.find("X-Not-Run") != Reply.end();
+  const auto Wish = Reply.find(http::field::retry_after);
+  const std::optional<std::int64_t> Seconds =
+      Wish == Reply.end() ? std::nullopt : parseNumber(Wish->value());
+  if (Seconds && *Seconds > 0)
+    Out.m_retryAfter =
+        std::min(Millis(*Seconds * OneSecond.count()), MaxServerWish);
+  return Out;
+}
+
+HttpResponse toResponse(const Verdict &Final) {
+  const std::string Reason = Final.m_reason.message();
+  HttpResponse Response = makeResponse(
+      Final.m_status, std::string("{\"outcome\":\"") + toText(Final.m_outcome) +
+                          "\",\"reason\":\"" + Reason + "\"}");
+  Response.set("Tamarack-Reason", Reason);
+  if (Final.m_retryAfter <= Millis(0))
+    return Response;
+  const std::int64_t Wait = Final.m_retryAfter.count();
+  const std::int64_t Seconds =
+      (Wait + OneSecond.count() - 1) / OneSecond.count();
+  Response.set(http::field::retry_after, std::to_string(Seconds));
+  Response.set("Tamarack-Retry-After-Ms", std::to_string(Wait));
   return Response;
 }
 
-} // namespace
+Exchange notRun(const std::error_code &Reason) {
+  return {verdictOfRefusal(Reason), {}, {}};
+}
 
-const char *toText(Outcome Value) noexcept {
-  switch (Value) {
-  case Outcome::Answered:
-    return "answered";
-  case Outcome::NotRun:
-    return "not-run";
-  case Outcome::Unknown:
-    break;
-  }
-  return "unknown";
+asio::awaitable<void> sleepFor(Millis Time) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor, Time);
+  co_await Timer.async_wait(asio::use_awaitable);
 }
 
+} // namespace
+
 asio::awaitable<HttpResponse> RequestProxy::onCall(const HttpRequest &Call) {
+  const Result<AdmittedCall> Admitted = admit(Call, BootClock::now());
+  Exchange Done;
+  if (Admitted)
+    Done = co_await runAttempts(Admitted.value());
+  else
+    Done = notRun(Admitted.error());
+  const Outcome Kind = Done.m_verdict.m_outcome;
+  count(Kind);
+  HttpResponse Answer = Kind == Outcome::Answered ? std::move(Done.m_reply)
+                                                  : toResponse(Done.m_verdict);
+  Answer.set("Tamarack-Outcome", toText(Kind));
+  if (!Done.m_server.empty())
+    Answer.set("Tamarack-Server", Done.m_server);
+  co_return Answer;
+}
+
+Result<AdmittedCall> RequestProxy::admit(const HttpRequest &Call,
+                                         TimePoint Now) const {
   const std::string_view Target(Call.target().data(), Call.target().size());
-  const RouteQuery Query = parseTarget(Target);
-  Result<Dispatch> Granted = m_router.decide(Query, BootClock::now());
-  if (!Granted) {
-    m_counters.m_notRun.fetch_add(1);
-    co_return refusal(Outcome::NotRun, Granted.error(),
-                      statusOf(Granted.error()));
+  AdmittedCall Out{Call, nullptr, parseTarget(Target)};
+  Out.m_routes = m_router.findRoutes(Out.m_query.m_workClass);
+  if (!Out.m_routes)
+    return std::error_code(m_router.table() ? RouteErrc::UnknownClass
+                                            : RouteErrc::NoLease);
+  const ClassTarget &Class = Out.m_routes->m_target;
+  if (Class.m_onceOnly && header(Call, "Idempotency-Key").empty())
+    return std::error_code(RouteErrc::IdMissing);
+  const Result<Millis> Time = timeGiven(Call, Class.m_deadline);
+  if (!Time)
+    return Time.error();
+  Out.m_query.m_deadline = Now + Time.value();
+  return Out;
+}
+
+/// Dispatches until the call has a final verdict. A once-only call is
+/// dispatched again only after an attempt that provably did not run.
+asio::awaitable<Exchange> RequestProxy::runAttempts(AdmittedCall Call) {
+  Call.m_routes->m_budget->noteRequest();
+  Exchange Last = co_await attempt(Call);
+  for (int Attempt = 1; Attempt < MaxAttempts; ++Attempt) {
+    if (!mayRepeat(Call, Last))
+      break;
+    if (Call.m_routes->m_target.m_keyed)
+      co_await sleepFor(RepeatPause * Attempt);
+    if (BootClock::now() >= Call.m_query.m_deadline)
+      break;
+    m_counters.m_retries.fetch_add(1);
+    const std::string Failed = Last.m_server;
+    Call.m_query.m_excludeServer = Failed;
+    Exchange Next = co_await attempt(Call);
+    Next.m_verdict = combine(Last.m_verdict, Next.m_verdict);
+    if (Next.m_server.empty())
+      Next.m_server = Failed;
+    Last = std::move(Next);
   }
+  co_return Last;
+}
+
+bool RequestProxy::mayRepeat(const AdmittedCall &Call,
+                             const Exchange &Last) const {
+  const Verdict &Final = Last.m_verdict;
+  if (Final.m_outcome == Outcome::Answered || Last.m_server.empty() ||
+      !isRepeatable(Final, Call.m_routes->m_target))
+    return false;
+  const TimePoint Earliest =
+      BootClock::now() +
+      (Call.m_routes->m_target.m_keyed ? RepeatPause : Millis(0));
+  return Earliest < Call.m_query.m_deadline && Call.m_routes->m_budget->take();
+}
+
+asio::awaitable<Exchange> RequestProxy::attempt(const AdmittedCall &Call) {
+  Result<Dispatch> Granted = m_router.decide(Call.m_query, BootClock::now());
+  if (!Granted)
+    co_return notRun(Granted.error());
   co_return co_await forward(Call, std::move(Granted).value());
 }
 
-asio::awaitable<HttpResponse> RequestProxy::forward(const HttpRequest &Call,
-                                                    Dispatch Granted) {
-  HttpRequest Outgoing = Call;
-  Outgoing.keep_alive(true);
-  const TimePoint Now = BootClock::now();
-  Outgoing.set(
-      "Tamarack-Deadline",
-      std::to_string(toUnixMillis(Granted.deadline(), Now, unixMillis())));
-  Outgoing.set("Tamarack-Epoch", std::to_string(Granted.epoch()));
+asio::awaitable<Exchange> RequestProxy::forward(const AdmittedCall &Call,
+                                                Dispatch Granted) {
+  Exchange Out;
+  Out.m_server = Granted.server().m_name;
   const Result<Endpoint> Server = parseEndpoint(Granted.server().m_address);
   if (!Server) {
     Granted.complete();
-    co_return refusal(Outcome::NotRun, RouteErrc::NoServer, 503);
+    Out.m_verdict = verdictOfRefusal(RouteErrc::NoServer);
+    co_return Out;
   }
-  Result<HttpResponse> Reply = co_await m_client.send(
-      Server.value(), std::move(Outgoing), Granted.deadline());
-  if (Reply) {
+  HttpRequest Outgoing = Call.m_request;
+  Outgoing.keep_alive(true);
+  const TimePoint Start = BootClock::now();
+  const TimePoint Deadline = Granted.deadline();
+  Outgoing.set("Tamarack-Deadline",
+               std::to_string(toUnixMillis(Deadline, Start, unixMillis())));
+  Outgoing.set("Tamarack-Epoch", std::to_string(Granted.epoch()));
+  Result<HttpResponse> Reply =
+      co_await m_client.send(Server.value(), std::move(Outgoing), Deadline);
+  Out.m_verdict = Reply ? verdictOfReply(factsOf(Reply.value()))
+                        : verdictOfFailure(Reply.error());
+  if (Reply || Out.m_verdict.m_outcome == Outcome::NotRun)
     Granted.complete();
-    HttpResponse Answer = std::move(Reply).value();
-    Answer.set("Tamarack-Outcome", toText(Outcome::Answered));
-    m_counters.m_answered.fetch_add(1);
-    co_return Answer;
+  else
+    Granted.abandon();
+  if (Reply)
+    Out.m_reply = std::move(Reply).value();
+  noteHealth(Out, Call.m_routes->m_target,
+             std::chrono::duration_cast<Millis>(Deadline - Start));
+  co_return Out;
+}
+
+void RequestProxy::noteHealth(const Exchange &Done, const ClassTarget &Target,
+                              Millis TimeGiven) {
+  const Verdict &Final = Done.m_verdict;
+  const TimePoint Now = BootClock::now();
+  if (Final.m_outcome == Outcome::Answered) {
+    const bool IsFailure = Done.m_reply.result_int() >= FirstServerError;
+    m_health.noteResult(Done.m_server, IsFailure, Now);
+    return;
   }
-  const std::error_code Error = Reply.error();
-  if (Error == HttpErrc::ConnectFailed || Error == HttpErrc::PoolExhausted) {
-    Granted.complete();
-    m_counters.m_notRun.fetch_add(1);
-    co_return refusal(Outcome::NotRun, Error, 503);
+  if (Final.m_reason == HttpErrc::ConnectFailed) {
+    m_health.noteConnectRefused(Done.m_server, Now);
+    return;
   }
-  Granted.abandon();
-  m_counters.m_unknown.fetch_add(1);
-  co_return refusal(Outcome::Unknown, Error, 502);
+  // A shed request, a full pool or a caller in a hurry is no failure of the
+  // server.
+  const bool IsHurried = TimeGiven * 2 < Target.m_deadline;
+  if (Final.m_reason == RouteErrc::ServerRefused ||
+      Final.m_reason == HttpErrc::PoolExhausted || IsHurried)
+    return;
+  m_health.noteResult(Done.m_server, true, Now);
+}
+
+void RequestProxy::count(Outcome Value) {
+  if (Value == Outcome::Answered)
+    m_counters.m_answered.fetch_add(1);
+  else if (Value == Outcome::NotRun)
+    m_counters.m_notRun.fetch_add(1);
+  else
+    m_counters.m_unknown.fetch_add(1);
 }
 
 } // namespace tamarackdrum
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -108,7 +108,10 @@
                                      std::string_view Exclude) {
   const std::vector<std::shared_ptr<SliceTerm>> &Terms = Routes.m_servers;
   const std::size_t First = randomBelow(Terms.size());
-  const std::size_t Second = randomBelow(Terms.size());
+  std::size_t Second = randomBelow(Terms.size());
+  // With one excluded, the other has to be a different one.
+  if (Second == First && Terms.size() > 1)
+    Second = (Second + 1) % Terms.size();
   const auto Load = [&](std::size_t Index) {
     const RouteServer &Server = *Terms[Index]->m_server;
     const int Penalty = Server.m_record.m_name == Exclude ? 1 << 20 : 0;
@@ -168,6 +171,8 @@
     }
     ClassRoutes &Routes = Table->m_classes[Target.m_name];
     Routes.m_target = Target;
+    Routes.m_budget = OldRoutes != nullptr ? OldRoutes->m_budget
+                                           : std::make_shared<RetryBudget>();
     const ClassAssignment *Assignment = findAssignment(Next, Target.m_name);
     if (Assignment != nullptr)
       addKeyedTerms(Routes, *Assignment, OldRoutes, Servers);
@@ -251,7 +256,9 @@
     }
     Term->m_server->m_load->m_dispatched.fetch_add(1,
                                                    std::memory_order_relaxed);
-    return Dispatch(*this, Term, Now + Found->second.m_target.m_deadline);
+    return Dispatch(
+        *this, Term,
+        std::min(Query.m_deadline, Now + Found->second.m_target.m_deadline));
   }
 }
 
@@ -286,6 +293,17 @@
   return Drained;
 }
 
+std::shared_ptr<const ClassRoutes>
+Router::findRoutes(std::string_view Name) const {
+  const RoutingTablePtr Table = table();
+  if (!Table)
+    return nullptr;
+  const auto Found = Table->m_classes.find(Name);
+  if (Found == Table->m_classes.end())
+    return nullptr;
+  return {Table, &Found->second};
+}
+
 RoutingTablePtr Router::table() const {
   const std::lock_guard<std::mutex> Lock(m_tableMutex);
   return m_table;
