--- a/include/tamarackdrum/server-health.h
+++ b/include/tamarackdrum/server-health.h
@@ -58,6 +58,10 @@
   /// opposite of a recent dispatch result is dropped.
   void noteReport(const std::string &Server, bool IsHealthy, TimePoint Now);
 
+  /// Notes that a probe of \p Server got no answer. Unlike a report, this is
+  /// evidence that counts whatever the dispatches say.
+  void noteNoAnswer(const std::string &Server, TimePoint Now);
+
   /// Returns the servers that should be put aside, sorted by name.
   std::vector<std::string> suspects(TimePoint Now) const;
 
--- a/src/adapter/server-prober.cc
+++ b/src/adapter/server-prober.cc
@@ -12,8 +12,8 @@
 namespace tamarackdrum {
 namespace {
 
-constexpr Millis ProbeInterval{250};
-constexpr Millis ProbeTimeout{300};
+constexpr Millis ProbeInterval{200};
+constexpr Millis ProbeTimeout{250};
 
 bool isHealthy(const HttpResponse &Reply) {
   if (Reply.result_int() != 200)
@@ -83,7 +83,7 @@
   if (Reply.error() == HttpErrc::ConnectFailed)
     m_health.noteConnectRefused(Server, Now);
   else if (Reply.error() != HttpErrc::PoolExhausted)
-    m_health.noteReport(Server, false, Now);
+    m_health.noteNoAnswer(Server, Now);
 }
 
 } // namespace tamarackdrum
--- a/src/core/server-health.cc
+++ b/src/core/server-health.cc
@@ -77,6 +77,11 @@
   Item.m_refusals = 0;
 }
 
+void ServerHealth::noteNoAnswer(const std::string &Server, TimePoint Now) {
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  addFailure(m_servers[Server], Now);
+}
+
 std::vector<std::string> ServerHealth::suspects(TimePoint Now) const {
   const std::lock_guard<std::mutex> Lock(m_mutex);
   std::vector<std::string> Out;
--- a/test/core/server-health-test.cc
+++ b/test/core/server-health-test.cc
@@ -95,5 +95,14 @@
   EXPECT_FALSE(isProber(Current, "s1", "stranger"));
 }
 
+TEST_F(ServerHealthTest, NoAnswer_DespiteRecentSuccess_MakesSuspect) {
+  m_health.noteResult("s1", false, m_now);
+  for (int I = 0; I < 3; ++I) {
+    m_now += Millis(200);
+    m_health.noteNoAnswer("s1", m_now);
+  }
+  EXPECT_TRUE(isSuspect());
+}
+
 } // namespace
 } // namespace tamarackdrum
