--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -6,6 +6,7 @@
 
 #include "tamarackdrum/control-api.h"
 #include "tamarackdrum/once-only.h"
+#include "tamarackdrum/server-health.h"
 
 namespace tamarackdrum {
 
@@ -13,7 +14,7 @@
 class EntryHost {
 public:
   EntryHost(Settings Config, boost::asio::io_context &Workers,
-            TableStore &Table, HttpClient &PeerClient,
+            TableStore &Table, HostList &Hosts, HttpClient &PeerClient,
             HttpClient &ServerClient);
 
   /// Binds both addresses and starts all activities.
@@ -25,9 +26,14 @@
   /// Returns whether nothing is in flight any more.
   bool isIdle() const;
 
+  /// Leaves the dispatch group; returns at once.
+  void beginLeave() { m_keeper.beginLeave(); }
+  bool hasLeft() const { return m_keeper.hasLeft(); }
+
 private:
   const Settings m_settings;
   Router m_router;
+  ServerHealth m_health;
   ViewKeeper m_keeper;
   RequestProxy m_proxy;
   ClaimStore m_claims;
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -16,11 +16,12 @@
 } // namespace
 
 EntryHost::EntryHost(Settings Config, asio::io_context &Workers,
-                     TableStore &Table, HttpClient &PeerClient,
+                     TableStore &Table, HostList &Hosts, HttpClient &PeerClient,
                      HttpClient &ServerClient)
     : m_settings(std::move(Config)),
-      m_keeper(m_settings, makeIncarnation(), Workers, Table, PeerClient,
-               m_router),
+      m_keeper(m_settings, makeIncarnation(), Workers, Table, Hosts, PeerClient,
+               m_router,
+               [this] { return m_health.suspects(BootClock::now()); }),
       m_proxy(m_router, ServerClient),
       m_claims(m_settings.m_claims, m_settings.m_name, makeIncarnation(),
                Workers, Table),
@@ -46,7 +47,7 @@
 }
 
 void EntryHost::beginStop() {
-  m_keeper.beginStop();
+  m_keeper.noteStop();
   m_callerServer.stop();
 }
 
