Tell poison requests from ordinary crashes in the core

A fingerprint that was in flight at two distinct crashes, with no answer in between, is refused. Marks of one server within 2 s are one crash, so that several reports of it do not add up.

--- /dev/null
+++ b/include/tamarackdrum/poison.h
@@ -0,0 +1,96 @@
+/// \file
+/// Requests that crash servers: evidence of crashes by request fingerprint,
+/// shared between processes, and the verdict on a fingerprint.
+
+#ifndef TAMARACKDRUM_POISON_H
+#define TAMARACKDRUM_POISON_H
+
+#include "tamarackdrum/core.h"
+
+#include <json/value.h>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace tamarackdrum {
+
+/// Hash of what a server gets of a request.
+using Fingerprint = std::uint64_t;
+
+/// Returns the fingerprint of a request, e.g.
+/// `fingerprintOf("POST", "/pages/render", Body)`. The target holds the class.
+Fingerprint fingerprintOf(std::string_view Method, std::string_view Target,
+                          std::string_view Body) noexcept;
+
+/// A request was in flight at a server when the server crashed.
+struct CrashMark {
+  std::string m_server;
+  std::int64_t m_atMs = 0; ///< Unix time.
+
+  auto operator<=>(const CrashMark &) const = default;
+};
+
+/// What is known of one suspected fingerprint.
+struct PoisonEvidence {
+  Fingerprint m_fingerprint = 0;
+  std::vector<CrashMark> m_crashes; ///< Sorted.
+  std::int64_t m_answeredAtMs = 0;  ///< Last answer; crashes up to it are void.
+
+  bool operator==(const PoisonEvidence &) const = default;
+};
+
+Json::Value toJson(const std::vector<PoisonEvidence> &Evidence);
+/// Errors are of ControlErrc.
+Result<std::vector<PoisonEvidence>> evidenceFromJson(const Json::Value &Value);
+
+/// When a fingerprint is refused.
+struct PoisonPolicy {
+  unsigned m_crashesToRefuse = 2;
+  Millis m_sameCrash{2000}; ///< Marks of a server this close are one crash.
+  Millis m_timeToLive{600000};
+  std::size_t m_maxEntries = 4096;
+
+  bool operator==(const PoisonPolicy &) const = default;
+};
+
+/// Returns the number of crashes of \p Evidence that count at \p NowMs.
+unsigned countCrashes(const PoisonEvidence &Evidence, std::int64_t NowMs,
+                      const PoisonPolicy &Policy);
+
+/// Evidence of one process and of its peers. Thread-safe. Merging is
+/// commutative and idempotent, so evidence may arrive late, twice and in any
+/// order.
+class PoisonRegistry {
+public:
+  explicit PoisonRegistry(PoisonPolicy Policy) : m_policy(Policy) {}
+
+  /// Returns whether requests with this fingerprint are refused.
+  bool isPoisoned(Fingerprint Request, std::int64_t NowMs) const;
+
+  /// Notes that \p Request was in flight when \p Server crashed.
+  void noteCrash(Fingerprint Request, const std::string &Server,
+                 std::int64_t NowMs);
+
+  /// Notes that \p Request was answered; crashes before are void. Costs
+  /// nothing for a fingerprint that is not suspected.
+  void noteAnswered(Fingerprint Request, std::int64_t NowMs);
+
+  std::vector<PoisonEvidence> snapshot() const;
+  void merge(const std::vector<PoisonEvidence> &Evidence, std::int64_t NowMs);
+
+  /// Grows with each change of the evidence.
+  std::uint64_t revision() const;
+
+private:
+  void add(const PoisonEvidence &Evidence, std::int64_t NowMs);
+  void dropExpired(std::int64_t NowMs);
+
+  const PoisonPolicy m_policy;
+  mutable std::mutex m_mutex;
+  std::map<Fingerprint, PoisonEvidence> m_entries;
+  std::uint64_t m_revision = 0;
+};
+
+} // namespace tamarackdrum
+
+#endif // TAMARACKDRUM_POISON_H
--- /dev/null
+++ b/src/core/poison.cc
@@ -0,0 +1,175 @@
+#include "tamarackdrum/poison.h"
+
+#include "tamarackdrum/error.h"
+
+#include <algorithm>
+
+namespace tamarackdrum {
+namespace {
+
+constexpr std::size_t MaxMarks = 16;
+
+bool isExpired(const PoisonEvidence &Evidence, std::int64_t NowMs,
+               const PoisonPolicy &Policy) {
+  const std::int64_t Oldest = NowMs - Policy.m_timeToLive.count();
+  return std::all_of(
+      Evidence.m_crashes.begin(), Evidence.m_crashes.end(),
+      [&](const CrashMark &Mark) { return Mark.m_atMs <= Oldest; });
+}
+
+PoisonEvidence oneFromJson(const Json::Value &Value) {
+  PoisonEvidence Out;
+  Out.m_fingerprint = Value["fingerprint"].asUInt64();
+  Out.m_answeredAtMs = Value["answered_at_ms"].asInt64();
+  for (const Json::Value &Item : Value["crashes"])
+    Out.m_crashes.push_back(
+        {Item["server"].asString(), Item["at_ms"].asInt64()});
+  return Out;
+}
+
+} // namespace
+
+Fingerprint fingerprintOf(std::string_view Method, std::string_view Target,
+                          std::string_view Body) noexcept {
+  constexpr std::uint64_t Multiplier = 0x9E3779B97F4A7C15ULL;
+  std::uint64_t Out = hashKey(Method);
+  Out = (Out ^ hashKey(Target)) * Multiplier;
+  return (Out ^ hashKey(Body)) * Multiplier;
+}
+
+Json::Value toJson(const std::vector<PoisonEvidence> &Evidence) {
+  Json::Value Out(Json::arrayValue);
+  for (const PoisonEvidence &One : Evidence) {
+    Json::Value Item;
+    Item["fingerprint"] = Json::UInt64(One.m_fingerprint);
+    Item["answered_at_ms"] = Json::Int64(One.m_answeredAtMs);
+    Item["crashes"] = Json::Value(Json::arrayValue);
+    for (const CrashMark &Mark : One.m_crashes) {
+      Json::Value Crash;
+      Crash["server"] = Mark.m_server;
+      Crash["at_ms"] = Json::Int64(Mark.m_atMs);
+      Item["crashes"].append(Crash);
+    }
+    Out.append(Item);
+  }
+  return Out;
+}
+
+Result<std::vector<PoisonEvidence>> evidenceFromJson(const Json::Value &Value) {
+  std::vector<PoisonEvidence> Out;
+  try {
+    for (const Json::Value &Item : Value)
+      Out.push_back(oneFromJson(Item));
+  } catch (const Json::Exception &) {
+    return std::error_code(ControlErrc::Malformed);
+  }
+  return Out;
+}
+
+unsigned countCrashes(const PoisonEvidence &Evidence, std::int64_t NowMs,
+                      const PoisonPolicy &Policy) {
+  const std::int64_t Oldest = NowMs - Policy.m_timeToLive.count();
+  unsigned Count = 0;
+  const CrashMark *Last = nullptr;
+  for (const CrashMark &Mark : Evidence.m_crashes) {
+    if (Mark.m_atMs <= Oldest || Mark.m_atMs <= Evidence.m_answeredAtMs)
+      continue;
+    const bool IsSame =
+        Last != nullptr && Last->m_server == Mark.m_server &&
+        Mark.m_atMs - Last->m_atMs <= Policy.m_sameCrash.count();
+    if (IsSame)
+      continue;
+    Last = &Mark;
+    ++Count;
+  }
+  return Count;
+}
+
+bool PoisonRegistry::isPoisoned(Fingerprint Request, std::int64_t NowMs) const {
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  const auto Found = m_entries.find(Request);
+  return Found != m_entries.end() &&
+         countCrashes(Found->second, NowMs, m_policy) >=
+             m_policy.m_crashesToRefuse;
+}
+
+void PoisonRegistry::noteCrash(Fingerprint Request, const std::string &Server,
+                               std::int64_t NowMs) {
+  PoisonEvidence Evidence;
+  Evidence.m_fingerprint = Request;
+  Evidence.m_crashes.push_back({Server, NowMs});
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  add(Evidence, NowMs);
+}
+
+void PoisonRegistry::noteAnswered(Fingerprint Request, std::int64_t NowMs) {
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  const auto Found = m_entries.find(Request);
+  if (Found == m_entries.end() ||
+      countCrashes(Found->second, NowMs, m_policy) == 0)
+    return;
+  Found->second.m_answeredAtMs = NowMs;
+  ++m_revision;
+}
+
+std::vector<PoisonEvidence> PoisonRegistry::snapshot() const {
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  std::vector<PoisonEvidence> Out;
+  Out.reserve(m_entries.size());
+  for (const std::pair<const Fingerprint, PoisonEvidence> &Entry : m_entries)
+    Out.push_back(Entry.second);
+  return Out;
+}
+
+void PoisonRegistry::merge(const std::vector<PoisonEvidence> &Evidence,
+                           std::int64_t NowMs) {
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  for (const PoisonEvidence &One : Evidence)
+    add(One, NowMs);
+}
+
+std::uint64_t PoisonRegistry::revision() const {
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  return m_revision;
+}
+
+/// Joins \p Evidence with what is known. Requires m_mutex.
+void PoisonRegistry::add(const PoisonEvidence &Evidence, std::int64_t NowMs) {
+  if (isExpired(Evidence, NowMs, m_policy))
+    return;
+  if (!m_entries.contains(Evidence.m_fingerprint) &&
+      m_entries.size() >= m_policy.m_maxEntries)
+    dropExpired(NowMs);
+  if (!m_entries.contains(Evidence.m_fingerprint) &&
+      m_entries.size() >= m_policy.m_maxEntries)
+    return;
+  PoisonEvidence &Known = m_entries[Evidence.m_fingerprint];
+  PoisonEvidence Joined = Known;
+  Joined.m_fingerprint = Evidence.m_fingerprint;
+  Joined.m_answeredAtMs =
+      std::max(Known.m_answeredAtMs, Evidence.m_answeredAtMs);
+  std::vector<CrashMark> &Marks = Joined.m_crashes;
+  Marks.insert(Marks.end(), Evidence.m_crashes.begin(),
+               Evidence.m_crashes.end());
+  std::sort(Marks.begin(), Marks.end());
+  Marks.erase(std::unique(Marks.begin(), Marks.end()), Marks.end());
+  std::erase_if(Marks, [&](const CrashMark &Mark) {
+    return Mark.m_atMs <= NowMs - m_policy.m_timeToLive.count();
+  });
+  if (Marks.size() > MaxMarks)
+    Marks.resize(MaxMarks);
+  if (Joined == Known)
+    return;
+  Known = std::move(Joined);
+  ++m_revision;
+}
+
+/// Requires m_mutex.
+void PoisonRegistry::dropExpired(std::int64_t NowMs) {
+  std::erase_if(m_entries,
+                [&](const std::pair<const Fingerprint, PoisonEvidence> &Entry) {
+                  return isExpired(Entry.second, NowMs, m_policy);
+                });
+}
+
+} // namespace tamarackdrum
--- /dev/null
+++ b/test/core/poison-test.cc
@@ -0,0 +1,104 @@
+#include "tamarackdrum/poison.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace tamarackdrum {
+namespace {
+
+constexpr std::int64_t NowMs = 10000000;
+constexpr Fingerprint Poison = 7;
+constexpr Fingerprint Innocent = 8;
+
+class PoisonTest : public testing::Test {
+protected:
+  PoisonPolicy m_policy;
+  PoisonRegistry m_registry{m_policy};
+};
+
+TEST_F(PoisonTest, Fingerprint_SeenAtTwoCrashes_IsRefused) {
+  m_registry.noteCrash(Poison, "s1", NowMs);
+  EXPECT_FALSE(m_registry.isPoisoned(Poison, NowMs));
+  m_registry.noteCrash(Poison, "s2", NowMs + 1);
+  EXPECT_TRUE(m_registry.isPoisoned(Poison, NowMs + 1));
+  EXPECT_FALSE(m_registry.isPoisoned(Innocent, NowMs + 1));
+}
+
+TEST_F(PoisonTest, Fingerprint_SeenTwiceAtOneCrash_IsNotRefused) {
+  m_registry.noteCrash(Poison, "s1", NowMs);
+  m_registry.noteCrash(Poison, "s1", NowMs + 2000);
+  EXPECT_FALSE(m_registry.isPoisoned(Poison, NowMs + 2000));
+  m_registry.noteCrash(Poison, "s1", NowMs + 2001);
+  EXPECT_TRUE(m_registry.isPoisoned(Poison, NowMs + 2001));
+}
+
+TEST_F(PoisonTest, Fingerprint_AnsweredBetweenCrashes_IsNotRefused) {
+  m_registry.noteCrash(Innocent, "s1", NowMs);
+  m_registry.noteAnswered(Innocent, NowMs + 10);
+  m_registry.noteCrash(Innocent, "s2", NowMs + 20);
+  EXPECT_FALSE(m_registry.isPoisoned(Innocent, NowMs + 20));
+}
+
+TEST_F(PoisonTest, Evidence_OverItsTimeToLive_IsForgotten) {
+  m_registry.noteCrash(Poison, "s1", NowMs);
+  m_registry.noteCrash(Poison, "s2", NowMs);
+  const std::int64_t End = NowMs + m_policy.m_timeToLive.count();
+  EXPECT_TRUE(m_registry.isPoisoned(Poison, End - 1));
+  EXPECT_FALSE(m_registry.isPoisoned(Poison, End));
+}
+
+TEST_F(PoisonTest, Registry_WhenFull_StaysBoundedAndDropsTheExpired) {
+  m_policy.m_maxEntries = 2;
+  PoisonRegistry Small(m_policy);
+  for (Fingerprint Request = 1; Request <= 3; ++Request)
+    Small.noteCrash(Request, "s1", NowMs);
+  EXPECT_EQ(Small.snapshot().size(), 2U);
+  Small.noteCrash(4, "s1", NowMs + m_policy.m_timeToLive.count());
+  EXPECT_EQ(Small.snapshot().size(), 1U);
+}
+
+TEST_F(PoisonTest, Evidence_FromJson_IsTheSame) {
+  m_registry.noteCrash(Poison, "s1", NowMs);
+  m_registry.noteCrash(~Fingerprint(0), "s2", NowMs);
+  m_registry.noteAnswered(Poison, NowMs + 1);
+  const std::vector<PoisonEvidence> Sent = m_registry.snapshot();
+  EXPECT_EQ(evidenceFromJson(toJson(Sent)).value(), Sent);
+  Json::Value Bad(Json::arrayValue);
+  Bad.append("text");
+  EXPECT_FALSE(evidenceFromJson(Bad));
+}
+
+std::vector<std::vector<PoisonEvidence>> drawMessages() {
+  std::vector<std::vector<PoisonEvidence>> Out;
+  const int Count = *rc::gen::inRange(1, 8);
+  for (int I = 0; I < Count; ++I) {
+    PoisonRegistry Source{PoisonPolicy()};
+    for (int Note = 0; Note < 3; ++Note) {
+      const Fingerprint Request = *rc::gen::inRange<Fingerprint>(1, 4);
+      const std::int64_t At = NowMs + *rc::gen::inRange(0, 9000);
+      if (*rc::gen::inRange(0, 3) == 0)
+        Source.noteAnswered(Request, At);
+      else
+        Source.noteCrash(Request, *rc::gen::element("s1", "s2", "s3"), At);
+    }
+    Out.push_back(Source.snapshot());
+  }
+  return Out;
+}
+
+RC_GTEST_PROP(PoisonPropertyTest, Evidence_InAnyOrderAndTwice_MergesToTheSame,
+              ()) {
+  const std::vector<std::vector<PoisonEvidence>> Messages = drawMessages();
+  PoisonRegistry Forward{PoisonPolicy()};
+  PoisonRegistry Backward{PoisonPolicy()};
+  for (const std::vector<PoisonEvidence> &Message : Messages)
+    Forward.merge(Message, NowMs);
+  for (int Round = 0; Round < 2; ++Round)
+    for (auto Message = Messages.rbegin(); Message != Messages.rend();
+         ++Message)
+      Backward.merge(*Message, NowMs);
+  RC_ASSERT(Forward.snapshot() == Backward.snapshot());
+}
+
+} // namespace
+} // namespace tamarackdrum
