--- a/include/tamarackdrum/poison.h
+++ b/include/tamarackdrum/poison.h
@@ -46,9 +46,13 @@
 /// When a fingerprint is refused.
 struct PoisonPolicy {
   unsigned m_crashesToRefuse = 2;
+  /// For a fingerprint that has been answered within the time to live: one
+  /// that many callers send is often beside the one that crashes servers.
+  unsigned m_crashesIfAnswered = 4;
   Millis m_sameCrash{2000}; ///< Marks of a server this close are one crash.
   Millis m_timeToLive{600000};
   std::size_t m_maxEntries = 4096;
+  std::size_t m_answeredSlots = 16384; ///< Answers remembered at most.
 
   bool operator==(const PoisonPolicy &) const = default;
 };
@@ -57,12 +61,17 @@
 unsigned countCrashes(const PoisonEvidence &Evidence, std::int64_t NowMs,
                       const PoisonPolicy &Policy);
 
+/// Returns whether \p Evidence is enough to refuse the request at \p NowMs.
+bool isEnough(const PoisonEvidence &Evidence, std::int64_t NowMs,
+              const PoisonPolicy &Policy);
+
 /// Evidence of one process and of its peers. Thread-safe. Merging is
 /// commutative and idempotent, so evidence may arrive late, twice and in any
 /// order.
 class PoisonRegistry {
 public:
-  explicit PoisonRegistry(PoisonPolicy Policy) : m_policy(Policy) {}
+  explicit PoisonRegistry(PoisonPolicy Policy)
+      : m_policy(Policy), m_answered(Policy.m_answeredSlots) {}
 
   /// Returns whether requests with this fingerprint are refused.
   bool isPoisoned(Fingerprint Request, std::int64_t NowMs) const;
@@ -71,8 +80,7 @@
   void noteCrash(Fingerprint Request, const std::string &Server,
                  std::int64_t NowMs);
 
-  /// Notes that \p Request was answered; crashes before are void. Costs
-  /// nothing for a fingerprint that is not suspected.
+  /// Notes that \p Request was answered; crashes before are void.
   void noteAnswered(Fingerprint Request, std::int64_t NowMs);
 
   std::vector<PoisonEvidence> snapshot() const;
@@ -85,9 +93,18 @@
   void add(const PoisonEvidence &Evidence, std::int64_t NowMs);
   void dropExpired(std::int64_t NowMs);
 
+  struct Answered {
+    Fingerprint m_request = 0;
+    std::int64_t m_atMs = 0;
+  };
+  Answered &slotOf(Fingerprint Request) {
+    return m_answered[Request % m_answered.size()];
+  }
+
   const PoisonPolicy m_policy;
   mutable std::mutex m_mutex;
   std::map<Fingerprint, PoisonEvidence> m_entries;
+  std::vector<Answered> m_answered; ///< Last answers, by hash.
   std::uint64_t m_revision = 0;
 };
 
--- a/src/core/poison.cc
+++ b/src/core/poison.cc
@@ -85,12 +85,18 @@
   return Count;
 }
 
+bool isEnough(const PoisonEvidence &Evidence, std::int64_t NowMs,
+              const PoisonPolicy &Policy) {
+  const bool WasAnswered =
+      Evidence.m_answeredAtMs > NowMs - Policy.m_timeToLive.count();
+  return countCrashes(Evidence, NowMs, Policy) >=
+         (WasAnswered ? Policy.m_crashesIfAnswered : Policy.m_crashesToRefuse);
+}
+
 bool PoisonRegistry::isPoisoned(Fingerprint Request, std::int64_t NowMs) const {
   const std::lock_guard<std::mutex> Lock(m_mutex);
   const auto Found = m_entries.find(Request);
-  return Found != m_entries.end() &&
-         countCrashes(Found->second, NowMs, m_policy) >=
-             m_policy.m_crashesToRefuse;
+  return Found != m_entries.end() && isEnough(Found->second, NowMs, m_policy);
 }
 
 void PoisonRegistry::noteCrash(Fingerprint Request, const std::string &Server,
@@ -99,11 +105,14 @@
   Evidence.m_fingerprint = Request;
   Evidence.m_crashes.push_back({Server, NowMs});
   const std::lock_guard<std::mutex> Lock(m_mutex);
+  if (slotOf(Request).m_request == Request)
+    Evidence.m_answeredAtMs = slotOf(Request).m_atMs;
   add(Evidence, NowMs);
 }
 
 void PoisonRegistry::noteAnswered(Fingerprint Request, std::int64_t NowMs) {
   const std::lock_guard<std::mutex> Lock(m_mutex);
+  slotOf(Request) = {Request, NowMs};
   const auto Found = m_entries.find(Request);
   if (Found == m_entries.end() ||
       countCrashes(Found->second, NowMs, m_policy) == 0)
--- a/test/core/poison-test.cc
+++ b/test/core/poison-test.cc
@@ -39,6 +39,15 @@
   EXPECT_FALSE(m_registry.isPoisoned(Innocent, NowMs + 20));
 }
 
+TEST_F(PoisonTest, Fingerprint_AnsweredBefore_IsRefusedAfterFourCrashesOnly) {
+  m_registry.noteAnswered(Innocent, NowMs);
+  for (int Crash = 1; Crash <= 4; ++Crash) {
+    EXPECT_FALSE(m_registry.isPoisoned(Innocent, NowMs + Crash));
+    m_registry.noteCrash(Innocent, "s" + std::to_string(Crash), NowMs + Crash);
+  }
+  EXPECT_TRUE(m_registry.isPoisoned(Innocent, NowMs + 4));
+}
+
 TEST_F(PoisonTest, Evidence_OverItsTimeToLive_IsForgotten) {
   m_registry.noteCrash(Poison, "s1", NowMs);
   m_registry.noteCrash(Poison, "s2", NowMs);
