--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -7,6 +7,7 @@
 #include "tamarackdrum/control-api.h"
 #include "tamarackdrum/once-only.h"
 #include "tamarackdrum/server-health.h"
+#include "tamarackdrum/server-prober.h"
 
 namespace tamarackdrum {
 
@@ -31,11 +32,19 @@
   bool hasLeft() const { return m_keeper.hasLeft(); }
 
 private:
+  boost::asio::awaitable<HttpResponse> answerCaller(const HttpRequest &Call);
+  boost::asio::awaitable<void> sampleLoop();
+  void sampleDispatches(std::int64_t Now);
+
   const Settings m_settings;
+  boost::asio::io_context &m_workers;
+  Metrics m_metrics;
+  std::atomic<bool> m_stopping{false};
   Router m_router;
   ServerHealth m_health;
   ViewKeeper m_keeper;
   RequestProxy m_proxy;
+  ServerProber m_prober;
   ClaimStore m_claims;
   OnceOnlyGate m_onceOnly;
   ControlApi m_control;
