Count a dispatch under a skipped view as running under it

A process that goes from view 2 to view 5 at once retires the terms of view 2 as of 5 and so reported 4 as drained while a dispatch of view 2 ran. If the slice had moved in view 3, the others took that as the acknowledgement of 3 and let the new owner start too early: two servers ran one key at once.

The drained generation is now that of the view which granted the dispatch. RouterTest.Drained_AfterSkippedView_... failed before (2 instead of 1) and passes now.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -194,7 +194,9 @@
     if (std::binary_search(Kept.begin(), Kept.end(), Term))
       continue;
     Term->m_retired.store(true);
-    m_retired.push_back({Next.m_generation, Term});
+    // Views may have been skipped, so the owner may have changed in any
+    // generation after the old one.
+    m_retired.push_back({Old.m_generation + 1, Term});
   }
 }
 
--- a/test/core/routing-test.cc
+++ b/test/core/routing-test.cc
@@ -101,5 +101,13 @@
   EXPECT_EQ(m_router.inFlight(), 0);
 }
 
+TEST_F(RouterTest, Drained_AfterSkippedView_IsTheViewThatGrantedTheDispatch) {
+  const Result<Dispatch> Granted = m_router.decide({"stock", "a", {}}, m_now);
+  ASSERT_TRUE(Granted);
+  const View Moved = recall(Granted.value().server().m_name);
+  m_router.install(nextGeneration(Moved, "entry-1", "other"));
+  EXPECT_EQ(m_router.drainedGeneration(), 1U);
+}
+
 } // namespace
 } // namespace tamarackdrum
