--- a/include/tamarackdrum/error.h
+++ b/include/tamarackdrum/error.h
@@ -8,7 +8,7 @@
 
 namespace tamarackdrum {
 
-/// Why a request was not dispatched. Each of these means "not run".
+/// Why a request got no answer. Each but ServerCancelled means "not run".
 enum class RouteErrc {
   UnknownClass = 1, ///< No class of this name is declared.
   KeyMissing,       ///< The class is keyed and the request has no key.
@@ -21,6 +21,10 @@
   Stopping,         ///< This process is shutting down.
   BudgetExhausted,  ///< The class has no retry budget left.
   ClaimUnavailable, ///< A once-only claim cannot be recorded now.
+  DeadlineInvalid,  ///< The caller's deadline is not a positive number.
+  DeadlinePassed,   ///< No time is left for a dispatch.
+  ServerRefused,    ///< The server refused the request before it ran.
+  ServerCancelled,  ///< The server cut the run off: the outcome is unknown.
 };
 
 /// Failures of the platform's table service.
@@ -38,16 +42,18 @@
   ReplyTorn,         ///< The reply ended early or was malformed.
   TimedOut,          ///< No whole reply by the deadline.
   PoolExhausted,     ///< Every connection to the peer is in use.
+  ConnectTimedOut,   ///< No connection by the deadline: nothing was sent.
 };
 
 /// Failures of a change that an operator asked for.
 enum class ChangeErrc {
-  Malformed = 1,   ///< The declaration or command is not valid.
-  UnknownServer,   ///< A named server was never declared.
-  Superseded,      ///< A concurrent change of the same server came first.
-  EmptiesClass,    ///< The change would take the last server of a class.
-  NotInForce,      ///< Committed, but not yet promised by a majority.
-  TableUnavailable ///< The table service cannot be reached.
+  Malformed = 1,    ///< The declaration or command is not valid.
+  UnknownServer,    ///< A named server was never declared.
+  Superseded,       ///< A concurrent change of the same server came first.
+  EmptiesClass,     ///< The change would take the last server of a class.
+  NotInForce,       ///< Committed, but not yet promised by a majority.
+  TableUnavailable, ///< The table service cannot be reached.
+  GroupChanging,    ///< An earlier change of the group has not settled.
 };
 
 /// Failures of control calls between processes.
--- a/src/app/tamarackd.cc
+++ b/src/app/tamarackd.cc
@@ -6,6 +6,7 @@
 /// stop timeout.
 
 #include "tamarackdrum/entry-host.h"
+#include "tamarackdrum/http-host-list.h"
 #include "tamarackdrum/http-table.h"
 
 #include <boost/asio.hpp>
@@ -98,10 +99,19 @@
   return std::make_unique<EmbeddedTable>(Embedded);
 }
 
-/// Waits until nothing is in flight; returns whether that was in time.
-bool drain(const EntryHost &Host, Millis Timeout) {
+std::unique_ptr<HostList>
+makeHostList(const Options &Line, const Settings &Config, HttpClient &Client) {
+  if (Line.m_embedded)
+    return std::make_unique<NoHostList>();
+  return std::make_unique<HttpHostList>(
+      Client, parseEndpoint(Config.m_platformAddress).value(), Config.m_name,
+      Config.m_tableTimeout);
+}
+
+/// Polls \p Condition; returns whether it held within \p Timeout.
+template <typename Predicate> bool await(Predicate Condition, Millis Timeout) {
   const TimePoint Limit = BootClock::now() + Timeout;
-  while (!Host.isIdle()) {
+  while (!Condition()) {
     if (BootClock::now() >= Limit)
       return false;
     std::this_thread::sleep_for(StopPoll);
@@ -109,6 +119,16 @@
   return true;
 }
 
+/// Finishes what is in flight, then leaves the group. Returns whether nothing
+/// was cut off.
+bool stopGracefully(EntryHost &Host, Millis Timeout) {
+  Host.beginStop();
+  const bool IsDrained = await([&] { return Host.isIdle(); }, Timeout);
+  Host.beginLeave();
+  await([&] { return Host.hasLeft(); }, Timeout);
+  return IsDrained;
+}
+
 int runDaemon(const Options &Line, const Settings &Config) {
   asio::io_context Workers;
   HttpClient PeerClient(HttpClientLimits{});
@@ -116,9 +136,11 @@
   MemoryTable Embedded;
   const std::unique_ptr<TableStore> Table =
       makeTable(Line, Config, PeerClient, Embedded);
+  const std::unique_ptr<HostList> Hosts =
+      makeHostList(Line, Config, PeerClient);
   std::optional<EntryHost> Host;
   try {
-    Host.emplace(Config, Workers, *Table, PeerClient, ServerClient);
+    Host.emplace(Config, Workers, *Table, *Hosts, PeerClient, ServerClient);
   } catch (const boost::system::system_error &Error) {
     SPDLOG_ERROR("cannot bind: {}", Error.what());
     return ExitBind;
@@ -136,8 +158,7 @@
               Config.m_zone, Config.m_callerAddress, Config.m_controlAddress);
   SignalContext.run();
   SPDLOG_INFO("stopping");
-  Host->beginStop();
-  const bool IsDrained = drain(*Host, Config.m_stopTimeout);
+  const bool IsDrained = stopGracefully(*Host, Config.m_stopTimeout);
   Workers.stop();
   Threads.clear();
   SPDLOG_INFO("stopped drained={}", IsDrained);
