--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -24,6 +24,10 @@
   /// Returns whether nothing is in flight any more.
   bool isIdle() const;
 
+  /// Leaves the dispatch group; returns at once.
+  void beginLeave() { m_keeper.beginLeave(); }
+  bool hasLeft() const { return m_keeper.hasLeft(); }
+
 private:
   boost::asio::awaitable<HttpResponse> answerCaller(const HttpRequest &Call);
   boost::asio::awaitable<void> sampleLoop();
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -42,7 +42,7 @@
     : m_settings(std::move(Config)), m_workers(Workers),
       m_metrics(m_settings.m_name, unixMillis()),
       m_keeper(m_settings, makeIncarnation(), Workers, Table, PeerClient,
-               m_router),
+               m_router, [] { return std::vector<std::string>(); }),
       m_proxy(m_router, ServerClient),
       m_control(m_settings, Workers, m_keeper, m_router, m_proxy, m_metrics),
       m_callerServer(
@@ -64,7 +64,6 @@
 
 void EntryHost::beginStop() {
   m_stopping = true;
-  m_keeper.beginStop();
   m_callerServer.stop();
 }
 
