Add a failing test: a forgotten promise still counts for a majority

Members 1 to 4 are cut from the table. Member 0 commits view 2; member 1 promises it, restarts and recovers from members 2, 3 and 4, which have not promised it. Later member 2 promises it. Member 0 counts {0, 1, 2} as a majority of five, settles view 2 after the lapse, and members 1, 3 and 4 still grant each other leases on view 1: a recall that was acknowledged does not hold, and two servers may run one key.

Cause: ViewLease::groupPromised counts a grant for ever, and a restarted process counts recovery replies from before its quiet period has ended.

--- a/test/core/view-lease-test.cc
+++ b/test/core/view-lease-test.cc
@@ -4,6 +4,7 @@
 #include "tamarackdrum/view-lease.h"
 
 #include <gtest/gtest.h>
+#include <memory>
 
 namespace tamarackdrum {
 namespace {
@@ -131,5 +132,39 @@
   EXPECT_TRUE(Restarted.recovered());
 }
 
+/// Member 1 promises view 2 to member 0, restarts, recovers from members that
+/// had not promised it, and then grants view 1 again.
+TEST(ViewLeaseRestart, PromiseOfAnEarlierIncarnation_MakesNoMajority) {
+  const LeaseTiming Timing;
+  TimePoint Now{Millis(1000000)};
+  const ViewPtr First = std::make_shared<const View>(makeView(1, 5));
+  std::vector<ViewLease> Hosts;
+  for (int I = 0; I < 5; ++I)
+    Hosts.emplace_back("entry-" + std::to_string(I), I + 1, Timing, Now);
+  for (ViewLease &Host : Hosts)
+    Host.install(First, ViewSource::Table, Now);
+  Now += dispatchLapse(Timing);
+  const auto Renew = [&](std::size_t From, std::size_t To) {
+    Now += Millis(1);
+    const RenewRequest Request = Hosts[From].makeRenew();
+    const RenewReply Reply = Hosts[To].onRenew(Request, Now);
+    Hosts[From].onRenewReply(Reply, Request.m_generation, Now, Now);
+  };
+  Hosts[0].install(std::make_shared<const View>(makeView(2, 5)),
+                   ViewSource::Table, Now);
+  Renew(0, 1);
+  std::destroy_at(&Hosts[1]);
+  std::construct_at(&Hosts[1], "entry-1", 99U, Timing, Now);
+  Hosts[1].install(First, ViewSource::Peer, Now);
+  for (const std::size_t Peer : {2, 3, 4})
+    Renew(1, Peer);
+  Now += leaseLapse(Timing);
+  Renew(0, 2);
+  Now += leaseLapse(Timing);
+  Renew(3, 1);
+  Renew(3, 4);
+  EXPECT_FALSE(Hosts[0].isPromisedByMajority(2) && Hosts[3].mayDispatch(Now));
+}
+
 } // namespace
 } // namespace tamarackdrum
