Add fault switches of the links between members, for tests

The operator method "fault" names the members that this process does not call, and those that it does not answer.

--- a/include/tamarackdrum/control-api.h
+++ b/include/tamarackdrum/control-api.h
@@ -34,6 +34,7 @@
   HttpResponse exposeMetrics() const;
 
   boost::asio::awaitable<Result<ViewPtr>> findStanding(ViewChange Apply);
+  Result<Json::Value> rpcFault(const Json::Value &Parameters);
 
   /// Commits a change and waits until it is in force; blocks.
   Result<Json::Value> runChange(ViewChange Apply, const std::string &Operation);
--- a/include/tamarackdrum/view-keeper.h
+++ b/include/tamarackdrum/view-keeper.h
@@ -12,6 +12,7 @@
 #include "tamarackdrum/host-list.h"
 #include "tamarackdrum/http.h"
 #include "tamarackdrum/life-cycle.h"
+#include "tamarackdrum/peer-faults.h"
 #include "tamarackdrum/routing.h"
 #include "tamarackdrum/rpc.h"
 #include "tamarackdrum/settings.h"
@@ -61,6 +62,9 @@
   /// Adopts \p Next if it is newer than the current view.
   void adopt(ViewPtr Next, ViewSource Source);
 
+  /// Fault switches, for tests.
+  PeerFaults &faults() { return m_faults; }
+
   LeaseStatus status() const;
   ViewPtr view() const;
 
@@ -109,6 +113,7 @@
   HttpClient &m_peerClient;
   Router &m_router;
   const SuspectSource m_suspects;
+  PeerFaults m_faults;
   mutable std::mutex m_leaseMutex;
   ViewLease m_lease;
   FailureDetector m_detector;   ///< Guarded by m_leaseMutex.
--- a/src/adapter/control-api.cc
+++ b/src/adapter/control-api.cc
@@ -53,6 +53,9 @@
   m_operatorRpc.addMethod("report", [this](const Json::Value &Parameters) {
     return rpcReport(Parameters);
   });
+  m_operatorRpc.addMethod("fault", [this](const Json::Value &Parameters) {
+    return rpcFault(Parameters);
+  });
 }
 
 asio::awaitable<HttpResponse> ControlApi::onControl(const HttpRequest &Call) {
@@ -82,6 +85,8 @@
   const Result<RenewRequest> Request = renewRequestFromJson(Parameters);
   if (!Request)
     return Request.error();
+  if (m_keeper.faults().cutsFrom(Request.value().m_from))
+    return std::error_code(ControlErrc::Unreachable);
   return toJson(m_keeper.onRenew(Request.value()));
 }
 
@@ -89,6 +94,8 @@
   Result<View> Next = viewFromJson(Parameters["view"]);
   if (!Next)
     return Next.error();
+  if (m_keeper.faults().cutsFrom(Parameters.get("from", "").asString()))
+    return std::error_code(ControlErrc::Unreachable);
   m_keeper.adopt(std::make_shared<const View>(std::move(Next).value()),
                  ViewSource::Peer);
   return Json::Value(Json::objectValue);
@@ -183,6 +190,19 @@
   co_return IsStanding ? Current : ViewPtr();
 }
 
+Result<Json::Value> ControlApi::rpcFault(const Json::Value &Parameters) {
+  if (!m_settings.m_allowFaults)
+    return std::error_code(ControlErrc::Unauthorized);
+  std::set<std::string> CutTo;
+  for (const Json::Value &Name : Parameters["cut_to"])
+    CutTo.insert(Name.asString());
+  std::set<std::string> CutFrom;
+  for (const Json::Value &Name : Parameters["cut_from"])
+    CutFrom.insert(Name.asString());
+  m_keeper.faults().set(std::move(CutTo), std::move(CutFrom));
+  return Json::Value(Json::objectValue);
+}
+
 Result<Json::Value> ControlApi::runChange(ViewChange Apply,
                                           const std::string &Operation) {
   if (Operation.empty())
--- a/src/adapter/view-keeper.cc
+++ b/src/adapter/view-keeper.cc
@@ -167,6 +167,8 @@
 }
 
 asio::awaitable<void> ViewKeeper::renewWith(Member Peer) {
+  if (m_faults.cutsTo(Peer.m_name))
+    co_return;
   RenewRequest Request;
   {
     const std::lock_guard<std::mutex> Lock(m_leaseMutex);
@@ -202,7 +204,10 @@
 }
 
 asio::awaitable<void> ViewKeeper::pushView(Member Peer, ViewPtr Next) {
+  if (m_faults.cutsTo(Peer.m_name))
+    co_return;
   Json::Value Parameters;
+  Parameters["from"] = m_settings.m_name;
   Parameters["view"] = toJson(*Next);
   RpcClient Client = peerClient(Peer.m_address);
   (void)co_await Client.call("install", Parameters, m_settings.m_lease.m_lease);
--- a/test/process/site.h
+++ b/test/process/site.h
@@ -36,7 +36,8 @@
 /// Starts a platform stand-in at once, and hosts and servers on request.
 class Site {
 public:
-  Site() : m_platformPort(freePort()) {
+  explicit Site(bool AllowFaults = true)
+      : m_allowFaults(AllowFaults), m_platformPort(freePort()) {
     std::string Pattern =
         (std::filesystem::temp_directory_path() / "tamarackdrum-XXXXXX")
             .string();
@@ -205,7 +206,7 @@
     Out["platform_address"] = address(m_platformPort);
     Out["shared_key"] = SharedKey;
     Out["table_poll_ms"] = 200;
-    Out["allow_faults"] = true;
+    Out["allow_faults"] = m_allowFaults;
     Json::Value &Bootstrap = Out["bootstrap"];
     for (std::size_t I = 0; I < m_hosts.size(); ++I)
       Bootstrap["group"].append(
@@ -219,6 +220,7 @@
     return Out;
   }
 
+  const bool m_allowFaults;
   std::uint16_t m_platformPort;
   std::string m_directory;
   std::optional<Child> m_platform;
