Move slices and hot keys by load

Cause: the planner balanced the number of slices only, so that a hot key kept its server overloaded. Each process counts its dispatches by slice and key; the planner collects the counts each 5 s and commits what rebalance() gives.

Ruled out: load endpoints of servers as an input (they lag and mislead); pushing counts with each renewal (five times the bytes for windows of 5 s).

--- a/include/tamarackdrum/control-api.h
+++ b/include/tamarackdrum/control-api.h
@@ -17,14 +17,15 @@
 class ControlApi {
 public:
   ControlApi(const Settings &Config, boost::asio::io_context &Workers,
-             ViewKeeper &Keeper, const Router &Routes,
-             const RequestProxy &Proxy, const Metrics &Recorded);
+             ViewKeeper &Keeper, Router &Routes, const RequestProxy &Proxy,
+             const Metrics &Recorded);
 
   boost::asio::awaitable<HttpResponse> onControl(const HttpRequest &Call);
 
 private:
   void addMethods();
   Result<Json::Value> rpcRenew(const Json::Value &Parameters);
+  Result<Json::Value> rpcLoads(const Json::Value &Parameters);
   Result<Json::Value> rpcInstall(const Json::Value &Parameters);
   Result<Json::Value> rpcChange(const Json::Value &Parameters);
   Result<Json::Value> rpcClasses(const Json::Value &Parameters);
@@ -41,7 +42,7 @@
   const Settings &m_settings;
   boost::asio::io_context &m_workers;
   ViewKeeper &m_keeper;
-  const Router &m_router;
+  Router &m_router;
   const RequestProxy &m_proxy;
   const Metrics &m_metrics;
   boost::asio::thread_pool m_operatorPool;
--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_ENTRY_HOST_H
 
 #include "tamarackdrum/control-api.h"
+#include "tamarackdrum/load-balancer.h"
 #include "tamarackdrum/once-only.h"
 #include "tamarackdrum/server-health.h"
 #include "tamarackdrum/server-prober.h"
@@ -43,6 +44,7 @@
   Router m_router;
   ServerHealth m_health;
   ViewKeeper m_keeper;
+  LoadBalancer m_balancer;
   RequestProxy m_proxy;
   ServerProber m_prober;
   ClaimStore m_claims;
--- a/include/tamarackdrum/routing.h
+++ b/include/tamarackdrum/routing.h
@@ -8,6 +8,7 @@
 #ifndef TAMARACKDRUM_ROUTING_H
 #define TAMARACKDRUM_ROUTING_H
 
+#include "tamarackdrum/load-counter.h"
 #include "tamarackdrum/retry-budget.h"
 #include "tamarackdrum/view.h"
 
@@ -47,6 +48,7 @@
 struct ClassRoutes {
   ClassTarget m_target;
   std::shared_ptr<RetryBudget> m_budget; ///< Shared by all tables.
+  std::shared_ptr<LoadCounter> m_loads;  ///< Shared by all tables.
   std::vector<std::shared_ptr<SliceTerm>> m_slices;
   std::vector<std::pair<std::uint64_t, std::shared_ptr<SliceTerm>>> m_hotKeys;
   /// Terms of unkeyed dispatches, one a server that takes work.
@@ -136,6 +138,9 @@
 
   RoutingTablePtr table() const;
 
+  /// Returns the dispatches of keyed classes since the last call.
+  ClassLoads takeLoads();
+
   /// Returns the routes of a class, or null.
   std::shared_ptr<const ClassRoutes> findRoutes(std::string_view Name) const;
 
@@ -153,8 +158,16 @@
   void retireDropped(const RoutingTable &Old, const RoutingTable &Next);
   void release(SliceTerm &Term) noexcept;
   void linger(std::shared_ptr<SliceTerm> Term, TimePoint Deadline);
-  Result<std::shared_ptr<SliceTerm>> pick(const ClassRoutes &Routes,
-                                          const RouteQuery &Query) const;
+  /// The term to dispatch under and, for keyed work, where it is counted.
+  struct PickedTerm {
+    std::shared_ptr<SliceTerm> m_term;
+    std::uint64_t m_hash = 0;
+    std::size_t m_slice = 0;
+    bool m_isIsolated = false;
+  };
+
+  Result<PickedTerm> pick(const ClassRoutes &Routes,
+                          const RouteQuery &Query) const;
 
   mutable std::mutex m_installMutex;
   mutable std::mutex m_tableMutex;
--- a/include/tamarackdrum/view-keeper.h
+++ b/include/tamarackdrum/view-keeper.h
@@ -62,6 +62,9 @@
   void adopt(ViewPtr Next, ViewSource Source);
 
   LeaseStatus status() const;
+
+  /// Returns whether this process plans for the group now.
+  bool isPlanner() const;
   ViewPtr view() const;
 
   /// Reads the newest view from the table; an error if it cannot be read.
@@ -92,7 +95,7 @@
   std::optional<std::string> findLostMember(const View &Current,
                                             TimePoint Now) const;
   boost::asio::awaitable<void> commitPlan(const char *Step, ViewChange Apply);
-  bool isPlanner(const View &Current, TimePoint Now) const;
+  bool isPlannerLocked(const View &Current, TimePoint Now) const;
   void publishLease(TimePoint Now);
   void noteEvent(ProcessEvent Event);
   void noteEventLocked(ProcessEvent Event);
--- a/src/adapter/control-api.cc
+++ b/src/adapter/control-api.cc
@@ -3,6 +3,7 @@
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/group-change.h"
 #include "tamarackdrum/planner.h"
+#include "tamarackdrum/rebalance-json.h"
 #include "tamarackdrum/report-json.h"
 #include "tamarackdrum/view-diff.h"
 #include "tamarackdrum/view-json.h"
@@ -22,7 +23,7 @@
 } // namespace
 
 ControlApi::ControlApi(const Settings &Config, asio::io_context &Workers,
-                       ViewKeeper &Keeper, const Router &Routes,
+                       ViewKeeper &Keeper, Router &Routes,
                        const RequestProxy &Proxy, const Metrics &Recorded)
     : m_settings(Config), m_workers(Workers), m_keeper(Keeper),
       m_router(Routes), m_proxy(Proxy), m_metrics(Recorded),
@@ -37,6 +38,9 @@
   m_peerRpc.addMethod("install", [this](const Json::Value &Parameters) {
     return rpcInstall(Parameters);
   });
+  m_peerRpc.addMethod("loads", [this](const Json::Value &Parameters) {
+    return rpcLoads(Parameters);
+  });
   m_operatorRpc.addMethod("change", [this](const Json::Value &Parameters) {
     return rpcChange(Parameters);
   });
@@ -94,6 +98,10 @@
   return Json::Value(Json::objectValue);
 }
 
+Result<Json::Value> ControlApi::rpcLoads(const Json::Value & /*Parameters*/) {
+  return toJson(m_router.takeLoads());
+}
+
 Result<Json::Value> ControlApi::rpcChange(const Json::Value &Parameters) {
   const Result<ServerChange> Change = changeFromJson(Parameters);
   if (!Change)
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -44,6 +44,7 @@
       m_keeper(m_settings, makeIncarnation(), Workers, Table, Hosts, PeerClient,
                m_router,
                [this] { return m_health.suspects(BootClock::now()); }),
+      m_balancer(m_settings, Workers, PeerClient, m_router, m_keeper),
       m_proxy(m_router, ServerClient, m_health),
       m_prober(
           Workers, ServerClient, [this] { return m_keeper.view(); },
@@ -69,6 +70,7 @@
   m_controlServer.start();
   m_keeper.start();
   m_prober.start();
+  m_balancer.start();
   m_claims.startSweep();
   asio::co_spawn(asio::make_strand(m_workers), sampleLoop(), asio::detached);
 }
@@ -77,6 +79,7 @@
   m_stopping = true;
   m_keeper.noteStop();
   m_prober.beginStop();
+  m_balancer.beginStop();
   m_callerServer.stop();
 }
 
--- a/src/adapter/view-keeper.cc
+++ b/src/adapter/view-keeper.cc
@@ -365,7 +365,8 @@
 
 /// The planner is the first member, by name, that this process hears. Two
 /// planners are harmless: each commit is conditional on the generation.
-bool ViewKeeper::isPlanner(const View &Current, TimePoint Now) const {
+/// Requires m_leaseMutex.
+bool ViewKeeper::isPlannerLocked(const View &Current, TimePoint Now) const {
   if (!m_lease.mayDispatch(Now) || !isMember(Current.m_members, self()))
     return false;
   const TimePoint Since =
@@ -377,6 +378,12 @@
   return true;
 }
 
+bool ViewKeeper::isPlanner() const {
+  const std::lock_guard<std::mutex> Lock(m_leaseMutex);
+  const ViewPtr Current = m_lease.view();
+  return Current && !m_leaving && isPlannerLocked(*Current, BootClock::now());
+}
+
 asio::awaitable<void> ViewKeeper::planLoop() {
   while (!m_hasLeft) {
     co_await plan();
@@ -392,7 +399,7 @@
     const std::lock_guard<std::mutex> Lock(m_leaseMutex);
     const ViewPtr Current = m_lease.view();
     const TimePoint Now = BootClock::now();
-    if (!Current || m_leaving || !isPlanner(*Current, Now))
+    if (!Current || m_leaving || !isPlannerLocked(*Current, Now))
       co_return;
     IsGroupSettled = !Current->m_outgoing.empty() &&
                      m_lease.settled() >= Current->m_groupChangedAt;
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -199,6 +199,8 @@
     Routes.m_target = Target;
     Routes.m_budget = OldRoutes != nullptr ? OldRoutes->m_budget
                                            : std::make_shared<RetryBudget>();
+    Routes.m_loads = OldRoutes != nullptr ? OldRoutes->m_loads
+                                          : std::make_shared<LoadCounter>();
     const ClassAssignment *Assignment = findAssignment(Next, Target.m_name);
     if (Assignment != nullptr)
       addKeyedTerms(Routes, *Assignment, OldRoutes, Servers);
@@ -236,24 +238,26 @@
   m_settled.store(Settled);
 }
 
-Result<std::shared_ptr<SliceTerm>> Router::pick(const ClassRoutes &Routes,
-                                                const RouteQuery &Query) const {
+Result<Router::PickedTerm> Router::pick(const ClassRoutes &Routes,
+                                        const RouteQuery &Query) const {
   if (!Routes.m_target.m_keyed) {
     if (Routes.m_servers.empty())
       return std::error_code(RouteErrc::NoServer);
-    return pickOfTwo(Routes, Query.m_excludeServer);
+    return PickedTerm{pickOfTwo(Routes, Query.m_excludeServer)};
   }
   if (Query.m_key.empty())
     return std::error_code(RouteErrc::KeyMissing);
   const std::uint64_t Hash = hashKey(Query.m_key);
+  const std::size_t Slice = sliceIndex(Hash, Routes.m_slices.size());
   std::shared_ptr<SliceTerm> Term = findHotKey(Routes, Hash);
-  if (!Term)
-    Term = Routes.m_slices[sliceIndex(Hash, Routes.m_slices.size())];
+  const bool IsIsolated = Term != nullptr;
+  if (!IsIsolated)
+    Term = Routes.m_slices[Slice];
   if (!Term->m_server || !takesWork(Term->m_server->m_record))
     return std::error_code(RouteErrc::NoServer);
   if (Term->m_since > m_settled.load(std::memory_order_acquire))
     return std::error_code(RouteErrc::SliceMoving);
-  return Term;
+  return PickedTerm{std::move(Term), Hash, Slice, IsIsolated};
 }
 
 Result<Dispatch> Router::decide(const RouteQuery &Query, TimePoint Now) {
@@ -264,11 +268,11 @@
     const auto Found = Table->m_classes.find(Query.m_workClass);
     if (Found == Table->m_classes.end())
       return std::error_code(RouteErrc::UnknownClass);
-    const Result<std::shared_ptr<SliceTerm>> Picked =
-        pick(Found->second, Query);
+    const ClassRoutes &Routes = Found->second;
+    const Result<PickedTerm> Picked = pick(Routes, Query);
     if (!Picked)
       return Picked.error();
-    const std::shared_ptr<SliceTerm> &Term = Picked.value();
+    const std::shared_ptr<SliceTerm> &Term = Picked.value().m_term;
     Term->m_inFlight.fetch_add(1);
     // install() sets m_retired before it reads m_inFlight, so that either it
     // sees this dispatch or this dispatch sees the retirement.
@@ -284,9 +288,12 @@
     }
     Term->m_server->m_load->m_dispatched.fetch_add(1,
                                                    std::memory_order_relaxed);
+    if (Routes.m_target.m_keyed)
+      Routes.m_loads->record(Picked.value().m_hash, Picked.value().m_slice,
+                             Picked.value().m_isIsolated);
     return Dispatch(
         *this, Term,
-        std::min(Query.m_deadline, Now + Found->second.m_target.m_deadline));
+        std::min(Query.m_deadline, Now + Routes.m_target.m_deadline));
   }
 }
 
@@ -332,6 +339,17 @@
   return {Table, &Found->second};
 }
 
+ClassLoads Router::takeLoads() {
+  ClassLoads Out;
+  const RoutingTablePtr Table = table();
+  if (!Table)
+    return Out;
+  for (const auto &Entry : Table->m_classes)
+    if (Entry.second.m_target.m_keyed)
+      Out.push_back(Entry.second.m_loads->take(Entry.first));
+  return Out;
+}
+
 RoutingTablePtr Router::table() const {
   const std::lock_guard<std::mutex> Lock(m_tableMutex);
   return m_table;
