--- a/include/tamarackdrum/control-api.h
+++ b/include/tamarackdrum/control-api.h
@@ -28,6 +28,7 @@
   Result<Json::Value> rpcInstall(const Json::Value &Parameters);
   Result<Json::Value> rpcChange(const Json::Value &Parameters);
   Result<Json::Value> rpcClasses(const Json::Value &Parameters);
+  Result<Json::Value> rpcRemoveMembers(const Json::Value &Parameters);
   Result<Json::Value> rpcStatus(const Json::Value &Parameters);
   Result<Json::Value> rpcReport(const Json::Value &Parameters);
   HttpResponse exposeMetrics() const;
--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -5,6 +5,10 @@
 #define TAMARACKDRUM_ENTRY_HOST_H
 
 #include "tamarackdrum/control-api.h"
+#include "tamarackdrum/metrics-sampler.h"
+#include "tamarackdrum/once-only.h"
+#include "tamarackdrum/server-health.h"
+#include "tamarackdrum/server-prober.h"
 
 namespace tamarackdrum {
 
@@ -12,7 +16,7 @@
 class EntryHost {
 public:
   EntryHost(Settings Config, boost::asio::io_context &Workers,
-            TableStore &Table, HttpClient &PeerClient,
+            TableStore &Table, HostList &Hosts, HttpClient &PeerClient,
             HttpClient &ServerClient);
 
   /// Binds both addresses and starts all activities.
@@ -29,17 +33,17 @@
   bool hasLeft() const { return m_keeper.hasLeft(); }
 
 private:
-  boost::asio::awaitable<HttpResponse> answerCaller(const HttpRequest &Call);
-  boost::asio::awaitable<void> sampleLoop();
-  void sampleDispatches(std::int64_t Now);
-
   const Settings m_settings;
   boost::asio::io_context &m_workers;
   Metrics m_metrics;
-  std::atomic<bool> m_stopping{false};
   Router m_router;
+  ServerHealth m_health;
   ViewKeeper m_keeper;
   RequestProxy m_proxy;
+  ServerProber m_prober;
+  ClaimStore m_claims;
+  OnceOnlyGate m_onceOnly;
+  MetricsSampler m_sampler;
   ControlApi m_control;
   HttpServer m_callerServer;
   HttpServer m_controlServer;
--- a/include/tamarackdrum/settings.h
+++ b/include/tamarackdrum/settings.h
@@ -4,6 +4,8 @@
 #ifndef TAMARACKDRUM_SETTINGS_H
 #define TAMARACKDRUM_SETTINGS_H
 
+#include "tamarackdrum/claim-batcher.h"
+#include "tamarackdrum/declaration-check.h"
 #include "tamarackdrum/view-lease.h"
 
 #include <string>
@@ -11,15 +13,6 @@
 
 namespace tamarackdrum {
 
-/// One fault of a settings file.
-struct SettingsFault {
-  std::string m_path;     ///< JSON path, e.g. "$.lease.renew_ms".
-  std::string m_found;    ///< What the file has there.
-  std::string m_expected; ///< What would be accepted.
-
-  bool operator==(const SettingsFault &) const = default;
-};
-
 /// Settings of one process.
 struct Settings {
   std::string m_name;
@@ -34,6 +27,7 @@
   Millis m_tableTimeout{1000};
   bool m_allowFaults = false; ///< Enables the fault switches used in tests.
   LeaseTiming m_lease;
+  ClaimSettings m_claims;
   std::vector<Member> m_bootstrapGroup;
   std::vector<ClassTarget> m_bootstrapClasses;
   std::vector<ServerRecord> m_bootstrapServers;
--- a/src/adapter/control-api.cc
+++ b/src/adapter/control-api.cc
@@ -1,6 +1,8 @@
 #include "tamarackdrum/control-api.h"
 
+#include "tamarackdrum/declaration-check.h"
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/group-change.h"
 #include "tamarackdrum/planner.h"
 #include "tamarackdrum/report-json.h"
 #include "tamarackdrum/view-diff.h"
@@ -42,6 +44,10 @@
   m_operatorRpc.addMethod("classes", [this](const Json::Value &Parameters) {
     return rpcClasses(Parameters);
   });
+  m_operatorRpc.addMethod("remove_members",
+                          [this](const Json::Value &Parameters) {
+                            return rpcRemoveMembers(Parameters);
+                          });
   m_operatorRpc.addMethod("status", [this](const Json::Value &Parameters) {
     return rpcStatus(Parameters);
   });
@@ -93,6 +99,11 @@
   const Result<ServerChange> Change = changeFromJson(Parameters);
   if (!Change)
     return std::error_code(ChangeErrc::Malformed);
+  SettingsFaults Faults;
+  if (Change.value().m_action == ServerAction::Join)
+    readServers(Parameters["servers"], "$.servers", Faults);
+  if (!Faults.empty())
+    return std::error_code(ChangeErrc::Malformed);
   return runChange(
       [&](View Next) {
         return applyServerChange(std::move(Next), Change.value());
@@ -101,23 +112,42 @@
 }
 
 Result<Json::Value> ControlApi::rpcClasses(const Json::Value &Parameters) {
-  std::vector<ClassTarget> Classes;
-  for (const Json::Value &Item : Parameters["classes"]) {
-    const Result<ClassTarget> Target = classFromJson(Item);
-    if (!Target || Target.value().m_deadline > m_settings.m_lease.m_maxDispatch)
-      return std::error_code(ChangeErrc::Malformed);
-    Classes.push_back(Target.value());
-  }
+  SettingsFaults Faults;
+  const std::vector<ClassTarget> Classes =
+      readClasses(Parameters["classes"], "$.classes",
+                  m_settings.m_lease.m_maxDispatch, Faults);
+  if (!Faults.empty())
+    return std::error_code(ChangeErrc::Malformed);
   return runChange(
       [&](View Next) { return applyClasses(std::move(Next), Classes); },
       Parameters["operation"].asString());
 }
 
+/// Removes members whose processes an operator declares to have ended.
+Result<Json::Value>
+ControlApi::rpcRemoveMembers(const Json::Value &Parameters) {
+  std::vector<std::string> Names;
+  for (const Json::Value &Name : Parameters["names"])
+    Names.push_back(Name.asString());
+  const std::string Operation = Parameters["operation"].asString();
+  return runChange(
+      [&](View Next) -> Result<View> {
+        Result<View> Changed = removeLostMembers(std::move(Next), Names);
+        if (!Changed)
+          return Changed;
+        return recordOperation(std::move(Changed).value(), Operation);
+      },
+      Operation);
+}
+
 Result<Json::Value> ControlApi::rpcStatus(const Json::Value & /*Parameters*/) {
   Json::Value Out;
   Out["process"] = m_settings.m_name;
+  Out["max_dispatch_ms"] =
+      Json::Int64(m_settings.m_lease.m_maxDispatch.count());
   const LeaseStatus Status = m_keeper.status();
   Out["has_lease"] = Status.m_hasLease;
+  Out["state"] = toText(Status.m_state);
   Out["settled"] = Json::UInt64(Status.m_settled);
   Out["drained"] = Json::UInt64(Status.m_drained);
   const RequestCounters &Counters = m_proxy.counters();
