--- a/include/tamarackdrum/view-diff.h
+++ b/include/tamarackdrum/view-diff.h
@@ -20,8 +20,8 @@
 /// Returns the servers whose state differs between two views, one line each.
 std::vector<std::string> diffServers(const View &Before, const View &After);
 
-/// Returns whether both views declare the same classes and servers, whatever
-/// their generations.
+/// Returns whether both views declare the same members, classes and servers,
+/// whatever their generations.
 bool declaresSame(const View &Left, const View &Right);
 
 /// Returns the parts of \p Change that \p Current stands against, one line
--- a/include/tamarackdrum/view-lease.h
+++ b/include/tamarackdrum/view-lease.h
@@ -117,8 +117,10 @@
   /// Returns whether this process is a member of its view's group.
   bool isSelfMember() const;
 
-  /// Returns whether a majority has promised \p Wanted or a newer view.
-  bool isPromisedByMajority(Generation Wanted) const;
+  /// Returns whether a majority has promised \p Wanted or a newer view within
+  /// the lease time. Older promises do not count, since a process may have
+  /// restarted since and have forgotten them.
+  bool isPromisedByMajority(Generation Wanted, TimePoint Now) const;
 
   /// Returns whether \p Peer answered since \p Since.
   bool isHeardSince(const std::string &Peer, TimePoint Since) const;
@@ -141,11 +143,12 @@
 
   bool canPromise(TimePoint Now) const;
   bool selfGrants(TimePoint Now) const;
-  bool groupPromised(const std::vector<Member> &Group, Generation Wanted) const;
+  bool groupPromised(const std::vector<Member> &Group, Generation Wanted,
+                     TimePoint Now) const;
   std::optional<TimePoint> groupLeaseStart(const std::vector<Member> &Group,
                                            TimePoint Now) const;
   bool isSettledAt(const PendingSettle &Pending, TimePoint Now) const;
-  void noteRecovery(const RenewReply &Reply);
+  void noteRecovery(const RenewReply &Reply, TimePoint SentAt);
   bool hasRecoveryQuorum(const std::vector<Member> &Group) const;
   void extendLease(TimePoint Now);
   void settle(TimePoint Now);
--- a/src/adapter/control-api.cc
+++ b/src/adapter/control-api.cc
@@ -1,5 +1,6 @@
 #include "tamarackdrum/control-api.h"
 
+#include "tamarackdrum/declaration-check.h"
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/group-change.h"
 #include "tamarackdrum/planner.h"
@@ -106,6 +107,11 @@
   const Result<ServerChange> Change = changeFromJson(Parameters);
   if (!Change)
     return std::error_code(ChangeErrc::Malformed);
+  SettingsFaults Faults;
+  if (Change.value().m_action == ServerAction::Join)
+    readServers(Parameters["servers"], "$.servers", Faults);
+  if (!Faults.empty())
+    return std::error_code(ChangeErrc::Malformed);
   return runChange(
       [&](View Next) {
         return applyServerChange(std::move(Next), Change.value());
@@ -114,13 +120,12 @@
 }
 
 Result<Json::Value> ControlApi::rpcClasses(const Json::Value &Parameters) {
-  std::vector<ClassTarget> Classes;
-  for (const Json::Value &Item : Parameters["classes"]) {
-    const Result<ClassTarget> Target = classFromJson(Item);
-    if (!Target || Target.value().m_deadline > m_settings.m_lease.m_maxDispatch)
-      return std::error_code(ChangeErrc::Malformed);
-    Classes.push_back(Target.value());
-  }
+  SettingsFaults Faults;
+  const std::vector<ClassTarget> Classes =
+      readClasses(Parameters["classes"], "$.classes",
+                  m_settings.m_lease.m_maxDispatch, Faults);
+  if (!Faults.empty())
+    return std::error_code(ChangeErrc::Malformed);
   return runChange(
       [&](View Next) { return applyClasses(std::move(Next), Classes); },
       Parameters["operation"].asString());
@@ -146,6 +151,8 @@
 Result<Json::Value> ControlApi::rpcStatus(const Json::Value & /*Parameters*/) {
   Json::Value Out;
   Out["process"] = m_settings.m_name;
+  Out["max_dispatch_ms"] =
+      Json::Int64(m_settings.m_lease.m_maxDispatch.count());
   const LeaseStatus Status = m_keeper.status();
   Out["has_lease"] = Status.m_hasLease;
   Out["state"] = toText(Status.m_state);
--- a/src/core/settings.cc
+++ b/src/core/settings.cc
@@ -36,7 +36,7 @@
 
   std::string address(const char *Name, bool IsRequired) {
     const std::string Out = text(Name, IsRequired);
-    if (!Out.empty() && Out.find(':') == std::string::npos)
+    if (!Out.empty() && !isAddress(Out))
       fault(Name, Json::Value(Out), "an address, \"IP:PORT\"");
     return Out;
   }
@@ -74,24 +74,11 @@
     return Value == nullptr ? Empty : *Value;
   }
 
-  template <typename Item>
-  std::vector<Item> list(const char *Name,
-                         Result<Item> (*Parse)(const Json::Value &)) {
-    std::vector<Item> Out;
+  /// Returns the array \p Name, or an empty one.
+  const Json::Value &array(const char *Name) {
+    static const Json::Value Empty(Json::arrayValue);
     const Json::Value *Value = find(Name);
-    if (Value == nullptr)
-      return Out;
-    if (!Value->isArray())
-      fault(Name, *Value, "an array");
-    for (Json::ArrayIndex I = 0; Value->isArray() && I < Value->size(); ++I) {
-      Result<Item> Parsed = Parse((*Value)[I]);
-      if (Parsed)
-        Out.push_back(std::move(Parsed).value());
-      else
-        fault(std::string(Name) + "[" + std::to_string(I) + "]", (*Value)[I],
-              "an entry as docs/CONFIG.md describes");
-    }
-    return Out;
+    return Value == nullptr ? Empty : *Value;
   }
 
   void rejectUnknown() {
@@ -166,12 +153,38 @@
 void readBootstrap(const Json::Value &Object, Settings &Out,
                    std::vector<SettingsFault> &Faults) {
   ObjectReader Reader(Object, "$.bootstrap", Faults);
-  Out.m_bootstrapGroup = Reader.list<Member>("group", memberFromJson);
-  Out.m_bootstrapClasses = Reader.list<ClassTarget>("classes", classFromJson);
-  Out.m_bootstrapServers = Reader.list<ServerRecord>("servers", serverFromJson);
+  Out.m_bootstrapGroup =
+      readMembers(Reader.array("group"), "$.bootstrap.group", Faults);
+  const std::size_t FaultsBefore = Faults.size();
+  Out.m_bootstrapClasses =
+      readClasses(Reader.array("classes"), "$.bootstrap.classes",
+                  Out.m_lease.m_maxDispatch, Faults);
+  const bool HasGoodClasses = Faults.size() == FaultsBefore;
+  const std::string ServersPath = "$.bootstrap.servers";
+  Out.m_bootstrapServers =
+      readServers(Reader.array("servers"), ServersPath, Faults);
+  if (HasGoodClasses)
+    checkServerClasses(Out.m_bootstrapServers, Out.m_bootstrapClasses,
+                       ServersPath, Faults);
   Reader.rejectUnknown();
 }
 
+/// Checks what concerns several settings at once.
+void checkTogether(const Settings &Read, std::vector<SettingsFault> &Faults) {
+  if (!Read.m_callerAddress.empty() &&
+      Read.m_callerAddress == Read.m_controlAddress)
+    Faults.push_back({"$.control_address", Read.m_controlAddress,
+                      "another address than caller_address"});
+  for (std::size_t I = 0; I < Read.m_bootstrapGroup.size(); ++I) {
+    const Member &Item = Read.m_bootstrapGroup[I];
+    if (Item.m_name == Read.m_name && Item.m_address != Read.m_controlAddress)
+      Faults.push_back({"$.bootstrap.group[" + std::to_string(I) + "].address",
+                        Item.m_address,
+                        "control_address, since the name is that of this "
+                        "process"});
+  }
+}
+
 } // namespace
 
 SettingsReport parseSettings(const std::string &Text) {
@@ -203,6 +216,7 @@
   Out.m_claims =
       readClaims(Reader.object("claims"), Out.m_lease, Report.m_faults);
   readBootstrap(Reader.object("bootstrap"), Out, Report.m_faults);
+  checkTogether(Out, Report.m_faults);
   Reader.rejectUnknown();
   return Report;
 }
--- a/src/core/view-lease.cc
+++ b/src/core/view-lease.cc
@@ -103,13 +103,17 @@
   m_settled = std::max(m_settled, Reply.m_settled);
   if (Reply.m_newer)
     install(Reply.m_newer, ViewSource::Peer, Now);
-  noteRecovery(Reply);
+  noteRecovery(Reply, SentAt);
   tick(Now);
 }
 
-void ViewLease::noteRecovery(const RenewReply &Reply) {
+void ViewLease::noteRecovery(const RenewReply &Reply, TimePoint SentAt) {
   if (m_recovered || !Reply.m_recovered || !m_view)
     return;
+  // A majority counts promises of one lease time only, so that replies after
+  // the quiet period know of every majority that the last incarnation was in.
+  if (SentAt < m_start + leaseLapse(m_timing))
+    return;
   m_promised = std::max(m_promised, Reply.m_promised);
   if (Reply.m_generation > m_view->m_generation)
     return;
@@ -192,7 +196,7 @@
 }
 
 bool ViewLease::groupPromised(const std::vector<Member> &Group,
-                              Generation Wanted) const {
+                              Generation Wanted, TimePoint Now) const {
   std::size_t Count = 0;
   for (const Member &Item : Group) {
     if (Item.m_name == m_self) {
@@ -201,18 +205,19 @@
     }
     const auto Found = m_peers.find(Item.m_name);
     if (Found != m_peers.end() && Found->second.m_hasGrant &&
-        Found->second.m_granted >= Wanted)
+        Found->second.m_granted >= Wanted &&
+        Now < Found->second.m_grantSentAt + m_timing.m_lease)
       ++Count;
   }
   return Count >= majorityOf(Group.size());
 }
 
-bool ViewLease::isPromisedByMajority(Generation Wanted) const {
+bool ViewLease::isPromisedByMajority(Generation Wanted, TimePoint Now) const {
   if (!m_view || m_view->m_generation < Wanted)
     return false;
-  return groupPromised(m_view->m_members, Wanted) &&
+  return groupPromised(m_view->m_members, Wanted, Now) &&
          (m_view->m_outgoing.empty() ||
-          groupPromised(m_view->m_outgoing, Wanted));
+          groupPromised(m_view->m_outgoing, Wanted, Now));
 }
 
 bool ViewLease::isHeardSince(const std::string &Peer, TimePoint Since) const {
@@ -223,7 +228,8 @@
 
 void ViewLease::settle(TimePoint Now) {
   for (PendingSettle &Pending : m_pending)
-    if (!Pending.m_majorityAt && isPromisedByMajority(Pending.m_generation))
+    if (!Pending.m_majorityAt &&
+        isPromisedByMajority(Pending.m_generation, Now))
       Pending.m_majorityAt = Now;
   for (const PendingSettle &Pending : m_pending)
     if (isSettledAt(Pending, Now))
--- a/test/core/lease-safety-test.cc
+++ b/test/core/lease-safety-test.cc
@@ -311,7 +311,7 @@
       fail("a process went back");
     At.m_seen = Current->m_generation;
     At.m_settled = At.m_lease->settled();
-    if (At.m_lease->isPromisedByMajority(At.m_seen))
+    if (At.m_lease->isPromisedByMajority(At.m_seen, local(At)))
       m_inForce.emplace(At.m_seen, m_now);
   }
 
--- a/test/core/view-lease-test.cc
+++ b/test/core/view-lease-test.cc
@@ -163,7 +163,8 @@
   Now += leaseLapse(Timing);
   Renew(3, 1);
   Renew(3, 4);
-  EXPECT_FALSE(Hosts[0].isPromisedByMajority(2) && Hosts[3].mayDispatch(Now));
+  EXPECT_FALSE(Hosts[0].isPromisedByMajority(2, Now) &&
+               Hosts[3].mayDispatch(Now));
 }
 
 } // namespace
