--- a/src/adapter/load-balancer.cc
+++ b/src/adapter/load-balancer.cc
@@ -11,7 +11,6 @@
 namespace tamarackdrum {
 namespace {
 
-constexpr Millis LoadWindow{5000};
 constexpr Millis CollectTimeout{500};
 
 } // namespace
@@ -35,7 +34,7 @@
         m_state.clear();
     }
     WasPlanner = IsPlanner;
-    Timer.expires_after(LoadWindow);
+    Timer.expires_after(m_settings.m_loadWindow);
     boost::system::error_code Ignored;
     co_await Timer.async_wait(
         asio::redirect_error(asio::use_awaitable, Ignored));
--- a/src/core/settings.cc
+++ b/src/core/settings.cc
@@ -210,6 +210,7 @@
   Out.m_stopTimeout = Reader.millis("stop_timeout_ms", Out.m_stopTimeout);
   Out.m_tablePollInterval =
       Reader.millis("table_poll_ms", Out.m_tablePollInterval);
+  Out.m_loadWindow = Reader.millis("load_window_ms", Out.m_loadWindow);
   Out.m_tableTimeout = Reader.millis("table_timeout_ms", Out.m_tableTimeout);
   Out.m_allowFaults = Reader.boolean("allow_faults", false);
   Out.m_lease = readLease(Reader.object("lease"), Report.m_faults);
--- a/test/process/site.h
+++ b/test/process/site.h
@@ -57,6 +57,9 @@
   Site(const Site &) = delete;
   Site &operator=(const Site &) = delete;
 
+  /// Call it before startHosts().
+  void setLoadWindow(Millis Window) { m_loadWindow = Window; }
+
   void declareClass(const ClassTarget &Target) { m_classes.push_back(Target); }
 
   void addServer(const std::string &Name, const std::string &WorkClass,
@@ -206,6 +209,7 @@
     Out["shared_key"] = SharedKey;
     Out["table_poll_ms"] = 200;
     Out["allow_faults"] = true;
+    Out["load_window_ms"] = Json::Int64(m_loadWindow.count());
     Json::Value &Bootstrap = Out["bootstrap"];
     for (std::size_t I = 0; I < m_hosts.size(); ++I)
       Bootstrap["group"].append(
@@ -220,6 +224,7 @@
   }
 
   std::uint16_t m_platformPort;
+  Millis m_loadWindow{5000};
   std::string m_directory;
   std::optional<Child> m_platform;
   std::vector<ClassTarget> m_classes;
