--- a/src/adapter/control-api.cc
+++ b/src/adapter/control-api.cc
@@ -1,8 +1,10 @@
 #include "tamarackdrum/control-api.h"
 
+#include "tamarackdrum/declaration-check.h"
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/group-change.h"
 #include "tamarackdrum/planner.h"
+#include "tamarackdrum/rebalance-json.h"
 #include "tamarackdrum/report-json.h"
 #include "tamarackdrum/view-diff.h"
 #include "tamarackdrum/view-json.h"
@@ -22,7 +24,7 @@
 } // namespace
 
 ControlApi::ControlApi(const Settings &Config, asio::io_context &Workers,
-                       ViewKeeper &Keeper, const Router &Routes,
+                       ViewKeeper &Keeper, Router &Routes,
                        const RequestProxy &Proxy, const Metrics &Recorded)
     : m_settings(Config), m_workers(Workers), m_keeper(Keeper),
       m_router(Routes), m_proxy(Proxy), m_metrics(Recorded),
@@ -37,6 +39,9 @@
   m_peerRpc.addMethod("install", [this](const Json::Value &Parameters) {
     return rpcInstall(Parameters);
   });
+  m_peerRpc.addMethod("loads", [this](const Json::Value &Parameters) {
+    return rpcLoads(Parameters);
+  });
   m_operatorRpc.addMethod("change", [this](const Json::Value &Parameters) {
     return rpcChange(Parameters);
   });
@@ -101,10 +106,19 @@
   return Json::Value(Json::objectValue);
 }
 
+Result<Json::Value> ControlApi::rpcLoads(const Json::Value & /*Parameters*/) {
+  return toJson(m_router.takeLoads());
+}
+
 Result<Json::Value> ControlApi::rpcChange(const Json::Value &Parameters) {
   const Result<ServerChange> Change = changeFromJson(Parameters);
   if (!Change)
     return std::error_code(ChangeErrc::Malformed);
+  SettingsFaults Faults;
+  if (Change.value().m_action == ServerAction::Join)
+    readServers(Parameters["servers"], "$.servers", Faults);
+  if (!Faults.empty())
+    return std::error_code(ChangeErrc::Malformed);
   return runChange(
       [&](View Next) {
         return applyServerChange(std::move(Next), Change.value());
@@ -113,13 +127,12 @@
 }
 
 Result<Json::Value> ControlApi::rpcClasses(const Json::Value &Parameters) {
-  std::vector<ClassTarget> Classes;
-  for (const Json::Value &Item : Parameters["classes"]) {
-    const Result<ClassTarget> Target = classFromJson(Item);
-    if (!Target || Target.value().m_deadline > m_settings.m_lease.m_maxDispatch)
-      return std::error_code(ChangeErrc::Malformed);
-    Classes.push_back(Target.value());
-  }
+  SettingsFaults Faults;
+  const std::vector<ClassTarget> Classes =
+      readClasses(Parameters["classes"], "$.classes",
+                  m_settings.m_lease.m_maxDispatch, Faults);
+  if (!Faults.empty())
+    return std::error_code(ChangeErrc::Malformed);
   return runChange(
       [&](View Next) { return applyClasses(std::move(Next), Classes); },
       Parameters["operation"].asString());
@@ -145,6 +158,8 @@
 Result<Json::Value> ControlApi::rpcStatus(const Json::Value & /*Parameters*/) {
   Json::Value Out;
   Out["process"] = m_settings.m_name;
+  Out["max_dispatch_ms"] =
+      Json::Int64(m_settings.m_lease.m_maxDispatch.count());
   const LeaseStatus Status = m_keeper.status();
   Out["has_lease"] = Status.m_hasLease;
   Out["state"] = toText(Status.m_state);
