--- a/test/core/lease-safety-test.cc
+++ b/test/core/lease-safety-test.cc
@@ -7,12 +7,13 @@
 #include "tamarackdrum/routing.h"
 #include "tamarackdrum/view-lease.h"
 
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
 #include <algorithm>
 #include <functional>
-#include <gtest/gtest.h>
 #include <queue>
 #include <random>
-#include <rapidcheck/gtest.h>
 
 namespace tamarackdrum {
 namespace {
