Deal the slots of an unkeyed class to the members; bound each server

A server's connections are bounded to 4 a member. An abandoned dispatch no longer holds a slot, since its run ends by its deadline; it still counts for the drain. The router tests' servers got 16 slots, as one test runs 16 at once.

--- a/include/tamarackdrum/request-proxy.h
+++ b/include/tamarackdrum/request-proxy.h
@@ -30,8 +30,9 @@
 /// What one attempt, or all attempts of a call, came to.
 struct Exchange {
   Verdict m_verdict;
-  HttpResponse m_reply; ///< The server's answer if the outcome is answered.
-  std::string m_server; ///< The server of the last dispatch; empty if none.
+  HttpResponse m_reply;    ///< The server's answer if the outcome is answered.
+  std::string m_server;    ///< The server of the last dispatch; empty if none.
+  bool m_hasToken = false; ///< The next dispatch is paid for already.
 };
 
 /// Handler of the caller address. Thread-safe.
@@ -49,6 +50,7 @@
   Result<AdmittedCall> admit(const HttpRequest &Call, TimePoint Now) const;
   boost::asio::awaitable<Exchange> runAttempts(AdmittedCall Call);
   boost::asio::awaitable<Exchange> attempt(const AdmittedCall &Call);
+  boost::asio::awaitable<Result<Dispatch>> obtain(const AdmittedCall &Call);
   boost::asio::awaitable<Exchange> forward(const AdmittedCall &Call,
                                            Dispatch Granted);
   bool mayRepeat(const AdmittedCall &Call, const Exchange &Last) const;
--- a/include/tamarackdrum/retry-budget.h
+++ b/include/tamarackdrum/retry-budget.h
@@ -20,6 +20,9 @@
   /// Takes the token of one further dispatch, or returns false.
   bool take() noexcept;
 
+  /// Returns a token that was taken and not used.
+  void giveBack() noexcept;
+
 private:
   static constexpr int TokenParts = 10;
   static constexpr int MaxParts = 100 * TokenParts;
--- a/include/tamarackdrum/routing.h
+++ b/include/tamarackdrum/routing.h
@@ -9,6 +9,7 @@
 #define TAMARACKDRUM_ROUTING_H
 
 #include "tamarackdrum/retry-budget.h"
+#include "tamarackdrum/server-limiter.h"
 #include "tamarackdrum/view.h"
 
 #include <atomic>
@@ -23,6 +24,15 @@
 struct ServerLoad {
   std::atomic<int> m_inFlight{0};
   std::atomic<std::uint64_t> m_dispatched{0};
+  std::atomic<std::int64_t> m_restUntilNs{0}; ///< No dispatch before this.
+  std::atomic<int> m_ownSlots{0};    ///< This process's share of the slots.
+  std::atomic<int> m_maxInFlight{0}; ///< By slots and connections.
+};
+
+/// State of a class that all tables share.
+struct ClassLoad {
+  RetryBudget m_budget;
+  std::atomic<int> m_waiting{0}; ///< Requests that wait for a slot.
 };
 
 /// A server as the dispatch path sees it.
@@ -46,7 +56,8 @@
 /// Routes of one class. Unkeyed classes use `m_servers` only.
 struct ClassRoutes {
   ClassTarget m_target;
-  std::shared_ptr<RetryBudget> m_budget; ///< Shared by all tables.
+  std::shared_ptr<ClassLoad> m_load;
+  int m_maxWaiting = 0; ///< Most requests that may wait for a slot.
   std::vector<std::shared_ptr<SliceTerm>> m_slices;
   std::vector<std::pair<std::uint64_t, std::shared_ptr<SliceTerm>>> m_hotKeys;
   /// Terms of unkeyed dispatches, one a server that takes work.
@@ -77,7 +88,8 @@
 class Dispatch {
 public:
   Dispatch() = default;
-  Dispatch(Router &Owner, std::shared_ptr<SliceTerm> Term, TimePoint Deadline);
+  Dispatch(Router &Owner, std::shared_ptr<SliceTerm> Term, TimePoint Deadline,
+           bool IsBorrowed);
   Dispatch(Dispatch &&Other) noexcept;
   Dispatch &operator=(Dispatch &&Other) noexcept;
   Dispatch(const Dispatch &) = delete;
@@ -88,16 +100,25 @@
   Epoch epoch() const { return m_term->m_epoch; }
   TimePoint deadline() const { return m_deadline; }
 
+  /// Whether it uses a slot of another process. The class's budget then
+  /// lacks a token, which pays for the next dispatch or has to go back.
+  bool isBorrowed() const { return m_isBorrowed; }
+
+  /// The server refused it: sends it nothing for a moment.
+  void noteRefusal(TimePoint Now);
+
   /// The server answered in whole, or provably never got the request.
   void complete();
 
-  /// The server may run the request until the deadline.
+  /// The server may run the request until the deadline. It counts against
+  /// the term until then, but no longer against the limits.
   void abandon();
 
 private:
   Router *m_router = nullptr;
   std::shared_ptr<SliceTerm> m_term;
   TimePoint m_deadline;
+  bool m_isBorrowed = false;
 };
 
 /// What the caller asks for.
@@ -107,6 +128,8 @@
   std::string_view m_excludeServer; ///< For retries of unkeyed work.
   /// Latest end of the dispatch, if before the class's own.
   TimePoint m_deadline = TimePoint::max();
+  /// Whether a slot of another process may be tried for a retry token.
+  bool m_mayBorrow = true;
 };
 
 /// Thread-safe routing state of a process.
@@ -119,6 +142,10 @@
 /// \endcode
 class Router {
 public:
+  /// \p OwnName is the member whose share of the servers' slots is used; a
+  /// name that is no member may use all.
+  explicit Router(std::string OwnName = {}) : m_ownName(std::move(OwnName)) {}
+
   /// Adopts \p Next if it is newer than the current table.
   void install(const View &Next);
 
@@ -145,17 +172,26 @@
 private:
   friend class Dispatch;
 
+  struct Picked {
+    std::shared_ptr<SliceTerm> m_term;
+    bool m_isBorrowed = false;
+  };
   struct RetiredTerm {
     Generation m_retiredAt;
     std::shared_ptr<SliceTerm> m_term;
   };
 
   void retireDropped(const RoutingTable &Old, const RoutingTable &Next);
-  void release(SliceTerm &Term) noexcept;
+  void releaseSlot(const SliceTerm &Term) noexcept;
+  void releaseTerm(SliceTerm &Term) noexcept;
   void linger(std::shared_ptr<SliceTerm> Term, TimePoint Deadline);
-  Result<std::shared_ptr<SliceTerm>> pick(const ClassRoutes &Routes,
-                                          const RouteQuery &Query) const;
+  Result<Picked> pick(const ClassRoutes &Routes, const RouteQuery &Query,
+                      TimePoint Now) const;
+  Result<Picked> pickKeyed(const ClassRoutes &Routes, const RouteQuery &Query,
+                           TimePoint Now) const;
+  void dealSlots(ClassRoutes &Routes, const View &Next) const;
 
+  const std::string m_ownName;
   mutable std::mutex m_installMutex;
   mutable std::mutex m_tableMutex;
   RoutingTablePtr m_table;
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -18,7 +18,7 @@
 EntryHost::EntryHost(Settings Config, asio::io_context &Workers,
                      TableStore &Table, HostList &Hosts, HttpClient &PeerClient,
                      HttpClient &ServerClient)
-    : m_settings(std::move(Config)),
+    : m_settings(std::move(Config)), m_router(m_settings.m_name),
       m_keeper(m_settings, makeIncarnation(), Workers, Table, Hosts, PeerClient,
                m_router,
                [this] { return m_health.suspects(BootClock::now()); }),
--- a/src/adapter/request-proxy.cc
+++ b/src/adapter/request-proxy.cc
@@ -14,6 +14,8 @@
 
 constexpr int MaxAttempts = 3;
 constexpr Millis RepeatPause{20};
+constexpr Millis MaxWait{60};
+constexpr Millis WaitPoll{2};
 constexpr unsigned FirstServerError = 500;
 constexpr Millis OneSecond{1000};
 constexpr Millis MaxServerWish{60000};
@@ -92,6 +94,23 @@
   return Response;
 }
 
+/// The right of a request to wait for a slot.
+class WaitRight {
+public:
+  explicit WaitRight(const ClassRoutes &Routes)
+      : m_load(Routes.m_load),
+        m_isGiven(m_load->m_waiting.fetch_add(1) < Routes.m_maxWaiting) {}
+  ~WaitRight() { m_load->m_waiting.fetch_sub(1); }
+  WaitRight(const WaitRight &) = delete;
+  WaitRight &operator=(const WaitRight &) = delete;
+
+  bool isGiven() const { return m_isGiven; }
+
+private:
+  const std::shared_ptr<ClassLoad> m_load;
+  const bool m_isGiven;
+};
+
 Exchange notRun(const std::error_code &Reason) {
   return {verdictOfRefusal(Reason), {}, {}};
 }
@@ -141,7 +160,7 @@
 /// Dispatches until the call has a final verdict. A once-only call is
 /// dispatched again only after an attempt that provably did not run.
 asio::awaitable<Exchange> RequestProxy::runAttempts(AdmittedCall Call) {
-  Call.m_routes->m_budget->noteRequest();
+  Call.m_routes->m_load->m_budget.noteRequest();
   Exchange Last = co_await attempt(Call);
   for (int Attempt = 1; Attempt < MaxAttempts; ++Attempt) {
     if (!mayRepeat(Call, Last))
@@ -153,6 +172,7 @@
     m_counters.m_retries.fetch_add(1);
     const std::string Failed = Last.m_server;
     Call.m_query.m_excludeServer = Failed;
+    Call.m_query.m_mayBorrow = false;
     Exchange Next = co_await attempt(Call);
     Next.m_verdict = combine(Last.m_verdict, Next.m_verdict);
     if (Next.m_server.empty())
@@ -171,16 +191,36 @@
   const TimePoint Earliest =
       BootClock::now() +
       (Call.m_routes->m_target.m_keyed ? RepeatPause : Millis(0));
-  return Earliest < Call.m_query.m_deadline && Call.m_routes->m_budget->take();
+  return Earliest < Call.m_query.m_deadline &&
+         (Last.m_hasToken || Call.m_routes->m_load->m_budget.take());
 }
 
 asio::awaitable<Exchange> RequestProxy::attempt(const AdmittedCall &Call) {
-  Result<Dispatch> Granted = m_router.decide(Call.m_query, BootClock::now());
+  Result<Dispatch> Granted = co_await obtain(Call);
   if (!Granted)
     co_return notRun(Granted.error());
   co_return co_await forward(Call, std::move(Granted).value());
 }
 
+/// Waits for a slot for a short time if few others do so.
+asio::awaitable<Result<Dispatch>>
+RequestProxy::obtain(const AdmittedCall &Call) {
+  Result<Dispatch> Granted = m_router.decide(Call.m_query, BootClock::now());
+  if (Granted || Granted.error() != RouteErrc::Overloaded)
+    co_return Granted;
+  const WaitRight Right(*Call.m_routes);
+  if (!Right.isGiven())
+    co_return Granted;
+  const TimePoint End =
+      std::min(Call.m_query.m_deadline, BootClock::now() + MaxWait);
+  while (!Granted && Granted.error() == RouteErrc::Overloaded &&
+         BootClock::now() < End) {
+    co_await sleepFor(WaitPoll);
+    Granted = m_router.decide(Call.m_query, BootClock::now());
+  }
+  co_return Granted;
+}
+
 asio::awaitable<Exchange> RequestProxy::forward(const AdmittedCall &Call,
                                                 Dispatch Granted) {
   Exchange Out;
@@ -202,6 +242,12 @@
       co_await m_client.send(Server.value(), std::move(Outgoing), Deadline);
   Out.m_verdict = Reply ? verdictOfReply(factsOf(Reply.value()))
                         : verdictOfFailure(Reply.error());
+  if (Out.m_verdict.m_reason == RouteErrc::ServerRefused)
+    Granted.noteRefusal(BootClock::now());
+  Out.m_hasToken =
+      Granted.isBorrowed() && Out.m_verdict.m_outcome != Outcome::Answered;
+  if (Granted.isBorrowed() && !Out.m_hasToken)
+    Call.m_routes->m_load->m_budget.giveBack();
   if (Reply || Out.m_verdict.m_outcome == Outcome::NotRun)
     Granted.complete();
   else
--- a/src/app/tamarackd.cc
+++ b/src/app/tamarackd.cc
@@ -29,6 +29,7 @@
 constexpr int ExitBind = 3;
 constexpr int ExitCutOff = 4;
 constexpr Millis StopPoll{20};
+constexpr std::size_t ConnectionsPerServer = 4;
 constexpr const char *JsonLogPattern =
     R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","message":"%v"})";
 
@@ -132,7 +133,8 @@
 int runDaemon(const Options &Line, const Settings &Config) {
   asio::io_context Workers;
   HttpClient PeerClient(HttpClientLimits{});
-  HttpClient ServerClient(HttpClientLimits{});
+  HttpClient ServerClient(
+      HttpClientLimits{ConnectionsPerServer, ConnectionsPerServer});
   MemoryTable Embedded;
   const std::unique_ptr<TableStore> Table =
       makeTable(Line, Config, PeerClient, Embedded);
--- a/src/core/retry-budget.cc
+++ b/src/core/retry-budget.cc
@@ -9,6 +9,10 @@
     continue;
 }
 
+void RetryBudget::giveBack() noexcept {
+  m_parts.fetch_add(TokenParts, std::memory_order_relaxed);
+}
+
 bool RetryBudget::take() noexcept {
   int Parts = m_parts.load(std::memory_order_relaxed);
   while (Parts >= TokenParts)
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -103,32 +103,95 @@
   return Engine() % Bound;
 }
 
-/// Picks the less loaded of two servers chosen at random.
-std::shared_ptr<SliceTerm> pickOfTwo(const ClassRoutes &Routes,
-                                     std::string_view Exclude) {
+/// Whether a process keeps to its share of a server's slots.
+enum class SlotUse { Own, Any };
+
+constexpr std::size_t MaxScan = 64;
+constexpr int MinWaiting = 6;
+
+ServerUse useOf(const ServerLoad &Load) {
+  ServerUse Use;
+  Use.m_inFlight = Load.m_inFlight.load(std::memory_order_relaxed);
+  Use.m_restUntil = TimePoint(std::chrono::nanoseconds(
+      Load.m_restUntilNs.load(std::memory_order_relaxed)));
+  return Use;
+}
+
+bool hasRoomAt(const SliceTerm &Term, SlotUse Slots, TimePoint Now) {
+  const ServerLoad &Load = *Term.m_server->m_load;
+  const int Most = Load.m_maxInFlight.load(std::memory_order_relaxed);
+  const int Own = Load.m_ownSlots.load(std::memory_order_relaxed);
+  const int Limit = Slots == SlotUse::Own ? std::min(Own, Most) : Most;
+  return hasRoom(useOf(Load), {LimitPolicy::RestAfterRefusal, Limit}, Now);
+}
+
+/// Of the servers with room, picks the less loaded of two, from a random
+/// one on. Returns null if there is none.
+const std::shared_ptr<SliceTerm> *pickOfTwo(const ClassRoutes &Routes,
+                                            const RouteQuery &Query,
+                                            SlotUse Slots, TimePoint Now) {
   const std::vector<std::shared_ptr<SliceTerm>> &Terms = Routes.m_servers;
-  const std::size_t First = randomBelow(Terms.size());
-  std::size_t Second = randomBelow(Terms.size());
-  // With one excluded, the other has to be a different one.
-  if (Second == First && Terms.size() > 1)
-    Second = (Second + 1) % Terms.size();
-  const auto Load = [&](std::size_t Index) {
-    const RouteServer &Server = *Terms[Index]->m_server;
-    const int Penalty = Server.m_record.m_name == Exclude ? 1 << 20 : 0;
-    return Server.m_load->m_inFlight.load(std::memory_order_relaxed) + Penalty;
-  };
-  return Load(First) <= Load(Second) ? Terms[First] : Terms[Second];
+  const std::size_t Start = randomBelow(Terms.size());
+  const std::size_t Scan = std::min(Terms.size(), MaxScan);
+  const std::shared_ptr<SliceTerm> *First = nullptr;
+  for (std::size_t I = 0; I < Scan; ++I) {
+    const std::shared_ptr<SliceTerm> &Term = Terms[(Start + I) % Terms.size()];
+    const bool IsExcluded =
+        Term->m_server->m_record.m_name == Query.m_excludeServer &&
+        Terms.size() > 1;
+    if (IsExcluded || !hasRoomAt(*Term, Slots, Now))
+      continue;
+    if (First == nullptr) {
+      First = &Term;
+      continue;
+    }
+    const bool IsLess = Term->m_server->m_load->m_inFlight.load() <
+                        (*First)->m_server->m_load->m_inFlight.load();
+    return IsLess ? &Term : First;
+  }
+  return First;
+}
+
+std::size_t slotsOf(const ClassRoutes &Routes) {
+  std::size_t Total = 0;
+  for (const std::shared_ptr<SliceTerm> &Term : Routes.m_servers)
+    Total += Term->m_server->m_record.m_slots;
+  return Total;
+}
+
+/// Returns how \p Total slots are dealt to \p Process.
+SlotDeal dealOf(const View &Next, const std::string &Process,
+                std::size_t Total) {
+  for (std::size_t I = 0; I < Next.m_members.size(); ++I)
+    if (Next.m_members[I].m_name == Process)
+      return {Total, I, Next.m_members.size()};
+  return {Total, 0, 1};
+}
+
+/// Bounds what this process sends to each server by its slots and by this
+/// process's part of its connections.
+void limitServers(const ServerByName &Servers, const View &Next) {
+  const unsigned Members =
+      std::max(1U, static_cast<unsigned>(Next.m_members.size()));
+  for (const ServerByName::value_type &Entry : Servers) {
+    const ServerRecord &Record = Entry.second->m_record;
+    const unsigned Connections = std::max(1U, Record.m_connections / Members);
+    const int Limit = static_cast<int>(std::min(Record.m_slots, Connections));
+    Entry.second->m_load->m_maxInFlight.store(Limit);
+  }
 }
 
 } // namespace
 
 Dispatch::Dispatch(Router &Owner, std::shared_ptr<SliceTerm> Term,
-                   TimePoint Deadline)
-    : m_router(&Owner), m_term(std::move(Term)), m_deadline(Deadline) {}
+                   TimePoint Deadline, bool IsBorrowed)
+    : m_router(&Owner), m_term(std::move(Term)), m_deadline(Deadline),
+      m_isBorrowed(IsBorrowed) {}
 
 Dispatch::Dispatch(Dispatch &&Other) noexcept
     : m_router(std::exchange(Other.m_router, nullptr)),
-      m_term(std::move(Other.m_term)), m_deadline(Other.m_deadline) {}
+      m_term(std::move(Other.m_term)), m_deadline(Other.m_deadline),
+      m_isBorrowed(Other.m_isBorrowed) {}
 
 Dispatch &Dispatch::operator=(Dispatch &&Other) noexcept {
   if (this == &Other)
@@ -137,20 +200,32 @@
   m_router = std::exchange(Other.m_router, nullptr);
   m_term = std::move(Other.m_term);
   m_deadline = Other.m_deadline;
+  m_isBorrowed = Other.m_isBorrowed;
   return *this;
 }
 
 Dispatch::~Dispatch() { abandon(); }
 
+void Dispatch::noteRefusal(TimePoint Now) {
+  ServerLoad &Load = *m_term->m_server->m_load;
+  ServerUse Use = useOf(Load);
+  tamarackdrum::noteRefusal(Use, Now);
+  Load.m_restUntilNs.store(Use.m_restUntil.time_since_epoch().count());
+}
+
 void Dispatch::complete() {
-  if (m_router != nullptr)
-    m_router->release(*m_term);
+  if (m_router != nullptr) {
+    m_router->releaseSlot(*m_term);
+    m_router->releaseTerm(*m_term);
+  }
   m_router = nullptr;
 }
 
 void Dispatch::abandon() {
-  if (m_router != nullptr)
+  if (m_router != nullptr) {
+    m_router->releaseSlot(*m_term);
     m_router->linger(m_term, m_deadline);
+  }
   m_router = nullptr;
 }
 
@@ -161,6 +236,7 @@
     return;
   const ServerByName Servers = carryServers(m_servers, Next.m_servers);
   m_servers = Servers;
+  limitServers(Servers, Next);
   const std::shared_ptr<RoutingTable> Table = std::make_shared<RoutingTable>();
   Table->m_generation = Next.m_generation;
   for (const ClassTarget &Target : Next.m_classes) {
@@ -171,13 +247,14 @@
     }
     ClassRoutes &Routes = Table->m_classes[Target.m_name];
     Routes.m_target = Target;
-    Routes.m_budget = OldRoutes != nullptr ? OldRoutes->m_budget
-                                           : std::make_shared<RetryBudget>();
+    Routes.m_load = OldRoutes != nullptr ? OldRoutes->m_load
+                                         : std::make_shared<ClassLoad>();
     const ClassAssignment *Assignment = findAssignment(Next, Target.m_name);
     if (Assignment != nullptr)
       addKeyedTerms(Routes, *Assignment, OldRoutes, Servers);
     else
       addUnkeyedTerms(Routes, OldRoutes, Servers);
+    dealSlots(Routes, Next);
   }
   {
     const std::lock_guard<std::mutex> TableLock(m_tableMutex);
@@ -187,6 +264,20 @@
     retireDropped(*Old, *Table);
 }
 
+void Router::dealSlots(ClassRoutes &Routes, const View &Next) const {
+  const SlotDeal Deal = dealOf(Next, m_ownName, slotsOf(Routes));
+  std::size_t FirstSlot = 0;
+  int Own = 0;
+  for (const std::shared_ptr<SliceTerm> &Term : Routes.m_servers) {
+    const std::size_t Slots = Term->m_server->m_record.m_slots;
+    const int Share = shareOf(FirstSlot, Slots, Deal);
+    Term->m_server->m_load->m_ownSlots.store(Share);
+    FirstSlot += Slots;
+    Own += Share;
+  }
+  Routes.m_maxWaiting = std::max(MinWaiting, 2 * Own);
+}
+
 void Router::retireDropped(const RoutingTable &Old, const RoutingTable &Next) {
   std::vector<std::shared_ptr<SliceTerm>> Kept;
   collectTerms(Next, Kept);
@@ -208,13 +299,29 @@
   m_settled.store(Settled);
 }
 
-Result<std::shared_ptr<SliceTerm>> Router::pick(const ClassRoutes &Routes,
-                                                const RouteQuery &Query) const {
-  if (!Routes.m_target.m_keyed) {
-    if (Routes.m_servers.empty())
-      return std::error_code(RouteErrc::NoServer);
-    return pickOfTwo(Routes, Query.m_excludeServer);
-  }
+Result<Router::Picked> Router::pick(const ClassRoutes &Routes,
+                                    const RouteQuery &Query,
+                                    TimePoint Now) const {
+  if (Routes.m_target.m_keyed)
+    return pickKeyed(Routes, Query, Now);
+  if (Routes.m_servers.empty())
+    return std::error_code(RouteErrc::NoServer);
+  if (const std::shared_ptr<SliceTerm> *Own =
+          pickOfTwo(Routes, Query, SlotUse::Own, Now))
+    return Picked{*Own, false};
+  RetryBudget &Budget = Routes.m_load->m_budget;
+  if (!Query.m_mayBorrow || !Budget.take())
+    return std::error_code(RouteErrc::Overloaded);
+  if (const std::shared_ptr<SliceTerm> *Lent =
+          pickOfTwo(Routes, Query, SlotUse::Any, Now))
+    return Picked{*Lent, true};
+  Budget.giveBack();
+  return std::error_code(RouteErrc::Overloaded);
+}
+
+Result<Router::Picked> Router::pickKeyed(const ClassRoutes &Routes,
+                                         const RouteQuery &Query,
+                                         TimePoint Now) const {
   if (Query.m_key.empty())
     return std::error_code(RouteErrc::KeyMissing);
   const std::uint64_t Hash = hashKey(Query.m_key);
@@ -225,7 +332,9 @@
     return std::error_code(RouteErrc::NoServer);
   if (Term->m_since > m_settled.load(std::memory_order_acquire))
     return std::error_code(RouteErrc::SliceMoving);
-  return Term;
+  if (!hasRoomAt(*Term, SlotUse::Any, Now))
+    return std::error_code(RouteErrc::Overloaded);
+  return Picked{std::move(Term), false};
 }
 
 Result<Dispatch> Router::decide(const RouteQuery &Query, TimePoint Now) {
@@ -236,34 +345,44 @@
     const auto Found = Table->m_classes.find(Query.m_workClass);
     if (Found == Table->m_classes.end())
       return std::error_code(RouteErrc::UnknownClass);
-    const Result<std::shared_ptr<SliceTerm>> Picked =
-        pick(Found->second, Query);
-    if (!Picked)
-      return Picked.error();
-    const std::shared_ptr<SliceTerm> &Term = Picked.value();
+    const Result<Picked> Choice = pick(Found->second, Query, Now);
+    if (!Choice)
+      return Choice.error();
+    const std::shared_ptr<SliceTerm> &Term = Choice.value().m_term;
+    RetryBudget &Budget = Found->second.m_load->m_budget;
+    const bool IsBorrowed = Choice.value().m_isBorrowed;
     Term->m_inFlight.fetch_add(1);
     // install() sets m_retired before it reads m_inFlight, so that either it
     // sees this dispatch or this dispatch sees the retirement.
     if (Term->m_retired.load()) {
       Term->m_inFlight.fetch_sub(1);
+      if (IsBorrowed)
+        Budget.giveBack();
       continue;
     }
     Term->m_server->m_load->m_inFlight.fetch_add(1);
     m_inFlight.fetch_add(1);
     if (Now.time_since_epoch().count() >= m_leaseUntilNs.load()) {
-      release(*Term);
+      releaseSlot(*Term);
+      releaseTerm(*Term);
+      if (IsBorrowed)
+        Budget.giveBack();
       return std::error_code(RouteErrc::NoLease);
     }
     Term->m_server->m_load->m_dispatched.fetch_add(1,
                                                    std::memory_order_relaxed);
     return Dispatch(
         *this, Term,
-        std::min(Query.m_deadline, Now + Found->second.m_target.m_deadline));
+        std::min(Query.m_deadline, Now + Found->second.m_target.m_deadline),
+        IsBorrowed);
   }
 }
 
-void Router::release(SliceTerm &Term) noexcept {
+void Router::releaseSlot(const SliceTerm &Term) noexcept {
   Term.m_server->m_load->m_inFlight.fetch_sub(1);
+}
+
+void Router::releaseTerm(SliceTerm &Term) noexcept {
   Term.m_inFlight.fetch_sub(1);
   m_inFlight.fetch_sub(1);
 }
@@ -278,7 +397,7 @@
   std::erase_if(m_lingering, [&](const auto &Entry) {
     if (Now < Entry.first + Skew)
       return false;
-    release(*Entry.second);
+    releaseTerm(*Entry.second);
     return true;
   });
 }
--- a/test/core/routing-test.cc
+++ b/test/core/routing-test.cc
@@ -19,8 +19,8 @@
     Stock.m_name = "stock";
     Stock.m_keyed = true;
     First.m_classes.push_back(Stock);
-    First.m_servers.push_back({"s1", "stock", "127.0.0.1:1"});
-    First.m_servers.push_back({"s2", "stock", "127.0.0.1:2"});
+    First.m_servers.push_back({"s1", "stock", "127.0.0.1:1", Slots});
+    First.m_servers.push_back({"s2", "stock", "127.0.0.1:2", Slots});
     m_view = assignSlices(First);
     m_router.install(m_view);
     m_router.setLease(m_now + Millis(600), 1);
@@ -35,6 +35,7 @@
             .value());
   }
 
+  static constexpr unsigned Slots = 16;
   TimePoint m_now{Millis(1000)};
   View m_view;
   Router m_router;
@@ -91,6 +92,25 @@
   EXPECT_EQ(m_router.drainedGeneration(), 2U);
 }
 
+TEST_F(RouterTest, Decide_OverTheSlots_IsOverloadedUntilOneEnds) {
+  std::vector<Dispatch> Running;
+  for (unsigned I = 0; I < Slots; ++I)
+    Running.push_back(m_router.decide({"stock", "sheet-1"}, m_now).value());
+  EXPECT_EQ(m_router.decide({"stock", "sheet-1"}, m_now).error(),
+            RouteErrc::Overloaded);
+  Running.back().abandon();
+  EXPECT_TRUE(m_router.decide({"stock", "sheet-1"}, m_now));
+}
+
+TEST_F(RouterTest, Decide_AfterARefusal_RestsForAMoment) {
+  Result<Dispatch> Granted = m_router.decide({"stock", "sheet-1"}, m_now);
+  Granted.value().noteRefusal(m_now);
+  Granted.value().complete();
+  EXPECT_EQ(m_router.decide({"stock", "sheet-1"}, m_now).error(),
+            RouteErrc::Overloaded);
+  EXPECT_TRUE(m_router.decide({"stock", "sheet-1"}, m_now + Millis(5)));
+}
+
 TEST_F(RouterTest, Abandoned_UntilDeadlineAndSkew_CountsAsInFlight) {
   Result<Dispatch> Granted = m_router.decide({"stock", "sheet-1"}, m_now);
   const TimePoint Deadline = Granted.value().deadline();
