--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -20,7 +20,7 @@
                      TableStore &Table, HostList &Hosts, HttpClient &PeerClient,
                      HttpClient &ServerClient)
     : m_settings(std::move(Config)), m_workers(Workers),
-      m_metrics(m_settings.m_name, unixMillis()),
+      m_metrics(m_settings.m_name, unixMillis()), m_router(m_settings.m_name),
       m_keeper(m_settings, makeIncarnation(), Workers, Table, Hosts, PeerClient,
                m_router,
                [this] { return m_health.suspects(BootClock::now()); }),
