--- a/include/tamarackdrum/metrics.h
+++ b/include/tamarackdrum/metrics.h
@@ -46,14 +46,16 @@
   bool operator==(const CallBucket &) const = default;
 };
 
-/// Ownership of a keyed class at one generation.
-struct OwnershipSample {
+/// Owner changes of a keyed class between two views that a process had one
+/// after the other.
+struct MoveSample {
   std::string m_workClass;
-  Generation m_generation = 0;
+  Generation m_from = 0;
+  Generation m_to = 0;
   std::int64_t m_unixMillis = 0;
-  std::uint64_t m_epochSum = 0; ///< Grows by one with each change of owner.
+  std::uint64_t m_moves = 0;
 
-  bool operator==(const OwnershipSample &) const = default;
+  bool operator==(const MoveSample &) const = default;
 };
 
 /// Dispatches to one server since the sample before.
@@ -83,7 +85,7 @@
   std::string m_process;
   std::int64_t m_startUnixMillis = 0; ///< When the process began to record.
   std::map<std::string, std::vector<CallBucket>> m_calls; ///< By class.
-  std::vector<OwnershipSample> m_ownership;
+  std::vector<MoveSample> m_moves;
   std::vector<DispatchSample> m_dispatches;
   std::vector<TimelineEvent> m_events;
 
@@ -144,7 +146,7 @@
   void recordDispatches(const std::string &Server, std::uint64_t Dispatched,
                         std::int64_t Now);
 
-  /// Returns what was recorded at \p Since or later, and all owners.
+  /// Returns what was recorded at \p Since or later.
   ProcessRecord window(std::int64_t Since) const;
 
   std::vector<OutcomeCount> outcomes() const;
@@ -155,7 +157,7 @@
 
   ClassMetrics &classMetrics(std::string_view WorkClass);
   void recordServers(const View &Old, const View &Next, std::int64_t Now);
-  void recordOwnership(const View &Next, std::int64_t Now);
+  void recordMoves(const View &Old, const View &Next, std::int64_t Now);
   void addEvent(TimelineEvent Event);
 
   const std::string m_process;
@@ -165,7 +167,7 @@
   std::map<std::string, Millis, std::less<>> m_targets; ///< Latency targets.
   ViewPtr m_lastView;
   std::optional<bool> m_lastLease;
-  std::deque<OwnershipSample> m_ownership;
+  std::deque<MoveSample> m_moves;
   std::deque<DispatchSample> m_dispatches;
   std::map<std::string, std::uint64_t> m_lastDispatched;
   std::deque<TimelineEvent> m_events;
--- a/src/app/ctl-commands.cc
+++ b/src/app/ctl-commands.cc
@@ -213,6 +213,19 @@
   return printError(Outcome.error(), Details);
 }
 
+/// Declares that the processes of members have ended for good.
+int removeMembers(const CtlOptions &Line) {
+  Json::Value Parameters;
+  Parameters["operation"] = makeOperation();
+  for (std::size_t I = 2; I < Line.m_words.size(); ++I)
+    Parameters["names"].append(Line.m_words[I]);
+  OperatorClient Client = makeClient(Line);
+  const Result<Json::Value> Outcome = Client.call("remove_members", Parameters);
+  if (!Outcome)
+    return printError(Outcome.error(), {});
+  return printAccepted(Line, Outcome.value());
+}
+
 /// Status of every process in the view of the first one reached.
 Result<Json::Value> collectStatus(OperatorClient &Client) {
   const Result<View> Current = fetchView(Client);
@@ -235,7 +248,7 @@
       const Generation Seen = Status["view"]["generation"].asUInt64();
       Item["generation"] = Json::UInt64(Seen);
       for (const char *Name :
-           {"has_lease", "settled", "answered", "not_run", "unknown"})
+           {"state", "has_lease", "settled", "answered", "not_run", "unknown"})
         Item[Name] = Status[Name];
       IsReady = IsReady && Status["has_lease"].asBool() &&
                 Status["settled"].asUInt64() == Seen &&
@@ -252,9 +265,9 @@
 
 void printProcesses(const Json::Value &Processes) {
   std::cout << std::left << std::setw(12) << "PROCESS" << std::setw(10)
-            << "ZONE" << std::setw(8) << "LEASE" << std::setw(12)
-            << "GENERATION" << std::setw(10) << "SETTLED" << std::setw(10)
-            << "ANSWERED" << std::setw(9) << "NOT-RUN"
+            << "ZONE" << std::setw(10) << "STATE" << std::setw(7) << "LEASE"
+            << std::setw(12) << "GENERATION" << std::setw(10) << "SETTLED"
+            << std::setw(10) << "ANSWERED" << std::setw(9) << "NOT-RUN"
             << "UNKNOWN\n";
   for (const Json::Value &Item : Processes) {
     std::cout << std::setw(12) << Item["process"].asString() << std::setw(10)
@@ -263,8 +276,9 @@
       std::cout << "not reached: " << Item["error"].asString() << '\n';
       continue;
     }
-    std::cout << std::setw(8) << (Item["has_lease"].asBool() ? "held" : "lost")
-              << std::setw(12) << Item["generation"].asUInt64() << std::setw(10)
+    std::cout << std::setw(10) << Item["state"].asString() << std::setw(7)
+              << (Item["has_lease"].asBool() ? "held" : "lost") << std::setw(12)
+              << Item["generation"].asUInt64() << std::setw(10)
               << Item["settled"].asUInt64() << std::setw(10)
               << Item["answered"].asUInt64() << std::setw(9)
               << Item["not_run"].asUInt64() << Item["unknown"].asUInt64()
@@ -395,6 +409,8 @@
     return applyClassFile(Line);
   if (Words[0] == "class" && Words.size() == 3 && Words[1] == "diff")
     return diffClassFile(Line);
+  if (Words[0] == "member" && Words.size() >= 3 && Words[1] == "remove")
+    return removeMembers(Line);
   if (Words[0] != "server" || Words.size() < 3)
     return std::nullopt;
   const std::optional<ServerAction> Action = parseAction(Words[1]);
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -55,6 +55,30 @@
   return Found->second;
 }
 
+/// Ends the terms of slices that a hot key has left or joined. Its dispatches
+/// in flight under such a term then count as old ones when it moves next.
+void renewChangedTerms(ClassRoutes &Routes, const ClassRoutes &Old) {
+  if (Routes.m_slices.size() != Old.m_slices.size())
+    return;
+  std::vector<std::uint64_t> Changed;
+  const auto Differs = [&](const ClassRoutes &Left, const ClassRoutes &Right) {
+    for (const auto &HotKey : Left.m_hotKeys)
+      if (!findHotKey(Right, HotKey.first))
+        Changed.push_back(HotKey.first);
+  };
+  Differs(Routes, Old);
+  Differs(Old, Routes);
+  for (const std::uint64_t Hash : Changed) {
+    std::shared_ptr<SliceTerm> &Term =
+        Routes.m_slices[sliceIndex(Hash, Routes.m_slices.size())];
+    const std::shared_ptr<SliceTerm> Fresh = std::make_shared<SliceTerm>();
+    Fresh->m_server = Term->m_server;
+    Fresh->m_epoch = Term->m_epoch;
+    Fresh->m_since = Term->m_since;
+    Term = Fresh;
+  }
+}
+
 void addKeyedTerms(ClassRoutes &Routes, const ClassAssignment &Assignment,
                    const ClassRoutes *Old, const ServerByName &Servers) {
   for (std::size_t I = 0; I < Assignment.m_slices.size(); ++I) {
@@ -68,6 +92,8 @@
         HotKey.m_hash,
         carryTerm(Old != nullptr ? findHotKey(*Old, HotKey.m_hash) : nullptr,
                   HotKey.m_slice, Servers));
+  if (Old != nullptr)
+    renewChangedTerms(Routes, *Old);
 }
 
 void addUnkeyedTerms(ClassRoutes &Routes, const ClassRoutes *Old,
@@ -108,7 +134,10 @@
                                      std::string_view Exclude) {
   const std::vector<std::shared_ptr<SliceTerm>> &Terms = Routes.m_servers;
   const std::size_t First = randomBelow(Terms.size());
-  const std::size_t Second = randomBelow(Terms.size());
+  std::size_t Second = randomBelow(Terms.size());
+  // With one excluded, the other has to be a different one.
+  if (Second == First && Terms.size() > 1)
+    Second = (Second + 1) % Terms.size();
   const auto Load = [&](std::size_t Index) {
     const RouteServer &Server = *Terms[Index]->m_server;
     const int Penalty = Server.m_record.m_name == Exclude ? 1 << 20 : 0;
@@ -168,6 +197,8 @@
     }
     ClassRoutes &Routes = Table->m_classes[Target.m_name];
     Routes.m_target = Target;
+    Routes.m_budget = OldRoutes != nullptr ? OldRoutes->m_budget
+                                           : std::make_shared<RetryBudget>();
     const ClassAssignment *Assignment = findAssignment(Next, Target.m_name);
     if (Assignment != nullptr)
       addKeyedTerms(Routes, *Assignment, OldRoutes, Servers);
@@ -194,7 +225,9 @@
     if (std::binary_search(Kept.begin(), Kept.end(), Term))
       continue;
     Term->m_retired.store(true);
-    m_retired.push_back({Next.m_generation, Term});
+    // Views may have been skipped, so the owner may have changed in any
+    // generation after the old one.
+    m_retired.push_back({Old.m_generation + 1, Term});
   }
 }
 
@@ -251,7 +284,9 @@
     }
     Term->m_server->m_load->m_dispatched.fetch_add(1,
                                                    std::memory_order_relaxed);
-    return Dispatch(*this, Term, Now + Found->second.m_target.m_deadline);
+    return Dispatch(
+        *this, Term,
+        std::min(Query.m_deadline, Now + Found->second.m_target.m_deadline));
   }
 }
 
@@ -286,6 +321,17 @@
   return Drained;
 }
 
+std::shared_ptr<const ClassRoutes>
+Router::findRoutes(std::string_view Name) const {
+  const RoutingTablePtr Table = table();
+  if (!Table)
+    return nullptr;
+  const auto Found = Table->m_classes.find(Name);
+  if (Found == Table->m_classes.end())
+    return nullptr;
+  return {Table, &Found->second};
+}
+
 RoutingTablePtr Router::table() const {
   const std::lock_guard<std::mutex> Lock(m_tableMutex);
   return m_table;
--- a/test/core/slo-report-test.cc
+++ b/test/core/slo-report-test.cc
@@ -39,8 +39,7 @@
     m_first.m_calls["stock"] = {
         {10000, 90, 90, 80}, {10001, 5, 0, 0}, {10002, 3, 0, 0}};
     m_first.m_dispatches = {{"stock-0", Start, 60}, {"stock-2", Start, 500}};
-    m_first.m_ownership = {{"stock", 1, Start - 5, 256},
-                           {"stock", 2, Start + 50, 266}};
+    m_first.m_moves = {{"stock", 1, 2, Start + 50, 10}};
     m_first.m_events = {{Start + 60, EventKind::ServerChanged, "stock-2",
                          "(stock) serving -> recalled", 3}};
     m_second.m_process = "entry-1";
@@ -48,9 +47,9 @@
     m_second.m_calls["stock"] = {{10001, 1, 1, 1}, {10003, 1, 1, 1}};
     m_second.m_dispatches = {{"stock-1", Start + 1, 20},
                              {"stock-1", Start - 1, 1000}};
-    // This process saw generation 2 later and generation 3 first.
-    m_second.m_ownership = {{"stock", 2, Start + 70, 266},
-                            {"stock", 3, Start + 80, 267}};
+    // This process did not see generation 3, and saw the others later.
+    m_second.m_moves = {{"stock", 1, 2, Start + 70, 10},
+                        {"stock", 2, 4, Start + 80, 1}};
     m_second.m_events = {{Start + 55, EventKind::ServerChanged, "stock-2",
                           "(stock) serving -> recalled", 3},
                          {Start + 90, EventKind::LeaseLost, "entry-1", "", 3}};
@@ -82,10 +81,16 @@
   const SloReport Report = report();
   EXPECT_EQ(Report.m_classes[0].m_churn, 11U);
   const std::vector<MoveEvent> Expected = {{Start + 50, "stock", 2, 10},
-                                           {Start + 80, "stock", 3, 1}};
+                                           {Start + 80, "stock", 4, 1}};
   EXPECT_EQ(Report.m_moves, Expected);
 }
 
+TEST_F(SloReportTest, Churn_PrefersTheProcessThatSawEachGeneration) {
+  m_first.m_moves.push_back({"stock", 2, 3, Start + 75, 4});
+  m_first.m_moves.push_back({"stock", 3, 4, Start + 78, 5});
+  EXPECT_EQ(report().m_classes[0].m_churn, 19U);
+}
+
 TEST_F(SloReportTest, Burn_IsShareNotAnsweredOverBudget) {
   // 8 of 100 calls were not answered; the budget is 1 in 100.
   const ClassReport Class = report().m_classes[0];
--- a/test/process/ctl-test.cc
+++ b/test/process/ctl-test.cc
@@ -164,6 +164,15 @@
   EXPECT_TRUE(std::filesystem::exists(Page));
 }
 
+TEST_F(CtlTest, MemberRemove_OfAnEndedProcess_TakesItOutOfTheView) {
+  ASSERT_TRUE(m_site.awaitReady());
+  m_site.hosts()[2].m_child->kill();
+  const CtlRun Run = ctl(controlOf(0), {"member", "remove", "entry-2"});
+  EXPECT_EQ(Run.m_code, 0) << Run.m_output;
+  EXPECT_TRUE(eventually(
+      [&] { return m_site.status(0)["view"]["members"].size() == 2; }));
+}
+
 TEST_F(CtlTest, Watch_PrintsAsManyChangesAsAskedFor) {
   ASSERT_TRUE(m_site.awaitReady());
   const CtlRun Run = ctl(controlOf(0), {"watch", "--count", "1"});
