Refuse requests that crash servers at every entry host

PoisonGuard notes a request whose connection broke, probes the server and counts the break as a crash only if connections are refused then. The evidence is pushed to the other members at once and again every second; the proxy asks before each attempt and refuses with 422, not run, reason poisoned. The operator status tells how many fingerprints are refused.

request-test counts connections as dispatches, which a probe would add to: its proxy gets a probe that opens none, so its checks are as strict as before.

--- a/include/tamarackdrum/control-api.h
+++ b/include/tamarackdrum/control-api.h
@@ -18,7 +18,8 @@
 public:
   ControlApi(const Settings &Config, boost::asio::io_context &Workers,
              ViewKeeper &Keeper, const Router &Routes,
-             const RequestProxy &Proxy, const Metrics &Recorded);
+             const RequestProxy &Proxy, PoisonGuard &Poison,
+             const Metrics &Recorded);
 
   boost::asio::awaitable<HttpResponse> onControl(const HttpRequest &Call);
 
@@ -43,6 +44,7 @@
   ViewKeeper &m_keeper;
   const Router &m_router;
   const RequestProxy &m_proxy;
+  PoisonGuard &m_poison;
   const Metrics &m_metrics;
   boost::asio::thread_pool m_operatorPool;
   RpcServer m_peerRpc;
--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -43,6 +43,7 @@
   Router m_router;
   ServerHealth m_health;
   ViewKeeper m_keeper;
+  PoisonGuard m_poison;
   RequestProxy m_proxy;
   ServerProber m_prober;
   ClaimStore m_claims;
--- a/include/tamarackdrum/poison.h
+++ b/include/tamarackdrum/poison.h
@@ -76,6 +76,9 @@
   /// Returns whether requests with this fingerprint are refused.
   bool isPoisoned(Fingerprint Request, std::int64_t NowMs) const;
 
+  /// Returns the number of fingerprints that are refused.
+  std::size_t countPoisoned(std::int64_t NowMs) const;
+
   /// Notes that \p Request was in flight when \p Server crashed.
   void noteCrash(Fingerprint Request, const std::string &Server,
                  std::int64_t NowMs);
--- a/include/tamarackdrum/request-proxy.h
+++ b/include/tamarackdrum/request-proxy.h
@@ -7,6 +7,7 @@
 
 #include "tamarackdrum/http.h"
 #include "tamarackdrum/outcome.h"
+#include "tamarackdrum/poison-guard.h"
 #include "tamarackdrum/routing.h"
 #include "tamarackdrum/server-health.h"
 
@@ -25,6 +26,7 @@
   const HttpRequest &m_request;
   std::shared_ptr<const ClassRoutes> m_routes;
   RouteQuery m_query;
+  Fingerprint m_fingerprint = 0;
 };
 
 /// What one attempt, or all attempts of a call, came to.
@@ -37,8 +39,10 @@
 /// Handler of the caller address. Thread-safe.
 class RequestProxy {
 public:
-  RequestProxy(Router &Routes, HttpClient &Client, ServerHealth &Health)
-      : m_router(Routes), m_client(Client), m_health(Health) {}
+  RequestProxy(Router &Routes, HttpClient &Client, ServerHealth &Health,
+               PoisonGuard &Poison)
+      : m_router(Routes), m_client(Client), m_health(Health), m_poison(Poison) {
+  }
 
   /// Answers one request, whatever happens to it.
   boost::asio::awaitable<HttpResponse> onCall(const HttpRequest &Call);
@@ -59,6 +63,7 @@
   Router &m_router;
   HttpClient &m_client;
   ServerHealth &m_health;
+  PoisonGuard &m_poison;
   RequestCounters m_counters;
 };
 
--- a/src/adapter/control-api.cc
+++ b/src/adapter/control-api.cc
@@ -23,9 +23,10 @@
 
 ControlApi::ControlApi(const Settings &Config, asio::io_context &Workers,
                        ViewKeeper &Keeper, const Router &Routes,
-                       const RequestProxy &Proxy, const Metrics &Recorded)
+                       const RequestProxy &Proxy, PoisonGuard &Poison,
+                       const Metrics &Recorded)
     : m_settings(Config), m_workers(Workers), m_keeper(Keeper),
-      m_router(Routes), m_proxy(Proxy), m_metrics(Recorded),
+      m_router(Routes), m_proxy(Proxy), m_poison(Poison), m_metrics(Recorded),
       m_operatorPool(OperatorThreads) {
   addMethods();
 }
@@ -37,6 +38,13 @@
   m_peerRpc.addMethod("install", [this](const Json::Value &Parameters) {
     return rpcInstall(Parameters);
   });
+  m_peerRpc.addMethod(
+      "evidence", [this](const Json::Value &Parameters) -> Result<Json::Value> {
+        const std::error_code Error = m_poison.receive(Parameters);
+        if (Error)
+          return Error;
+        return Json::Value(Json::objectValue);
+      });
   m_operatorRpc.addMethod("change", [this](const Json::Value &Parameters) {
     return rpcChange(Parameters);
   });
@@ -147,6 +155,7 @@
   Out["answered"] = Json::UInt64(Counters.m_answered.load());
   Out["not_run"] = Json::UInt64(Counters.m_notRun.load());
   Out["unknown"] = Json::UInt64(Counters.m_unknown.load());
+  Out["poisoned"] = Json::UInt64(m_poison.countRefused());
   if (Status.m_view)
     Out["view"] = toJson(*Status.m_view);
   return Out;
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -44,7 +44,10 @@
       m_keeper(m_settings, makeIncarnation(), Workers, Table, Hosts, PeerClient,
                m_router,
                [this] { return m_health.suspects(BootClock::now()); }),
-      m_proxy(m_router, ServerClient, m_health),
+      m_poison(Workers, PoisonPolicy(),
+               {PeerClient, [this] { return m_keeper.view(); },
+                m_settings.m_name, m_settings.m_sharedKey}),
+      m_proxy(m_router, ServerClient, m_health, m_poison),
       m_prober(
           Workers, ServerClient, [this] { return m_keeper.view(); },
           m_settings.m_name, m_health),
@@ -53,7 +56,8 @@
       m_onceOnly(
           m_router, m_claims,
           [this](const HttpRequest &Call) { return m_proxy.onCall(Call); }),
-      m_control(m_settings, Workers, m_keeper, m_router, m_proxy, m_metrics),
+      m_control(m_settings, Workers, m_keeper, m_router, m_proxy, m_poison,
+                m_metrics),
       m_callerServer(
           Workers, parseEndpoint(m_settings.m_callerAddress).value(),
           HttpLimits{},
@@ -70,6 +74,7 @@
   m_keeper.start();
   m_prober.start();
   m_claims.startSweep();
+  m_poison.start();
   asio::co_spawn(asio::make_strand(m_workers), sampleLoop(), asio::detached);
 }
 
@@ -77,6 +82,7 @@
   m_stopping = true;
   m_keeper.noteStop();
   m_prober.beginStop();
+  m_poison.beginStop();
   m_callerServer.stop();
 }
 
--- a/src/adapter/request-proxy.cc
+++ b/src/adapter/request-proxy.cc
@@ -135,6 +135,9 @@
   if (!Time)
     return Time.error();
   Out.m_query.m_deadline = Now + Time.value();
+  const std::string_view Method(Call.method_string().data(),
+                                Call.method_string().size());
+  Out.m_fingerprint = fingerprintOf(Method, Target, Call.body());
   return Out;
 }
 
@@ -175,6 +178,8 @@
 }
 
 asio::awaitable<Exchange> RequestProxy::attempt(const AdmittedCall &Call) {
+  if (m_poison.refuses(Call.m_fingerprint))
+    co_return notRun(RouteErrc::Poisoned);
   Result<Dispatch> Granted = m_router.decide(Call.m_query, BootClock::now());
   if (!Granted)
     co_return notRun(Granted.error());
@@ -206,6 +211,14 @@
     Granted.complete();
   else
     Granted.abandon();
+  if (Reply) {
+    m_poison.noteAnswered(Call.m_fingerprint);
+  } else if (Reply.error() == HttpErrc::ReplyTorn ||
+             Reply.error() == HttpErrc::SendFailed) {
+    const std::string Broken = Out.m_server;
+    const Endpoint Address = Server.value();
+    co_await m_poison.noteBroken(Call.m_fingerprint, Broken, Address);
+  }
   if (Reply)
     Out.m_reply = std::move(Reply).value();
   noteHealth(Out, Call.m_routes->m_target,
--- a/src/core/poison.cc
+++ b/src/core/poison.cc
@@ -99,6 +99,15 @@
   return Found != m_entries.end() && isEnough(Found->second, NowMs, m_policy);
 }
 
+std::size_t PoisonRegistry::countPoisoned(std::int64_t NowMs) const {
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  return static_cast<std::size_t>(std::count_if(
+      m_entries.begin(), m_entries.end(),
+      [&](const std::pair<const Fingerprint, PoisonEvidence> &Entry) {
+        return isEnough(Entry.second, NowMs, m_policy);
+      }));
+}
+
 void PoisonRegistry::noteCrash(Fingerprint Request, const std::string &Server,
                                std::int64_t NowMs) {
   PoisonEvidence Evidence;
--- a/test/process/request-test.cc
+++ b/test/process/request-test.cc
@@ -45,7 +45,12 @@
     m_router.install(assignSlices(m_view));
     m_router.setLease(BootClock::now() + Millis(600000), 1);
     m_client.emplace(Limits);
-    m_proxy.emplace(m_router, *m_client, m_health);
+    m_poison.emplace(m_context, PoisonPolicy(),
+                     PeerAccess{*m_client, [] { return ViewPtr(); }, {}, {}},
+                     [](Endpoint) -> boost::asio::awaitable<bool> {
+                       co_return false; // Connections of probes would count.
+                     });
+    m_proxy.emplace(m_router, *m_client, m_health, *m_poison);
     m_server.emplace(
         m_context, Endpoint(boost::asio::ip::address_v4::loopback(), 0),
         HttpLimits{},
@@ -83,6 +88,7 @@
   Router m_router;
   ServerHealth m_health;
   std::optional<HttpClient> m_client;
+  std::optional<PoisonGuard> m_poison;
   std::optional<RequestProxy> m_proxy;
   std::optional<HttpServer> m_server;
   std::thread m_thread;
