--- a/src/adapter/control-api.cc
+++ b/src/adapter/control-api.cc
@@ -25,9 +25,10 @@
 
 ControlApi::ControlApi(const Settings &Config, asio::io_context &Workers,
                        ViewKeeper &Keeper, Router &Routes,
-                       const RequestProxy &Proxy, const Metrics &Recorded)
+                       const RequestProxy &Proxy, PoisonGuard &Poison,
+                       const Metrics &Recorded)
     : m_settings(Config), m_workers(Workers), m_keeper(Keeper),
-      m_router(Routes), m_proxy(Proxy), m_metrics(Recorded),
+      m_router(Routes), m_proxy(Proxy), m_poison(Poison), m_metrics(Recorded),
       m_operatorPool(OperatorThreads) {
   addMethods();
 }
@@ -42,6 +43,13 @@
   m_peerRpc.addMethod("loads", [this](const Json::Value &Parameters) {
     return rpcLoads(Parameters);
   });
+  m_peerRpc.addMethod(
+      "evidence", [this](const Json::Value &Parameters) -> Result<Json::Value> {
+        const std::error_code Error = m_poison.receive(Parameters);
+        if (Error)
+          return Error;
+        return Json::Value(Json::objectValue);
+      });
   m_operatorRpc.addMethod("change", [this](const Json::Value &Parameters) {
     return rpcChange(Parameters);
   });
@@ -169,6 +177,7 @@
   Out["answered"] = Json::UInt64(Counters.m_answered.load());
   Out["not_run"] = Json::UInt64(Counters.m_notRun.load());
   Out["unknown"] = Json::UInt64(Counters.m_unknown.load());
+  Out["poisoned"] = Json::UInt64(m_poison.countRefused());
   if (Status.m_view)
     Out["view"] = toJson(*Status.m_view);
   return Out;
