--- a/test/core/rebalance-test.cc
+++ b/test/core/rebalance-test.cc
@@ -144,6 +144,13 @@
   }
 }
 
+TEST(AddLoadsTest, Reports_OfTwoProcesses_AreSummed) {
+  ClassLoads Sum{{"stock", {1, 2}, {{7, 1}}}};
+  addLoads(Sum, {{"stock", {3, 4}, {{7, 2}}}, {"status", {1}, {}}});
+  EXPECT_EQ(Sum[0].m_slices, (std::vector<std::uint64_t>{4, 6}));
+  EXPECT_EQ(Sum.size(), 2U);
+}
+
 /// Finds a key in slice 0.
 std::string keyOfFirstSlice() {
   for (int I = 0;; ++I)
