--- a/include/tamarackdrum/settings.h
+++ b/include/tamarackdrum/settings.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_SETTINGS_H
 
 #include "tamarackdrum/claim-batcher.h"
+#include "tamarackdrum/declaration-check.h"
 #include "tamarackdrum/view-lease.h"
 
 #include <string>
@@ -12,15 +13,6 @@
 
 namespace tamarackdrum {
 
-/// One fault of a settings file.
-struct SettingsFault {
-  std::string m_path;     ///< JSON path, e.g. "$.lease.renew_ms".
-  std::string m_found;    ///< What the file has there.
-  std::string m_expected; ///< What would be accepted.
-
-  bool operator==(const SettingsFault &) const = default;
-};
-
 /// Settings of one process.
 struct Settings {
   std::string m_name;
@@ -33,6 +25,7 @@
   Millis m_stopTimeout{5000};
   Millis m_tablePollInterval{1000};
   Millis m_tableTimeout{1000};
+  Millis m_loadWindow{5000}; ///< Length of one window of load counts.
   bool m_allowFaults = false; ///< Enables the fault switches used in tests.
   LeaseTiming m_lease;
   ClaimSettings m_claims;
--- a/src/adapter/view-keeper.cc
+++ b/src/adapter/view-keeper.cc
@@ -314,7 +314,7 @@
   while (BootClock::now() < Limit) {
     {
       const std::lock_guard<std::mutex> Lock(m_leaseMutex);
-      if (m_lease.isPromisedByMajority(Wanted))
+      if (m_lease.isPromisedByMajority(Wanted, BootClock::now()))
         co_return std::error_code();
     }
     co_await sleepFor(InForcePoll);
--- a/src/app/ctl-commands.cc
+++ b/src/app/ctl-commands.cc
@@ -1,5 +1,7 @@
 #include "ctl-commands.h"
 
+#include "tamarackdrum/declaration-check.h"
+#include "tamarackdrum/error.h"
 #include "tamarackdrum/report-json.h"
 #include "tamarackdrum/report-page.h"
 #include "tamarackdrum/view-diff.h"
@@ -69,44 +71,69 @@
   return ExitDone;
 }
 
+/// Prints \p Faults and returns whether there is any.
+bool printFaults(const std::string &File, const SettingsFaults &Faults) {
+  for (const SettingsFault &Fault : Faults)
+    std::cerr << File << ": " << Fault.m_path << ": found " << Fault.m_found
+              << ", expected " << Fault.m_expected << '\n';
+  return !Faults.empty();
+}
+
+/// Returns the array \p Member of the object that a file holds.
 std::optional<Json::Value> readFile(const std::string &Name,
                                     const char *Member) {
   std::ifstream File(Name);
+  if (!File) {
+    std::cerr << Name << ": cannot be read\n";
+    return std::nullopt;
+  }
   std::ostringstream Text;
   Text << File.rdbuf();
   const Result<Json::Value> Parsed = parseJson(Text.str());
-  if (File && Parsed && Parsed.value().isObject() &&
-      Parsed.value()[Member].isArray())
-    return Parsed.value()[Member];
-  std::cerr << Name << ": expected a JSON object with an array \"" << Member
-            << "\"\n";
-  return std::nullopt;
+  SettingsFaults Faults;
+  if (!Parsed || !Parsed.value().isObject())
+    Faults.push_back({"$", "text that is not a JSON object", "an object"});
+  else
+    for (const std::string &Found : Parsed.value().getMemberNames())
+      if (Found != Member)
+        Faults.push_back(
+            {"$." + Found, toText(Parsed.value()[Found]), "no such member"});
+  if (printFaults(Name, Faults))
+    return std::nullopt;
+  return Parsed.value()[Member];
 }
 
-std::optional<std::vector<ClassTarget>> readClasses(const Json::Value &Items) {
-  std::vector<ClassTarget> Out;
-  for (const Json::Value &Item : Items) {
-    const Result<ClassTarget> Target = classFromJson(Item);
-    if (!Target) {
-      std::cerr << "not a class: " << toText(Item) << '\n';
-      return std::nullopt;
-    }
-    Out.push_back(Target.value());
-  }
-  return Out;
+/// Reads and checks the classes of a file. The longest deadline is that of
+/// the processes.
+std::optional<std::vector<ClassTarget>> readClassFile(const std::string &Name,
+                                                      Millis MaxDeadline) {
+  const std::optional<Json::Value> Items = readFile(Name, "classes");
+  if (!Items)
+    return std::nullopt;
+  SettingsFaults Faults;
+  const std::vector<ClassTarget> Classes =
+      readClasses(*Items, "$.classes", MaxDeadline, Faults);
+  if (printFaults(Name, Faults))
+    return std::nullopt;
+  return Classes;
+}
+
+Millis maxDeadlineOf(const Json::Value &Status) {
+  return Millis(Status["max_dispatch_ms"].asInt64());
 }
 
 int diffClassFile(const CtlOptions &Line) {
-  const std::optional<Json::Value> Items = readFile(Line.m_words[2], "classes");
-  if (!Items)
-    return ExitUsage;
-  const std::optional<std::vector<ClassTarget>> Classes = readClasses(*Items);
-  if (!Classes)
-    return ExitUsage;
   OperatorClient Client = makeClient(Line);
-  const Result<View> Current = fetchView(Client);
+  const Result<Json::Value> Status = Client.call("status", NoParameters);
+  if (!Status)
+    return printError(Status.error(), {});
+  const Result<View> Current = viewFromJson(Status.value()["view"]);
   if (!Current)
-    return printError(Current.error(), {});
+    return printError(ChangeErrc::TableUnavailable, {});
+  const std::optional<std::vector<ClassTarget>> Classes =
+      readClassFile(Line.m_words[2], maxDeadlineOf(Status.value()));
+  if (!Classes)
+    return ExitUsage;
   const std::vector<std::string> Lines = diffClasses(Current.value(), *Classes);
   for (const std::string &Text : Lines)
     std::cout << Text << '\n';
@@ -117,13 +144,19 @@
 }
 
 int applyClassFile(const CtlOptions &Line) {
-  const std::optional<Json::Value> Items = readFile(Line.m_words[2], "classes");
-  if (!Items || !readClasses(*Items))
+  OperatorClient Client = makeClient(Line);
+  const Result<Json::Value> Status = Client.call("status", NoParameters);
+  if (!Status)
+    return printError(Status.error(), {});
+  const std::optional<std::vector<ClassTarget>> Classes =
+      readClassFile(Line.m_words[2], maxDeadlineOf(Status.value()));
+  if (!Classes)
     return ExitUsage;
   Json::Value Parameters;
-  Parameters["classes"] = *Items;
+  Parameters["classes"] = Json::Value(Json::arrayValue);
+  for (const ClassTarget &Target : *Classes)
+    Parameters["classes"].append(toJson(Target));
   Parameters["operation"] = makeOperation();
-  OperatorClient Client = makeClient(Line);
   const Result<Json::Value> Outcome = Client.call("classes", Parameters);
   if (!Outcome)
     return printError(Outcome.error(), {});
@@ -151,14 +184,10 @@
   const std::optional<Json::Value> Items = readFile(Line.m_words[2], "servers");
   if (!Items)
     return std::nullopt;
-  for (const Json::Value &Item : *Items) {
-    const Result<ServerRecord> Server = serverFromJson(Item);
-    if (!Server) {
-      std::cerr << "not a server: " << toText(Item) << '\n';
-      return std::nullopt;
-    }
-    Out.push_back(Server.value());
-  }
+  SettingsFaults Faults;
+  Out = readServers(*Items, "$.servers", Faults);
+  if (printFaults(Line.m_words[2], Faults))
+    return std::nullopt;
   return Out;
 }
 
