--- a/include/tamarackdrum/control-api.h
+++ b/include/tamarackdrum/control-api.h
@@ -18,7 +18,7 @@
 public:
   ControlApi(const Settings &Config, boost::asio::io_context &Workers,
              ViewKeeper &Keeper, Router &Routes, const RequestProxy &Proxy,
-             const Metrics &Recorded);
+             PoisonGuard &Poison, const Metrics &Recorded);
 
   boost::asio::awaitable<HttpResponse> onControl(const HttpRequest &Call);
 
@@ -45,6 +45,7 @@
   ViewKeeper &m_keeper;
   Router &m_router;
   const RequestProxy &m_proxy;
+  PoisonGuard &m_poison;
   const Metrics &m_metrics;
   boost::asio::thread_pool m_operatorPool;
   RpcServer m_peerRpc;
--- a/include/tamarackdrum/request-proxy.h
+++ b/include/tamarackdrum/request-proxy.h
@@ -7,6 +7,7 @@
 
 #include "tamarackdrum/http.h"
 #include "tamarackdrum/outcome.h"
+#include "tamarackdrum/poison-guard.h"
 #include "tamarackdrum/routing.h"
 #include "tamarackdrum/server-health.h"
 
@@ -25,20 +26,24 @@
   const HttpRequest &m_request;
   std::shared_ptr<const ClassRoutes> m_routes;
   RouteQuery m_query;
+  Fingerprint m_fingerprint = 0;
 };
 
 /// What one attempt, or all attempts of a call, came to.
 struct Exchange {
   Verdict m_verdict;
-  HttpResponse m_reply; ///< The server's answer if the outcome is answered.
-  std::string m_server; ///< The server of the last dispatch; empty if none.
+  HttpResponse m_reply;    ///< The server's answer if the outcome is answered.
+  std::string m_server;    ///< The server of the last dispatch; empty if none.
+  bool m_hasToken = false; ///< The next dispatch is paid for already.
 };
 
 /// Handler of the caller address. Thread-safe.
 class RequestProxy {
 public:
-  RequestProxy(Router &Routes, HttpClient &Client, ServerHealth &Health)
-      : m_router(Routes), m_client(Client), m_health(Health) {}
+  RequestProxy(Router &Routes, HttpClient &Client, ServerHealth &Health,
+               PoisonGuard &Poison)
+      : m_router(Routes), m_client(Client), m_health(Health), m_poison(Poison) {
+  }
 
   /// Answers one request, whatever happens to it.
   boost::asio::awaitable<HttpResponse> onCall(const HttpRequest &Call);
@@ -49,6 +54,7 @@
   Result<AdmittedCall> admit(const HttpRequest &Call, TimePoint Now) const;
   boost::asio::awaitable<Exchange> runAttempts(AdmittedCall Call);
   boost::asio::awaitable<Exchange> attempt(const AdmittedCall &Call);
+  boost::asio::awaitable<Result<Dispatch>> obtain(const AdmittedCall &Call);
   boost::asio::awaitable<Exchange> forward(const AdmittedCall &Call,
                                            Dispatch Granted);
   bool mayRepeat(const AdmittedCall &Call, const Exchange &Last) const;
@@ -59,6 +65,7 @@
   Router &m_router;
   HttpClient &m_client;
   ServerHealth &m_health;
+  PoisonGuard &m_poison;
   RequestCounters m_counters;
 };
 
--- a/src/core/report-json.cc
+++ b/src/core/report-json.cc
@@ -24,12 +24,13 @@
   return Out;
 }
 
-Json::Value toJson(const OwnershipSample &Sample) {
+Json::Value toJson(const MoveSample &Sample) {
   Json::Value Out;
   Out["class"] = Sample.m_workClass;
-  Out["generation"] = number(Sample.m_generation);
+  Out["from"] = number(Sample.m_from);
+  Out["to"] = number(Sample.m_to);
   Out["unix_ms"] = time(Sample.m_unixMillis);
-  Out["epoch_sum"] = number(Sample.m_epochSum);
+  Out["moves"] = number(Sample.m_moves);
   return Out;
 }
 
@@ -103,10 +104,10 @@
     for (const Json::Value &Bucket : Calls[Name])
       Out.m_calls[Name].push_back({Bucket[0].asInt64(), Bucket[1].asUInt(),
                                    Bucket[2].asUInt(), Bucket[3].asUInt()});
-  for (const Json::Value &Item : Value["ownership"])
-    Out.m_ownership.push_back(
-        {Item["class"].asString(), Item["generation"].asUInt64(),
-         Item["unix_ms"].asInt64(), Item["epoch_sum"].asUInt64()});
+  for (const Json::Value &Item : Value["moves"])
+    Out.m_moves.push_back({Item["class"].asString(), Item["from"].asUInt64(),
+                           Item["to"].asUInt64(), Item["unix_ms"].asInt64(),
+                           Item["moves"].asUInt64()});
   for (const Json::Value &Item : Value["dispatches"])
     Out.m_dispatches.push_back({Item["server"].asString(),
                                 Item["unix_ms"].asInt64(),
@@ -135,7 +136,7 @@
   Out["calls"] = Json::Value(Json::objectValue);
   for (const auto &Entry : Record.m_calls)
     Out["calls"][Entry.first] = listToJson(Entry.second);
-  Out["ownership"] = listToJson(Record.m_ownership);
+  Out["moves"] = listToJson(Record.m_moves);
   Out["dispatches"] = listToJson(Record.m_dispatches);
   Out["events"] = listToJson(Record.m_events);
   return Out;
