--- a/include/tamarackdrum/routing.h
+++ b/include/tamarackdrum/routing.h
@@ -8,6 +8,7 @@
 #ifndef TAMARACKDRUM_ROUTING_H
 #define TAMARACKDRUM_ROUTING_H
 
+#include "tamarackdrum/load-counter.h"
 #include "tamarackdrum/retry-budget.h"
 #include "tamarackdrum/server-limiter.h"
 #include "tamarackdrum/view.h"
@@ -58,6 +59,7 @@
   ClassTarget m_target;
   std::shared_ptr<ClassLoad> m_load;
   int m_maxWaiting = 0; ///< Most requests that may wait for a slot.
+  std::shared_ptr<LoadCounter> m_loads; ///< Shared by all tables.
   std::vector<std::shared_ptr<SliceTerm>> m_slices;
   std::vector<std::pair<std::uint64_t, std::shared_ptr<SliceTerm>>> m_hotKeys;
   /// Terms of unkeyed dispatches, one a server that takes work.
@@ -163,6 +165,9 @@
 
   RoutingTablePtr table() const;
 
+  /// Returns the dispatches of keyed classes since the last call.
+  ClassLoads takeLoads();
+
   /// Returns the routes of a class, or null.
   std::shared_ptr<const ClassRoutes> findRoutes(std::string_view Name) const;
 
@@ -172,10 +177,6 @@
 private:
   friend class Dispatch;
 
-  struct Picked {
-    std::shared_ptr<SliceTerm> m_term;
-    bool m_isBorrowed = false;
-  };
   struct RetiredTerm {
     Generation m_retiredAt;
     std::shared_ptr<SliceTerm> m_term;
@@ -185,10 +186,19 @@
   void releaseSlot(const SliceTerm &Term) noexcept;
   void releaseTerm(SliceTerm &Term) noexcept;
   void linger(std::shared_ptr<SliceTerm> Term, TimePoint Deadline);
-  Result<Picked> pick(const ClassRoutes &Routes, const RouteQuery &Query,
-                      TimePoint Now) const;
-  Result<Picked> pickKeyed(const ClassRoutes &Routes, const RouteQuery &Query,
-                           TimePoint Now) const;
+  /// The term to dispatch under and, for keyed work, where it is counted.
+  struct PickedTerm {
+    std::shared_ptr<SliceTerm> m_term;
+    std::uint64_t m_hash = 0;
+    std::size_t m_slice = 0;
+    bool m_isIsolated = false;
+    bool m_isBorrowed = false;
+  };
+
+  Result<PickedTerm> pick(const ClassRoutes &Routes, const RouteQuery &Query,
+                          TimePoint Now) const;
+  Result<PickedTerm> pickKeyed(const ClassRoutes &Routes,
+                               const RouteQuery &Query, TimePoint Now) const;
   void dealSlots(ClassRoutes &Routes, const View &Next) const;
 
   const std::string m_ownName;
--- a/include/tamarackdrum/view-keeper.h
+++ b/include/tamarackdrum/view-keeper.h
@@ -62,8 +62,14 @@
   void adopt(ViewPtr Next, ViewSource Source);
 
   LeaseStatus status() const;
+
+  /// Returns whether this process plans for the group now.
+  bool isPlanner() const;
   ViewPtr view() const;
 
+  /// Reads the newest view from the table; an error if it cannot be read.
+  boost::asio::awaitable<std::error_code> refresh() { return readTable(); }
+
   /// Commits a change, retrying on conflicts. Errors are of ChangeErrc.
   boost::asio::awaitable<Result<ViewPtr>> commitChange(ViewChange Apply,
                                                        std::string Operation);
@@ -77,7 +83,7 @@
   boost::asio::awaitable<void> renewWith(Member Peer);
   boost::asio::awaitable<void> pushView(Member Peer, ViewPtr Next);
   boost::asio::awaitable<void> tableLoop();
-  boost::asio::awaitable<void> readTable();
+  boost::asio::awaitable<std::error_code> readTable();
   boost::asio::awaitable<void> bootstrap();
   boost::asio::awaitable<Result<CommitResult>> commitView(const View &Next);
   boost::asio::awaitable<bool> isCommitted(std::string Operation);
@@ -89,7 +95,7 @@
   std::optional<std::string> findLostMember(const View &Current,
                                             TimePoint Now) const;
   boost::asio::awaitable<void> commitPlan(const char *Step, ViewChange Apply);
-  bool isPlanner(const View &Current, TimePoint Now) const;
+  bool isPlannerLocked(const View &Current, TimePoint Now) const;
   void publishLease(TimePoint Now);
   void noteEvent(ProcessEvent Event);
   void noteEventLocked(ProcessEvent Event);
--- a/src/adapter/control-api.cc
+++ b/src/adapter/control-api.cc
@@ -1,7 +1,12 @@
 #include "tamarackdrum/control-api.h"
 
+#include "tamarackdrum/declaration-check.h"
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/group-change.h"
+#include "tamarackdrum/planner.h"
+#include "tamarackdrum/rebalance-json.h"
+#include "tamarackdrum/report-json.h"
+#include "tamarackdrum/view-diff.h"
 #include "tamarackdrum/view-json.h"
 
 #include <boost/asio.hpp>
@@ -19,8 +24,10 @@
 } // namespace
 
 ControlApi::ControlApi(const Settings &Config, asio::io_context &Workers,
-                       ViewKeeper &Keeper, const RequestProxy &Proxy)
-    : m_settings(Config), m_workers(Workers), m_keeper(Keeper), m_proxy(Proxy),
+                       ViewKeeper &Keeper, Router &Routes,
+                       const RequestProxy &Proxy, const Metrics &Recorded)
+    : m_settings(Config), m_workers(Workers), m_keeper(Keeper),
+      m_router(Routes), m_proxy(Proxy), m_metrics(Recorded),
       m_operatorPool(OperatorThreads) {
   addMethods();
 }
@@ -32,6 +39,9 @@
   m_peerRpc.addMethod("install", [this](const Json::Value &Parameters) {
     return rpcInstall(Parameters);
   });
+  m_peerRpc.addMethod("loads", [this](const Json::Value &Parameters) {
+    return rpcLoads(Parameters);
+  });
   m_operatorRpc.addMethod("change", [this](const Json::Value &Parameters) {
     return rpcChange(Parameters);
   });
@@ -45,9 +55,14 @@
   m_operatorRpc.addMethod("status", [this](const Json::Value &Parameters) {
     return rpcStatus(Parameters);
   });
+  m_operatorRpc.addMethod("report", [this](const Json::Value &Parameters) {
+    return rpcReport(Parameters);
+  });
 }
 
 asio::awaitable<HttpResponse> ControlApi::onControl(const HttpRequest &Call) {
+  if (Call.method() == http::verb::get && Call.target() == "/metrics")
+    co_return exposeMetrics();
   const std::error_code Refused =
       checkControlCall(Call, m_settings.m_sharedKey);
   if (Refused) {
@@ -84,10 +99,19 @@
   return Json::Value(Json::objectValue);
 }
 
+Result<Json::Value> ControlApi::rpcLoads(const Json::Value & /*Parameters*/) {
+  return toJson(m_router.takeLoads());
+}
+
 Result<Json::Value> ControlApi::rpcChange(const Json::Value &Parameters) {
   const Result<ServerChange> Change = changeFromJson(Parameters);
   if (!Change)
     return std::error_code(ChangeErrc::Malformed);
+  SettingsFaults Faults;
+  if (Change.value().m_action == ServerAction::Join)
+    readServers(Parameters["servers"], "$.servers", Faults);
+  if (!Faults.empty())
+    return std::error_code(ChangeErrc::Malformed);
   return runChange(
       [&](View Next) {
         return applyServerChange(std::move(Next), Change.value());
@@ -96,13 +120,12 @@
 }
 
 Result<Json::Value> ControlApi::rpcClasses(const Json::Value &Parameters) {
-  std::vector<ClassTarget> Classes;
-  for (const Json::Value &Item : Parameters["classes"]) {
-    const Result<ClassTarget> Target = classFromJson(Item);
-    if (!Target || Target.value().m_deadline > m_settings.m_lease.m_maxDispatch)
-      return std::error_code(ChangeErrc::Malformed);
-    Classes.push_back(Target.value());
-  }
+  SettingsFaults Faults;
+  const std::vector<ClassTarget> Classes =
+      readClasses(Parameters["classes"], "$.classes",
+                  m_settings.m_lease.m_maxDispatch, Faults);
+  if (!Faults.empty())
+    return std::error_code(ChangeErrc::Malformed);
   return runChange(
       [&](View Next) { return applyClasses(std::move(Next), Classes); },
       Parameters["operation"].asString());
@@ -128,6 +151,8 @@
 Result<Json::Value> ControlApi::rpcStatus(const Json::Value & /*Parameters*/) {
   Json::Value Out;
   Out["process"] = m_settings.m_name;
+  Out["max_dispatch_ms"] =
+      Json::Int64(m_settings.m_lease.m_maxDispatch.count());
   const LeaseStatus Status = m_keeper.status();
   Out["has_lease"] = Status.m_hasLease;
   Out["state"] = toText(Status.m_state);
@@ -142,6 +167,37 @@
   return Out;
 }
 
+Result<Json::Value> ControlApi::rpcReport(const Json::Value &Parameters) {
+  const Json::Value &Since = Parameters["since_unix_ms"];
+  if (!Since.isInt64())
+    return std::error_code(ControlErrc::Malformed);
+  return toJson(m_metrics.window(Since.asInt64()));
+}
+
+HttpResponse ControlApi::exposeMetrics() const {
+  const LeaseStatus Status = m_keeper.status();
+  const ProcessGauges Gauges{
+      Status.m_hasLease, Status.m_view ? Status.m_view->m_generation : 0,
+      Status.m_settled, m_router.inFlight(), m_refused.load()};
+  return makeResponse(200,
+                      toPrometheusText(m_metrics, m_settings.m_name, Gauges),
+                      "text/plain; version=0.0.4");
+}
+
+/// Returns the committed view if \p Apply would not change what it declares,
+/// null if it would.
+asio::awaitable<Result<ViewPtr>> ControlApi::findStanding(ViewChange Apply) {
+  if (co_await m_keeper.refresh())
+    co_return std::error_code(ChangeErrc::TableUnavailable);
+  const ViewPtr Current = m_keeper.view();
+  if (!Current)
+    co_return std::error_code(ChangeErrc::TableUnavailable);
+  const Result<View> Changed =
+      Apply(nextGeneration(*Current, m_settings.m_name, ""));
+  const bool IsStanding = Changed && declaresSame(*Current, Changed.value());
+  co_return IsStanding ? Current : ViewPtr();
+}
+
 Result<Json::Value> ControlApi::runChange(ViewChange Apply,
                                           const std::string &Operation) {
   if (Operation.empty())
@@ -151,8 +207,10 @@
   asio::co_spawn(
       asio::make_strand(m_workers),
       [&]() -> asio::awaitable<void> {
-        const Result<ViewPtr> Committed =
-            co_await m_keeper.commitChange(Apply, Operation);
+        Result<ViewPtr> Committed = co_await findStanding(Apply);
+        const bool IsChange = !Committed || !Committed.value();
+        if (IsChange)
+          Committed = co_await m_keeper.commitChange(Apply, Operation);
         if (!Committed) {
           Promise.set_value(Committed.error());
           co_return;
@@ -161,6 +219,7 @@
             co_await m_keeper.awaitInForce(Committed.value()->m_generation);
         Json::Value Out;
         Out["generation"] = Json::UInt64(Committed.value()->m_generation);
+        Out["changed"] = IsChange;
         Promise.set_value(Error ? Result<Json::Value>(Error)
                                 : Result<Json::Value>(Out));
       },
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -1,5 +1,6 @@
 #include "tamarackdrum/entry-host.h"
 
+#include <boost/asio.hpp>
 #include <random>
 
 namespace asio = boost::asio;
@@ -18,10 +19,12 @@
 EntryHost::EntryHost(Settings Config, asio::io_context &Workers,
                      TableStore &Table, HostList &Hosts, HttpClient &PeerClient,
                      HttpClient &ServerClient)
-    : m_settings(std::move(Config)), m_router(m_settings.m_name),
+    : m_settings(std::move(Config)), m_workers(Workers),
+      m_metrics(m_settings.m_name, unixMillis()), m_router(m_settings.m_name),
       m_keeper(m_settings, makeIncarnation(), Workers, Table, Hosts, PeerClient,
                m_router,
                [this] { return m_health.suspects(BootClock::now()); }),
+      m_balancer(m_settings, Workers, PeerClient, m_router, m_keeper),
       m_proxy(m_router, ServerClient, m_health),
       m_prober(
           Workers, ServerClient, [this] { return m_keeper.view(); },
@@ -31,11 +34,14 @@
       m_onceOnly(
           m_router, m_claims,
           [this](const HttpRequest &Call) { return m_proxy.onCall(Call); }),
-      m_control(m_settings, Workers, m_keeper, m_proxy),
+      m_sampler(
+          m_metrics, m_keeper, m_router,
+          [this](const HttpRequest &Call) { return m_onceOnly.onCall(Call); }),
+      m_control(m_settings, Workers, m_keeper, m_router, m_proxy, m_metrics),
       m_callerServer(
           Workers, parseEndpoint(m_settings.m_callerAddress).value(),
           HttpLimits{},
-          [this](const HttpRequest &Call) { return m_onceOnly.onCall(Call); }),
+          [this](const HttpRequest &Call) { return m_sampler.onCall(Call); }),
       m_controlServer(Workers,
                       parseEndpoint(m_settings.m_controlAddress).value(),
                       HttpLimits{}, [this](const HttpRequest &Call) {
@@ -47,12 +53,15 @@
   m_controlServer.start();
   m_keeper.start();
   m_prober.start();
+  m_balancer.start();
   m_claims.startSweep();
+  asio::co_spawn(asio::make_strand(m_workers), m_sampler.run(), asio::detached);
 }
 
 void EntryHost::beginStop() {
   m_keeper.noteStop();
   m_prober.beginStop();
+  m_balancer.beginStop();
   m_callerServer.stop();
 }
 
--- a/src/adapter/request-proxy.cc
+++ b/src/adapter/request-proxy.cc
@@ -175,8 +175,12 @@
     Call.m_query.m_mayBorrow = false;
     Exchange Next = co_await attempt(Call);
     Next.m_verdict = combine(Last.m_verdict, Next.m_verdict);
-    if (Next.m_server.empty())
+    if (Next.m_server.empty()) {
+      // Nothing was dispatched, so that the token is unused.
+      Call.m_routes->m_load->m_budget.giveBack();
       Next.m_server = Failed;
+      co_return Next;
+    }
     Last = std::move(Next);
   }
   co_return Last;
--- a/src/adapter/view-keeper.cc
+++ b/src/adapter/view-keeper.cc
@@ -210,22 +210,22 @@
 
 asio::awaitable<void> ViewKeeper::tableLoop() {
   while (!m_hasLeft) {
-    co_await readTable();
+    (void)co_await readTable();
     co_await joinGroup();
     co_await sleepFor(m_settings.m_tablePollInterval);
   }
 }
 
-asio::awaitable<void> ViewKeeper::readTable() {
+asio::awaitable<std::error_code> ViewKeeper::readTable() {
   const ViewPtr Current = view();
   const Generation Known = Current ? Current->m_generation : 0;
   const TableQuery Query{ViewRow, false, Known};
   const Result<std::vector<TableRow>> Rows = co_await m_table.read(Query);
   if (!Rows)
-    co_return;
+    co_return Rows.error();
   if (Rows.value().empty() && Known == 0) {
     co_await bootstrap();
-    co_return;
+    co_return std::error_code();
   }
   ViewPtr Next;
   if (!Rows.value().empty()) {
@@ -233,10 +233,11 @@
     Result<View> Read =
         Parsed ? viewFromJson(Parsed.value()) : Result<View>(Parsed.error());
     if (!Read)
-      co_return;
+      co_return Read.error();
     Next = std::make_shared<const View>(std::move(Read).value());
   }
   adopt(std::move(Next), ViewSource::Table);
+  co_return std::error_code();
 }
 
 asio::awaitable<void> ViewKeeper::bootstrap() {
@@ -271,7 +272,7 @@
   for (int Try = 0; Try < MaxSettleTries; ++Try) {
     const Result<std::vector<TableRow>> Rows = co_await m_table.read(Query);
     if (Rows) {
-      co_await readTable();
+      (void)co_await readTable();
       const ViewPtr Current = view();
       co_return Current &&hasOperation(*Current, Operation);
     }
@@ -303,7 +304,7 @@
       co_return std::error_code(ChangeErrc::TableUnavailable);
     if (!Outcome && !co_await isCommitted(Operation))
       co_return std::error_code(ChangeErrc::TableUnavailable);
-    co_await readTable();
+    (void)co_await readTable();
   }
   co_return std::error_code(ChangeErrc::TableUnavailable);
 }
@@ -313,7 +314,7 @@
   while (BootClock::now() < Limit) {
     {
       const std::lock_guard<std::mutex> Lock(m_leaseMutex);
-      if (m_lease.isPromisedByMajority(Wanted))
+      if (m_lease.isPromisedByMajority(Wanted, BootClock::now()))
         co_return std::error_code();
     }
     co_await sleepFor(InForcePoll);
@@ -364,7 +365,8 @@
 
 /// The planner is the first member, by name, that this process hears. Two
 /// planners are harmless: each commit is conditional on the generation.
-bool ViewKeeper::isPlanner(const View &Current, TimePoint Now) const {
+/// Requires m_leaseMutex.
+bool ViewKeeper::isPlannerLocked(const View &Current, TimePoint Now) const {
   if (!m_lease.mayDispatch(Now) || !isMember(Current.m_members, self()))
     return false;
   const TimePoint Since =
@@ -376,6 +378,12 @@
   return true;
 }
 
+bool ViewKeeper::isPlanner() const {
+  const std::lock_guard<std::mutex> Lock(m_leaseMutex);
+  const ViewPtr Current = m_lease.view();
+  return Current && !m_leaving && isPlannerLocked(*Current, BootClock::now());
+}
+
 asio::awaitable<void> ViewKeeper::planLoop() {
   while (!m_hasLeft) {
     co_await plan();
@@ -391,7 +399,7 @@
     const std::lock_guard<std::mutex> Lock(m_leaseMutex);
     const ViewPtr Current = m_lease.view();
     const TimePoint Now = BootClock::now();
-    if (!Current || m_leaving || !isPlanner(*Current, Now))
+    if (!Current || m_leaving || !isPlannerLocked(*Current, Now))
       co_return;
     IsGroupSettled = !Current->m_outgoing.empty() &&
                      m_lease.settled() >= Current->m_groupChangedAt;
