--- a/src/adapter/request-proxy.cc
+++ b/src/adapter/request-proxy.cc
@@ -217,11 +217,11 @@
     co_return Granted;
   const TimePoint End =
       std::min(Call.m_query.m_deadline, BootClock::now() + MaxWait);
-  while (!Granted && Granted.error() == RouteErrc::Overloaded &&
-         BootClock::now() < End) {
+  do {
     co_await sleepFor(WaitPoll);
     Granted = m_router.decide(Call.m_query, BootClock::now());
-  }
+  } while (!Granted && Granted.error() == RouteErrc::Overloaded &&
+           BootClock::now() < End);
   co_return Granted;
 }
 
--- a/test/process/request-test.cc
+++ b/test/process/request-test.cc
@@ -7,6 +7,7 @@
 #include "tamarackdrum/planner.h"
 #include "tamarackdrum/request-proxy.h"
 
+#include <fstream>
 #include <future>
 #include <gtest/gtest.h>
 
@@ -391,5 +392,94 @@
             std::vector<std::string>{"find-0"});
 }
 
+/// Writes down a session: each call with its answer, each change between.
+class Session {
+public:
+  explicit Session(std::function<HttpResponse(const std::string &Target,
+                                              const Headers &Extra)>
+                       Call)
+      : m_call(std::move(Call)) {}
+
+  void note(const std::string &Text) { m_text += "-- " + Text + "\n"; }
+
+  void call(const std::string &Target, const Headers &Extra = {}) {
+    m_text += "> " + Target;
+    for (const Headers::value_type &Header : Extra)
+      m_text += " [" + Header.first + ": " + Header.second + "]";
+    const HttpResponse Answer = m_call(Target, Extra);
+    m_text += "\n< " + std::to_string(Answer.result_int());
+    for (const char *Name :
+         {"Tamarack-Outcome", "Tamarack-Reason", "Tamarack-Server",
+          "Retry-After", "Tamarack-Retry-After-Ms"})
+      if (Answer.find(Name) != Answer.end())
+        m_text +=
+            std::string(" [") + Name + ": " + std::string(Answer[Name]) + "]";
+    if (Answer["Tamarack-Outcome"] == "answered")
+      m_text += " " + Answer.body();
+    m_text += "\n";
+  }
+
+  const std::string &text() const { return m_text; }
+
+private:
+  const std::function<HttpResponse(const std::string &, const Headers &)>
+      m_call;
+  std::string m_text;
+};
+
+std::string readGolden(const std::string &Name) {
+  std::ifstream File(std::string(TAMARACKDRUM_GOLDEN_DIR) + "/" + Name);
+  return {std::istreambuf_iterator<char>(File), {}};
+}
+
+TEST_F(RequestTest, Session_WithFaults_EqualsTheGoldenFile) {
+  std::atomic<bool> IsShedding{false};
+  std::atomic<bool> IsTorn{false};
+  FakeServer Server([&](FakeConnection &Connection) {
+    while (const std::optional<HttpRequest> Request = Connection.read()) {
+      if (IsTorn)
+        return;
+      Connection.write(IsShedding
+                           ? answerText("", "X-Not-Run: shed\r\n", "503 Busy")
+                           : answerText(std::string(Request->target())));
+    }
+  });
+  addClass("find", false, {Server.address()});
+  addClass("order", true, {Server.address()});
+  addClass("stock", false, {"127.0.0.1:" + std::to_string(freePort())},
+           LongDeadline, true);
+  start();
+  Session Calls([this](const std::string &Target, const Headers &Extra) {
+    return call(Target, Extra);
+  });
+  const Headers Id{{"Idempotency-Key", "order-1"}};
+  Calls.note("all servers but stock-2 serve");
+  Calls.call("/find/a");
+  Calls.call("/order/a", Id);
+  Calls.call("/order/a");
+  Calls.call("/stock/sheet-1");
+  Calls.call("/stock");
+  Calls.call("/nothing/a");
+  Calls.call("/find/a", {{"Tamarack-Deadline-Ms", "0"}});
+  Calls.call("/find/a", {{"Tamarack-Deadline-Ms", "soon"}});
+  Calls.note("the servers of find and order shed");
+  IsShedding = true;
+  Calls.call("/find/a");
+  Calls.call("/order/a", Id);
+  Calls.note("they hang up after the request");
+  IsShedding = false;
+  IsTorn = true;
+  Calls.call("/find/a");
+  Calls.call("/order/a", Id);
+  Calls.note("they serve again");
+  IsTorn = false;
+  Calls.call("/find/a");
+  Calls.note("the lease of the entry host ends");
+  m_router.setLease(BootClock::now(), 1);
+  Calls.call("/find/a");
+  Calls.call("/order/a", Id);
+  EXPECT_EQ(Calls.text(), readGolden("session.txt"));
+}
+
 } // namespace
 } // namespace tamarackdrum::test
