--- a/src/adapter/request-proxy.cc
+++ b/src/adapter/request-proxy.cc
@@ -178,8 +178,12 @@
     Call.m_query.m_mayBorrow = false;
     Exchange Next = co_await attempt(Call);
     Next.m_verdict = combine(Last.m_verdict, Next.m_verdict);
-    if (Next.m_server.empty())
+    if (Next.m_server.empty()) {
+      // Nothing was dispatched, so that the token is unused.
+      Call.m_routes->m_load->m_budget.giveBack();
       Next.m_server = Failed;
+      co_return Next;
+    }
     Last = std::move(Next);
   }
   co_return Last;
@@ -218,11 +222,11 @@
     co_return Granted;
   const TimePoint End =
       std::min(Call.m_query.m_deadline, BootClock::now() + MaxWait);
-  while (!Granted && Granted.error() == RouteErrc::Overloaded &&
-         BootClock::now() < End) {
+  do {
     co_await sleepFor(WaitPoll);
     Granted = m_router.decide(Call.m_query, BootClock::now());
-  }
+  } while (!Granted && Granted.error() == RouteErrc::Overloaded &&
+           BootClock::now() < End);
   co_return Granted;
 }
 
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -336,13 +336,13 @@
     return std::error_code(RouteErrc::NoServer);
   if (const std::shared_ptr<SliceTerm> *Own =
           pickOfTwo(Routes, Query, SlotUse::Own, Now))
-    return Picked{*Own, false};
+    return PickedTerm{*Own};
   RetryBudget &Budget = Routes.m_load->m_budget;
   if (!Query.m_mayBorrow || !Budget.take())
     return std::error_code(RouteErrc::Overloaded);
   if (const std::shared_ptr<SliceTerm> *Lent =
           pickOfTwo(Routes, Query, SlotUse::Any, Now))
-    return Picked{*Lent, true};
+    return PickedTerm{*Lent, 0, 0, false, true};
   Budget.giveBack();
   return std::error_code(RouteErrc::Overloaded);
 }
