--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -5,6 +5,8 @@
 #define TAMARACKDRUM_ENTRY_HOST_H
 
 #include "tamarackdrum/control-api.h"
+#include "tamarackdrum/load-balancer.h"
+#include "tamarackdrum/metrics-sampler.h"
 #include "tamarackdrum/once-only.h"
 #include "tamarackdrum/server-health.h"
 #include "tamarackdrum/server-prober.h"
@@ -32,22 +34,19 @@
   bool hasLeft() const { return m_keeper.hasLeft(); }
 
 private:
-  boost::asio::awaitable<HttpResponse> answerCaller(const HttpRequest &Call);
-  boost::asio::awaitable<void> sampleLoop();
-  void sampleDispatches(std::int64_t Now);
-
   const Settings m_settings;
   boost::asio::io_context &m_workers;
   Metrics m_metrics;
-  std::atomic<bool> m_stopping{false};
   Router m_router;
   ServerHealth m_health;
   ViewKeeper m_keeper;
   PoisonGuard m_poison;
+  LoadBalancer m_balancer;
   RequestProxy m_proxy;
   ServerProber m_prober;
   ClaimStore m_claims;
   OnceOnlyGate m_onceOnly;
+  MetricsSampler m_sampler;
   ControlApi m_control;
   HttpServer m_callerServer;
   HttpServer m_controlServer;
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -55,6 +55,30 @@
   return Found->second;
 }
 
+/// Ends the terms of slices that a hot key has left or joined. Its dispatches
+/// in flight under such a term then count as old ones when it moves next.
+void renewChangedTerms(ClassRoutes &Routes, const ClassRoutes &Old) {
+  if (Routes.m_slices.size() != Old.m_slices.size())
+    return;
+  std::vector<std::uint64_t> Changed;
+  const auto Differs = [&](const ClassRoutes &Left, const ClassRoutes &Right) {
+    for (const auto &HotKey : Left.m_hotKeys)
+      if (!findHotKey(Right, HotKey.first))
+        Changed.push_back(HotKey.first);
+  };
+  Differs(Routes, Old);
+  Differs(Old, Routes);
+  for (const std::uint64_t Hash : Changed) {
+    std::shared_ptr<SliceTerm> &Term =
+        Routes.m_slices[sliceIndex(Hash, Routes.m_slices.size())];
+    const std::shared_ptr<SliceTerm> Fresh = std::make_shared<SliceTerm>();
+    Fresh->m_server = Term->m_server;
+    Fresh->m_epoch = Term->m_epoch;
+    Fresh->m_since = Term->m_since;
+    Term = Fresh;
+  }
+}
+
 void addKeyedTerms(ClassRoutes &Routes, const ClassAssignment &Assignment,
                    const ClassRoutes *Old, const ServerByName &Servers) {
   for (std::size_t I = 0; I < Assignment.m_slices.size(); ++I) {
@@ -68,6 +92,8 @@
         HotKey.m_hash,
         carryTerm(Old != nullptr ? findHotKey(*Old, HotKey.m_hash) : nullptr,
                   HotKey.m_slice, Servers));
+  if (Old != nullptr)
+    renewChangedTerms(Routes, *Old);
 }
 
 void addUnkeyedTerms(ClassRoutes &Routes, const ClassRoutes *Old,
@@ -173,6 +199,8 @@
     Routes.m_target = Target;
     Routes.m_budget = OldRoutes != nullptr ? OldRoutes->m_budget
                                            : std::make_shared<RetryBudget>();
+    Routes.m_loads = OldRoutes != nullptr ? OldRoutes->m_loads
+                                          : std::make_shared<LoadCounter>();
     const ClassAssignment *Assignment = findAssignment(Next, Target.m_name);
     if (Assignment != nullptr)
       addKeyedTerms(Routes, *Assignment, OldRoutes, Servers);
@@ -199,7 +227,9 @@
     if (std::binary_search(Kept.begin(), Kept.end(), Term))
       continue;
     Term->m_retired.store(true);
-    m_retired.push_back({Next.m_generation, Term});
+    // Views may have been skipped, so the owner may have changed in any
+    // generation after the old one.
+    m_retired.push_back({Old.m_generation + 1, Term});
   }
 }
 
@@ -208,24 +238,26 @@
   m_settled.store(Settled);
 }
 
-Result<std::shared_ptr<SliceTerm>> Router::pick(const ClassRoutes &Routes,
-                                                const RouteQuery &Query) const {
+Result<Router::PickedTerm> Router::pick(const ClassRoutes &Routes,
+                                        const RouteQuery &Query) const {
   if (!Routes.m_target.m_keyed) {
     if (Routes.m_servers.empty())
       return std::error_code(RouteErrc::NoServer);
-    return pickOfTwo(Routes, Query.m_excludeServer);
+    return PickedTerm{pickOfTwo(Routes, Query.m_excludeServer)};
   }
   if (Query.m_key.empty())
     return std::error_code(RouteErrc::KeyMissing);
   const std::uint64_t Hash = hashKey(Query.m_key);
+  const std::size_t Slice = sliceIndex(Hash, Routes.m_slices.size());
   std::shared_ptr<SliceTerm> Term = findHotKey(Routes, Hash);
-  if (!Term)
-    Term = Routes.m_slices[sliceIndex(Hash, Routes.m_slices.size())];
+  const bool IsIsolated = Term != nullptr;
+  if (!IsIsolated)
+    Term = Routes.m_slices[Slice];
   if (!Term->m_server || !takesWork(Term->m_server->m_record))
     return std::error_code(RouteErrc::NoServer);
   if (Term->m_since > m_settled.load(std::memory_order_acquire))
     return std::error_code(RouteErrc::SliceMoving);
-  return Term;
+  return PickedTerm{std::move(Term), Hash, Slice, IsIsolated};
 }
 
 Result<Dispatch> Router::decide(const RouteQuery &Query, TimePoint Now) {
@@ -236,11 +268,11 @@
     const auto Found = Table->m_classes.find(Query.m_workClass);
     if (Found == Table->m_classes.end())
       return std::error_code(RouteErrc::UnknownClass);
-    const Result<std::shared_ptr<SliceTerm>> Picked =
-        pick(Found->second, Query);
+    const ClassRoutes &Routes = Found->second;
+    const Result<PickedTerm> Picked = pick(Routes, Query);
     if (!Picked)
       return Picked.error();
-    const std::shared_ptr<SliceTerm> &Term = Picked.value();
+    const std::shared_ptr<SliceTerm> &Term = Picked.value().m_term;
     Term->m_inFlight.fetch_add(1);
     // install() sets m_retired before it reads m_inFlight, so that either it
     // sees this dispatch or this dispatch sees the retirement.
@@ -256,9 +288,12 @@
     }
     Term->m_server->m_load->m_dispatched.fetch_add(1,
                                                    std::memory_order_relaxed);
+    if (Routes.m_target.m_keyed)
+      Routes.m_loads->record(Picked.value().m_hash, Picked.value().m_slice,
+                             Picked.value().m_isIsolated);
     return Dispatch(
         *this, Term,
-        std::min(Query.m_deadline, Now + Found->second.m_target.m_deadline));
+        std::min(Query.m_deadline, Now + Routes.m_target.m_deadline));
   }
 }
 
@@ -304,6 +339,17 @@
   return {Table, &Found->second};
 }
 
+ClassLoads Router::takeLoads() {
+  ClassLoads Out;
+  const RoutingTablePtr Table = table();
+  if (!Table)
+    return Out;
+  for (const auto &Entry : Table->m_classes)
+    if (Entry.second.m_target.m_keyed)
+      Out.push_back(Entry.second.m_loads->take(Entry.first));
+  return Out;
+}
+
 RoutingTablePtr Router::table() const {
   const std::lock_guard<std::mutex> Lock(m_tableMutex);
   return m_table;
--- a/src/core/view-diff.cc
+++ b/src/core/view-diff.cc
@@ -87,6 +87,7 @@
     return Aligned == Other;
   };
   return Left.m_classes == Right.m_classes &&
+         Left.m_members == Right.m_members &&
          std::equal(Left.m_servers.begin(), Left.m_servers.end(),
                     Right.m_servers.begin(), Right.m_servers.end(), IsSame);
 }
