--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -336,13 +336,13 @@
     return std::error_code(RouteErrc::NoServer);
   if (const std::shared_ptr<SliceTerm> *Own =
           pickOfTwo(Routes, Query, SlotUse::Own, Now))
-    return PickedTerm{*Own};
+    return Picked{*Own, false};
   RetryBudget &Budget = Routes.m_load->m_budget;
   if (!Query.m_mayBorrow || !Budget.take())
     return std::error_code(RouteErrc::Overloaded);
   if (const std::shared_ptr<SliceTerm> *Lent =
           pickOfTwo(Routes, Query, SlotUse::Any, Now))
-    return PickedTerm{*Lent, 0, 0, false, true};
+    return Picked{*Lent, true};
   Budget.giveBack();
   return std::error_code(RouteErrc::Overloaded);
 }
