--- a/test/core/hot-keys-test.cc
+++ b/test/core/hot-keys-test.cc
@@ -1,6 +1,5 @@
 #include "tamarackdrum/hot-keys.h"
 
-#include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
 #include <rapidcheck/gtest.h>
