--- a/src/adapter/control-api.cc
+++ b/src/adapter/control-api.cc
@@ -25,9 +25,10 @@
 
 ControlApi::ControlApi(const Settings &Config, asio::io_context &Workers,
                        ViewKeeper &Keeper, Router &Routes,
-                       const RequestProxy &Proxy, const Metrics &Recorded)
+                       const RequestProxy &Proxy, PoisonGuard &Poison,
+                       const Metrics &Recorded)
     : m_settings(Config), m_workers(Workers), m_keeper(Keeper),
-      m_router(Routes), m_proxy(Proxy), m_metrics(Recorded),
+      m_router(Routes), m_proxy(Proxy), m_poison(Poison), m_metrics(Recorded),
       m_operatorPool(OperatorThreads) {
   addMethods();
 }
@@ -42,6 +43,13 @@
   m_peerRpc.addMethod("loads", [this](const Json::Value &Parameters) {
     return rpcLoads(Parameters);
   });
+  m_peerRpc.addMethod(
+      "evidence", [this](const Json::Value &Parameters) -> Result<Json::Value> {
+        const std::error_code Error = m_poison.receive(Parameters);
+        if (Error)
+          return Error;
+        return Json::Value(Json::objectValue);
+      });
   m_operatorRpc.addMethod("change", [this](const Json::Value &Parameters) {
     return rpcChange(Parameters);
   });
@@ -58,6 +66,9 @@
   m_operatorRpc.addMethod("report", [this](const Json::Value &Parameters) {
     return rpcReport(Parameters);
   });
+  m_operatorRpc.addMethod("fault", [this](const Json::Value &Parameters) {
+    return rpcFault(Parameters);
+  });
 }
 
 asio::awaitable<HttpResponse> ControlApi::onControl(const HttpRequest &Call) {
@@ -87,6 +98,8 @@
   const Result<RenewRequest> Request = renewRequestFromJson(Parameters);
   if (!Request)
     return Request.error();
+  if (m_keeper.faults().cutsFrom(Request.value().m_from))
+    return std::error_code(ControlErrc::Unreachable);
   return toJson(m_keeper.onRenew(Request.value()));
 }
 
@@ -94,6 +107,8 @@
   Result<View> Next = viewFromJson(Parameters["view"]);
   if (!Next)
     return Next.error();
+  if (m_keeper.faults().cutsFrom(Parameters.get("from", "").asString()))
+    return std::error_code(ControlErrc::Unreachable);
   m_keeper.adopt(std::make_shared<const View>(std::move(Next).value()),
                  ViewSource::Peer);
   return Json::Value(Json::objectValue);
@@ -162,6 +177,7 @@
   Out["answered"] = Json::UInt64(Counters.m_answered.load());
   Out["not_run"] = Json::UInt64(Counters.m_notRun.load());
   Out["unknown"] = Json::UInt64(Counters.m_unknown.load());
+  Out["poisoned"] = Json::UInt64(m_poison.countRefused());
   if (Status.m_view)
     Out["view"] = toJson(*Status.m_view);
   return Out;
@@ -198,6 +214,19 @@
   co_return IsStanding ? Current : ViewPtr();
 }
 
+Result<Json::Value> ControlApi::rpcFault(const Json::Value &Parameters) {
+  if (!m_settings.m_allowFaults)
+    return std::error_code(ControlErrc::Unauthorized);
+  std::set<std::string> CutTo;
+  for (const Json::Value &Name : Parameters["cut_to"])
+    CutTo.insert(Name.asString());
+  std::set<std::string> CutFrom;
+  for (const Json::Value &Name : Parameters["cut_from"])
+    CutFrom.insert(Name.asString());
+  m_keeper.faults().set(std::move(CutTo), std::move(CutFrom));
+  return Json::Value(Json::objectValue);
+}
+
 Result<Json::Value> ControlApi::runChange(ViewChange Apply,
                                           const std::string &Operation) {
   if (Operation.empty())
