--- a/bench/passthrough.cc
+++ b/bench/passthrough.cc
@@ -115,7 +115,10 @@
   Routes.setLease(BootClock::now() + std::chrono::hours(1), 1);
   ServerHealth Health;
   HttpClient ProxyClient(HttpClientLimits{});
-  RequestProxy Proxy(Routes, ProxyClient, Health);
+  boost::asio::io_context PoisonContext;
+  PoisonGuard Poison(PoisonContext, PoisonPolicy(),
+                     {ProxyClient, [] { return ViewPtr(); }, "bench", ""});
+  RequestProxy Proxy(Routes, ProxyClient, Health, Poison);
   Front Proxied([&](const HttpRequest &Call) { return Proxy.onCall(Call); });
   double PlainSum = 0;
   double ProxiedSum = 0;
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -28,7 +28,6 @@
       m_poison(Workers, PoisonPolicy(),
                {PeerClient, [this] { return m_keeper.view(); },
                 m_settings.m_name, m_settings.m_sharedKey}),
-      m_balancer(m_settings, Workers, PeerClient, m_router, m_keeper),
       m_proxy(m_router, ServerClient, m_health, m_poison),
       m_prober(
           Workers, ServerClient, [this] { return m_keeper.view(); },
