--- a/src/core/metrics.cc
+++ b/src/core/metrics.cc
@@ -4,6 +4,7 @@
 #include "tamarackdrum/planner.h"
 #include "tamarackdrum/view-diff.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/histogram/accumulators/count.hpp>
 #include <boost/histogram/axis/regular.hpp>
@@ -52,6 +53,18 @@
   return Out;
 }
 
+/// Gives the slices of \p Old that had no owner that of \p Next, since a
+/// first assignment is no move.
+void fillFirstOwners(View &Old, const View &Next) {
+  if (Old.m_assignments.empty() || Next.m_assignments.empty())
+    return;
+  std::vector<SliceRecord> &Slices = Old.m_assignments[0].m_slices;
+  const std::vector<SliceRecord> &Owners = Next.m_assignments[0].m_slices;
+  for (std::size_t I = 0; I < std::min(Slices.size(), Owners.size()); ++I)
+    if (Slices[I].m_owner.empty())
+      Slices[I].m_owner = Owners[I].m_owner;
+}
+
 /// Returns whether no server could have answered, so that the call says
 /// nothing about the service.
 bool isCallerFault(const CallSample &Sample) {
@@ -155,8 +168,10 @@
 void Metrics::recordMoves(const View &Old, const View &Next, std::int64_t Now) {
   for (const ClassAssignment &Assignment : Next.m_assignments) {
     const std::string &Class = Assignment.m_workClass;
-    const std::size_t Moves =
-        countMoves(withAssignment(Old, Class), withAssignment(Next, Class));
+    View Before = withAssignment(Old, Class);
+    const View After = withAssignment(Next, Class);
+    fillFirstOwners(Before, After);
+    const std::size_t Moves = countMoves(Before, After);
     if (Moves > 0)
       pushBounded(m_moves,
                   {Class, Old.m_generation, Next.m_generation, Now, Moves},
--- a/test/core/metrics-test.cc
+++ b/test/core/metrics-test.cc
@@ -101,6 +101,15 @@
   EXPECT_EQ(m_metrics.window(0).m_moves, Expected);
 }
 
+TEST_F(MetricsTest, RecordView_FirstOwner_IsNoMove) {
+  Metrics Fresh("entry-2", Now);
+  View Empty = stockView(1, 0);
+  Empty.m_assignments[0].m_slices[0].m_owner.clear();
+  Fresh.recordView(std::make_shared<const View>(Empty), Now);
+  Fresh.recordView(std::make_shared<const View>(stockView(2, 1)), Now + 1);
+  EXPECT_TRUE(Fresh.window(0).m_moves.empty());
+}
+
 TEST_F(MetricsTest, RecordLease_FirstLack_IsNoLoss) {
   m_metrics.recordLease(false, Now);
   EXPECT_TRUE(m_metrics.window(0).m_events.empty());
