--- a/include/tamarackdrum/control-api.h
+++ b/include/tamarackdrum/control-api.h
@@ -18,7 +18,7 @@
 public:
   ControlApi(const Settings &Config, boost::asio::io_context &Workers,
              ViewKeeper &Keeper, Router &Routes, const RequestProxy &Proxy,
-             const Metrics &Recorded);
+             PoisonGuard &Poison, const Metrics &Recorded);
 
   boost::asio::awaitable<HttpResponse> onControl(const HttpRequest &Call);
 
@@ -35,6 +35,7 @@
   HttpResponse exposeMetrics() const;
 
   boost::asio::awaitable<Result<ViewPtr>> findStanding(ViewChange Apply);
+  Result<Json::Value> rpcFault(const Json::Value &Parameters);
 
   /// Commits a change and waits until it is in force; blocks.
   Result<Json::Value> runChange(ViewChange Apply, const std::string &Operation);
@@ -44,6 +45,7 @@
   ViewKeeper &m_keeper;
   Router &m_router;
   const RequestProxy &m_proxy;
+  PoisonGuard &m_poison;
   const Metrics &m_metrics;
   boost::asio::thread_pool m_operatorPool;
   RpcServer m_peerRpc;
--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -41,6 +41,7 @@
   ServerHealth m_health;
   ViewKeeper m_keeper;
   LoadBalancer m_balancer;
+  PoisonGuard m_poison;
   RequestProxy m_proxy;
   ServerProber m_prober;
   ClaimStore m_claims;
--- a/test/process/site.h
+++ b/test/process/site.h
@@ -36,7 +36,8 @@
 /// Starts a platform stand-in at once, and hosts and servers on request.
 class Site {
 public:
-  Site() : m_platformPort(freePort()) {
+  explicit Site(bool AllowFaults = true)
+      : m_allowFaults(AllowFaults), m_platformPort(freePort()) {
     std::string Pattern =
         (std::filesystem::temp_directory_path() / "tamarackdrum-XXXXXX")
             .string();
@@ -57,6 +58,9 @@
   Site(const Site &) = delete;
   Site &operator=(const Site &) = delete;
 
+  /// Call it before startHosts().
+  void setLoadWindow(Millis Window) { m_loadWindow = Window; }
+
   void declareClass(const ClassTarget &Target) { m_classes.push_back(Target); }
 
   void addServer(const std::string &Name, const std::string &WorkClass,
@@ -205,7 +209,8 @@
     Out["platform_address"] = address(m_platformPort);
     Out["shared_key"] = SharedKey;
     Out["table_poll_ms"] = 200;
-    Out["allow_faults"] = true;
+    Out["allow_faults"] = m_allowFaults;
+    Out["load_window_ms"] = Json::Int64(m_loadWindow.count());
     Json::Value &Bootstrap = Out["bootstrap"];
     for (std::size_t I = 0; I < m_hosts.size(); ++I)
       Bootstrap["group"].append(
@@ -219,7 +224,9 @@
     return Out;
   }
 
+  const bool m_allowFaults;
   std::uint16_t m_platformPort;
+  Millis m_loadWindow{5000};
   std::string m_directory;
   std::optional<Child> m_platform;
   std::vector<ClassTarget> m_classes;
