--- a/test/process/ctl-test.cc
+++ b/test/process/ctl-test.cc
@@ -2,6 +2,7 @@
 /// The operators' command against real processes.
 
 #include "site.h"
+#include "tamarackdrum/planner.h"
 
 #include <gmock/gmock.h>
 
@@ -138,6 +139,7 @@
                         "/stock/sheet-" + std::to_string(I))
                   ->result_int(),
               200U);
+  const View Before = viewFromJson(m_site.status(0)["view"]).value();
   const std::size_t First = m_site.records(0).size();
   const std::size_t Second = m_site.records(1).size();
   ASSERT_EQ(First + Second, static_cast<std::size_t>(Calls));
@@ -152,7 +154,14 @@
   }));
   EXPECT_EQ(Class["calls"].asInt(), Calls);
   EXPECT_EQ(Class["answered"].asInt(), Calls);
-  EXPECT_EQ(Class["churn"].asInt(), 0);
+  ASSERT_EQ(ctl(controlOf(0), {"server", "recall", "stock-1"}).m_code, 0);
+  const View After = viewFromJson(m_site.status(0)["view"]).value();
+  EXPECT_GT(countMoves(Before, After), 0U);
+  EXPECT_TRUE(eventually([&] {
+    const CtlRun Run = ctl(controlOf(0), {"--json", "report"});
+    Class = parseJson(Run.m_output).value()["classes"][0];
+    return Class["churn"].asUInt64() == countMoves(Before, After);
+  }));
 }
 
 TEST_F(CtlTest, Report_WithAnUnreachableProcess_SaysSo) {
