--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -40,8 +40,8 @@
   Router m_router;
   ServerHealth m_health;
   ViewKeeper m_keeper;
-  PoisonGuard m_poison;
   LoadBalancer m_balancer;
+  PoisonGuard m_poison;
   RequestProxy m_proxy;
   ServerProber m_prober;
   ClaimStore m_claims;
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -20,14 +20,14 @@
                      TableStore &Table, HostList &Hosts, HttpClient &PeerClient,
                      HttpClient &ServerClient)
     : m_settings(std::move(Config)), m_workers(Workers),
-      m_metrics(m_settings.m_name, unixMillis()),
+      m_metrics(m_settings.m_name, unixMillis()), m_router(m_settings.m_name),
       m_keeper(m_settings, makeIncarnation(), Workers, Table, Hosts, PeerClient,
                m_router,
                [this] { return m_health.suspects(BootClock::now()); }),
+      m_balancer(m_settings, Workers, PeerClient, m_router, m_keeper),
       m_poison(Workers, PoisonPolicy(),
                {PeerClient, [this] { return m_keeper.view(); },
                 m_settings.m_name, m_settings.m_sharedKey}),
-      m_balancer(m_settings, Workers, PeerClient, m_router, m_keeper),
       m_proxy(m_router, ServerClient, m_health, m_poison),
       m_prober(
           Workers, ServerClient, [this] { return m_keeper.view(); },
@@ -66,8 +66,8 @@
 void EntryHost::beginStop() {
   m_keeper.noteStop();
   m_prober.beginStop();
-  m_poison.beginStop();
   m_balancer.beginStop();
+  m_poison.beginStop();
   m_callerServer.stop();
 }
 
--- a/src/core/slo-report.cc
+++ b/src/core/slo-report.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace tamarackdrum {
 namespace {
@@ -15,18 +16,17 @@
   return {Window.m_to - Length.count(), Window.m_to};
 }
 
-/// Returns the samples of all processes by class and generation, each with
-/// the earliest time at which a process saw it.
-std::map<std::string, std::map<Generation, OwnershipSample>>
-mergeOwnership(const std::vector<ProcessRecord> &Records) {
-  std::map<std::string, std::map<Generation, OwnershipSample>> Out;
+/// Returns the samples of all processes, those that end first and span the
+/// fewest generations first.
+std::vector<MoveSample> sortedMoves(const std::vector<ProcessRecord> &Records) {
+  std::vector<MoveSample> Out;
   for (const ProcessRecord &Record : Records)
-    for (const OwnershipSample &Sample : Record.m_ownership) {
-      const auto Placed =
-          Out[Sample.m_workClass].emplace(Sample.m_generation, Sample);
-      OwnershipSample &Kept = Placed.first->second;
-      Kept.m_unixMillis = std::min(Kept.m_unixMillis, Sample.m_unixMillis);
-    }
+    Out.insert(Out.end(), Record.m_moves.begin(), Record.m_moves.end());
+  std::sort(Out.begin(), Out.end(),
+            [](const MoveSample &Left, const MoveSample &Right) {
+              return std::tie(Left.m_to, Right.m_from, Left.m_unixMillis) <
+                     std::tie(Right.m_to, Left.m_from, Right.m_unixMillis);
+            });
   return Out;
 }
 
@@ -156,17 +156,16 @@
 
 std::vector<MoveEvent> mergeMoves(const std::vector<ProcessRecord> &Records,
                                   const ReportWindow &Window) {
+  std::map<std::string, Generation> Counted;
   std::vector<MoveEvent> Out;
-  for (const auto &Class : mergeOwnership(Records)) {
-    const OwnershipSample *Before = nullptr;
-    for (const auto &Entry : Class.second) {
-      const OwnershipSample &Sample = Entry.second;
-      if (Before != nullptr && Sample.m_epochSum > Before->m_epochSum &&
-          isWithin(Window, Sample.m_unixMillis))
-        Out.push_back({Sample.m_unixMillis, Class.first, Sample.m_generation,
-                       Sample.m_epochSum - Before->m_epochSum});
-      Before = &Sample;
-    }
+  for (const MoveSample &Sample : sortedMoves(Records)) {
+    Generation &Last = Counted[Sample.m_workClass];
+    if (Sample.m_from < Last)
+      continue;
+    Last = Sample.m_to;
+    if (isWithin(Window, Sample.m_unixMillis))
+      Out.push_back({Sample.m_unixMillis, Sample.m_workClass, Sample.m_to,
+                     Sample.m_moves});
   }
   return Out;
 }
--- a/test/core/lease-safety-test.cc
+++ b/test/core/lease-safety-test.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t Slices = 4;
 constexpr std::size_t Keys = 6;
 constexpr std::size_t Servers = 3;
+constexpr unsigned ServerSlots = 64;
+constexpr unsigned ServerConnections = 640;
 constexpr Millis TablePoll{250};
 constexpr Millis DispatchInterval{25};
 constexpr Millis LivenessLimit{3000};
@@ -181,7 +183,9 @@
     Target.m_deadline = LeaseTiming{}.m_maxDispatch;
     First.m_classes.push_back(Target);
     for (std::size_t I = 0; I < Servers; ++I)
-      First.m_servers.push_back({"stock-" + std::to_string(I), "stock", "a"});
+      // Room for every key at once: limits are not the subject.
+      First.m_servers.push_back({"stock-" + std::to_string(I), "stock", "a",
+                                 ServerSlots, ServerConnections});
     First.m_assignments.push_back(
         {"stock", std::vector<SliceRecord>(Slices), {}});
     return assignSlices(First);
