--- a/include/tamarackdrum/poison.h
+++ b/include/tamarackdrum/poison.h
@@ -27,7 +27,7 @@
   std::string m_server;
   std::int64_t m_atMs = 0; ///< Unix time.
 
-  auto operator<=>(const CrashMark &) const = default;
+  bool operator==(const CrashMark &) const = default;
 };
 
 /// What is known of one suspected fingerprint.
--- a/src/core/poison.cc
+++ b/src/core/poison.cc
@@ -3,6 +3,7 @@
 #include "tamarackdrum/error.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace tamarackdrum {
 namespace {
@@ -169,7 +170,11 @@
   std::vector<CrashMark> &Marks = Joined.m_crashes;
   Marks.insert(Marks.end(), Evidence.m_crashes.begin(),
                Evidence.m_crashes.end());
-  std::sort(Marks.begin(), Marks.end());
+  std::sort(Marks.begin(), Marks.end(),
+            [](const CrashMark &Left, const CrashMark &Right) {
+              return std::tie(Left.m_server, Left.m_atMs) <
+                     std::tie(Right.m_server, Right.m_atMs);
+            });
   Marks.erase(std::unique(Marks.begin(), Marks.end()), Marks.end());
   std::erase_if(Marks, [&](const CrashMark &Mark) {
     return Mark.m_atMs <= NowMs - m_policy.m_timeToLive.count();
