--- a/include/tamarackdrum/routing.h
+++ b/include/tamarackdrum/routing.h
@@ -34,6 +34,7 @@
 struct ClassLoad {
   RetryBudget m_budget;
   std::atomic<int> m_waiting{0}; ///< Requests that wait for a slot.
+  LoadCounter m_counter;         ///< Dispatches of keyed work.
 };
 
 /// A server as the dispatch path sees it.
@@ -59,7 +60,6 @@
   ClassTarget m_target;
   std::shared_ptr<ClassLoad> m_load;
   int m_maxWaiting = 0; ///< Most requests that may wait for a slot.
-  std::shared_ptr<LoadCounter> m_loads; ///< Shared by all tables.
   std::vector<std::shared_ptr<SliceTerm>> m_slices;
   std::vector<std::pair<std::uint64_t, std::shared_ptr<SliceTerm>>> m_hotKeys;
   /// Terms of unkeyed dispatches, one a server that takes work.
@@ -177,6 +177,13 @@
 private:
   friend class Dispatch;
 
+  struct Picked {
+    std::shared_ptr<SliceTerm> m_term;
+    bool m_isBorrowed = false;
+    std::uint64_t m_hash = 0; ///< Of the key of keyed work.
+    std::size_t m_slice = 0;
+    bool m_isIsolated = false; ///< The key has a slice of its own.
+  };
   struct RetiredTerm {
     Generation m_retiredAt;
     std::shared_ptr<SliceTerm> m_term;
@@ -186,19 +193,10 @@
   void releaseSlot(const SliceTerm &Term) noexcept;
   void releaseTerm(SliceTerm &Term) noexcept;
   void linger(std::shared_ptr<SliceTerm> Term, TimePoint Deadline);
-  /// The term to dispatch under and, for keyed work, where it is counted.
-  struct PickedTerm {
-    std::shared_ptr<SliceTerm> m_term;
-    std::uint64_t m_hash = 0;
-    std::size_t m_slice = 0;
-    bool m_isIsolated = false;
-    bool m_isBorrowed = false;
-  };
-
-  Result<PickedTerm> pick(const ClassRoutes &Routes, const RouteQuery &Query,
-                          TimePoint Now) const;
-  Result<PickedTerm> pickKeyed(const ClassRoutes &Routes,
-                               const RouteQuery &Query, TimePoint Now) const;
+  Result<Picked> pick(const ClassRoutes &Routes, const RouteQuery &Query,
+                      TimePoint Now) const;
+  Result<Picked> pickKeyed(const ClassRoutes &Routes, const RouteQuery &Query,
+                           TimePoint Now) const;
   void dealSlots(ClassRoutes &Routes, const View &Next) const;
 
   const std::string m_ownName;
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -25,7 +25,10 @@
                m_router,
                [this] { return m_health.suspects(BootClock::now()); }),
       m_balancer(m_settings, Workers, PeerClient, m_router, m_keeper),
-      m_proxy(m_router, ServerClient, m_health),
+      m_poison(Workers, PoisonPolicy(),
+               {PeerClient, [this] { return m_keeper.view(); },
+                m_settings.m_name, m_settings.m_sharedKey}),
+      m_proxy(m_router, ServerClient, m_health, m_poison),
       m_prober(
           Workers, ServerClient, [this] { return m_keeper.view(); },
           m_settings.m_name, m_health),
@@ -37,7 +40,8 @@
       m_sampler(
           m_metrics, m_keeper, m_router,
           [this](const HttpRequest &Call) { return m_onceOnly.onCall(Call); }),
-      m_control(m_settings, Workers, m_keeper, m_router, m_proxy, m_metrics),
+      m_control(m_settings, Workers, m_keeper, m_router, m_proxy, m_poison,
+                m_metrics),
       m_callerServer(
           Workers, parseEndpoint(m_settings.m_callerAddress).value(),
           HttpLimits{},
@@ -55,6 +59,7 @@
   m_prober.start();
   m_balancer.start();
   m_claims.startSweep();
+  m_poison.start();
   asio::co_spawn(asio::make_strand(m_workers), m_sampler.run(), asio::detached);
 }
 
@@ -62,6 +67,7 @@
   m_keeper.noteStop();
   m_prober.beginStop();
   m_balancer.beginStop();
+  m_poison.beginStop();
   m_callerServer.stop();
 }
 
--- a/src/app/tamarackctl.cc
+++ b/src/app/tamarackctl.cc
@@ -24,6 +24,7 @@
     "  class diff FILE                  print what apply would change\n"
     "  server join FILE                 declare the servers of FILE\n"
     "  server leave|recall|restore NAME...   change many in one commit\n"
+    "  member remove NAME...            processes that have ended for good\n"
     "  status                           processes, lease, servers\n"
     "  report                           measures of each class\n"
     "  watch                            print each new generation\n"
--- a/src/core/metrics.cc
+++ b/src/core/metrics.cc
@@ -1,6 +1,7 @@
 #include "tamarackdrum/metrics.h"
 
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/planner.h"
 #include "tamarackdrum/view-diff.h"
 
 #include <array>
@@ -20,7 +21,7 @@
 constexpr double MaxLatencySeconds = 10.0;
 constexpr std::size_t OutcomeKinds = 3;
 constexpr std::size_t MaxEvents = 2000;
-constexpr std::size_t MaxOwnershipSamples = 10000;
+constexpr std::size_t MaxMoveSamples = 10000;
 constexpr std::size_t MaxDispatchSamples = 100000;
 /// Calls of classes that no view declares are counted under this name, so
 /// that callers cannot make the metrics grow.
@@ -43,21 +44,24 @@
   Items.push_back(std::move(One));
 }
 
-std::uint64_t sumEpochs(const ClassAssignment &Assignment) {
-  std::uint64_t Sum = 0;
-  for (const SliceRecord &Slice : Assignment.m_slices)
-    Sum += Slice.m_epoch;
-  for (const HotKeyRecord &HotKey : Assignment.m_hotKeys)
-    Sum += HotKey.m_slice.m_epoch;
-  return Sum;
+/// Returns a view with one assignment of \p Current only.
+View withAssignment(const View &Current, const std::string &WorkClass) {
+  View Out;
+  if (const ClassAssignment *Found = findAssignment(Current, WorkClass))
+    Out.m_assignments.push_back(*Found);
+  return Out;
 }
 
 /// Returns whether no server could have answered, so that the call says
 /// nothing about the service.
 bool isCallerFault(const CallSample &Sample) {
-  return Sample.m_outcome == CallOutcome::NotRun &&
-         (Sample.m_reason == make_error_code(RouteErrc::KeyMissing).message() ||
-          Sample.m_reason == make_error_code(RouteErrc::IdMissing).message());
+  if (Sample.m_outcome != CallOutcome::NotRun)
+    return false;
+  for (const RouteErrc Fault : {RouteErrc::KeyMissing, RouteErrc::IdMissing,
+                                RouteErrc::DeadlineInvalid})
+    if (Sample.m_reason == make_error_code(Fault).message())
+      return true;
+  return false;
 }
 
 double toSeconds(std::chrono::nanoseconds Time) {
@@ -148,12 +152,16 @@
   }
 }
 
-void Metrics::recordOwnership(const View &Next, std::int64_t Now) {
-  for (const ClassAssignment &Assignment : Next.m_assignments)
-    pushBounded(
-        m_ownership,
-        {Assignment.m_workClass, Next.m_generation, Now, sumEpochs(Assignment)},
-        MaxOwnershipSamples);
+void Metrics::recordMoves(const View &Old, const View &Next, std::int64_t Now) {
+  for (const ClassAssignment &Assignment : Next.m_assignments) {
+    const std::string &Class = Assignment.m_workClass;
+    const std::size_t Moves =
+        countMoves(withAssignment(Old, Class), withAssignment(Next, Class));
+    if (Moves > 0)
+      pushBounded(m_moves,
+                  {Class, Old.m_generation, Next.m_generation, Now, Moves},
+                  MaxMoveSamples);
+  }
 }
 
 void Metrics::recordView(const ViewPtr &Current, std::int64_t Now) {
@@ -168,9 +176,10 @@
     if (!m_classes.contains(Target.m_name))
       m_classes.emplace(Target.m_name, std::make_unique<ClassMetrics>());
   }
-  if (m_lastView)
+  if (m_lastView) {
     recordServers(*m_lastView, *Current, Now);
-  recordOwnership(*Current, Now);
+    recordMoves(*m_lastView, *Current, Now);
+  }
   m_lastView = Current;
 }
 
@@ -208,7 +217,9 @@
       if (Bucket.m_index * BucketWidth.count() >= Since)
         Out.m_calls[Entry.first].push_back(Bucket);
   }
-  Out.m_ownership.assign(m_ownership.begin(), m_ownership.end());
+  for (const MoveSample &Sample : m_moves)
+    if (Sample.m_unixMillis >= Since)
+      Out.m_moves.push_back(Sample);
   for (const DispatchSample &Sample : m_dispatches)
     if (Sample.m_unixMillis >= Since)
       Out.m_dispatches.push_back(Sample);
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -275,8 +275,6 @@
     Routes.m_target = Target;
     Routes.m_load = OldRoutes != nullptr ? OldRoutes->m_load
                                          : std::make_shared<ClassLoad>();
-    Routes.m_loads = OldRoutes != nullptr ? OldRoutes->m_loads
-                                          : std::make_shared<LoadCounter>();
     const ClassAssignment *Assignment = findAssignment(Next, Target.m_name);
     if (Assignment != nullptr)
       addKeyedTerms(Routes, *Assignment, OldRoutes, Servers);
@@ -329,29 +327,29 @@
   m_settled.store(Settled);
 }
 
-Result<Router::PickedTerm> Router::pick(const ClassRoutes &Routes,
-                                        const RouteQuery &Query,
-                                        TimePoint Now) const {
+Result<Router::Picked> Router::pick(const ClassRoutes &Routes,
+                                    const RouteQuery &Query,
+                                    TimePoint Now) const {
   if (Routes.m_target.m_keyed)
     return pickKeyed(Routes, Query, Now);
   if (Routes.m_servers.empty())
     return std::error_code(RouteErrc::NoServer);
   if (const std::shared_ptr<SliceTerm> *Own =
           pickOfTwo(Routes, Query, SlotUse::Own, Now))
-    return PickedTerm{*Own};
+    return Picked{*Own, false};
   RetryBudget &Budget = Routes.m_load->m_budget;
   if (!Query.m_mayBorrow || !Budget.take())
     return std::error_code(RouteErrc::Overloaded);
   if (const std::shared_ptr<SliceTerm> *Lent =
           pickOfTwo(Routes, Query, SlotUse::Any, Now))
-    return PickedTerm{*Lent, 0, 0, false, true};
+    return Picked{*Lent, true};
   Budget.giveBack();
   return std::error_code(RouteErrc::Overloaded);
 }
 
-Result<Router::PickedTerm> Router::pickKeyed(const ClassRoutes &Routes,
-                                             const RouteQuery &Query,
-                                             TimePoint Now) const {
+Result<Router::Picked> Router::pickKeyed(const ClassRoutes &Routes,
+                                         const RouteQuery &Query,
+                                         TimePoint Now) const {
   if (Query.m_key.empty())
     return std::error_code(RouteErrc::KeyMissing);
   const std::uint64_t Hash = hashKey(Query.m_key);
@@ -366,7 +364,7 @@
     return std::error_code(RouteErrc::SliceMoving);
   if (!hasRoomAt(*Term, SlotUse::Any, Now))
     return std::error_code(RouteErrc::Overloaded);
-  return PickedTerm{std::move(Term), Hash, Slice, IsIsolated};
+  return Picked{std::move(Term), false, Hash, Slice, IsIsolated};
 }
 
 Result<Dispatch> Router::decide(const RouteQuery &Query, TimePoint Now) {
@@ -378,12 +376,12 @@
     if (Found == Table->m_classes.end())
       return std::error_code(RouteErrc::UnknownClass);
     const ClassRoutes &Routes = Found->second;
-    const Result<PickedTerm> Picked = pick(Routes, Query, Now);
-    if (!Picked)
-      return Picked.error();
-    const std::shared_ptr<SliceTerm> &Term = Picked.value().m_term;
+    const Result<Picked> Choice = pick(Routes, Query, Now);
+    if (!Choice)
+      return Choice.error();
+    const std::shared_ptr<SliceTerm> &Term = Choice.value().m_term;
     RetryBudget &Budget = Routes.m_load->m_budget;
-    const bool IsBorrowed = Picked.value().m_isBorrowed;
+    const bool IsBorrowed = Choice.value().m_isBorrowed;
     Term->m_inFlight.fetch_add(1);
     // install() sets m_retired before it reads m_inFlight, so that either it
     // sees this dispatch or this dispatch sees the retirement.
@@ -405,8 +403,9 @@
     Term->m_server->m_load->m_dispatched.fetch_add(1,
                                                    std::memory_order_relaxed);
     if (Routes.m_target.m_keyed)
-      Routes.m_loads->record(Picked.value().m_hash, Picked.value().m_slice,
-                             Picked.value().m_isIsolated);
+      Routes.m_load->m_counter.record(Choice.value().m_hash,
+                                      Choice.value().m_slice,
+                                      Choice.value().m_isIsolated);
     return Dispatch(
         *this, Term,
         std::min(Query.m_deadline, Now + Routes.m_target.m_deadline),
@@ -466,7 +465,7 @@
     return Out;
   for (const auto &Entry : Table->m_classes)
     if (Entry.second.m_target.m_keyed)
-      Out.push_back(Entry.second.m_loads->take(Entry.first));
+      Out.push_back(Entry.second.m_load->m_counter.take(Entry.first));
   return Out;
 }
 
