Push each view once; settle a lost commit reply by trying again

Only the committer pushes now, once to each member; a process that learns of a newer generation fetches it from one peer.

Cause 2: a commit that was delayed past the settling read, or whose replies stayed lost, was reported as table-unavailable although it could stand. The operation is tried again with its id, conditional on the generation, and what is still open after 6 s is reported as unsettled. Ruled out: reading longer (a delayed commit can land after any read).

--- a/include/tamarackdrum/error.h
+++ b/include/tamarackdrum/error.h
@@ -54,6 +54,7 @@
   NotInForce,       ///< Committed, but not yet promised by a majority.
   TableUnavailable, ///< The table service cannot be reached.
   GroupChanging,    ///< An earlier change of the group has not settled.
+  Unsettled,        ///< Sent to the table; not known whether it stands.
 };
 
 /// Failures of control calls between processes.
--- a/include/tamarackdrum/settings.h
+++ b/include/tamarackdrum/settings.h
@@ -25,7 +25,7 @@
   Millis m_stopTimeout{5000};
   Millis m_tablePollInterval{1000};
   Millis m_tableTimeout{1000};
-  Millis m_loadWindow{5000}; ///< Length of one window of load counts.
+  Millis m_loadWindow{5000};  ///< Length of one window of load counts.
   bool m_allowFaults = false; ///< Enables the fault switches used in tests.
   LeaseTiming m_lease;
   ClaimSettings m_claims;
--- a/include/tamarackdrum/view-keeper.h
+++ b/include/tamarackdrum/view-keeper.h
@@ -84,13 +84,13 @@
 
 private:
   boost::asio::awaitable<void> leaseLoop();
-  boost::asio::awaitable<void> renewWith(Member Peer);
+  boost::asio::awaitable<void> renewWith(Member Peer, bool WantsView);
+  boost::asio::awaitable<void> exchangeView(Member Peer, Generation Theirs);
   boost::asio::awaitable<void> pushView(Member Peer, ViewPtr Next);
   boost::asio::awaitable<void> tableLoop();
   boost::asio::awaitable<std::error_code> readTable();
   boost::asio::awaitable<void> bootstrap();
   boost::asio::awaitable<Result<CommitResult>> commitView(const View &Next);
-  boost::asio::awaitable<bool> isCommitted(std::string Operation);
   boost::asio::awaitable<void> joinGroup();
   boost::asio::awaitable<void> leaveGroup();
   boost::asio::awaitable<void> planLoop();
@@ -122,6 +122,9 @@
   FailureDetector m_detector;   ///< Guarded by m_leaseMutex.
   MemberWatch m_memberWatch;    ///< Guarded by m_leaseMutex.
   ProcessLifeCycle m_lifeCycle; ///< Guarded by m_leaseMutex.
+  /// Generation pushed last to each member. Guarded by m_leaseMutex.
+  std::map<std::string, Generation> m_pushed;
+  std::atomic<bool> m_isFetching{false};
   std::atomic<std::uint64_t> m_operations{0};
   std::atomic<bool> m_leaving{false};
   std::atomic<bool> m_hasLeft{false};
--- a/include/tamarackdrum/view-lease.h
+++ b/include/tamarackdrum/view-lease.h
@@ -52,6 +52,7 @@
   Generation m_generation = 0;
   /// Servers that the sender suspects to have failed.
   std::vector<std::string> m_suspects;
+  bool m_wantsView = true; ///< A newer view is to come with the reply.
 
   bool operator==(const RenewRequest &) const = default;
 };
@@ -66,7 +67,7 @@
   Generation m_promised = 0;   ///< No view older than this gets a grant.
   Generation m_drained = 0;    ///< Nothing runs under an older view there.
   Generation m_settled = 0;    ///< Settled as far as the sender knows.
-  ViewPtr m_newer;             ///< The sender's view, if newer than asked.
+  ViewPtr m_newer; ///< The sender's view, if newer than asked and wanted.
 };
 
 /// Where a view was learnt.
--- a/src/adapter/rpc.cc
+++ b/src/adapter/rpc.cc
@@ -18,7 +18,7 @@
 /// JSON-RPC codes of ChangeErrc values: ChangeErrorBase minus the value.
 constexpr int ChangeErrorBase = -32000;
 constexpr int LastChangeError =
-    ChangeErrorBase - static_cast<int>(ChangeErrc::GroupChanging);
+    ChangeErrorBase - static_cast<int>(ChangeErrc::Unsettled);
 constexpr int ControlError = -32099;
 
 /// Compares in time that does not depend on where the texts differ.
--- a/src/adapter/view-keeper.cc
+++ b/src/adapter/view-keeper.cc
@@ -23,9 +23,9 @@
 constexpr Millis LostMemberSilence{3000};
 /// Renewal intervals without a reply after which a member is not the planner.
 constexpr int PlannerSilence = 3;
-constexpr int MaxCommitTries = 64;
+/// Shorter than the time that tamarackctl waits for an answer.
+constexpr Millis CommitTimeout{6000};
 constexpr Millis SettleRetryDelay{100};
-constexpr int MaxSettleTries = 20;
 
 asio::awaitable<void> sleepFor(Millis Time) {
   asio::steady_timer Timer(co_await asio::this_coro::executor, Time);
@@ -111,7 +111,7 @@
 void ViewKeeper::announce(const ViewPtr &Current) {
   for (const Member &Peer : allMembers(*Current))
     if (Peer.m_name != m_settings.m_name)
-      asio::co_spawn(asio::make_strand(m_workers), renewWith(Peer),
+      asio::co_spawn(asio::make_strand(m_workers), renewWith(Peer, false),
                      asio::detached);
 }
 
@@ -166,7 +166,7 @@
                    m_settings.m_sharedKey, "/rpc/peer");
 }
 
-asio::awaitable<void> ViewKeeper::renewWith(Member Peer) {
+asio::awaitable<void> ViewKeeper::renewWith(Member Peer, bool WantsView) {
   if (m_faults.cutsTo(Peer.m_name))
     co_return;
   RenewRequest Request;
@@ -175,6 +175,7 @@
     Request = m_lease.makeRenew();
   }
   Request.m_suspects = m_suspects();
+  Request.m_wantsView = WantsView;
   const TimePoint SentAt = BootClock::now();
   RpcClient Client = peerClient(Peer.m_address);
   const std::string Method = "renew";
@@ -186,21 +187,50 @@
   const Result<RenewReply> Reply = renewReplyFromJson(Answer.value());
   if (!Reply || Reply.value().m_from != Peer.m_name)
     co_return;
-  ViewPtr Ahead;
+  ViewPtr Adopted;
   {
     const std::lock_guard<std::mutex> Lock(m_leaseMutex);
     const TimePoint Now = BootClock::now();
     const ViewPtr Before = m_lease.view();
     m_lease.onRenewReply(Reply.value(), Request.m_generation, SentAt, Now);
-    if (m_lease.view() != Before)
-      m_detector.noteView(*m_lease.view(), Now);
+    if (m_lease.view() != Before) {
+      Adopted = m_lease.view();
+      m_detector.noteView(*Adopted, Now);
+    }
     publishLease(Now);
+  }
+  if (Adopted)
+    announce(Adopted);
+  co_await exchangeView(Peer, Reply.value().m_generation);
+}
+
+/// Brings the views of this process and of \p Peer together. Only the
+/// committer of a view pushes it, once to each member, and only one fetch runs
+/// at a time, so that a change reaches each process about once.
+asio::awaitable<void> ViewKeeper::exchangeView(Member Peer, Generation Theirs) {
+  ViewPtr Ahead;
+  {
+    const std::lock_guard<std::mutex> Lock(m_leaseMutex);
     const ViewPtr Current = m_lease.view();
-    if (Current && Current->m_generation > Reply.value().m_generation)
+    const Generation Own = Current ? Current->m_generation : 0;
+    if (Own == Theirs)
+      co_return;
+    if (Own > Theirs) {
+      Generation &Pushed = m_pushed[Peer.m_name];
+      if (Current->m_committer != m_settings.m_name || Pushed == Own)
+        co_return;
+      Pushed = Own;
       Ahead = Current;
+    }
   }
-  if (Ahead)
+  if (Ahead) {
     co_await pushView(Peer, Ahead);
+    co_return;
+  }
+  if (m_isFetching.exchange(true))
+    co_return;
+  co_await renewWith(Peer, true);
+  m_isFetching = false;
 }
 
 asio::awaitable<void> ViewKeeper::pushView(Member Peer, ViewPtr Next) {
@@ -210,7 +240,8 @@
   Parameters["from"] = m_settings.m_name;
   Parameters["view"] = toJson(*Next);
   RpcClient Client = peerClient(Peer.m_address);
-  (void)co_await Client.call("install", Parameters, m_settings.m_lease.m_lease);
+  const std::string Method = "install";
+  (void)co_await Client.call(Method, Parameters, m_settings.m_lease.m_lease);
 }
 
 asio::awaitable<void> ViewKeeper::tableLoop() {
@@ -271,24 +302,14 @@
   co_return co_await m_table.commit(std::move(Transaction));
 }
 
-/// Reads the table until it tells whether \p Operation stands.
-asio::awaitable<bool> ViewKeeper::isCommitted(std::string Operation) {
-  const TableQuery Query{ViewRow, false, 0};
-  for (int Try = 0; Try < MaxSettleTries; ++Try) {
-    const Result<std::vector<TableRow>> Rows = co_await m_table.read(Query);
-    if (Rows) {
-      (void)co_await readTable();
-      const ViewPtr Current = view();
-      co_return Current &&hasOperation(*Current, Operation);
-    }
-    co_await sleepFor(SettleRetryDelay);
-  }
-  co_return false;
-}
-
+/// A commit whose reply was lost is settled by trying again: the operation's
+/// id is part of the view, and each try is conditional on the generation that
+/// it was made from, so that at most one of them stands.
 asio::awaitable<Result<ViewPtr>>
 ViewKeeper::commitChange(ViewChange Apply, std::string Operation) {
-  for (int Try = 0; Try < MaxCommitTries; ++Try) {
+  const TimePoint Limit = BootClock::now() + CommitTimeout;
+  bool IsUnsettled = false;
+  while (BootClock::now() < Limit) {
     const ViewPtr Current = view();
     if (!Current)
       co_return std::error_code(ChangeErrc::TableUnavailable);
@@ -298,20 +319,25 @@
         Apply(nextGeneration(*Current, m_settings.m_name, Operation));
     if (!Changed)
       co_return Changed.error();
-    const ViewPtr Next =
-        std::make_shared<const View>(assignSlices(std::move(Changed).value()));
+    View Assigned = assignSlices(std::move(Changed).value());
+    if (!hasOperation(Assigned, Operation))
+      Assigned = recordOperation(std::move(Assigned), Operation);
+    const ViewPtr Next = std::make_shared<const View>(std::move(Assigned));
     const Result<CommitResult> Outcome = co_await commitView(*Next);
     if (Outcome && Outcome.value().m_conflicts.empty()) {
       adopt(Next, ViewSource::Table);
       co_return Next;
     }
-    if (!Outcome && Outcome.error() == TableErrc::Unavailable)
-      co_return std::error_code(ChangeErrc::TableUnavailable);
-    if (!Outcome && !co_await isCommitted(Operation))
-      co_return std::error_code(ChangeErrc::TableUnavailable);
+    if (!Outcome) {
+      IsUnsettled = IsUnsettled || Outcome.error() != TableErrc::Unavailable;
+      if (!IsUnsettled)
+        break;
+      co_await sleepFor(SettleRetryDelay);
+    }
     (void)co_await readTable();
   }
-  co_return std::error_code(ChangeErrc::TableUnavailable);
+  co_return std::error_code(IsUnsettled ? ChangeErrc::Unsettled
+                                        : ChangeErrc::TableUnavailable);
 }
 
 asio::awaitable<std::error_code> ViewKeeper::awaitInForce(Generation Wanted) {
--- a/src/app/ctl-commands.cc
+++ b/src/app/ctl-commands.cc
@@ -53,6 +53,11 @@
                  "they are reached (see status)\n";
     return ExitNotInForce;
   }
+  if (Error == ChangeErrc::Unsettled) {
+    std::cerr << "not known whether the change stands: the table took it and "
+                 "its reply was lost; look at status, or repeat the command\n";
+    return ExitUnsettled;
+  }
   std::cerr << "refused: " << Error.message() << '\n';
   for (const std::string &Detail : Details)
     std::cerr << "  " << Detail << '\n';
--- a/src/app/ctl-commands.h
+++ b/src/app/ctl-commands.h
@@ -13,6 +13,7 @@
 constexpr int ExitUsage = 2;
 constexpr int ExitUnreachable = 3;
 constexpr int ExitNotInForce = 4;
+constexpr int ExitUnsettled = 5;
 
 /// Command line of tamarackctl.
 struct CtlOptions {
--- a/src/core/declaration.cc
+++ b/src/core/declaration.cc
@@ -8,7 +8,7 @@
 namespace tamarackdrum {
 namespace {
 
-constexpr std::size_t MaxRecentOperations = 256;
+constexpr std::size_t MaxRecentOperations = 128;
 
 ServerRecord *findMutable(View &Next, const std::string &Name) {
   const auto Found = std::find_if(
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -36,10 +36,11 @@
 const TableCategory<7>
     HttpCategory("http", {"ok", "connect-failed", "send-failed", "reply-torn",
                           "timed-out", "pool-exhausted", "connect-timed-out"});
-const TableCategory<8>
-    ChangeCategory("change", {"ok", "malformed", "unknown-server", "superseded",
-                              "empties-class", "not-in-force",
-                              "table-unavailable", "group-changing"});
+const TableCategory<9> ChangeCategory("change",
+                                      {"ok", "malformed", "unknown-server",
+                                       "superseded", "empties-class",
+                                       "not-in-force", "table-unavailable",
+                                       "group-changing", "unsettled"});
 const TableCategory<5> ControlCategory("control",
                                        {"ok", "unauthorized", "wrong-version",
                                         "malformed", "unreachable"});
--- a/src/core/group-change.cc
+++ b/src/core/group-change.cc
@@ -25,6 +25,8 @@
 }
 
 Result<View> addMember(View Next, const Member &Joining) {
+  if (isMember(Next.m_members, Joining))
+    return Next;
   if (hasName(Next.m_members, Joining.m_name))
     return removeMember(std::move(Next), Joining.m_name);
   if (isChanging(Next))
--- a/src/core/view-json.cc
+++ b/src/core/view-json.cc
@@ -306,6 +306,7 @@
   Out["generation"] = number(Request.m_generation);
   for (const std::string &Server : Request.m_suspects)
     Out["suspects"].append(Server);
+  Out["wants_view"] = Request.m_wantsView;
   return Out;
 }
 
--- a/src/core/view-lease.cc
+++ b/src/core/view-lease.cc
@@ -63,7 +63,7 @@
 }
 
 RenewRequest ViewLease::makeRenew() const {
-  return {m_self, m_incarnation, m_view ? m_view->m_generation : 0, {}};
+  return {m_self, m_incarnation, m_view ? m_view->m_generation : 0, {}, true};
 }
 
 RenewReply ViewLease::onRenew(const RenewRequest &Request, TimePoint Now) {
@@ -81,7 +81,7 @@
   Reply.m_promised = m_promised;
   Reply.m_drained = drained(Now);
   Reply.m_settled = m_settled;
-  if (Known > Request.m_generation)
+  if (Known > Request.m_generation && Request.m_wantsView)
     Reply.m_newer = m_view;
   return Reply;
 }
