Let a process restarted in a table outage learn the view from members

Cause: a process without a view asked nobody, and the committer pushes a view once only, so that a host restarted in a table outage stayed out. GroupTest.HostRestartedInATableOutage_ServesAgain failed first (62 s, not served) and passes now (2.2 s). It asks the members of the settings' group.

--- a/include/tamarackdrum/view-keeper.h
+++ b/include/tamarackdrum/view-keeper.h
@@ -103,7 +103,7 @@
   void publishLease(TimePoint Now);
   void noteEvent(ProcessEvent Event);
   void noteEventLocked(ProcessEvent Event);
-  void announce(const ViewPtr &Current);
+  void announce(const std::vector<Member> &Members);
   Member self() const;
   std::string makeOperation(const char *Step);
   RpcClient peerClient(const std::string &Address);
--- a/src/adapter/view-keeper.cc
+++ b/src/adapter/view-keeper.cc
@@ -103,13 +103,13 @@
   SPDLOG_INFO("view generation={} committer={} operation={}",
               Adopted->m_generation, Adopted->m_committer,
               Adopted->m_operation);
-  announce(Adopted);
+  announce(allMembers(*Adopted));
 }
 
 /// Renews with every member at once, so that a new view is promised and
 /// acknowledged without waiting for the next interval.
-void ViewKeeper::announce(const ViewPtr &Current) {
-  for (const Member &Peer : allMembers(*Current))
+void ViewKeeper::announce(const std::vector<Member> &Members) {
+  for (const Member &Peer : Members)
     if (Peer.m_name != m_settings.m_name)
       asio::co_spawn(asio::make_strand(m_workers), renewWith(Peer, false),
                      asio::detached);
@@ -145,17 +145,18 @@
 
 asio::awaitable<void> ViewKeeper::leaseLoop() {
   while (!m_hasLeft) {
-    if (const ViewPtr Current = view()) {
-      const std::vector<std::string> Suspects = m_suspects();
-      {
-        const std::lock_guard<std::mutex> Lock(m_leaseMutex);
-        const TimePoint Now = BootClock::now();
-        m_detector.report(m_settings.m_name, Suspects, Now);
-        m_lease.tick(Now);
-        publishLease(Now);
-      }
-      announce(Current);
+    const std::vector<std::string> Suspects = m_suspects();
+    {
+      const std::lock_guard<std::mutex> Lock(m_leaseMutex);
+      const TimePoint Now = BootClock::now();
+      m_detector.report(m_settings.m_name, Suspects, Now);
+      m_lease.tick(Now);
+      publishLease(Now);
     }
+    // Without a view, as after a restart in a table outage, the members that
+    // the settings name are asked for theirs.
+    const ViewPtr Current = view();
+    announce(Current ? allMembers(*Current) : m_settings.m_bootstrapGroup);
     co_await sleepFor(m_settings.m_lease.m_renewInterval);
   }
 }
@@ -200,7 +201,7 @@
     publishLease(Now);
   }
   if (Adopted)
-    announce(Adopted);
+    announce(allMembers(*Adopted));
   co_await exchangeView(Peer, Reply.value().m_generation);
 }
 
--- a/test/process/group-test.cc
+++ b/test/process/group-test.cc
@@ -49,5 +49,18 @@
   EXPECT_TRUE(eventually([&] { return groupSize(1) == 2; }));
 }
 
+TEST_F(GroupTest, HostRestartedInATableOutage_ServesAgain) {
+  ASSERT_TRUE(m_site.awaitReady());
+  ASSERT_TRUE(m_site.change(0, ServerAction::Recall, {"stock-0"}, "recall-1"));
+  ASSERT_TRUE(m_site.awaitReady());
+  m_site.platformFault(R"({"client": "*", "refuse": true})");
+  m_site.hosts()[2].m_child->kill();
+  m_site.startHost(2);
+  EXPECT_TRUE(eventually([&] {
+    const std::optional<HttpResponse> Answer = m_site.call(2, "/stock/sheet-1");
+    return Answer && Answer->result_int() == 200;
+  }));
+}
+
 } // namespace
 } // namespace tamarackdrum::test
