--- a/bench/limits-bench.cc
+++ b/bench/limits-bench.cc
@@ -121,9 +121,10 @@
   ServerLimit limitOf(int Server, std::size_t Process) const {
     if (m_setup.m_policy < LimitPolicy::FixedShares)
       return {m_setup.m_policy, Slots};
+    constexpr std::size_t AllSlots = std::size_t{Servers} * Slots;
+    const std::size_t FirstSlot = static_cast<std::size_t>(Server) * Slots;
     return {m_setup.m_policy,
-            shareOf(static_cast<std::size_t>(Server * Slots), Slots,
-                    {Servers * Slots, Process, m_processes.size()})};
+            shareOf(FirstSlot, Slots, {AllSlots, Process, m_processes.size()})};
   }
 
   void arrive() {
--- a/src/adapter/request-proxy.cc
+++ b/src/adapter/request-proxy.cc
@@ -266,7 +266,7 @@
   } else if (Reply.error() == HttpErrc::ReplyTorn ||
              Reply.error() == HttpErrc::SendFailed) {
     const std::string Broken = Out.m_server;
-    const Endpoint Address = Server.value();
+    const Endpoint &Address = Server.value();
     co_await m_poison.noteBroken(Call.m_fingerprint, Broken, Address);
   }
   if (Reply)
