--- a/test/core/routing-property-test.cc
+++ b/test/core/routing-property-test.cc
@@ -7,8 +7,9 @@
 #include "tamarackdrum/planner.h"
 #include "tamarackdrum/routing.h"
 
-#include <algorithm>
 #include <gtest/gtest.h>
+
+#include <algorithm>
 #include <rapidcheck/gtest.h>
 #include <set>
 
--- a/test/core/settings-test.cc
+++ b/test/core/settings-test.cc
@@ -5,6 +5,12 @@
 namespace tamarackdrum {
 namespace {
 
+const std::string UsedName = "a name that is not used before in this array";
+const std::string UsedAddress =
+    "an address that is not used before in this array";
+const std::string LongDeadline =
+    "a whole number from 1 to 1000 (max_dispatch_ms)";
+
 constexpr const char *Valid = R"({
   "name": "entry-1", "zone": "a", "shared_key": "0123456789",
   "caller_address": "127.0.0.1:1", "control_address": "127.0.0.1:2",
@@ -49,10 +55,8 @@
       "$.bootstrap.classes[0].keyed: true or false",
       "$.bootstrap.classes[0].weight: no such member",
       "$.bootstrap.classes[1].idempotent: false, since once_only is true",
-      "$.bootstrap.classes[2].name: a name that is not used before in this "
-      "array",
-      "$.bootstrap.classes[2].deadline_ms: a whole number from 1 to 1000 "
-      "(max_dispatch_ms)",
+      "$.bootstrap.classes[2].name: " + UsedName,
+      "$.bootstrap.classes[2].deadline_ms: " + LongDeadline,
       "$.bootstrap.classes[3].name: letters, digits, '.', '_' and '-'",
       "$.bootstrap.classes[3].availability: a number above 0 and below 1",
       "$.bootstrap.classes[3].prefer: \"availability\" or \"stability\"",
@@ -72,10 +76,8 @@
   const std::vector<std::string> Expected = {
       "$.bootstrap.servers[0].address: an address, \"IP:PORT\"",
       "$.bootstrap.servers[0].slots: a whole number from 1 to 1000",
-      "$.bootstrap.servers[2].name: a name that is not used before in this "
-      "array",
-      "$.bootstrap.servers[2].address: an address that is not used before in "
-      "this array",
+      "$.bootstrap.servers[2].name: " + UsedName,
+      "$.bootstrap.servers[2].address: " + UsedAddress,
       "$.bootstrap.servers[3].slots: a whole number, 0 or more",
       "$.bootstrap.servers[1].class: a declared class"};
   EXPECT_EQ(Faults, Expected);
