--- a/include/tamarackdrum/metrics.h
+++ b/include/tamarackdrum/metrics.h
@@ -46,6 +46,9 @@
   bool operator==(const CallBucket &) const = default;
 };
 
+/// Calls of each class, in time order.
+using CallsByClass = std::map<std::string, std::vector<CallBucket>>;
+
 /// Owner changes of a keyed class between two views that a process had one
 /// after the other.
 struct MoveSample {
@@ -84,7 +87,7 @@
 struct ProcessRecord {
   std::string m_process;
   std::int64_t m_startUnixMillis = 0; ///< When the process began to record.
-  std::map<std::string, std::vector<CallBucket>> m_calls; ///< By class.
+  CallsByClass m_calls;
   std::vector<MoveSample> m_moves;
   std::vector<DispatchSample> m_dispatches;
   std::vector<TimelineEvent> m_events;
@@ -154,6 +157,8 @@
 
 private:
   struct ClassMetrics;
+  using ClassMap =
+      std::map<std::string, std::unique_ptr<ClassMetrics>, std::less<>>;
 
   ClassMetrics &classMetrics(std::string_view WorkClass);
   void recordServers(const View &Old, const View &Next, std::int64_t Now);
@@ -163,7 +168,7 @@
   const std::string m_process;
   const std::int64_t m_start;
   mutable std::shared_mutex m_mutex;
-  std::map<std::string, std::unique_ptr<ClassMetrics>, std::less<>> m_classes;
+  ClassMap m_classes;
   std::map<std::string, Millis, std::less<>> m_targets; ///< Latency targets.
   ViewPtr m_lastView;
   std::optional<bool> m_lastLease;
--- a/include/tamarackdrum/routing.h
+++ b/include/tamarackdrum/routing.h
@@ -55,13 +55,16 @@
   std::atomic<bool> m_retired{false};
 };
 
+/// Term of a key that has a slice of its own, by the hash of the key.
+using HotKeyTerm = std::pair<std::uint64_t, std::shared_ptr<SliceTerm>>;
+
 /// Routes of one class. Unkeyed classes use `m_servers` only.
 struct ClassRoutes {
   ClassTarget m_target;
   std::shared_ptr<ClassLoad> m_load;
   int m_maxWaiting = 0; ///< Most requests that may wait for a slot.
   std::vector<std::shared_ptr<SliceTerm>> m_slices;
-  std::vector<std::pair<std::uint64_t, std::shared_ptr<SliceTerm>>> m_hotKeys;
+  std::vector<HotKeyTerm> m_hotKeys;
   /// Terms of unkeyed dispatches, one a server that takes work.
   std::vector<std::shared_ptr<SliceTerm>> m_servers;
 };
@@ -74,11 +77,13 @@
   }
 };
 
+using ClassRouteMap =
+    std::unordered_map<std::string, ClassRoutes, NameHash, std::equal_to<>>;
+
 /// Immutable routes of one view.
 struct RoutingTable {
   Generation m_generation = 0;
-  std::unordered_map<std::string, ClassRoutes, NameHash, std::equal_to<>>
-      m_classes;
+  ClassRouteMap m_classes;
 };
 
 using RoutingTablePtr = std::shared_ptr<const RoutingTable>;
--- a/include/tamarackdrum/slo-report.h
+++ b/include/tamarackdrum/slo-report.h
@@ -69,8 +69,8 @@
   std::vector<std::string> m_partial;
   std::vector<ClassReport> m_classes;
   std::vector<MoveEvent> m_moves;
-  std::vector<TimelineEvent> m_events;                    ///< Sorted by time.
-  std::map<std::string, std::vector<CallBucket>> m_calls; ///< By class.
+  std::vector<TimelineEvent> m_events; ///< Sorted by time.
+  CallsByClass m_calls;
 
   bool operator==(const SloReport &) const = default;
 };
--- a/src/adapter/metrics-sampler.cc
+++ b/src/adapter/metrics-sampler.cc
@@ -20,7 +20,8 @@
 }
 
 CallOutcome outcomeOf(const HttpResponse &Answer) {
-  const auto Text = Answer["Tamarack-Outcome"];
+  const std::string_view Text(Answer["Tamarack-Outcome"].data(),
+                              Answer["Tamarack-Outcome"].size());
   for (const CallOutcome Kind : {CallOutcome::Answered, CallOutcome::NotRun})
     if (Text == toText(Kind))
       return Kind;
@@ -61,7 +62,7 @@
   if (!Table)
     return;
   std::map<std::string, std::uint64_t> Counts;
-  for (const auto &Entry : Table->m_classes)
+  for (const ClassRouteMap::value_type &Entry : Table->m_classes)
     for (const std::vector<std::shared_ptr<SliceTerm>> *Terms :
          {&Entry.second.m_servers, &Entry.second.m_slices})
       for (const std::shared_ptr<SliceTerm> &Term : *Terms)
--- a/src/core/metrics.cc
+++ b/src/core/metrics.cc
@@ -226,7 +226,7 @@
 ProcessRecord Metrics::window(std::int64_t Since) const {
   const std::shared_lock<std::shared_mutex> Lock(m_mutex);
   ProcessRecord Out{m_process, m_start};
-  for (const auto &Entry : m_classes) {
+  for (const ClassMap::value_type &Entry : m_classes) {
     const std::lock_guard<std::mutex> ClassLock(Entry.second->m_mutex);
     for (const CallBucket &Bucket : Entry.second->m_buckets)
       if (Bucket.m_index * BucketWidth.count() >= Since)
@@ -247,10 +247,11 @@
 std::vector<OutcomeCount> Metrics::outcomes() const {
   const std::shared_lock<std::shared_mutex> Lock(m_mutex);
   std::vector<OutcomeCount> Out;
-  for (const auto &Entry : m_classes) {
+  for (const ClassMap::value_type &Entry : m_classes) {
     const std::lock_guard<std::mutex> ClassLock(Entry.second->m_mutex);
     for (std::size_t Kind = 0; Kind < OutcomeKinds; ++Kind)
-      for (const auto &Count : Entry.second->m_counts[Kind])
+      for (const std::pair<const std::string, std::uint64_t> &Count :
+           Entry.second->m_counts[Kind])
         Out.push_back({Entry.first, static_cast<CallOutcome>(Kind), Count.first,
                        Count.second});
   }
@@ -260,7 +261,7 @@
 std::vector<LatencySnapshot> Metrics::latencies() const {
   const std::shared_lock<std::shared_mutex> Lock(m_mutex);
   std::vector<LatencySnapshot> Out;
-  for (const auto &Entry : m_classes) {
+  for (const ClassMap::value_type &Entry : m_classes) {
     const std::lock_guard<std::mutex> ClassLock(Entry.second->m_mutex);
     for (std::size_t Kind = 0; Kind < OutcomeKinds; ++Kind) {
       const LatencyHistogram &Latency = Entry.second->m_latency[Kind];
--- a/src/core/rebalance.cc
+++ b/src/core/rebalance.cc
@@ -174,7 +174,8 @@
   }
 
   void isolateHot() {
-    for (const auto &Entry : m_streaks.m_keys) {
+    for (const std::pair<const std::uint64_t, KeyStreak> &Entry :
+         m_streaks.m_keys) {
       const std::uint64_t Hash = Entry.first;
       if (Entry.second.m_hot < m_policy.m_windows || !isOverloaded(Hash) ||
           m_assignment.m_hotKeys.size() >= MaxHotKeys)
--- a/src/core/report-json.cc
+++ b/src/core/report-json.cc
@@ -134,7 +134,7 @@
   Out["process"] = Record.m_process;
   Out["start_unix_ms"] = time(Record.m_startUnixMillis);
   Out["calls"] = Json::Value(Json::objectValue);
-  for (const auto &Entry : Record.m_calls)
+  for (const CallsByClass::value_type &Entry : Record.m_calls)
     Out["calls"][Entry.first] = listToJson(Entry.second);
   Out["moves"] = listToJson(Record.m_moves);
   Out["dispatches"] = listToJson(Record.m_dispatches);
--- a/src/core/report-page.cc
+++ b/src/core/report-page.cc
@@ -200,7 +200,7 @@
   Out << "<svg viewBox=\"0 0 " << ChartWidth << ' ' << Lanes * LaneHeight + 24
       << "\" width=\"100%\" font-family=\"sans-serif\" font-size=\"13\">\n";
   int Lane = 0;
-  for (const auto &Entry : Report.m_calls) {
+  for (const CallsByClass::value_type &Entry : Report.m_calls) {
     printLaneName(Out, Lane, Entry.first);
     printCalls(Out, Report, Lane, Entry.second);
     ++Lane;
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -62,7 +62,7 @@
     return;
   std::vector<std::uint64_t> Changed;
   const auto Differs = [&](const ClassRoutes &Left, const ClassRoutes &Right) {
-    for (const auto &HotKey : Left.m_hotKeys)
+    for (const HotKeyTerm &HotKey : Left.m_hotKeys)
       if (!findHotKey(Right, HotKey.first))
         Changed.push_back(HotKey.first);
   };
@@ -114,11 +114,11 @@
 
 void collectTerms(const RoutingTable &Table,
                   std::vector<std::shared_ptr<SliceTerm>> &Terms) {
-  for (const auto &Entry : Table.m_classes) {
+  for (const ClassRouteMap::value_type &Entry : Table.m_classes) {
     const ClassRoutes &Routes = Entry.second;
     Terms.insert(Terms.end(), Routes.m_slices.begin(), Routes.m_slices.end());
     Terms.insert(Terms.end(), Routes.m_servers.begin(), Routes.m_servers.end());
-    for (const auto &HotKey : Routes.m_hotKeys)
+    for (const HotKeyTerm &HotKey : Routes.m_hotKeys)
       Terms.push_back(HotKey.second);
   }
   std::sort(Terms.begin(), Terms.end());
@@ -463,7 +463,7 @@
   const RoutingTablePtr Table = table();
   if (!Table)
     return Out;
-  for (const auto &Entry : Table->m_classes)
+  for (const ClassRouteMap::value_type &Entry : Table->m_classes)
     if (Entry.second.m_target.m_keyed)
       Out.push_back(Entry.second.m_load->m_counter.take(Entry.first));
   return Out;
