--- a/include/tamarackdrum/request-proxy.h
+++ b/include/tamarackdrum/request-proxy.h
@@ -58,6 +58,8 @@
   boost::asio::awaitable<Exchange> forward(const AdmittedCall &Call,
                                            Dispatch Granted);
   bool mayRepeat(const AdmittedCall &Call, const Exchange &Last) const;
+  boost::asio::awaitable<void> noteBroken(const AdmittedCall &Call,
+                                          std::string Server, Endpoint Address);
   void noteHealth(const Exchange &Done, const ClassTarget &Target,
                   Millis TimeGiven);
   void count(Outcome Value);
--- a/src/adapter/request-proxy.cc
+++ b/src/adapter/request-proxy.cc
@@ -265,9 +265,7 @@
     m_poison.noteAnswered(Call.m_fingerprint);
   } else if (Reply.error() == HttpErrc::ReplyTorn ||
              Reply.error() == HttpErrc::SendFailed) {
-    const std::string Broken = Out.m_server;
-    const Endpoint &Address = Server.value();
-    co_await m_poison.noteBroken(Call.m_fingerprint, Broken, Address);
+    co_await noteBroken(Call, Out.m_server, Server.value());
   }
   if (Reply)
     Out.m_reply = std::move(Reply).value();
@@ -276,6 +274,20 @@
   co_return Out;
 }
 
+/// Waits for the evidence of a crash only if the request may be dispatched
+/// again; otherwise its caller gets the final answer at once.
+asio::awaitable<void> RequestProxy::noteBroken(const AdmittedCall &Call,
+                                               std::string Server,
+                                               Endpoint Address) {
+  asio::awaitable<void> Noting =
+      m_poison.noteBroken(Call.m_fingerprint, std::move(Server), Address);
+  if (Call.m_routes->m_target.m_idempotent)
+    co_await std::move(Noting);
+  else
+    asio::co_spawn(co_await asio::this_coro::executor, std::move(Noting),
+                   asio::detached);
+}
+
 void RequestProxy::noteHealth(const Exchange &Done, const ClassTarget &Target,
                               Millis TimeGiven) {
   const Verdict &Final = Done.m_verdict;
