--- a/standin/standin-options.h
+++ b/standin/standin-options.h
@@ -16,13 +16,14 @@
 
 /// Serves \p Handler at \p Listen until SIGTERM or SIGINT.
 inline int runStandin(const std::string &Listen, unsigned Workers,
-                      boost::asio::io_context &Context, HttpHandler Handler) {
+                      boost::asio::io_context &Context, HttpHandler Handler,
+                      HttpLimits Limits = {}) {
   const Result<Endpoint> Address = parseEndpoint(Listen);
   if (!Address) {
     std::cerr << "bad address " << Listen << '\n';
     return 2;
   }
-  HttpServer Server(Context, Address.value(), HttpLimits{}, std::move(Handler));
+  HttpServer Server(Context, Address.value(), Limits, std::move(Handler));
   Server.start();
   boost::asio::signal_set Signals(Context, SIGTERM, SIGINT);
   Signals.async_wait(
--- a/standin/standin-platform.cc
+++ b/standin/standin-platform.cc
@@ -3,7 +3,8 @@
 /// fault switches per client.
 ///
 /// POST /fault {"client": NAME or "*", "delay_ms": N, "refuse": B,
-/// "lose_reply": B} replaces the faults of a client.
+/// "lose_reply": B} replaces the faults of a client; "hosts_lag_ms": N delays
+/// what the host list shows.
 
 #include "standin-options.h"
 #include "tamarackdrum/http-table.h"
@@ -102,9 +103,15 @@
 
   HttpResponse serveHosts(const HttpRequest &Request) {
     const std::lock_guard<std::mutex> Lock(m_mutex);
-    if (Request.method() == http::verb::put)
+    const TimePoint Now = BootClock::now();
+    if (Request.method() == http::verb::put) {
+      if (Now >= m_hostsAt + m_hostsLag)
+        m_oldHosts = m_hosts;
       m_hosts = Request.body();
-    return makeResponse(200, m_hosts);
+      m_hostsAt = Now;
+    }
+    return makeResponse(200,
+                        Now < m_hostsAt + m_hostsLag ? m_oldHosts : m_hosts);
   }
 
   HttpResponse setFault(const std::string &Text) {
@@ -117,6 +124,8 @@
     Fault.m_refuse = Value.get("refuse", false).asBool();
     Fault.m_loseReply = Value.get("lose_reply", false).asBool();
     const std::lock_guard<std::mutex> Lock(m_mutex);
+    m_hostsLag = Millis(
+        Value.get("hosts_lag_ms", Json::Int64(m_hostsLag.count())).asInt64());
     m_faults[Value.get("client", "*").asString()] = Fault;
     return makeResponse(200, "{}");
   }
@@ -143,6 +152,9 @@
   std::mutex m_mutex;
   std::map<std::string, std::string> m_objects;
   std::string m_hosts = "{\"hosts\":[]}";
+  std::string m_oldHosts = m_hosts; ///< Shown until the lag has passed.
+  TimePoint m_hostsAt;              ///< Time of the last change.
+  Millis m_hostsLag{0};
   std::map<std::string, PlatformFault> m_faults;
 };
 
--- a/standin/standin-server.cc
+++ b/standin/standin-server.cc
@@ -16,12 +16,18 @@
 namespace tamarackdrum {
 namespace {
 
+/// Times that a run takes longer while the server is cold.
+constexpr int ColdFactor = 4;
+
 /// Behaviour that tests can change while the stand-in runs.
 struct Behaviour {
   std::string m_name;
   int m_slots = 2;
   Millis m_work{5};
   bool m_checksEpoch = false;
+  Millis m_cold{0};          ///< Time from the start with slower runs.
+  Millis m_healthLag{0};     ///< Age that a health report may have.
+  bool m_drains = false;     ///< Finishes its runs and takes nothing new.
   bool m_sheds = false;      ///< Refuses everything before it runs.
   bool m_healthLies = false; ///< /health says healthy whatever holds.
   std::string m_crashOn;     ///< Exits on a request with this key.
@@ -83,7 +89,7 @@
           Target.find(m_behaviour.m_crashOn) != std::string::npos)
         std::_Exit(70);
       ++m_busy;
-      Work = m_behaviour.m_work;
+      Work = m_behaviour.m_work * (isCold() ? ColdFactor : 1);
       Run.m_startNs = nowNs();
       Index = m_runs.size();
       m_runs.push_back(Run);
@@ -113,6 +119,7 @@
     Out["server"] = m_behaviour.m_name;
     Out["target"] = Run.m_target;
     Out["run"] = Json::UInt64(Index);
+    Out["state"] = Json::UInt64(++m_state[Run.m_target]);
     Out["echo"] = std::string(Request["X-Echo"]);
     Out["body"] = Request.body();
     return makeResponse(200, toText(Out));
@@ -120,6 +127,8 @@
 
   /// Returns why \p Run is refused before it starts, or null.
   const char *refusalOf(const RunRecord &Run, std::int64_t Deadline) {
+    if (m_behaviour.m_drains)
+      return "draining";
     if (m_behaviour.m_sheds || m_busy >= m_behaviour.m_slots)
       return "shed";
     if (Deadline != 0 && unixMillis() >= Deadline)
@@ -144,6 +153,12 @@
     Now.m_work =
         Millis(Value.get("work_ms", Json::Int64(Now.m_work.count())).asInt64());
     Now.m_checksEpoch = Value.get("checks_epoch", Now.m_checksEpoch).asBool();
+    Now.m_cold =
+        Millis(Value.get("cold_ms", Json::Int64(Now.m_cold.count())).asInt64());
+    Now.m_healthLag =
+        Millis(Value.get("health_lag_ms", Json::Int64(Now.m_healthLag.count()))
+                   .asInt64());
+    Now.m_drains = Value.get("drains", Now.m_drains).asBool();
     Now.m_sheds = Value.get("sheds", Now.m_sheds).asBool();
     Now.m_healthLies = Value.get("health_lies", Now.m_healthLies).asBool();
     Now.m_crashOn = Value.get("crash_on", Now.m_crashOn).asString();
@@ -168,11 +183,18 @@
 
   HttpResponse health() {
     const std::lock_guard<std::mutex> Lock(m_mutex);
-    Json::Value Out;
-    Out["healthy"] = m_behaviour.m_healthLies || !m_behaviour.m_sheds;
-    Out["busy"] = m_busy;
-    Out["slots"] = m_behaviour.m_slots;
-    return makeResponse(200, toText(Out));
+    const TimePoint Now = BootClock::now();
+    if (m_health.isNull() || Now - m_healthAt >= m_behaviour.m_healthLag) {
+      m_health["healthy"] = m_behaviour.m_healthLies || !m_behaviour.m_sheds;
+      m_health["busy"] = m_busy;
+      m_health["slots"] = m_behaviour.m_slots;
+      m_healthAt = Now;
+    }
+    return makeResponse(200, toText(m_health));
+  }
+
+  bool isCold() const {
+    return BootClock::now() < m_start + m_behaviour.m_cold;
   }
 
   std::mutex m_mutex;
@@ -180,18 +202,25 @@
   int m_busy = 0;
   std::vector<RunRecord> m_runs;
   std::map<std::string, Epoch> m_newestEpoch;
+  std::map<std::string, std::uint64_t> m_state; ///< Runs of each target.
+  Json::Value m_health;                         ///< Last health report.
+  TimePoint m_healthAt;
+  const TimePoint m_start = BootClock::now();
 };
 
 int run(int Argc, char **Argv) {
   std::string Listen;
   Behaviour Initial;
   std::int64_t WorkMs = 0;
+  HttpLimits Limits;
   po::options_description Options("standin-server");
   Options.add_options()("help", "print this help")(
       "listen", po::value(&Listen)->default_value("127.0.0.1:0"),
       "IP:PORT")("name", po::value(&Initial.m_name)->required(), "server name")(
       "slots", po::value(&Initial.m_slots)->default_value(2), "slots")(
-      "work-ms", po::value(&WorkMs)->default_value(5), "time of one run")(
+      "connections", po::value(&Limits.m_maxConnections)->default_value(110),
+      "connections at once")("work-ms", po::value(&WorkMs)->default_value(5),
+                             "time of one run")(
       "checks-epoch", po::bool_switch(&Initial.m_checksEpoch),
       "refuse older epochs");
   po::variables_map Values;
@@ -204,9 +233,10 @@
   Initial.m_work = Millis(WorkMs);
   asio::io_context Context;
   BackendServer Stand(Initial);
-  return runStandin(Listen, 1, Context, [&](const HttpRequest &Request) {
-    return Stand.handle(Request);
-  });
+  return runStandin(
+      Listen, 1, Context,
+      [&](const HttpRequest &Request) { return Stand.handle(Request); },
+      Limits);
 }
 
 } // namespace
