--- a/test/process/request-test.cc
+++ b/test/process/request-test.cc
@@ -7,9 +7,10 @@
 #include "tamarackdrum/planner.h"
 #include "tamarackdrum/request-proxy.h"
 
+#include <gtest/gtest.h>
+
 #include <fstream>
 #include <future>
-#include <gtest/gtest.h>
 
 namespace tamarackdrum::test {
 namespace {
@@ -340,15 +341,17 @@
   FakeServer Serving(echoTarget);
   addClass("find", false, {Failing.address(), Serving.address()});
   start();
-  const auto retries = [this] { return m_proxy->counters().m_retries.load(); };
-  for (int I = 0; I < 400 && retries() < 5; ++I) {
-    const std::uint64_t Before = retries();
+  const auto CountRetries = [this] {
+    return m_proxy->counters().m_retries.load();
+  };
+  for (int I = 0; I < 400 && CountRetries() < 5; ++I) {
+    const std::uint64_t Before = CountRetries();
     const HttpResponse Answer = call("/find/a");
-    if (retries() > Before) {
+    if (CountRetries() > Before) {
       EXPECT_EQ(Answer["Tamarack-Server"], "find-1");
     }
   }
-  EXPECT_GE(retries(), 5U);
+  EXPECT_GE(CountRetries(), 5U);
 }
 
 TEST_F(RequestTest, Retry_OfKeyedWork_GoesToTheOwnerOnly) {
