Keep one sleepFor for all adapters

Cause: the same pause of a coroutine stood in four files. They call include/tamarackdrum/sleep.h now. The copy in request-proxy.cc let a cancelled timer throw; nothing cancels it, so behaviour is as before.

Sanitizers and the other process tests were not run again.

--- a/src/adapter/claim-store.cc
+++ b/src/adapter/claim-store.cc
@@ -1,6 +1,7 @@
 #include "tamarackdrum/claim-store.h"
 
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/sleep.h"
 
 #include <boost/asio.hpp>
 #include <random>
@@ -15,12 +16,6 @@
 constexpr Millis MaxSettleDelay{1000};
 constexpr Millis MinSweepInterval{10};
 
-asio::awaitable<void> sleepFor(Millis Time) {
-  asio::steady_timer Timer(co_await asio::this_coro::executor, Time);
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
-}
-
 } // namespace
 
 /// A write whose batch has not ended.
--- a/src/adapter/poison-guard.cc
+++ b/src/adapter/poison-guard.cc
@@ -1,6 +1,7 @@
 #include "tamarackdrum/poison-guard.h"
 
 #include "tamarackdrum/rpc.h"
+#include "tamarackdrum/sleep.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -17,12 +18,6 @@
 constexpr Millis RepeatInterval{1000};
 constexpr Millis PushTimeout{1000};
 
-asio::awaitable<void> sleepFor(Millis Time) {
-  asio::steady_timer Timer(co_await asio::this_coro::executor, Time);
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
-}
-
 } // namespace
 
 asio::awaitable<bool> refusesConnections(Endpoint Address) {
--- a/src/adapter/request-proxy.cc
+++ b/src/adapter/request-proxy.cc
@@ -1,6 +1,7 @@
 #include "tamarackdrum/request-proxy.h"
 
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/sleep.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
@@ -115,11 +116,6 @@
   return {verdictOfRefusal(Reason), {}, {}};
 }
 
-asio::awaitable<void> sleepFor(Millis Time) {
-  asio::steady_timer Timer(co_await asio::this_coro::executor, Time);
-  co_await Timer.async_wait(asio::use_awaitable);
-}
-
 } // namespace
 
 asio::awaitable<HttpResponse> RequestProxy::onCall(const HttpRequest &Call) {
--- a/src/adapter/view-keeper.cc
+++ b/src/adapter/view-keeper.cc
@@ -3,6 +3,7 @@
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/group-change.h"
 #include "tamarackdrum/planner.h"
+#include "tamarackdrum/sleep.h"
 #include "tamarackdrum/view-json.h"
 
 #include <boost/asio.hpp>
@@ -27,12 +28,6 @@
 constexpr Millis CommitTimeout{6000};
 constexpr Millis SettleRetryDelay{100};
 
-asio::awaitable<void> sleepFor(Millis Time) {
-  asio::steady_timer Timer(co_await asio::this_coro::executor, Time);
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
-}
-
 } // namespace
 
 ViewKeeper::ViewKeeper(const Settings &Config, std::uint64_t Incarnation,
