--- /dev/null
+++ b/include/tamarackdrum/gateway/connection.h
@@ -0,0 +1,90 @@
+/// \file
+/// Outgoing HTTP/1.1 connections that are kept between requests.
+
+#ifndef TAMARACKDRUM_GATEWAY_CONNECTION_H
+#define TAMARACKDRUM_GATEWAY_CONNECTION_H
+
+#include "tamarackdrum/core.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace tamarackdrum::gateway {
+
+using Endpoint = boost::asio::ip::tcp::endpoint;
+
+/// Parses "10.1.2.3:80". Errors: std::errc::invalid_argument.
+Result<Endpoint> parseEndpoint(std::string_view Text);
+
+/// Lets the kernel end a connection whose data is not acknowledged in time:
+/// a host that has no power never answers.
+void limitSilence(boost::asio::ip::tcp::socket &Socket, Millis Time);
+
+/// A connection that carries one request at a time.
+struct Connection {
+  explicit Connection(boost::asio::any_io_executor Executor)
+      : m_stream(std::move(Executor)) {}
+
+  boost::beast::tcp_stream m_stream;
+  boost::beast::flat_buffer m_buffer;
+  TimePoint m_idleSince{};
+  Millis m_keepAlive{0}; ///< How long the peer keeps it when idle.
+  bool m_isReused = false;
+};
+
+struct PoolPolicy {
+  Millis m_connectTimeout{400};
+  /// Idle time after which a connection is not used again, unless the peer
+  /// names a shorter one. Source: servers close idle connections after 10 s.
+  Millis m_idleTime{8000};
+  /// Taken off the idle time that a peer names, for the way of a request.
+  Millis m_idleMargin{1000};
+  /// The kernel gives up on unacknowledged data after this time.
+  Millis m_silence{3000};
+
+  bool operator==(const PoolPolicy &) const = default;
+};
+
+/// Kept connections to many peers.
+class ConnectionPool {
+public:
+  using Owned = std::unique_ptr<Connection>;
+
+  explicit ConnectionPool(PoolPolicy Policy) : m_policy(Policy) {}
+
+  /// Returns a kept connection of \p Peer that has been idle for at most
+  /// \p MaxIdle, or null.
+  Owned takeIdle(const std::string &Peer, Millis MaxIdle);
+
+  /// Opens a connection. Errors: HttpErrc::ConnectFailed, ConnectTimedOut.
+  boost::asio::awaitable<Result<Owned>> open(std::string Address,
+                                             Millis Timeout);
+
+  /// Keeps a connection that is between two requests; closes the one that has
+  /// been idle longest if \p Peer has \p MaxIdle already.
+  void keep(const std::string &Peer, Owned Kept, std::size_t MaxIdle);
+
+  /// Closes the kept connections of all peers but \p Known.
+  void retain(const std::vector<std::string> &Known);
+  /// Closes connections that have been idle for too long.
+  void dropExpired(TimePoint Now);
+
+  std::uint64_t opened() const { return m_opened; }
+  const PoolPolicy &policy() const { return m_policy; }
+
+private:
+  Millis idleLimit(const Connection &Item) const;
+
+  const PoolPolicy m_policy;
+  std::map<std::string, std::vector<Owned>> m_idle;
+  std::uint64_t m_opened = 0;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_CONNECTION_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -0,0 +1,213 @@
+/// \file
+/// Decides for one service which request runs where, which waits and which is
+/// refused. One dispatcher serves all hosts; hosts that cannot reach it use a
+/// local one with a part of the slots.
+///
+/// Load pattern: more work than slots, on servers of unlike speed. One queue in
+/// front of all slots lets the most urgent request run next and tells a request
+/// that cannot be served in time at its arrival.
+
+#ifndef TAMARACKDRUM_GATEWAY_DISPATCHER_H
+#define TAMARACKDRUM_GATEWAY_DISPATCHER_H
+
+#include "tamarackdrum/gateway/key-map.h"
+#include "tamarackdrum/gateway/retry-window.h"
+#include "tamarackdrum/gateway/server-directory.h"
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <optional>
+#include <set>
+
+namespace tamarackdrum::gateway {
+
+/// Identity of a request at a dispatcher: the link that it came by, and its
+/// number there.
+struct Ticket {
+  std::uint32_t m_link = 0;
+  std::uint32_t m_number = 0;
+
+  auto operator<=>(const Ticket &) const = default;
+};
+
+/// A request that wants a slot.
+struct DispatchAsk {
+  Ticket m_ticket;
+  std::string m_zone;          ///< Availability zone of the asking host.
+  std::optional<Key> m_key;    ///< Only for keyed services.
+  bool m_isRepeat = false;     ///< It has been sent to a server before.
+  Millis m_objectiveLeft{0};   ///< Until its full credit is lost.
+  Millis m_timeLeft{0};        ///< Until nobody waits for it any more.
+  std::vector<std::string> m_tried; ///< Servers that have failed it.
+
+  bool operator==(const DispatchAsk &) const = default;
+};
+
+/// Why a request was refused.
+enum class RefusalReason {
+  None,
+  NoServer,     ///< No server of the service can be used.
+  Overloaded,   ///< It would wait longer than it can.
+  NoRetryBudget ///< It may not be sent once more.
+};
+
+const char *toText(RefusalReason Value) noexcept;
+
+/// Answer to one ask: a server, or a refusal.
+struct DispatchDecision {
+  Ticket m_ticket;
+  std::string m_server; ///< Empty if refused.
+  RefusalReason m_reason = RefusalReason::None;
+  Millis m_retryAfter{0}; ///< When a slot is expected for it.
+
+  bool operator==(const DispatchDecision &) const = default;
+};
+
+/// How a dispatch has ended.
+enum class DispatchResult {
+  Served,      ///< A whole answer that is no failure of the server.
+  Failed,      ///< The server answered that it failed.
+  Refused,     ///< The server answered that it did not run the request.
+  Unreachable, ///< No connection.
+  Broken,      ///< The connection ended without a whole answer.
+  TimedOut,    ///< No answer in time.
+  Withdrawn    ///< The client left.
+};
+
+struct DispatchPolicy {
+  /// Part of each server's slots that this dispatcher may use.
+  double m_slotShare = 1.0;
+  /// Requests beyond the slots that a server may be given while others wait:
+  /// they start without a round trip. Source: a round trip of 5 ms against
+  /// work of 90 ms or more.
+  unsigned m_ahead = 0;
+  /// What a server in another zone is worth less, in expected service time.
+  /// Source: bytes between zones are priced.
+  Millis m_crossZoneCost{40};
+  /// Service time that is assumed before any was seen.
+  Millis m_firstEstimate{150};
+  /// Weight of a new service time in a server's average.
+  double m_sampleWeight = 0.2;
+  /// First and longest pause of a server that cannot be reached or breaks
+  /// connections.
+  Millis m_firstPause{300};
+  Millis m_longestPause{2000};
+  /// A pause begins after that many failures in a row.
+  unsigned m_brokenToPause = 2;
+  /// Part of the remaining time that a late request may be expected to wait.
+  double m_lateShare = 0.6;
+  /// Retry-After where nothing better is known: about two polls of the server
+  /// registry.
+  Millis m_blindRetryAfter{1000};
+  Millis m_leastRetryAfter{50};
+  RetryPolicy m_retries;
+
+  bool operator==(const DispatchPolicy &) const = default;
+};
+
+/// Figures of a dispatcher, for logs and metrics.
+struct DispatchLoad {
+  std::size_t m_waiting = 0;
+  std::size_t m_running = 0;
+  std::size_t m_slots = 0;
+};
+
+using DispatchDecisions = std::vector<DispatchDecision>;
+
+class Dispatcher {
+public:
+  explicit Dispatcher(DispatchPolicy Policy);
+
+  /// Sets the servers that may be given requests.
+  void setServers(const std::vector<ServerEntry> &Servers, TimePoint Now,
+                  DispatchDecisions &Out);
+
+  /// Makes the service a keyed one and sets the holders of its keys.
+  void setKeyMap(KeyMap Map, TimePoint Now, DispatchDecisions &Out);
+
+  void ask(const DispatchAsk &Ask, TimePoint Now, DispatchDecisions &Out);
+
+  /// Drops a request that waits; one that runs ends with finish().
+  void withdraw(const Ticket &Id);
+
+  /// Notes the end of a dispatch and gives the free slot away.
+  void finish(const Ticket &Id, DispatchResult Outcome, Millis ServiceTime,
+              TimePoint Now, DispatchDecisions &Out);
+
+  /// Notes a dispatch that another dispatcher has decided.
+  void adopt(const Ticket &Id, const std::string &Server, TimePoint Now);
+
+  /// Drops what came by a link that was lost. Running requests keep their slot
+  /// for the service time that is expected of them.
+  void dropLink(std::uint32_t Link, TimePoint Now);
+
+  /// Refuses what can no longer be served and ends pauses.
+  void tick(TimePoint Now, DispatchDecisions &Out);
+
+  /// Returns requests a second that \p Server is expected to serve.
+  double rateOf(const std::string &Server) const;
+
+  /// Returns the requests that wait for the keys of \p Server.
+  std::size_t waitingFor(const std::string &Server) const;
+
+  DispatchLoad load() const;
+  KeyLoad &keyLoad() { return m_keyLoad; }
+  const KeyMap &keyMap() const { return m_keys; }
+
+private:
+  struct Running {
+    std::string m_server;
+    TimePoint m_startedAt;
+    std::optional<TimePoint> m_endsAt; ///< Set when its host was lost.
+  };
+  struct Server {
+    ServerEntry m_entry;
+    std::size_t m_running = 0;
+    double m_meanMs = 0;     ///< Average service time; 0 if unknown.
+    double m_refusedShare = 0;
+    double m_failedShare = 0;
+    unsigned m_brokenInRow = 0;
+    Millis m_pause{0};
+    TimePoint m_pausedUntil{};
+    TimePoint m_lastSample{};
+  };
+  struct Waiting {
+    DispatchAsk m_ask;
+    TimePoint m_objectiveAt;
+    TimePoint m_endsAt;
+    bool m_isLate = false;
+  };
+  using Queue = std::list<Waiting>;
+
+  std::size_t slotsOf(const Server &Item) const;
+  bool hasRoom(const Server &Item, TimePoint Now, bool OthersWait) const;
+  double expectedMs(const Server &Item, TimePoint Now) const;
+  double serviceRate(TimePoint Now) const;
+  Server *choose(const DispatchAsk &Ask, TimePoint Now);
+  void place(const DispatchAsk &Ask, Server &Target, TimePoint Now,
+             DispatchDecisions &Out);
+  void refuse(const DispatchAsk &Ask, RefusalReason Reason, Millis RetryAfter,
+              DispatchDecisions &Out) const;
+  bool isEligible(const Waiting &Item, const Server &Target) const;
+  void fill(Server &Target, TimePoint Now, DispatchDecisions &Out);
+  void fillAll(TimePoint Now, DispatchDecisions &Out);
+  void enqueue(const DispatchAsk &Ask, TimePoint Now, DispatchDecisions &Out);
+  Queue::iterator nextFor(const Server &Target, TimePoint Now);
+  void learn(Server &Item, DispatchResult Outcome, Millis ServiceTime,
+             TimePoint Now);
+
+  DispatchPolicy m_policy;
+  std::map<std::string, Server> m_servers;
+  std::map<Ticket, Running> m_running;
+  Queue m_waiting;
+  RetryWindow m_retries;
+  KeyMap m_keys;
+  KeyLoad m_keyLoad;
+  bool m_isKeyed = false;
+  double m_meanMs;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_DISPATCHER_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/event-log.h
@@ -0,0 +1,73 @@
+/// \file
+/// Structured log lines on standard output, bounded in volume and never
+/// blocking.
+
+#ifndef TAMARACKDRUM_GATEWAY_EVENT_LOG_H
+#define TAMARACKDRUM_GATEWAY_EVENT_LOG_H
+
+#include "tamarackdrum/core.h"
+
+#include <initializer_list>
+#include <variant>
+
+namespace tamarackdrum::gateway {
+
+/// A named value of a log line.
+struct LogField {
+  std::string_view m_name;
+  std::variant<std::string_view, std::int64_t, double, bool> m_value;
+
+  LogField(std::string_view Name, std::string_view Value)
+      : m_name(Name), m_value(Value) {}
+  LogField(std::string_view Name, const std::string &Value)
+      : m_name(Name), m_value(std::string_view(Value)) {}
+  LogField(std::string_view Name, const char *Value)
+      : m_name(Name), m_value(std::string_view(Value)) {}
+  LogField(std::string_view Name, bool Value) : m_name(Name), m_value(Value) {}
+  LogField(std::string_view Name, double Value)
+      : m_name(Name), m_value(Value) {}
+  LogField(std::string_view Name, Millis Value)
+      : m_name(Name), m_value(static_cast<std::int64_t>(Value.count())) {}
+  template <std::integral T>
+  LogField(std::string_view Name, T Value)
+      : m_name(Name), m_value(static_cast<std::int64_t>(Value)) {}
+};
+
+/// Bounds of the log.
+struct LogPolicy {
+  /// Lines a second at most; those beyond are counted and dropped.
+  unsigned m_linesPerSecond = 300;
+  /// Bytes that wait for a slow reader of standard output at most.
+  std::size_t m_bufferBytes = 256 * 1024;
+
+  bool operator==(const LogPolicy &) const = default;
+};
+
+/// Writes lines such as `{"ms":1712,"event":"stop","reason":"signal"}`.
+class EventLog {
+public:
+  EventLog(LogPolicy Policy, std::string Host, int Descriptor);
+
+  void write(std::string_view Event, std::initializer_list<LogField> Fields);
+
+  /// Hands buffered lines to the descriptor as far as it takes them at once.
+  void flush();
+
+  std::uint64_t dropped() const { return m_dropped; }
+
+private:
+  bool takeLine();
+
+  const LogPolicy m_policy;
+  const std::string m_host;
+  const int m_descriptor;
+  std::string m_buffer;
+  std::int64_t m_second = 0;
+  unsigned m_linesInSecond = 0;
+  std::uint64_t m_dropped = 0;
+  std::uint64_t m_reportedDropped = 0;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_EVENT_LOG_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -0,0 +1,104 @@
+/// \file
+/// A whole gateway process: everything that one host of a site runs.
+
+#ifndef TAMARACKDRUM_GATEWAY_GATEWAY_HOST_H
+#define TAMARACKDRUM_GATEWAY_GATEWAY_HOST_H
+
+#include "tamarackdrum/gateway/edge-server.h"
+#include "tamarackdrum/gateway/ownership-keeper.h"
+#include "tamarackdrum/gateway/text-server.h"
+
+namespace tamarackdrum::gateway {
+
+struct HostPolicy {
+  /// How often the server registry is read. Source: a server that leaves must
+  /// get no request 2 s after the store knows of it; the registry may be
+  /// behind by a second.
+  Millis m_readServersEvery{700};
+  /// How long a read of the configuration waits for news.
+  Millis m_configurationWait{1000};
+  /// Pause after a failed read of the store, and the factor of its spread.
+  Millis m_storePause{250};
+  Millis m_readHostsEvery{10000};
+  Millis m_tickEvery{40};
+  Millis m_beatEvery{100}; ///< How often due beats are looked for.
+  Millis m_flushEvery{200};
+  /// From the stop signal until idle connections are closed: the platform
+  /// needs two misses of a question a second to send no new ones.
+  Millis m_stopListening{3300};
+  /// Taken off the stop timeout, so that the end is the process's own.
+  Millis m_stopMargin{500};
+
+  bool operator==(const HostPolicy &) const = default;
+};
+
+class GatewayHost {
+public:
+  GatewayHost(boost::asio::any_io_executor Executor, HostPolicy Policy,
+              GatewaySettings Settings, GatewayStore &Store,
+              KeyServers &Servers, EventLog &Log);
+
+  /// Opens all ports and starts the loops. Errors: those of the system.
+  std::error_code start();
+
+  /// Stops taking work, ends what runs, then calls \p OnStopped.
+  void stop(std::function<void()> OnStopped);
+
+  /// Returns whether clients should be sent here.
+  bool isReady() const;
+
+private:
+  boost::asio::awaitable<void> enter();
+  boost::asio::awaitable<void> readConfigurationLoop();
+  boost::asio::awaitable<void> readServersLoop();
+  boost::asio::awaitable<void> readHostsLoop();
+  boost::asio::awaitable<void> tickLoop();
+  boost::asio::awaitable<void> beatLoop();
+  boost::asio::awaitable<void> flushLoop();
+  boost::asio::awaitable<void> stopSequence(std::function<void()> OnStopped);
+
+  void applyConfiguration(const ReadConfiguration &Read, std::string_view Source);
+  void applyServers(const DirectoryChange &Change);
+  void noteStore(bool IsGood, TimePoint AskedAt, std::string_view What,
+                 std::string_view Reason);
+  void updateCoordinators();
+  void onMessage(std::uint32_t Link, const std::string &Host,
+                 PeerMessage &Message);
+  void onBeat(const HostBeat &Beat);
+  HostBeat makeBeat() const;
+  void spreadCrash(const CrashMessage &Message, bool IsOwn);
+  OwnershipKeeper &makeKeeper(const std::string &Service);
+  Millis storeAge() const;
+  PeerEvents peerEvents();
+  EdgeServer::View edgeView();
+  std::string metricsText();
+
+  boost::asio::any_io_executor m_executor;
+  const HostPolicy m_policy;
+  const GatewaySettings m_settings;
+  GatewayStore &m_store;
+  KeyServers &m_keyServers;
+  EventLog &m_log;
+  GatewayMetrics m_metrics;
+  PoisonRegistry m_poison;
+  Roster m_hosts;
+  ServerDirectory m_directory;
+  ConnectionPool m_pool;
+  UpstreamExchange m_upstreams;
+  Admission m_admission;
+  PeerNetwork m_network;
+  EdgeServer m_edge;
+  TextServer m_readiness;
+  std::unique_ptr<TextServer> m_metricsServer;
+  std::shared_ptr<RouteTable> m_routes;
+  std::string m_configurationText;
+  std::map<std::string, std::unique_ptr<OwnershipKeeper>> m_keepers;
+  std::set<std::pair<std::uint64_t, std::string>> m_crashes;
+  TimePoint m_storeGoodAt{};
+  bool m_isStoreLost = false;
+  bool m_isStopping = false;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_GATEWAY_HOST_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -0,0 +1,226 @@
+/// \file
+/// Gives keys to backend servers so that no key ever has two holders.
+///
+/// One granter a service holds the ownership record in the store under a
+/// condition. Grants carry fencing tokens and a hold time, which is the lease.
+/// A range has at most one owner and, while it moves, a previous owner; the
+/// owner gets it only when the previous one has released it or its hold has
+/// lapsed. The record is in the store before the grant that it allows.
+
+#ifndef TAMARACKDRUM_GATEWAY_KEY_GRANTER_H
+#define TAMARACKDRUM_GATEWAY_KEY_GRANTER_H
+
+#include "tamarackdrum/gateway/key-placement.h"
+#include "tamarackdrum/gateway/server-directory.h"
+
+#include <functional>
+#include <optional>
+
+namespace tamarackdrum::gateway {
+
+/// Ownership of one range as it lies in the store.
+struct RangeRecord {
+  Key m_from = 0;
+  Key m_to = 0;
+  ServerLife m_owner;
+  std::uint64_t m_fence = 0;
+  ServerLife m_previous; ///< May still hold the keys; nobody if none does.
+  std::uint64_t m_previousFence = 0;
+
+  bool operator==(const RangeRecord &) const = default;
+};
+
+/// The ownership record of one service. Whoever has written the highest term
+/// is the granter.
+struct OwnershipRecord {
+  std::uint64_t m_term = 0;
+  std::string m_granter;         ///< Host name.
+  std::int64_t m_granterLife = 0; ///< Start of the granting process, Unix ms.
+  std::vector<RangeRecord> m_ranges;
+
+  bool operator==(const OwnershipRecord &) const = default;
+};
+
+struct GrantPolicy {
+  /// Hold time of a grant. Source: bounds how long keys are unserved after the
+  /// silent loss of a server; 3 s are the aim.
+  Millis m_hold{2500};
+  Millis m_renewEvery{600};
+  /// How long a granter renews without knowing that its term is still the
+  /// newest. Source: outages of the store of up to 9 s are expected.
+  Millis m_unvalidatedLimit{12000};
+  /// Lengthens holds, since a server's clock may run 2% slow.
+  double m_clockFactor = 1.02;
+  /// Added to the end of a hold for the way of the grant.
+  Millis m_margin{150};
+  /// A call that has no answer after this time has failed.
+  Millis m_callTimeout{600};
+  /// Releases wait for running work.
+  Millis m_releaseTimeout{6000};
+  /// Least time between two records, so that changes share a call.
+  Millis m_writeEvery{150};
+  /// Least time between two rounds of placement.
+  Millis m_planEvery{700};
+  /// Keys stay at a new holder for this time at least.
+  Millis m_settleTime{2500};
+  PlacementPolicy m_placement;
+
+  bool operator==(const GrantPolicy &) const = default;
+};
+
+/// A call to a backend server.
+struct GrantCall {
+  std::uint64_t m_number = 0;
+  bool m_isRelease = false;
+  ServerLife m_server;
+  std::string m_address;
+  Key m_from = 0;
+  Key m_to = 0;
+  std::uint64_t m_fence = 0;
+  Millis m_hold{0};
+  std::string m_handover;
+
+  bool operator==(const GrantCall &) const = default;
+};
+
+/// How a call has ended.
+enum class GrantResult {
+  Done,
+  HigherFence, ///< The server has seen a higher fencing token.
+  NotSent,     ///< No connection: the server has not got the call.
+  NoAnswer     ///< It may have got it, or may get it later.
+};
+
+/// What the granter wants done.
+struct GrantActions {
+  std::vector<GrantCall> m_calls;
+  /// To be written on condition that the row still has the version that was
+  /// last read or written.
+  std::optional<OwnershipRecord> m_write;
+};
+
+class KeyGranter {
+public:
+  KeyGranter(GrantPolicy Policy, std::string Host, std::int64_t Life);
+
+  /// Becomes the granter after \p Read, which takes effect with the write that
+  /// step() asks for. \p IsOldGone: the process that wrote \p Read has ended.
+  void takeOver(const OwnershipRecord &Read, bool IsOldGone, TimePoint Now);
+
+  /// Notes that the record of the last step() stands in the store.
+  void noteWritten(TimePoint AskedAt, TimePoint Now);
+  /// Notes that it does not; it is offered again.
+  void noteWriteFailed() {
+    m_isWriting = false;
+    m_isDirty = true;
+  }
+
+  /// Gives the term up at once: another granter exists.
+  void stepDown();
+  bool isGranter() const { return m_isGranter; }
+  std::uint64_t term() const { return m_record.m_term; }
+
+  /// Notes that the term was still the newest at \p AskedAt.
+  void noteValidated(TimePoint AskedAt);
+  /// Returns whether the term must be looked up before anything is moved.
+  bool needsValidation() const { return m_needsValidation; }
+
+  void setServers(const std::vector<ServerEntry> &Servers, TimePoint Now);
+
+  /// Notes that a server answered that it does not hold \p Value.
+  void noteNotHeld(Key Value);
+
+  void noteResult(std::uint64_t Call, GrantResult Outcome,
+                  const std::string &Handover, TimePoint Now);
+
+  /// Chooses new holders; \p RateOf returns requests a second of a server.
+  void plan(KeyLoad &Load,
+            const std::function<double(const std::string &)> &RateOf,
+            TimePoint Now);
+
+  GrantActions step(TimePoint Now);
+
+  /// Returns the holders that may be sent requests.
+  KeyMap keyMap(TimePoint Now) const;
+
+  const OwnershipRecord &record() const { return m_record; }
+
+private:
+  struct Range {
+    RangeRecord m_record;
+    std::uint64_t m_change = 0; ///< Number of the last change of m_record.
+    bool m_isInherited = false; ///< An earlier granter may renew the owner.
+    bool m_isCalling = false;
+    TimePoint m_callingSince{};
+    TimePoint m_confirmedAt{};  ///< Sending of the last answered grant.
+    TimePoint m_unansweredAt{}; ///< Sending of the last unanswered grant.
+    TimePoint m_nextAt{};
+    TimePoint m_movedAt{};
+    // Of the previous owner:
+    TimePoint m_previousEndsAt{};   ///< Its hold has lapsed by then.
+    TimePoint m_releaseCountsAt{};  ///< Its release proves nothing before.
+    bool m_isReleasing = false;
+    bool m_isReleased = false;
+    TimePoint m_nextReleaseAt{};
+    std::string m_handover;
+  };
+  struct Call {
+    GrantCall m_call;
+    TimePoint m_sentAt;
+  };
+
+  TimePoint holdEnd(TimePoint SentAt) const;
+  const ServerEntry *findLife(const ServerLife &Life) const;
+  bool isUsable(const ServerLife &Life, TimePoint Now) const;
+  bool mayRenew(TimePoint Now) const;
+  std::uint64_t nextFence() { return (m_record.m_term << FenceBits) + ++m_fences; }
+  void split(Key At);
+  void markChanged(Range &Item);
+  bool isSettled(const Range &Item) const;
+  TimePoint lastHoldEnd(const Range &Item) const;
+  void assign(Range &Item, const ServerLife &Owner, TimePoint Now);
+  void regrant(Range &Item, const ServerLife &Owner);
+  void move(const KeyMove &Wanted, TimePoint Now);
+  void mergeNeighbours();
+  void settlePrevious(TimePoint Now);
+  void addGrants(TimePoint Now, GrantActions &Out);
+  void addReleases(TimePoint Now, GrantActions &Out);
+  void addWrite(TimePoint Now, GrantActions &Out);
+  std::vector<Range *> rangesOf(const GrantCall &Made);
+
+  /// Tokens of one term: enough for 2^24 changes.
+  static constexpr unsigned FenceBits = 24;
+
+  const GrantPolicy m_policy;
+  const std::string m_host;
+  const std::int64_t m_life;
+  bool m_isGranter = false;
+  bool m_isWritten = false; ///< The term itself stands in the store.
+  bool m_isOldGone = false;
+  bool m_isWriting = false;
+  bool m_isDirty = false;
+  bool m_needsValidation = false;
+  OwnershipRecord m_record; ///< As last offered to the store.
+  std::uint64_t m_fences = 0;
+  std::uint64_t m_changes = 0;
+  std::uint64_t m_offeredChange = 0; ///< Newest change in the last offer.
+  std::uint64_t m_writtenChange = 0;
+  TimePoint m_validatedAt{};
+  TimePoint m_inheritedEndsAt{}; ///< Grants of earlier granters lapse by then.
+  TimePoint m_wroteAt{};
+  TimePoint m_plannedAt{};
+  std::vector<Range> m_ranges;
+  struct Reach {
+    unsigned m_failures = 0;
+    TimePoint m_lastFailure{};
+  };
+  std::map<std::string, ServerEntry> m_servers;
+  std::map<std::string, ServerEntry> m_known; ///< Also those that are gone.
+  std::map<std::string, Reach> m_reach;
+  std::map<std::uint64_t, Call> m_calls;
+  std::uint64_t m_lastCall = 0;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_KEY_GRANTER_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/ownership-keeper.h
@@ -0,0 +1,94 @@
+/// \file
+/// Runs the key granter of one service at this host: takes it over when no
+/// live host has it, carries out its calls and writes its records.
+
+#ifndef TAMARACKDRUM_GATEWAY_OWNERSHIP_KEEPER_H
+#define TAMARACKDRUM_GATEWAY_OWNERSHIP_KEEPER_H
+
+#include "tamarackdrum/gateway/event-log.h"
+#include "tamarackdrum/gateway/gateway-metrics.h"
+#include "tamarackdrum/gateway/ports.h"
+
+#include <functional>
+
+namespace tamarackdrum::gateway {
+
+struct KeeperPolicy {
+  /// Pause between two steps of the granter.
+  Millis m_stepEvery{50};
+  /// How often a granter makes sure that its term is the newest.
+  Millis m_validateEvery{1500};
+  /// Age of a host's last good read of the store from which it should no
+  /// longer be granter if another one can reach the store.
+  Millis m_staleStore{2500};
+  Millis m_freshStore{1200};
+  /// Pause after a failed takeover.
+  Millis m_retryPause{400};
+
+  bool operator==(const KeeperPolicy &) const = default;
+};
+
+/// What the keeper needs to know of its host.
+struct KeeperView {
+  std::function<Millis()> m_storeAge; ///< Since the last good read.
+  std::function<const std::map<std::string, ServerEntry> &()> m_servers;
+  std::function<double(const std::string &Server)> m_rateOf;
+  std::function<KeyLoad &()> m_load;
+  /// Takes a new map of holders.
+  std::function<void(const KeyMap &)> m_onKeyMap;
+};
+
+class OwnershipKeeper {
+public:
+  OwnershipKeeper(boost::asio::any_io_executor Executor, std::string Service,
+                  KeeperPolicy Policy, GrantPolicy Grants, GatewayStore &Store,
+                  KeyServers &Servers, Roster &Hosts, EventLog &Log,
+                  GatewayMetrics &Metrics, KeeperView View);
+
+  /// Runs until stop().
+  boost::asio::awaitable<void> run();
+  /// Gives the term up, so that another host takes it at once.
+  void stop();
+
+  /// Notes whom another host believes to be the granter.
+  void noteClaim(const GranterClaim &Claim);
+  const GranterClaim &claim() const { return m_claim; }
+  bool isGranter() const { return m_granter.isGranter(); }
+
+  void noteNotHeld(Key Value) { m_granter.noteNotHeld(Value); }
+
+private:
+  bool shouldTakeOver(TimePoint Now) const;
+  boost::asio::awaitable<void> takeOver();
+  boost::asio::awaitable<void> write(OwnershipRecord Record);
+  boost::asio::awaitable<void> validate();
+  boost::asio::awaitable<void> carryOut(GrantCall Call);
+  void lose(std::string_view Reason, const GranterClaim &Winner);
+  void publish();
+  std::vector<ServerEntry> ownServers() const;
+
+  boost::asio::any_io_executor m_executor;
+  const std::string m_service;
+  const KeeperPolicy m_policy;
+  const GrantPolicy m_grants;
+  GatewayStore &m_store;
+  KeyServers &m_servers;
+  Roster &m_hosts;
+  EventLog &m_log;
+  GatewayMetrics &m_metrics;
+  const KeeperView m_view;
+  KeyGranter m_granter;
+  GranterClaim m_claim;
+  std::uint64_t m_version = 0; ///< Of the row, as last read or written.
+  bool m_isStopped = false;
+  bool m_isValidating = false;
+  bool m_isWriting = false;
+  TimePoint m_validatedAt{};
+  TimePoint m_nextTakeOver{};
+  KeyMap m_published;
+  std::uint64_t m_mapChanges = 0;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_OWNERSHIP_KEEPER_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -0,0 +1,123 @@
+/// \file
+/// Messages between hosts, encoded with MessagePack as arrays.
+
+#ifndef TAMARACKDRUM_GATEWAY_PEER_MESSAGE_H
+#define TAMARACKDRUM_GATEWAY_PEER_MESSAGE_H
+
+#include "tamarackdrum/gateway/dispatcher.h"
+#include "tamarackdrum/gateway/roster.h"
+
+#include <variant>
+
+namespace tamarackdrum::gateway {
+
+/// A dispatch that a host has running, for a coordinator that is new to it.
+struct RunningDispatch {
+  std::uint32_t m_number = 0;
+  std::string m_service;
+  std::string m_server;
+
+  bool operator==(const RunningDispatch &) const = default;
+};
+
+/// First message of a link: who asks, and what it has running.
+struct HelloMessage {
+  HostInfo m_host;
+  std::vector<RunningDispatch> m_running;
+
+  bool operator==(const HelloMessage &) const = default;
+};
+
+/// A host wants a slot. The ticket's link is set by the receiver.
+struct AskMessage {
+  std::string m_service;
+  DispatchAsk m_ask;
+
+  bool operator==(const AskMessage &) const = default;
+};
+
+/// The dispatcher has taken an ask and cannot place it yet.
+struct QueuedMessage {
+  std::uint32_t m_number = 0;
+
+  bool operator==(const QueuedMessage &) const = default;
+};
+
+struct DecisionMessage {
+  DispatchDecision m_decision;
+
+  bool operator==(const DecisionMessage &) const = default;
+};
+
+struct FinishMessage {
+  std::string m_service;
+  std::uint32_t m_number = 0;
+  DispatchResult m_result = DispatchResult::Served;
+  Millis m_serviceTime{0};
+
+  bool operator==(const FinishMessage &) const = default;
+};
+
+struct WithdrawMessage {
+  std::string m_service;
+  std::uint32_t m_number = 0;
+
+  bool operator==(const WithdrawMessage &) const = default;
+};
+
+/// Holders of the keys of a service.
+struct KeyMapMessage {
+  std::string m_service;
+  KeyMap m_map;
+
+  bool operator==(const KeyMapMessage &) const = default;
+};
+
+/// A server answered that it does not hold a key.
+struct NotHeldMessage {
+  std::string m_service;
+  Key m_key = 0;
+
+  bool operator==(const NotHeldMessage &) const = default;
+};
+
+/// Asks a peer for what it knows, when the store cannot be read.
+struct StateRequest {
+  bool operator==(const StateRequest &) const = default;
+};
+
+/// The configuration as the store holds it, and the server directory.
+struct StateMessage {
+  std::string m_configuration; ///< Empty if there is none.
+  std::vector<ServerEntry> m_servers;
+
+  bool operator==(const StateMessage &) const = default;
+};
+
+/// A server has ended while it ran the request with this fingerprint.
+struct CrashMessage {
+  std::uint64_t m_fingerprint = 0;
+  std::string m_server; ///< Id and start of the server's life.
+
+  bool operator==(const CrashMessage &) const = default;
+};
+
+using PeerMessage =
+    std::variant<HelloMessage, AskMessage, QueuedMessage, DecisionMessage,
+                 FinishMessage, WithdrawMessage, KeyMapMessage, NotHeldMessage,
+                 StateRequest, StateMessage, CrashMessage>;
+
+/// Appends the encoding of \p Message to \p Out.
+void encode(const PeerMessage &Message, std::string &Out);
+
+/// Takes whole messages off the front of \p Buffer. Errors: ControlErrc::
+/// Malformed for bytes that are no message; the link must be closed then.
+Result<std::vector<PeerMessage>> decode(std::string &Buffer);
+
+std::string encodeBeat(const HostBeat &Beat);
+/// Errors: ControlErrc::Malformed, ControlErrc::WrongVersion.
+Result<HostBeat> decodeBeat(std::string_view Bytes);
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_PEER_MESSAGE_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/peer-network.h
@@ -0,0 +1,111 @@
+/// \file
+/// Beats (UDP) and links (TCP) between the hosts of a site.
+
+#ifndef TAMARACKDRUM_GATEWAY_PEER_NETWORK_H
+#define TAMARACKDRUM_GATEWAY_PEER_NETWORK_H
+
+#include "tamarackdrum/gateway/connection.h"
+#include "tamarackdrum/gateway/event-log.h"
+#include "tamarackdrum/gateway/peer-message.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+namespace tamarackdrum::gateway {
+
+struct PeerNetworkPolicy {
+  Millis m_connectTimeout{500};
+  /// Pause after a failed connection before the next one.
+  Millis m_redialPause{300};
+  /// The kernel ends a link whose data is not acknowledged for this long.
+  Millis m_silence{1500};
+  /// Bytes that may wait for a link; it is closed beyond.
+  std::size_t m_queueBytes = 1 << 20;
+
+  bool operator==(const PeerNetworkPolicy &) const = default;
+};
+
+/// What happens on links. All are called on the thread of the network.
+struct PeerEvents {
+  /// A message from \p Host on \p Link. Replies go to the same link.
+  std::function<void(std::uint32_t Link, const std::string &Host,
+                     PeerMessage &Message)>
+      m_onMessage;
+  /// A link has ended; \p IsOutgoing if this host had opened it.
+  std::function<void(std::uint32_t Link, const std::string &Host,
+                     bool IsOutgoing)>
+      m_onLinkDown;
+  /// Returns the first message of a new outgoing link.
+  std::function<HelloMessage(const std::string &Host)> m_hello;
+  /// Returns the beat to send now.
+  std::function<HostBeat()> m_beat;
+  std::function<void(const HostBeat &)> m_onBeat;
+};
+
+class PeerNetwork {
+public:
+  PeerNetwork(boost::asio::any_io_executor Executor, PeerNetworkPolicy Policy,
+              Roster &Hosts, std::uint16_t Port, EventLog &Log,
+              PeerEvents Events);
+
+  /// Opens the ports. Errors: those of the system.
+  std::error_code start();
+
+  /// Sends over the link to \p Host and opens it if need be. Returns the
+  /// number of the link, or 0 if there is none and none may be opened now.
+  std::uint32_t send(const std::string &Host, const PeerMessage &Message);
+  /// Opens the link to \p Host if it is down.
+  void keepLink(const std::string &Host);
+  /// Sends over a link that either side has opened.
+  void reply(std::uint32_t Link, const PeerMessage &Message);
+  /// Sends to all hosts that have opened a link to this one.
+  void broadcast(const PeerMessage &Message);
+
+  /// Sends the beats that are due.
+  void sendBeats();
+  void sendBeat(const std::string &Ip, bool IsReply);
+
+private:
+  struct Link {
+    explicit Link(boost::asio::ip::tcp::socket Socket)
+        : m_socket(std::move(Socket)) {}
+
+    boost::asio::ip::tcp::socket m_socket;
+    std::uint32_t m_id = 0;
+    std::string m_host;
+    bool m_isOutgoing = false;
+    bool m_isConnected = false;
+    bool m_isClosed = false;
+    bool m_isWriting = false;
+    std::string m_queue;
+  };
+  using LinkPtr = std::shared_ptr<Link>;
+
+  boost::asio::awaitable<void> acceptLoop();
+  boost::asio::awaitable<void> receiveBeats();
+  boost::asio::awaitable<void> dial(LinkPtr Item, Endpoint Peer);
+  boost::asio::awaitable<void> readLoop(LinkPtr Item);
+  boost::asio::awaitable<void> writeLoop(LinkPtr Item);
+  LinkPtr outgoing(const std::string &Host);
+  void queue(const LinkPtr &Item, const PeerMessage &Message);
+  void close(const LinkPtr &Item, std::string_view Reason);
+  void prepare(Link &Item) const;
+
+  boost::asio::any_io_executor m_executor;
+  const PeerNetworkPolicy m_policy;
+  Roster &m_hosts;
+  const std::uint16_t m_port;
+  EventLog &m_log;
+  const PeerEvents m_events;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::ip::udp::socket m_beats;
+  std::uint32_t m_lastLink = 0;
+  std::map<std::uint32_t, LinkPtr> m_links;
+  std::map<std::string, LinkPtr> m_outgoing;
+  std::map<std::string, TimePoint> m_redialAt;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_PEER_NETWORK_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/ports.h
@@ -0,0 +1,108 @@
+/// \file
+/// What the gateway needs from its platform. An adapter implements these.
+
+#ifndef TAMARACKDRUM_GATEWAY_PORTS_H
+#define TAMARACKDRUM_GATEWAY_PORTS_H
+
+#include "tamarackdrum/gateway/configuration.h"
+#include "tamarackdrum/gateway/key-granter.h"
+#include "tamarackdrum/gateway/retry-window.h"
+#include "tamarackdrum/gateway/roster.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace tamarackdrum::gateway {
+
+/// Names of the HTTP headers that the gateway reads and sets.
+struct HeaderNames {
+  std::string m_requestId;
+  std::string m_deadlineMs;
+  std::string m_expectServer; ///< Id of the only server that may run it.
+  std::string m_notRun;       ///< Set by servers that did not run a request.
+  std::string m_key;          ///< Key of a request to a keyed service.
+
+  bool operator==(const HeaderNames &) const = default;
+};
+
+/// Settings of one gateway process.
+struct GatewaySettings {
+  HostInfo m_host;
+  std::string m_clientAddress;  ///< Where clients connect, IP and port.
+  std::string m_readyAddress;   ///< Where readiness is asked for.
+  std::uint16_t m_peerPort = 0; ///< TCP and UDP, for the other hosts.
+  std::string m_metricsAddress; ///< Empty: no metrics are served.
+  std::vector<std::string> m_seedIps; ///< Hosts to ask first; may be stale.
+  Millis m_stopTimeout{6000};   ///< From the stop signal to the kill.
+  Millis m_touchTime{3000};     ///< Longest outage that excuses a host.
+  RetryPolicy m_retries;
+  std::size_t m_memoryBytes = 0;
+  HeaderNames m_headers;
+
+  bool operator==(const GatewaySettings &) const = default;
+};
+
+/// A record and the version that a conditional write of it has to name.
+struct VersionedOwnership {
+  OwnershipRecord m_record; ///< Term 0 if there is none yet.
+  std::uint64_t m_version = 0;
+
+  bool operator==(const VersionedOwnership &) const = default;
+};
+
+/// A configuration and its text, as peers pass it on.
+struct ReadConfiguration {
+  Configuration m_configuration;
+  std::string m_text;
+
+  bool operator==(const ReadConfiguration &) const = default;
+};
+
+/// The platform's store. All errors are of TableErrc.
+class GatewayStore {
+public:
+  template <typename T> using Task = boost::asio::awaitable<Result<T>>;
+
+  virtual ~GatewayStore() = default;
+
+  /// Returns all rows of the server registry.
+  virtual Task<std::vector<ServerRow>> readServers() = 0;
+
+  /// Returns the configuration, or waits up to \p Wait for one that is newer
+  /// than the last that this call returned. Without news: TableErrc::Conflict.
+  virtual Task<ReadConfiguration> awaitConfiguration(Millis Wait) = 0;
+
+  /// Decodes the text of a configuration that a peer has passed on.
+  virtual Result<ReadConfiguration>
+  decodeConfiguration(const std::string &Text) const = 0;
+
+  virtual Task<VersionedOwnership> readOwnership(std::string Service) = 0;
+  /// Writes \p Record if the row still has \p Version; returns the new one.
+  /// TableErrc::Unsettled: it may stand, or may come to stand later.
+  virtual Task<std::uint64_t> writeOwnership(std::string Service,
+                                             OwnershipRecord Record,
+                                             std::uint64_t Version) = 0;
+
+  /// Lists the hosts, and enters \p Self first.
+  virtual Task<std::vector<HostInfo>> enterHost(HostInfo Self) = 0;
+  virtual Task<std::vector<HostInfo>> readHosts() = 0;
+};
+
+/// Answer to a GrantCall.
+struct GrantReply {
+  GrantResult m_result = GrantResult::NoAnswer;
+  std::string m_handover;
+
+  bool operator==(const GrantReply &) const = default;
+};
+
+/// Calls to backend servers about the keys that they hold.
+class KeyServers {
+public:
+  virtual ~KeyServers() = default;
+  virtual boost::asio::awaitable<GrantReply> call(GrantCall Call,
+                                                  Millis Timeout) = 0;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_PORTS_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/roster.h
@@ -0,0 +1,121 @@
+/// \file
+/// The hosts of the site, which of them are alive, and which of them
+/// coordinate a service.
+///
+/// Hosts exchange beats with the first few hosts of a common order, the
+/// anchors, so that the number of messages grows with the hosts and not with
+/// their square.
+
+#ifndef TAMARACKDRUM_GATEWAY_ROSTER_H
+#define TAMARACKDRUM_GATEWAY_ROSTER_H
+
+#include "tamarackdrum/core.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace tamarackdrum::gateway {
+
+struct HostInfo {
+  std::string m_name;
+  std::string m_ip;
+  std::string m_zone;
+  std::int64_t m_life = 0; ///< Start of its process, Unix ms.
+  unsigned m_weight = 0;   ///< Processor share in percent.
+
+  bool operator==(const HostInfo &) const = default;
+};
+
+/// Who grants the keys of a service, as far as a host knows.
+struct GranterClaim {
+  std::uint64_t m_term = 0;
+  std::string m_host;
+  std::int64_t m_life = 0; ///< Of the granting process.
+
+  bool operator==(const GranterClaim &) const = default;
+};
+
+/// What hosts tell each other at short intervals.
+struct HostBeat {
+  HostInfo m_host;
+  bool m_isStopping = false;
+  bool m_isReply = false;
+  std::uint32_t m_storeAgeMs = 0; ///< Since its last good read of the store.
+  std::uint64_t m_configVersion = 0;
+  std::map<std::string, GranterClaim> m_claims; ///< By service.
+
+  bool operator==(const HostBeat &) const = default;
+};
+
+struct RosterPolicy {
+  Millis m_beatEvery{400};
+  /// Silence after which a host counts as dead. Source: three beats.
+  Millis m_deadAfter{1300};
+  /// Interval of beats to hosts that count as dead.
+  Millis m_retryEvery{1500};
+  /// Hosts unheard of for this long are forgotten unless the store lists them.
+  Millis m_forgetAfter{60000};
+  unsigned m_anchors = 4; ///< A coordinator for each service and a spare.
+
+  bool operator==(const RosterPolicy &) const = default;
+};
+
+class Roster {
+public:
+  Roster(RosterPolicy Policy, HostInfo Self);
+
+  /// Adds hosts that the store lists, with the life they had when listed.
+  void addListed(const std::vector<HostInfo> &Hosts, TimePoint Now);
+
+  void noteBeat(const HostBeat &Beat, TimePoint Now);
+  /// Notes a sign of life other than a beat.
+  void noteAlive(const std::string &Host, TimePoint Now);
+  /// Notes that the connection to \p Host was refused or reset.
+  void noteLost(const std::string &Host);
+
+  /// Returns the hosts that a beat is due to.
+  std::vector<HostInfo> beatsDue(TimePoint Now);
+
+  bool isAlive(const std::string &Host, TimePoint Now) const;
+  /// Returns the newest known life of \p Host, or 0.
+  std::int64_t lifeOf(const std::string &Host) const;
+  std::optional<HostInfo> find(const std::string &Host) const;
+  std::size_t knownCount() const { return m_hosts.size() + 1; }
+  /// Returns the last beat of \p Host, or null.
+  const HostBeat *lastBeat(const std::string &Host) const;
+
+  /// Returns the live hosts that may coordinate, in the common order.
+  std::vector<HostInfo> anchors(TimePoint Now) const;
+
+  /// Returns the coordinator of each of \p Services (sorted): different hosts
+  /// while there are enough.
+  std::map<std::string, std::string>
+  coordinators(const std::vector<std::string> &Services, TimePoint Now) const;
+
+  void setStopping() { m_isStopping = true; }
+  const HostInfo &self() const { return m_self; }
+
+private:
+  struct Peer {
+    HostInfo m_info;
+    HostBeat m_beat;
+    TimePoint m_addedAt{};
+    TimePoint m_heardAt{};
+    TimePoint m_sentAt{};
+    bool m_isLost = false;
+  };
+
+  std::vector<const Peer *> ordered() const;
+  bool isAlive(const Peer &Item, TimePoint Now) const;
+
+  const RosterPolicy m_policy;
+  const HostInfo m_self;
+  bool m_isStopping = false;
+  TimePoint m_startedAt{};
+  std::map<std::string, Peer> m_hosts;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_ROSTER_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/server-directory.h
@@ -0,0 +1,94 @@
+/// \file
+/// The backend servers that have registered themselves.
+
+#ifndef TAMARACKDRUM_GATEWAY_SERVER_DIRECTORY_H
+#define TAMARACKDRUM_GATEWAY_SERVER_DIRECTORY_H
+
+#include "tamarackdrum/core.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace tamarackdrum::gateway {
+
+/// What a backend server says of itself.
+struct ServerEntry {
+  std::string m_id;
+  std::string m_service;
+  std::string m_address; ///< IP address and port.
+  std::string m_zone;
+  unsigned m_slots = 1; ///< Requests that it runs at the same time.
+  bool m_isDraining = false;
+  std::int64_t m_bornMs = 0;  ///< Unix time of its start.
+  std::uint64_t m_report = 0; ///< Number of the report in this life.
+  Millis m_coldLeft{0};       ///< How much longer it is slow after its start.
+
+  bool operator==(const ServerEntry &) const = default;
+};
+
+/// A row of the registry: its key, and the entry if it could be decoded.
+struct ServerRow {
+  std::string m_id;
+  bool m_isReadable = false;
+  ServerEntry m_entry;
+};
+
+/// Time limits of the directory.
+struct DirectoryPolicy {
+  /// Servers that are missing from the first listing after an outage have
+  /// this long to register again. Source: the platform promises about 2 s.
+  Millis m_returnGrace{2200};
+  /// A gap between good listings from which it counts as an outage. Source:
+  /// twice the polling interval.
+  Millis m_outageGap{1400};
+
+  bool operator==(const DirectoryPolicy &) const = default;
+};
+
+/// What a listing has changed.
+struct DirectoryChange {
+  std::vector<std::string> m_added;
+  std::vector<std::string> m_removed;
+  std::vector<std::string> m_draining;
+  std::vector<std::string> m_reborn; ///< Same id, later start.
+
+  bool isEmpty() const {
+    return m_added.empty() && m_removed.empty() && m_draining.empty() &&
+           m_reborn.empty();
+  }
+};
+
+class ServerDirectory {
+public:
+  explicit ServerDirectory(DirectoryPolicy Policy = {}) : m_policy(Policy) {}
+
+  /// Takes a whole listing that was asked for at \p AskedAt. Older listings
+  /// than the newest one taken are ignored.
+  DirectoryChange applyListing(const std::vector<ServerRow> &Rows,
+                               TimePoint AskedAt, TimePoint Now);
+
+  /// Notes that a listing could not be read.
+  void noteReadFailed() { m_hasFailed = true; }
+
+  /// Takes entries that a peer knows, if this directory has none of its own.
+  DirectoryChange adopt(const std::vector<ServerEntry> &Entries);
+
+  const std::map<std::string, ServerEntry> &entries() const {
+    return m_entries;
+  }
+  bool isLoaded() const { return m_isLoaded; }
+  TimePoint lastListing() const { return m_lastListing; }
+
+private:
+  const DirectoryPolicy m_policy;
+  std::map<std::string, ServerEntry> m_entries;
+  TimePoint m_lastListing{};
+  TimePoint m_graceUntil{};
+  bool m_isLoaded = false;
+  bool m_hasFailed = false;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_SERVER_DIRECTORY_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/text-server.h
@@ -0,0 +1,45 @@
+/// \file
+/// A small HTTP server that answers one path with a text.
+
+#ifndef TAMARACKDRUM_GATEWAY_TEXT_SERVER_H
+#define TAMARACKDRUM_GATEWAY_TEXT_SERVER_H
+
+#include "tamarackdrum/core.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+
+namespace tamarackdrum::gateway {
+
+struct TextAnswer {
+  unsigned m_status = 200;
+  std::string m_body;
+
+  bool operator==(const TextAnswer &) const = default;
+};
+
+class TextServer {
+public:
+  /// Returns the answer for a path.
+  using Handler = std::function<TextAnswer(std::string_view Path)>;
+
+  TextServer(boost::asio::any_io_executor Executor, Handler Answer)
+      : m_executor(Executor), m_acceptor(Executor),
+        m_answer(std::move(Answer)) {}
+
+  /// Listens at \p Address. Errors: those of the system.
+  std::error_code start(const std::string &Address);
+
+private:
+  boost::asio::awaitable<void> acceptLoop();
+  boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket Socket);
+
+  boost::asio::any_io_executor m_executor;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  const Handler m_answer;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_TEXT_SERVER_H
--- /dev/null
+++ b/include/tamarackdrum/gateway/upstream-exchange.h
@@ -0,0 +1,97 @@
+/// \file
+/// One request to one backend server.
+
+#ifndef TAMARACKDRUM_GATEWAY_UPSTREAM_EXCHANGE_H
+#define TAMARACKDRUM_GATEWAY_UPSTREAM_EXCHANGE_H
+
+#include "tamarackdrum/gateway/connection.h"
+#include "tamarackdrum/gateway/dispatcher.h"
+#include "tamarackdrum/gateway/ports.h"
+
+#include <boost/beast/http.hpp>
+#include <functional>
+
+namespace tamarackdrum::gateway {
+
+/// Reads further pieces of a request body that was not whole at the start. An
+/// empty piece ends the body; errors are of HttpErrc.
+using BodySource =
+    std::function<boost::asio::awaitable<Result<std::string>>()>;
+
+struct UpstreamRequest {
+  ServerEntry m_server;
+  std::string m_head; ///< Request line and headers with the final empty line.
+  std::string m_body; ///< Framed as the head says.
+  BodySource m_more;  ///< Null if m_body is whole.
+  std::string m_requestId;
+  bool m_isHead = false;  ///< A HEAD request: the answer has no body.
+  bool m_isSafe = true;
+  TimePoint m_endsAt;     ///< No answer is waited for after it.
+  std::size_t m_maxIdle = 1; ///< Connections to keep to this server.
+};
+
+using ResponseParser =
+    boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+struct UpstreamReply {
+  DispatchResult m_result = DispatchResult::Unreachable;
+  bool m_isSent = false;    ///< The request may have reached the server.
+  bool m_isNotHeld = false; ///< The server says that it is another one, or
+                            ///< that it does not hold the key.
+  bool m_isTooLong = false; ///< m_body is not whole: read on with readMore().
+  Millis m_time{0};
+  std::shared_ptr<ResponseParser> m_head; ///< Status and headers; may be null.
+  std::string m_body;
+  ConnectionPool::Owned m_connection; ///< Only if m_isTooLong.
+};
+
+/// Lets a third party end an exchange.
+class ExchangeControl {
+public:
+  void cancel() {
+    m_isCancelled = true;
+    if (m_stream != nullptr)
+      m_stream->cancel();
+  }
+  bool isCancelled() const { return m_isCancelled; }
+
+  boost::beast::tcp_stream *m_stream = nullptr;
+
+private:
+  bool m_isCancelled = false;
+};
+
+class UpstreamExchange {
+public:
+  UpstreamExchange(ConnectionPool &Pool, HeaderNames Headers)
+      : m_pool(Pool), m_headers(std::move(Headers)) {}
+
+  /// Sends the request and reads the answer, whole if it is short.
+  boost::asio::awaitable<UpstreamReply> run(UpstreamRequest Request,
+                                            ExchangeControl &Control);
+
+  /// Returns the next piece of a long answer; empty at its end. Errors:
+  /// HttpErrc::ReplyTorn, HttpErrc::TimedOut.
+  boost::asio::awaitable<Result<std::string>> readMore(UpstreamReply &Reply);
+
+  /// Returns whether a new connection to \p Address is refused or not
+  /// answered: the server there has ended.
+  boost::asio::awaitable<bool> isDown(std::string Address);
+
+private:
+  struct Sending;
+
+  boost::asio::awaitable<void> send(std::shared_ptr<Sending> Work);
+  boost::asio::awaitable<bool> readHead(Connection &Used,
+                                        const UpstreamRequest &Request,
+                                        UpstreamReply &Reply);
+  boost::asio::awaitable<bool> readBody(Connection &Used, UpstreamReply &Reply);
+  void classify(UpstreamReply &Reply) const;
+
+  ConnectionPool &m_pool;
+  const HeaderNames m_headers;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_UPSTREAM_EXCHANGE_H
--- /dev/null
+++ b/src/edge/admission.cc
@@ -0,0 +1,314 @@
+#include "tamarackdrum/gateway/admission.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Part of its share of the retry budget that a host uses by itself, since
+/// hosts are not evenly loaded and the coordinator has used some.
+constexpr double LocalRetryShare = 0.5;
+
+} // namespace
+
+const char *toText(AdmissionPlace Value) noexcept {
+  switch (Value) {
+  case AdmissionPlace::Here:
+    return "here";
+  case AdmissionPlace::Coordinator:
+    return "coordinator";
+  case AdmissionPlace::Fallback:
+    return "fallback";
+  }
+  return "unknown";
+}
+
+Admission::Admission(asio::any_io_executor Executor, AdmissionPolicy Policy,
+                     DispatchPolicy Shared, Roster &Hosts, EventLog &Log)
+    : m_executor(std::move(Executor)), m_policy(Policy), m_shared(Shared),
+      m_hosts(Hosts), m_log(Log),
+      m_hub(Shared,
+            [this](const std::string &, const DispatchDecision &Made) {
+              if (Made.m_ticket.m_link == 0)
+                decide(Made.m_ticket.m_number, Made);
+              else
+                m_network->reply(Made.m_ticket.m_link, DecisionMessage{Made});
+            }),
+      m_fallback(Shared,
+                 [this](const std::string &, const DispatchDecision &Made) {
+                   decide(Made.m_ticket.m_number, Made);
+                 }) {}
+
+DispatchPolicy Admission::localPolicy() const {
+  DispatchPolicy Out = m_shared;
+  const double Share = 1.0 / static_cast<double>(m_hosts.knownCount());
+  Out.m_slotShare = Share;
+  Out.m_ahead = 0;
+  Out.m_retries.m_slack *= Share * LocalRetryShare;
+  return Out;
+}
+
+asio::awaitable<Admitted> Admission::acquire(std::string Service,
+                                             DispatchAsk Ask,
+                                             AdmissionWait &Wait) {
+  const std::uint32_t Number = ++m_lastNumber;
+  const PendingPtr Item = std::make_shared<Pending>(m_executor);
+  Ask.m_ticket = {0, Number};
+  Ask.m_zone = m_hosts.self().m_zone;
+  Item->m_service = std::move(Service);
+  Item->m_ask = std::move(Ask);
+  Item->m_wake.expires_at(asio::steady_timer::time_point::max());
+  m_pending[Number] = Item;
+  Wait.m_number = Number;
+  submit(Item);
+  if (!Item->m_isDecided)
+    co_await Item->m_wake.async_wait(asio::as_tuple(asio::use_awaitable));
+  Wait.m_number = 0;
+  m_pending.erase(Number);
+  Admitted Out{Item->m_decision, Number, Item->m_place};
+  if (!Out.m_decision.m_server.empty())
+    m_running[Number] = {Item->m_service, Out.m_decision.m_server,
+                         Item->m_place, Item->m_link};
+  co_return Out;
+}
+
+void Admission::submit(const PendingPtr &Item) {
+  const auto Found = m_coordinators.find(Item->m_service);
+  const TimePoint Now = BootClock::now();
+  Item->m_sentAt = Now;
+  if (Found != m_coordinators.end() && Found->second == m_hosts.self().m_name) {
+    Item->m_place = AdmissionPlace::Here;
+    Item->m_isTaken = true;
+    m_hub.ask(Item->m_service, Item->m_ask, Now);
+    return;
+  }
+  if (Found != m_coordinators.end() && m_hosts.isAlive(Found->second, Now)) {
+    Item->m_place = AdmissionPlace::Coordinator;
+    Item->m_link = m_network->send(Found->second,
+                                   AskMessage{Item->m_service, Item->m_ask});
+    if (Item->m_link != 0)
+      return;
+  }
+  fallBack(Item, "no coordinator");
+}
+
+void Admission::fallBack(const PendingPtr &Item, std::string_view Reason) {
+  if (Item->m_isDecided)
+    return;
+  m_log.write("dispatch-fallback", {{"service", Item->m_service},
+                                    {"number", Item->m_ask.m_ticket.m_number},
+                                    {"reason", Reason}});
+  if (Item->m_place == AdmissionPlace::Coordinator && Item->m_link != 0)
+    m_network->reply(Item->m_link,
+                     WithdrawMessage{Item->m_service,
+                                     Item->m_ask.m_ticket.m_number});
+  Item->m_place = AdmissionPlace::Fallback;
+  Item->m_link = 0;
+  Item->m_isTaken = true;
+  m_fallback.setPolicy(localPolicy());
+  m_fallback.ask(Item->m_service, Item->m_ask, BootClock::now());
+}
+
+void Admission::decide(std::uint32_t Number, const DispatchDecision &Made) {
+  const auto Found = m_pending.find(Number);
+  if (Found == m_pending.end() || Found->second->m_isDecided)
+    return;
+  Found->second->m_isDecided = true;
+  Found->second->m_decision = Made;
+  Found->second->m_wake.cancel();
+}
+
+void Admission::cancel(AdmissionWait &Wait) {
+  const auto Found = m_pending.find(Wait.m_number);
+  if (Wait.m_number == 0 || Found == m_pending.end() ||
+      Found->second->m_isDecided)
+    return;
+  const PendingPtr Item = Found->second;
+  const Ticket Id{0, Wait.m_number};
+  if (Item->m_place == AdmissionPlace::Here)
+    m_hub.withdraw(Item->m_service, Id);
+  else if (Item->m_place == AdmissionPlace::Fallback)
+    m_fallback.withdraw(Item->m_service, Id);
+  else
+    m_network->reply(Item->m_link,
+                     WithdrawMessage{Item->m_service, Wait.m_number});
+  decide(Wait.m_number, {Id, "", RefusalReason::None, Millis(0)});
+}
+
+void Admission::finish(const std::string &Service, const Admitted &Taken,
+                       DispatchResult Outcome, Millis ServiceTime) {
+  const auto Found = m_running.find(Taken.m_number);
+  if (Found == m_running.end())
+    return;
+  const RunningHere Item = Found->second;
+  m_running.erase(Found);
+  const TimePoint Now = BootClock::now();
+  const Ticket Id{0, Taken.m_number};
+  if (Item.m_place == AdmissionPlace::Fallback)
+    m_fallback.finish(Service, Id, Outcome, ServiceTime, Now);
+  // A dispatch that another place has decided may have been adopted here.
+  m_hub.finish(Service, Id, Outcome, ServiceTime, Now);
+  const auto Coordinator = m_coordinators.find(Service);
+  if (Coordinator == m_coordinators.end() ||
+      Coordinator->second == m_hosts.self().m_name ||
+      Item.m_place == AdmissionPlace::Fallback)
+    return;
+  m_network->send(Coordinator->second,
+                  FinishMessage{Service, Taken.m_number, Outcome, ServiceTime});
+}
+
+void Admission::setCoordinators(
+    std::map<std::string, std::string> Coordinators) {
+  if (Coordinators == m_coordinators)
+    return;
+  const std::map<std::string, std::string> Old =
+      std::exchange(m_coordinators, std::move(Coordinators));
+  const TimePoint Now = BootClock::now();
+  for (const auto &[Service, Host] : m_coordinators) {
+    const auto Before = Old.find(Service);
+    if (Before != Old.end() && Before->second == Host)
+      continue;
+    m_log.write("coordinator",
+                {{"service", Service},
+                 {"is", Host},
+                 {"was", Before == Old.end() ? "" : Before->second}});
+    if (Host == m_hosts.self().m_name) {
+      for (const auto &[Number, Item] : m_running)
+        if (Item.m_service == Service)
+          m_hub.adopt(Service, {0, Number}, Item.m_server, Now);
+    } else {
+      m_network->keepLink(Host);
+    }
+  }
+}
+
+void Admission::setServers(const std::map<std::string, ServerEntry> &Servers) {
+  const TimePoint Now = BootClock::now();
+  m_hub.setServers(Servers, Now);
+  m_fallback.setServers(Servers, Now);
+}
+
+bool Admission::setKeyMap(const std::string &Service, const KeyMap &Map) {
+  const auto Known = m_keyMaps.find(Service);
+  if (Known != m_keyMaps.end() && (Map.version() < Known->second.version() ||
+                                   Map == Known->second))
+    return false;
+  m_keyMaps[Service] = Map;
+  const TimePoint Now = BootClock::now();
+  m_hub.setKeyMap(Service, Map, Now);
+  m_fallback.setKeyMap(Service, Map, Now);
+  return true;
+}
+
+const KeyMap &Admission::keyMap(const std::string &Service) const {
+  static const KeyMap None;
+  const auto Found = m_keyMaps.find(Service);
+  return Found == m_keyMaps.end() ? None : Found->second;
+}
+
+void Admission::setServices(const std::vector<std::string> &Names) {
+  m_hub.retain(Names);
+  m_fallback.retain(Names);
+}
+
+void Admission::onHello(std::uint32_t Link, const HelloMessage &Message) {
+  const TimePoint Now = BootClock::now();
+  for (const RunningDispatch &Item : Message.m_running)
+    m_hub.adopt(Item.m_service, {Link, Item.m_number}, Item.m_server, Now);
+}
+
+void Admission::onAsk(std::uint32_t Link, const std::string &Zone,
+                      AskMessage &Message) {
+  Message.m_ask.m_ticket.m_link = Link;
+  Message.m_ask.m_zone = Zone;
+  if (m_hub.ask(Message.m_service, Message.m_ask, BootClock::now()))
+    m_network->reply(Link, QueuedMessage{Message.m_ask.m_ticket.m_number});
+}
+
+void Admission::onQueued(std::uint32_t Link, std::uint32_t Number) {
+  const auto Found = m_pending.find(Number);
+  if (Found != m_pending.end() && Found->second->m_link == Link)
+    Found->second->m_isTaken = true;
+}
+
+void Admission::onDecision(std::uint32_t Link, const DispatchDecision &Made) {
+  const std::uint32_t Number = Made.m_ticket.m_number;
+  const auto Found = m_pending.find(Number);
+  const bool IsWanted = Found != m_pending.end() &&
+                        !Found->second->m_isDecided &&
+                        Found->second->m_link == Link;
+  if (IsWanted) {
+    decide(Number, Made);
+    return;
+  }
+  // The slot came too late for its request.
+  const auto Running = m_running.find(Number);
+  if (!Made.m_server.empty() &&
+      (Running == m_running.end() || Running->second.m_link != Link)) {
+    const std::string Service =
+        Found == m_pending.end() ? std::string() : Found->second->m_service;
+    m_network->reply(Link, FinishMessage{Service, Number,
+                                         DispatchResult::Withdrawn, Millis(0)});
+  }
+}
+
+void Admission::onFinish(std::uint32_t Link, const FinishMessage &Message) {
+  const TimePoint Now = BootClock::now();
+  const Ticket Id{Link, Message.m_number};
+  if (!Message.m_service.empty()) {
+    m_hub.finish(Message.m_service, Id, Message.m_result,
+                 Message.m_serviceTime, Now);
+    return;
+  }
+  for (const auto &[Service, Item] : m_hub.all())
+    m_hub.finish(Service, Id, Message.m_result, Message.m_serviceTime, Now);
+}
+
+void Admission::onWithdraw(std::uint32_t Link, const WithdrawMessage &Message) {
+  m_hub.withdraw(Message.m_service, {Link, Message.m_number});
+}
+
+void Admission::onLinkDown(std::uint32_t Link) {
+  m_hub.dropLink(Link, BootClock::now());
+  std::vector<PendingPtr> Stranded;
+  for (const auto &[Number, Item] : m_pending)
+    if (Item->m_place == AdmissionPlace::Coordinator && Item->m_link == Link)
+      Stranded.push_back(Item);
+  for (const PendingPtr &Item : Stranded)
+    fallBack(Item, "link down");
+}
+
+std::vector<RunningDispatch>
+Admission::runningFor(const std::string &Host) const {
+  std::vector<RunningDispatch> Out;
+  for (const auto &[Number, Item] : m_running) {
+    const auto Found = m_coordinators.find(Item.m_service);
+    if (Found != m_coordinators.end() && Found->second == Host)
+      Out.push_back({Number, Item.m_service, Item.m_server});
+  }
+  return Out;
+}
+
+void Admission::tick() {
+  const TimePoint Now = BootClock::now();
+  std::vector<PendingPtr> Silent;
+  for (const auto &[Number, Item] : m_pending) {
+    if (Item->m_place != AdmissionPlace::Coordinator || Item->m_isDecided)
+      continue;
+    const auto Found = m_coordinators.find(Item->m_service);
+    const bool IsDead = Found == m_coordinators.end() ||
+                        !m_hosts.isAlive(Found->second, Now);
+    if (IsDead ||
+        (!Item->m_isTaken && Now - Item->m_sentAt > m_policy.m_takenTimeout))
+      Silent.push_back(Item);
+  }
+  for (const PendingPtr &Item : Silent)
+    fallBack(Item, "coordinator silent");
+  m_hub.tick(Now);
+  m_fallback.tick(Now);
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/edge/connection.cc
@@ -0,0 +1,129 @@
+#include "tamarackdrum/gateway/connection.h"
+
+#include "tamarackdrum/error.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+/// Returns whether nothing has arrived on an idle connection: neither its end
+/// nor bytes that belong to no request.
+bool isClean(Connection &Item) {
+  char Byte = 0;
+  const ssize_t Count = ::recv(Item.m_stream.socket().native_handle(), &Byte, 1,
+                               MSG_PEEK | MSG_DONTWAIT);
+  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+Result<Endpoint> parseEndpoint(std::string_view Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos)
+    return std::make_error_code(std::errc::invalid_argument);
+  boost::system::error_code Error;
+  const boost::asio::ip::address Address = boost::asio::ip::make_address(
+      std::string(Text.substr(0, Colon)), Error);
+  const std::string_view Digits = Text.substr(Colon + 1);
+  std::uint16_t Port = 0;
+  const std::from_chars_result Parsed =
+      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
+  if (Error || Parsed.ec != std::errc() ||
+      Parsed.ptr != Digits.data() + Digits.size())
+    return std::make_error_code(std::errc::invalid_argument);
+  return Endpoint(Address, Port);
+}
+
+void limitSilence(boost::asio::ip::tcp::socket &Socket, Millis Time) {
+  const unsigned Value = static_cast<unsigned>(Time.count());
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &Value,
+               sizeof(Value));
+}
+
+Millis ConnectionPool::idleLimit(const Connection &Item) const {
+  if (Item.m_keepAlive.count() == 0)
+    return m_policy.m_idleTime;
+  return std::min(m_policy.m_idleTime,
+                  std::max(Item.m_keepAlive - m_policy.m_idleMargin,
+                           Item.m_keepAlive / 2));
+}
+
+ConnectionPool::Owned ConnectionPool::takeIdle(const std::string &Peer,
+                                               Millis MaxIdle) {
+  const auto Found = m_idle.find(Peer);
+  if (Found == m_idle.end())
+    return nullptr;
+  std::vector<Owned> &Idle = Found->second;
+  const TimePoint Now = BootClock::now();
+  while (!Idle.empty()) {
+    if (Now - Idle.back()->m_idleSince > MaxIdle)
+      return nullptr;
+    Owned Taken = std::move(Idle.back());
+    Idle.pop_back();
+    if (Now - Taken->m_idleSince < idleLimit(*Taken) && isClean(*Taken)) {
+      Taken->m_isReused = true;
+      return Taken;
+    }
+  }
+  return nullptr;
+}
+
+boost::asio::awaitable<Result<ConnectionPool::Owned>>
+ConnectionPool::open(std::string Address, Millis Timeout) {
+  const Result<Endpoint> Peer = parseEndpoint(Address);
+  if (!Peer)
+    co_return HttpErrc::ConnectFailed;
+  const boost::asio::any_io_executor Executor =
+      co_await boost::asio::this_coro::executor;
+  Owned Opened = std::make_unique<Connection>(Executor);
+  ++m_opened;
+  Opened->m_stream.expires_after(Timeout);
+  const auto [Error] = co_await Opened->m_stream.async_connect(
+      Peer.value(), boost::asio::as_tuple(boost::asio::use_awaitable));
+  if (Error == boost::beast::error::timeout)
+    co_return HttpErrc::ConnectTimedOut;
+  if (Error)
+    co_return HttpErrc::ConnectFailed;
+  boost::system::error_code Ignored; // Only costs latency if it fails.
+  Opened->m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true),
+                                       Ignored);
+  limitSilence(Opened->m_stream.socket(), m_policy.m_silence);
+  co_return Opened;
+}
+
+void ConnectionPool::keep(const std::string &Peer, Owned Kept,
+                          std::size_t MaxIdle) {
+  if (Kept->m_buffer.size() > 0 || MaxIdle == 0)
+    return;
+  Kept->m_idleSince = BootClock::now();
+  std::vector<Owned> &Idle = m_idle[Peer];
+  if (Idle.size() >= MaxIdle)
+    Idle.erase(Idle.begin());
+  Idle.push_back(std::move(Kept));
+}
+
+void ConnectionPool::retain(const std::vector<std::string> &Known) {
+  for (auto Item = m_idle.begin(); Item != m_idle.end();) {
+    const bool IsKnown =
+        std::find(Known.begin(), Known.end(), Item->first) != Known.end();
+    Item = IsKnown ? std::next(Item) : m_idle.erase(Item);
+  }
+}
+
+void ConnectionPool::dropExpired(TimePoint Now) {
+  for (auto &[Peer, Idle] : m_idle)
+    Idle.erase(std::remove_if(Idle.begin(), Idle.end(),
+                              [&](const Owned &Item) {
+                                return Now - Item->m_idleSince >
+                                       idleLimit(*Item);
+                              }),
+               Idle.end());
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/edge/edge-server.cc
@@ -0,0 +1,738 @@
+#include "tamarackdrum/gateway/edge-server.h"
+
+#include "tamarackdrum/error.h"
+#include "tamarackdrum/sleep.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <spdlog/fmt/fmt.h>
+#include <sys/socket.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t PieceBytes = 16 * 1024;
+constexpr std::size_t ReadBytes = 4 * 1024;
+constexpr Millis AcceptPause{20};
+/// Retry-After where a server has refused or could not be reached: others have
+/// room within the time of a request.
+constexpr Millis ServerRetryAfter{200};
+/// Least time that is worth another dispatch.
+constexpr Millis LeastTime{20};
+/// The server ends work by itself at the deadline that it is told; this host
+/// waits that much longer for its answer.
+constexpr Millis TimeoutGrace{60};
+
+/// Time of the poison registry: the steady clock in milliseconds.
+std::int64_t steadyMs() {
+  return std::chrono::duration_cast<Millis>(BootClock::now().time_since_epoch())
+      .count();
+}
+
+Millis left(TimePoint Until) {
+  return std::chrono::duration_cast<Millis>(Until - BootClock::now());
+}
+
+std::optional<std::int64_t> parseNumber(std::string_view Text) {
+  std::int64_t Value = 0;
+  const std::from_chars_result Parsed =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != Text.data() + Text.size())
+    return std::nullopt;
+  return Value;
+}
+
+/// Returns whether a header concerns one connection only.
+bool isHopByHop(std::string_view Name) {
+  for (std::string_view Other :
+       {"connection", "keep-alive", "proxy-connection", "te", "trailer",
+        "transfer-encoding", "upgrade", "content-length", "expect"})
+    if (boost::algorithm::iequals(Name, Other))
+      return true;
+  return false;
+}
+
+/// Appends the headers that are passed on.
+template <typename Fields>
+void appendHeaders(std::string &Out, const Fields &Head,
+                   std::initializer_list<std::string_view> Dropped) {
+  http::token_list Named(Head[http::field::connection]);
+  for (const auto &Item : Head) {
+    const std::string_view Name(Item.name_string().data(),
+                                Item.name_string().size());
+    const bool IsDropped =
+        isHopByHop(Name) || Named.exists(Item.name_string()) ||
+        std::any_of(Dropped.begin(), Dropped.end(), [&](std::string_view Other) {
+          return boost::algorithm::iequals(Name, Other);
+        });
+    if (IsDropped)
+      continue;
+    Out.append(Name).append(": ");
+    Out.append(Item.value().data(), Item.value().size()).append("\r\n");
+  }
+}
+
+std::string chunk(const std::string &Piece) {
+  return fmt::format("{:x}\r\n{}\r\n", Piece.size(), Piece);
+}
+
+} // namespace
+
+bool mayDispatchAgain(RequestKind Kind, DispatchResult Result, bool WasRun,
+                      unsigned Dispatches, unsigned Attempts) {
+  if (Result == DispatchResult::Unreachable)
+    return !WasRun || Kind == RequestKind::Safe;
+  if (Dispatches >= Attempts)
+    return false;
+  if (Result == DispatchResult::Refused)
+    return !WasRun || Kind == RequestKind::Safe;
+  return Kind == RequestKind::Safe &&
+         (Result == DispatchResult::Failed || Result == DispatchResult::Broken);
+}
+
+using RequestParser = http::request_parser<http::buffer_body>;
+
+struct EdgeServer::Session {
+  explicit Session(tcp::socket Socket) : m_stream(std::move(Socket)) {}
+
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  bool m_isIdle = true;
+  bool m_isWatched = false;
+  bool m_mustClose = false;
+  std::weak_ptr<Exchange> m_current;
+};
+
+struct EdgeServer::Exchange {
+  std::shared_ptr<RequestParser> m_parser;
+  std::string m_body;
+  bool m_isBodyWhole = true;
+  bool m_isStreaming = false; ///< Part of the body has been taken for good.
+  std::shared_ptr<RouteTable> m_table;
+  const Route *m_route = nullptr;
+  const Service *m_service = nullptr;
+  std::string m_id;
+  std::optional<Key> m_key;
+  TimePoint m_startedAt = BootClock::now();
+  TimePoint m_objectiveAt{};
+  TimePoint m_endsAt{};
+  std::uint64_t m_fingerprint = 0;
+  ExchangeControl m_control;
+  AdmissionWait m_wait;
+  bool m_isClientGone = false;
+  // What has happened so far:
+  unsigned m_dispatches = 0;
+  unsigned m_unreachable = 0;
+  bool m_wasRun = false; ///< A server may have begun to run it.
+  bool m_isAnswered = false;
+  std::vector<std::string> m_tried;
+  std::string m_lastServer;
+  Millis m_waited{0};
+  DispatchResult m_lastResult = DispatchResult::Unreachable;
+  DispatchDecision m_refusal;
+  std::string m_places;
+  UpstreamReply m_reply; ///< Last answer of a server; m_head may be null.
+
+  const http::request_header<> &head() const { return m_parser->get(); }
+};
+
+EdgeServer::EdgeServer(asio::any_io_executor Executor, EdgePolicy Policy,
+                       const GatewaySettings &Settings, Admission &Slots,
+                       UpstreamExchange &Upstreams, PoisonRegistry &Poison,
+                       EventLog &Log, GatewayMetrics &Metrics, Roster &Hosts,
+                       View Context)
+    : m_executor(std::move(Executor)), m_policy(Policy), m_settings(Settings),
+      m_slots(Slots), m_upstreams(Upstreams), m_poison(Poison), m_log(Log),
+      m_metrics(Metrics), m_hosts(Hosts), m_view(std::move(Context)),
+      m_acceptor(m_executor) {}
+
+std::error_code EdgeServer::start() {
+  const Result<Endpoint> Address = parseEndpoint(m_settings.m_clientAddress);
+  if (!Address)
+    return Address.error();
+  boost::system::error_code Error;
+  m_acceptor.open(Address.value().protocol(), Error);
+  if (!Error)
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    m_acceptor.bind(Address.value(), Error);
+  if (!Error)
+    m_acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (!Error)
+    asio::co_spawn(m_executor, acceptLoop(), asio::detached);
+  return Error;
+}
+
+asio::awaitable<void> EdgeServer::acceptLoop() {
+  while (true) {
+    auto [Error, Socket] = co_await m_acceptor.async_accept(UseTuple);
+    if (Error == asio::error::operation_aborted || !m_acceptor.is_open())
+      co_return;
+    if (Error) {
+      m_log.write("accept-failed", {{"reason", Error.message()}});
+      co_await sleepFor(AcceptPause);
+      continue;
+    }
+    boost::system::error_code Ignored; // Only costs latency if it fails.
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    limitSilence(Socket, m_policy.m_writeTimeout);
+    const SessionPtr Client = std::make_shared<Session>(std::move(Socket));
+    m_sessions.push_back(Client);
+    asio::co_spawn(m_executor, serve(Client), asio::detached);
+  }
+}
+
+void EdgeServer::closeIdle() {
+  boost::system::error_code Ignored; // It is closed in any case.
+  m_acceptor.close(Ignored);
+  for (const SessionPtr &Client : m_sessions)
+    if (Client->m_isIdle)
+      Client->m_stream.cancel();
+}
+
+asio::awaitable<void> EdgeServer::serve(SessionPtr Client) {
+  while (!Client->m_mustClose) {
+    const std::shared_ptr<Exchange> Item = std::make_shared<Exchange>();
+    const bool IsRead = co_await readRequest(Client, Item);
+    if (!IsRead)
+      break;
+    ++m_active;
+    Client->m_isIdle = false;
+    Client->m_current = Item;
+    co_await handle(Client, Item);
+    m_heldBytes -= std::min(m_heldBytes, Item->m_body.size());
+    Client->m_isIdle = true;
+    --m_active;
+    if (Item->m_isClientGone || !Item->m_parser->is_done())
+      break;
+  }
+  boost::system::error_code Ignored; // The client may have closed it.
+  Client->m_stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+  if (Client->m_mustClose && !Ignored) {
+    // Unread bytes would reset the connection and with it the answer.
+    std::string Rest(ReadBytes, '\0');
+    Client->m_stream.expires_after(Millis(300));
+    while (true) {
+      const auto [Error, Count] = co_await Client->m_stream.async_read_some(
+          asio::buffer(Rest), UseTuple);
+      if (Error)
+        break;
+    }
+  }
+  Client->m_stream.close();
+  m_sessions.remove(Client);
+}
+
+asio::awaitable<bool>
+EdgeServer::readRequest(SessionPtr Client, std::shared_ptr<Exchange> Item) {
+  Item->m_table = m_view.m_routes();
+  const ClientLimits Limits = Item->m_table == nullptr
+                                  ? ClientLimits{}
+                                  : Item->m_table->configuration().m_limits;
+  if (Client->m_buffer.size() == 0) {
+    Client->m_stream.expires_after(Limits.m_idleTimeout);
+    const auto [Error, Count] = co_await Client->m_stream.async_read_some(
+        Client->m_buffer.prepare(ReadBytes), UseTuple);
+    if (Error)
+      co_return false;
+    Client->m_buffer.commit(Count);
+    Item->m_table = m_view.m_routes();
+  }
+  Client->m_isIdle = false;
+  Item->m_startedAt = BootClock::now();
+  Item->m_parser = std::make_shared<RequestParser>();
+  Item->m_parser->header_limit(Limits.m_headerBytes);
+  Item->m_parser->body_limit(Limits.m_bodyBytes);
+  Client->m_stream.expires_after(Limits.m_headerTimeout);
+  const auto [Error, Count] = co_await http::async_read_header(
+      Client->m_stream, Client->m_buffer, *Item->m_parser, UseTuple);
+  if (!Error)
+    co_return true;
+  Client->m_mustClose = true;
+  if (Error == http::error::end_of_stream || Error == asio::error::eof ||
+      Error == asio::error::connection_reset ||
+      Error == asio::error::operation_aborted ||
+      Error == http::error::partial_message)
+    co_return false;
+  unsigned Status = 400;
+  if (Error == beast::error::timeout)
+    Status = 408;
+  else if (Error == http::error::header_limit)
+    Status = 431;
+  else if (Error == http::error::body_limit)
+    Status = 413;
+  co_await answer(Client, Item, Status, Error.message(), Millis(0));
+  co_return false;
+}
+
+bool EdgeServer::route(Exchange &Item) const {
+  const http::request_header<> &Head = Item.head();
+  if (Item.m_table == nullptr)
+    return false;
+  Item.m_route = Item.m_table->match(Head[http::field::host], Head.target());
+  if (Item.m_route == nullptr)
+    return false;
+  Item.m_service =
+      Item.m_table->findService(Item.m_table->nextService(*Item.m_route));
+  return Item.m_service != nullptr;
+}
+
+asio::awaitable<bool> EdgeServer::readBody(SessionPtr Client,
+                                           std::shared_ptr<Exchange> Item) {
+  RequestParser &Parser = *Item->m_parser;
+  std::string Piece;
+  while (!Parser.is_done() && Item->m_body.size() < m_policy.m_heldBodyBytes) {
+    Piece.resize(PieceBytes);
+    Parser.get().body().data = Piece.data();
+    Parser.get().body().size = Piece.size();
+    Client->m_stream.expires_after(std::max(Millis(1), left(Item->m_endsAt)));
+    const auto [Error, Count] = co_await http::async_read_some(
+        Client->m_stream, Client->m_buffer, Parser, UseTuple);
+    const std::size_t Length = Piece.size() - Parser.get().body().size;
+    Item->m_body.append(Piece.data(), Length);
+    m_heldBytes += Length;
+    if (!Error || Error == http::error::need_buffer)
+      continue;
+    Client->m_mustClose = true;
+    if (Error == http::error::body_limit)
+      co_await answer(Client, Item, 413, "body too long", Millis(0));
+    else if (Error == beast::error::timeout)
+      co_await answer(Client, Item, 408, "body not sent in time", Millis(0));
+    else if (Error.category() == http::make_error_code(http::error::bad_chunk).category() &&
+             Error != http::error::partial_message)
+      co_await answer(Client, Item, 400, Error.message(), Millis(0));
+    else
+      Item->m_isClientGone = true;
+    co_return false;
+  }
+  Item->m_isBodyWhole = Parser.is_done();
+  co_return true;
+}
+
+asio::awaitable<void> EdgeServer::handle(SessionPtr Client,
+                                         std::shared_ptr<Exchange> Item) {
+  const http::request_header<> &Head = Item->head();
+  Item->m_id = std::string(Head[m_settings.m_headers.m_requestId]);
+  if (!Item->m_parser->keep_alive() || m_isDraining)
+    Client->m_mustClose = true;
+  const bool IsRouted = route(*Item);
+  const std::optional<std::int64_t> Deadline =
+      parseNumber(Head[m_settings.m_headers.m_deadlineMs]);
+  Millis Wait = m_policy.m_defaultDeadline;
+  if (Deadline && *Deadline >= 0)
+    Wait = std::min(Wait, Millis(*Deadline));
+  if (IsRouted) {
+    const Millis Asked = Wait;
+    if (Item->m_route->m_timeout.count() > 0)
+      Wait = std::min(Wait, Item->m_route->m_timeout);
+    // A client that has been refused comes back with less time: its objective
+    // counts from its first try.
+    Millis &Full = m_fullDeadlines[Item->m_route->m_name];
+    Full = std::max(Full, Asked);
+    Item->m_objectiveAt =
+        Item->m_startedAt + Item->m_route->m_objective - (Full - Asked);
+  }
+  Item->m_endsAt = Item->m_startedAt + Wait;
+  if (Head.count(http::field::expect) > 0 && !Item->m_parser->is_done()) {
+    std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    const bool IsSent = co_await write(Client, std::move(Continue));
+    if (!IsSent)
+      co_return;
+  }
+  const bool IsRead = co_await readBody(Client, Item);
+  if (!IsRead)
+    co_return;
+  if (Item->m_table == nullptr) {
+    co_await answer(Client, Item, 503, "no configuration", Millis(1000));
+    co_return;
+  }
+  if (!IsRouted) {
+    co_await answer(Client, Item, 404, "no route", Millis(0));
+    co_return;
+  }
+  if (m_heldBytes > m_policy.m_bodyMemory) {
+    co_await answer(Client, Item, 503, "memory", Millis(500));
+    co_return;
+  }
+  if (Item->m_service->m_isKeyed) {
+    const std::optional<std::int64_t> Value =
+        parseNumber(Head[m_settings.m_headers.m_key]);
+    if (!Value || *Value < 0 || *Value >= static_cast<std::int64_t>(KeyCount)) {
+      co_await answer(Client, Item, 400, "no key", Millis(0));
+      co_return;
+    }
+    Item->m_key = static_cast<Key>(*Value);
+  }
+  Item->m_fingerprint = fingerprintOf(Head.method_string(), Head.target(),
+                                      Item->m_body);
+  if (m_poison.isPoisoned(Item->m_fingerprint, steadyMs())) {
+    co_await answer(Client, Item, 502, "crashes servers", Millis(0));
+    co_return;
+  }
+  watchClient(Client);
+  co_await dispatch(Client, Item);
+}
+
+void EdgeServer::watchClient(const SessionPtr &Client) {
+  if (Client->m_isWatched || Client->m_buffer.size() > 0)
+    return;
+  Client->m_isWatched = true;
+  Client->m_stream.socket().async_wait(
+      tcp::socket::wait_read, [this, Client](boost::system::error_code Error) {
+        Client->m_isWatched = false;
+        const std::shared_ptr<Exchange> Item = Client->m_current.lock();
+        if (Error || Item == nullptr || Item->m_isAnswered)
+          return;
+        char Byte = 0;
+        const ssize_t Count =
+            ::recv(Client->m_stream.socket().native_handle(), &Byte, 1,
+                   MSG_PEEK | MSG_DONTWAIT);
+        if (Count > 0 ||
+            (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))
+          return;
+        Item->m_isClientGone = true;
+        if (Item->m_wait.m_number != 0)
+          m_slots.cancel(Item->m_wait);
+        else if (Item->m_route->m_kind == RequestKind::Safe)
+          Item->m_control.cancel();
+      });
+}
+
+asio::awaitable<void> EdgeServer::dispatch(SessionPtr Client,
+                                           std::shared_ptr<Exchange> Item) {
+  bool GoesOn = true;
+  while (GoesOn)
+    GoesOn = co_await tryOnce(Client, Item);
+  if (!Item->m_isAnswered)
+    co_await settle(Client, Item);
+}
+
+/// One slot and one server. Returns whether to go on with another.
+asio::awaitable<bool> EdgeServer::tryOnce(SessionPtr Client,
+                                          std::shared_ptr<Exchange> Item) {
+  DispatchAsk Ask;
+  Ask.m_key = Item->m_key;
+  Ask.m_isRepeat = Item->m_dispatches > 0;
+  Ask.m_objectiveLeft = std::max(Millis(0), left(Item->m_objectiveAt));
+  Ask.m_timeLeft = left(Item->m_endsAt);
+  Ask.m_tried = Item->m_tried;
+  if (Ask.m_timeLeft < LeastTime)
+    co_return false;
+  const TimePoint AskedAt = BootClock::now();
+  const Admitted Taken = co_await m_slots.acquire(Item->m_service->m_name,
+                                                  std::move(Ask), Item->m_wait);
+  const Millis Waited =
+      std::chrono::duration_cast<Millis>(BootClock::now() - AskedAt);
+  Item->m_waited += Waited;
+  m_metrics.recordWait(Item->m_service->m_name, Waited);
+  Item->m_places.append(Item->m_places.empty() ? "" : ",")
+      .append(toText(Taken.m_place));
+  if (Taken.m_decision.m_server.empty()) {
+    Item->m_refusal = Taken.m_decision;
+    co_return false;
+  }
+  const ServerEntry *Server = m_view.m_findServer(Taken.m_decision.m_server);
+  if (Item->m_isClientGone || Server == nullptr || Server->m_isDraining) {
+    m_slots.finish(Item->m_service->m_name, Taken, DispatchResult::Withdrawn,
+                   Millis(0));
+    if (Server == nullptr)
+      Item->m_tried.push_back(Taken.m_decision.m_server);
+    Item->m_refusal.m_reason = RefusalReason::NoServer;
+    Item->m_refusal.m_retryAfter = Millis(500);
+    co_return !Item->m_isClientGone && ++Item->m_unreachable < m_policy.m_unreachableTries;
+  }
+  const ServerEntry Chosen = *Server;
+  Item->m_lastServer = Chosen.m_id;
+  UpstreamRequest Request = makeRequest(Client, Item, Chosen);
+  UpstreamReply Reply =
+      co_await m_upstreams.run(std::move(Request), Item->m_control);
+  m_slots.finish(Item->m_service->m_name, Taken, Reply.m_result, Reply.m_time);
+  Item->m_lastResult = Reply.m_result;
+  if (Reply.m_isSent)
+    ++Item->m_dispatches;
+  const bool MayHaveRun =
+      Reply.m_isSent && Reply.m_result != DispatchResult::Refused;
+  Item->m_wasRun = Item->m_wasRun || MayHaveRun;
+  m_metrics.count("dispatches",
+                  fmt::format("service=\"{}\",result=\"{}\"",
+                              Item->m_service->m_name,
+                              static_cast<int>(Reply.m_result)));
+  if (Reply.m_result == DispatchResult::Broken)
+    asio::co_spawn(m_executor, checkCrash(Item->m_fingerprint, Chosen),
+                   asio::detached);
+  if (Reply.m_result == DispatchResult::Served) {
+    m_poison.noteAnswered(Item->m_fingerprint, steadyMs());
+    co_await relay(Client, Item, Reply);
+    co_return false;
+  }
+  if (Reply.m_isNotHeld && Item->m_key) {
+    m_view.m_onNotHeld(Item->m_service->m_name, *Item->m_key);
+    co_await sleepFor(m_policy.m_notHeldPause);
+  }
+  Item->m_tried.push_back(Chosen.m_id);
+  if (Reply.m_result == DispatchResult::Failed && !Reply.m_isTooLong)
+    Item->m_reply = std::move(Reply);
+  else
+    Item->m_reply = UpstreamReply{};
+  if (Item->m_isClientGone || Item->m_isStreaming)
+    co_return false;
+  if (Item->m_lastResult == DispatchResult::Unreachable &&
+      ++Item->m_unreachable >= m_policy.m_unreachableTries)
+    co_return false;
+  co_return mayDispatchAgain(Item->m_route->m_kind, Item->m_lastResult,
+                             Item->m_wasRun, Item->m_dispatches,
+                             Item->m_route->m_attempts);
+}
+
+/// Answers a request that no server has served.
+asio::awaitable<void> EdgeServer::settle(SessionPtr Client,
+                                         std::shared_ptr<Exchange> Item) {
+  if (Item->m_isClientGone) {
+    account(*Item, 0, "client left");
+    co_return;
+  }
+  if (Item->m_reply.m_head != nullptr) {
+    co_await relay(Client, Item, Item->m_reply);
+    co_return;
+  }
+  if (Item->m_wasRun) {
+    const bool IsLate = Item->m_lastResult == DispatchResult::TimedOut;
+    const unsigned Status = IsLate ? 504 : 502;
+    const std::string_view Reason =
+        IsLate ? "no answer in time" : "connection broke";
+    co_await answer(Client, Item, Status, Reason, Millis(0));
+    co_return;
+  }
+  if (Item->m_refusal.m_reason != RefusalReason::None) {
+    co_await answer(Client, Item, 503, toText(Item->m_refusal.m_reason),
+                    Item->m_refusal.m_retryAfter);
+    co_return;
+  }
+  const bool IsRefused = Item->m_lastResult == DispatchResult::Refused;
+  const std::string_view Reason =
+      IsRefused ? "server refused" : "server unreachable";
+  co_await answer(Client, Item, 503, Reason, ServerRetryAfter);
+}
+
+std::string EdgeServer::makeHead(const Exchange &Item,
+                                 const ServerEntry &Server,
+                                 Millis Left) const {
+  const http::request_header<> &Head = Item.head();
+  const HeaderNames &Names = m_settings.m_headers;
+  std::string Out;
+  Out.reserve(512);
+  Out.append(Head.method_string().data(), Head.method_string().size());
+  Out.append(" ");
+  Out.append(Head.target().data(), Head.target().size());
+  Out.append(" HTTP/1.1\r\n");
+  appendHeaders(Out, Head, {Names.m_deadlineMs, Names.m_expectServer});
+  fmt::format_to(std::back_inserter(Out), "{}: {}\r\n{}: {}\r\n",
+                 Names.m_deadlineMs, std::max<std::int64_t>(1, Left.count()),
+                 Names.m_expectServer, Server.m_id);
+  if (!Item.m_isBodyWhole && !Item.m_parser->content_length())
+    Out.append("Transfer-Encoding: chunked\r\n");
+  else if (!Item.m_isBodyWhole)
+    fmt::format_to(std::back_inserter(Out), "Content-Length: {}\r\n",
+                   *Item.m_parser->content_length());
+  else if (!Item.m_body.empty() || Item.m_parser->chunked() ||
+           Item.m_parser->content_length())
+    fmt::format_to(std::back_inserter(Out), "Content-Length: {}\r\n",
+                   Item.m_body.size());
+  Out.append("\r\n");
+  return Out;
+}
+
+BodySource EdgeServer::makeSource(SessionPtr Client,
+                                  std::shared_ptr<Exchange> Item) const {
+  const bool IsChunked = !Item->m_parser->content_length();
+  const std::shared_ptr<bool> IsEnded = std::make_shared<bool>(false);
+  return [Client, Item, IsChunked,
+          IsEnded]() -> asio::awaitable<Result<std::string>> {
+    RequestParser &Parser = *Item->m_parser;
+    Item->m_isStreaming = true;
+    std::string Piece(PieceBytes, '\0');
+    std::size_t Length = 0;
+    while (!Parser.is_done() && Length == 0) {
+      Parser.get().body().data = Piece.data();
+      Parser.get().body().size = Piece.size();
+      const auto [Error, Count] = co_await http::async_read_some(
+          Client->m_stream, Client->m_buffer, Parser, UseTuple);
+      Length = Piece.size() - Parser.get().body().size;
+      if (Error && Error != http::error::need_buffer)
+        co_return HttpErrc::SendFailed;
+    }
+    Piece.resize(Length);
+    if (!IsChunked)
+      co_return Piece;
+    if (Length > 0)
+      co_return chunk(Piece);
+    if (*IsEnded)
+      co_return std::string();
+    *IsEnded = true;
+    co_return std::string("0\r\n\r\n");
+  };
+}
+
+UpstreamRequest EdgeServer::makeRequest(SessionPtr Client,
+                                        std::shared_ptr<Exchange> Item,
+                                        const ServerEntry &Server) const {
+  UpstreamRequest Out;
+  Out.m_server = Server;
+  Out.m_head = makeHead(*Item, Server, left(Item->m_endsAt));
+  Out.m_body = Item->m_body;
+  if (!Item->m_isBodyWhole) {
+    if (!Item->m_parser->content_length())
+      Out.m_body = chunk(Item->m_body);
+    Out.m_more = makeSource(std::move(Client), Item);
+  }
+  Out.m_requestId = Item->m_id;
+  Out.m_isHead = Item->head().method() == http::verb::head;
+  Out.m_isSafe = Item->m_route->m_kind == RequestKind::Safe;
+  Out.m_endsAt = Item->m_endsAt + TimeoutGrace;
+  // All hosts share the connections of a server; half are left for use.
+  const std::size_t Hosts = m_hosts.knownCount();
+  Out.m_maxIdle = std::max<std::size_t>(
+      1, Item->m_service->m_maxConnections / (2 * Hosts));
+  return Out;
+}
+
+asio::awaitable<void> EdgeServer::checkCrash(std::uint64_t Fingerprint,
+                                             ServerEntry Server) {
+  const bool IsDown = co_await m_upstreams.isDown(Server.m_address);
+  m_log.write("server-broke-off", {{"server", Server.m_id},
+                                   {"address", Server.m_address},
+                                   {"is_down", IsDown},
+                                   {"fingerprint", std::to_string(Fingerprint)}});
+  if (IsDown)
+    m_view.m_onCrash(Fingerprint, Server);
+}
+
+asio::awaitable<bool> EdgeServer::write(SessionPtr Client, std::string Bytes) {
+  Client->m_stream.expires_after(m_policy.m_writeTimeout);
+  const auto [Error, Count] = co_await asio::async_write(
+      Client->m_stream, asio::buffer(Bytes), UseTuple);
+  co_return !Error;
+}
+
+asio::awaitable<void> EdgeServer::relay(SessionPtr Client,
+                                        std::shared_ptr<Exchange> Item,
+                                        UpstreamReply &Reply) {
+  Item->m_isAnswered = true;
+  const http::response_header<> &Head = Reply.m_head->get();
+  unsigned Status = Head.result_int();
+  // These promise that the request has not run; the server has not said so.
+  if (Reply.m_result == DispatchResult::Failed && Status == 503) {
+    co_await answer(Client, Item, 502, "server failed with 503", Millis(0));
+    co_return;
+  }
+  if (m_isDraining)
+    Client->m_mustClose = true;
+  std::string Out = fmt::format(
+      "HTTP/1.1 {} {}\r\n", Status,
+      std::string_view(Head.reason().data(), Head.reason().size()));
+  appendHeaders(Out, Head, {});
+  const bool IsHead = Item->head().method() == http::verb::head;
+  const bool HasNoBody = Status == 204 || Status == 304;
+  if (Reply.m_isTooLong && !Reply.m_head->content_length())
+    Out.append("Transfer-Encoding: chunked\r\n");
+  else if (IsHead && Reply.m_head->get().has_content_length())
+    Out.append("Content-Length: ").append(Head[http::field::content_length]).append("\r\n");
+  else if (!HasNoBody && !IsHead)
+    fmt::format_to(std::back_inserter(Out), "Content-Length: {}\r\n",
+                   Reply.m_isTooLong ? *Reply.m_head->content_length()
+                                     : Reply.m_body.size());
+  Out.append(Client->m_mustClose ? "Connection: close\r\n\r\n" : "\r\n");
+  const bool IsChunked = Reply.m_isTooLong && !Reply.m_head->content_length();
+  Out.append(IsChunked ? chunk(Reply.m_body) : Reply.m_body);
+  bool IsSent = co_await write(Client, std::move(Out));
+  while (IsSent && Reply.m_isTooLong) {
+    Result<std::string> Piece = co_await m_upstreams.readMore(Reply);
+    if (!Piece) {
+      // The answer must be seen to be torn: no end of it is sent.
+      account(*Item, Status, "torn answer");
+      Client->m_mustClose = true;
+      Client->m_stream.close();
+      co_return;
+    }
+    const bool IsLast = Piece.value().empty();
+    if (IsLast && IsChunked) {
+      std::string End = "0\r\n\r\n";
+      IsSent = co_await write(Client, std::move(End));
+    }
+    if (IsLast)
+      break;
+    std::string Bytes = IsChunked ? chunk(Piece.value()) : Piece.value();
+    IsSent = co_await write(Client, std::move(Bytes));
+  }
+  if (!IsSent)
+    Item->m_isClientGone = true;
+  account(*Item, Status, "");
+}
+
+asio::awaitable<void> EdgeServer::answer(SessionPtr Client,
+                                         std::shared_ptr<Exchange> Item,
+                                         unsigned Status,
+                                         std::string_view Reason,
+                                         Millis RetryAfter) {
+  Item->m_isAnswered = true;
+  if (m_isDraining || !Item->m_parser->is_done())
+    Client->m_mustClose = true;
+  const std::string Body = fmt::format("{}\n", Reason);
+  std::string Out = fmt::format(
+      "HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n",
+      Status, std::string(http::obsolete_reason(http::int_to_status(Status))),
+      Body.size());
+  if (!Item->m_id.empty())
+    fmt::format_to(std::back_inserter(Out), "{}: {}\r\n",
+                   m_settings.m_headers.m_requestId, Item->m_id);
+  if (RetryAfter.count() > 0)
+    fmt::format_to(std::back_inserter(Out), "Retry-After: {:.3f}\r\n",
+                   static_cast<double>(RetryAfter.count()) / 1000);
+  Out.append(Client->m_mustClose ? "Connection: close\r\n\r\n" : "\r\n");
+  Out.append(Body);
+  const bool IsSent = co_await write(Client, std::move(Out));
+  if (!IsSent)
+    Item->m_isClientGone = true;
+  account(*Item, Status, Reason);
+}
+
+void EdgeServer::account(const Exchange &Item, unsigned Status,
+                         std::string_view Reason) {
+  const Millis Took = std::chrono::duration_cast<Millis>(BootClock::now() -
+                                                         Item.m_startedAt);
+  const std::string Service =
+      Item.m_service == nullptr ? "" : Item.m_service->m_name;
+  m_metrics.count("requests",
+                  fmt::format("service=\"{}\",status=\"{}\"", Service, Status));
+  if (Item.m_service != nullptr)
+    m_metrics.recordLatency(Service, Took);
+  m_log.write("request",
+              {{"id", Item.m_id},
+               {"status", Status},
+               {"reason", Reason},
+               {"route", Item.m_route == nullptr ? "" : Item.m_route->m_name},
+               {"config", Item.m_table == nullptr
+                              ? 0
+                              : Item.m_table->configuration().m_version},
+               {"service", Service},
+               {"server", Item.m_lastServer},
+               {"places", Item.m_places},
+               {"dispatches", Item.m_dispatches},
+               {"key", Item.m_key ? static_cast<int>(*Item.m_key) : -1},
+               {"wait_ms", Item.m_waited},
+               {"took_ms", Took},
+               {"left_ms", left(Item.m_endsAt)}});
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/edge/event-log.cc
@@ -0,0 +1,107 @@
+#include "tamarackdrum/gateway/event-log.h"
+
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <poll.h>
+#include <spdlog/fmt/fmt.h>
+#include <unistd.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+/// Largest piece that is written at once. Source: PIPE_BUF, up to which a
+/// write to a pipe that polls as writable does not block.
+constexpr std::size_t PieceBytes = 4096;
+
+bool isPlain(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), [](char Byte) {
+    return Byte >= ' ' && Byte < 0x7f && Byte != '"' && Byte != '\\';
+  });
+}
+
+void appendValue(std::string &Out, std::string_view Text) {
+  if (isPlain(Text)) {
+    Out.append("\"").append(Text).append("\"");
+    return;
+  }
+  Out += nlohmann::json(Text).dump(-1, ' ', true,
+                                   nlohmann::json::error_handler_t::replace);
+}
+
+void appendValue(std::string &Out, std::int64_t Value) {
+  fmt::format_to(std::back_inserter(Out), "{}", Value);
+}
+
+void appendValue(std::string &Out, double Value) {
+  fmt::format_to(std::back_inserter(Out), "{:.3f}", Value);
+}
+
+void appendValue(std::string &Out, bool Value) {
+  Out += Value ? "true" : "false";
+}
+
+} // namespace
+
+EventLog::EventLog(LogPolicy Policy, std::string Host, int Descriptor)
+    : m_policy(Policy), m_host(std::move(Host)), m_descriptor(Descriptor) {}
+
+bool EventLog::takeLine() {
+  const std::int64_t Second = std::chrono::duration_cast<std::chrono::seconds>(
+                                  BootClock::now().time_since_epoch())
+                                  .count();
+  if (Second != m_second) {
+    m_second = Second;
+    m_linesInSecond = 0;
+  }
+  if (m_linesInSecond < m_policy.m_linesPerSecond &&
+      m_buffer.size() < m_policy.m_bufferBytes) {
+    ++m_linesInSecond;
+    return true;
+  }
+  ++m_dropped;
+  return false;
+}
+
+void EventLog::write(std::string_view Event,
+                     std::initializer_list<LogField> Fields) {
+  if (!takeLine())
+    return;
+  fmt::format_to(std::back_inserter(m_buffer),
+                 R"({{"unix_ms":{},"host":"{}","event":"{}")", unixMillis(),
+                 m_host, Event);
+  for (const LogField &Item : Fields) {
+    m_buffer.append(",\"").append(Item.m_name).append("\":");
+    std::visit([this](const auto &Value) { appendValue(m_buffer, Value); },
+               Item.m_value);
+  }
+  m_buffer += "}\n";
+}
+
+void EventLog::flush() {
+  if (m_dropped != m_reportedDropped) {
+    const std::uint64_t Count = m_dropped - m_reportedDropped;
+    m_reportedDropped = m_dropped;
+    fmt::format_to(std::back_inserter(m_buffer),
+                   "{{\"unix_ms\":{},\"host\":\"{}\",\"event\":\"log-dropped\","
+                   "\"lines\":{}}}\n",
+                   unixMillis(), m_host, Count);
+  }
+  std::size_t Written = 0;
+  while (Written < m_buffer.size()) {
+    pollfd Ready{m_descriptor, POLLOUT, 0};
+    if (::poll(&Ready, 1, 0) != 1 || (Ready.revents & POLLOUT) == 0)
+      break;
+    const std::size_t Length =
+        std::min(PieceBytes, m_buffer.size() - Written);
+    const ssize_t Count =
+        ::write(m_descriptor, m_buffer.data() + Written, Length);
+    // Nobody can be told of a broken standard output; the lines stay buffered
+    // and count as dropped once the buffer is full.
+    if (Count <= 0)
+      break;
+    Written += static_cast<std::size_t>(Count);
+  }
+  m_buffer.erase(0, Written);
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/edge/gateway-host.cc
@@ -0,0 +1,489 @@
+#include "tamarackdrum/gateway/gateway-host.h"
+
+#include "tamarackdrum/error.h"
+#include "tamarackdrum/sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <random>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Crashes that make a request refused. Source: the users allow a request to
+/// crash three servers.
+constexpr unsigned CrashesToRefuse = 3;
+/// Crash reports that are remembered at most.
+constexpr std::size_t MostCrashes = 4096;
+/// Pause between two looks whether running requests have ended.
+constexpr Millis DrainPoll{50};
+/// A process without a configuration asks its peers after this time.
+constexpr Millis AskPeersAfter{600};
+
+PoisonPolicy poisonPolicy() {
+  PoisonPolicy Out;
+  Out.m_crashesToRefuse = CrashesToRefuse;
+  return Out;
+}
+
+DispatchPolicy dispatchPolicy(const GatewaySettings &Settings) {
+  DispatchPolicy Out;
+  Out.m_retries = Settings.m_retries;
+  return Out;
+}
+
+std::int64_t steadyMs() {
+  return std::chrono::duration_cast<Millis>(BootClock::now().time_since_epoch())
+      .count();
+}
+
+/// Returns \p Time changed by up to a fifth, so that hosts do not stay in step.
+Millis jittered(Millis Time) {
+  static std::minstd_rand Engine{std::random_device{}()};
+  std::uniform_int_distribution<std::int64_t> Spread(-Time.count() / 5,
+                                                     Time.count() / 5);
+  return Time + Millis(Spread(Engine));
+}
+
+} // namespace
+
+GatewayHost::GatewayHost(asio::any_io_executor Executor, HostPolicy Policy,
+                         GatewaySettings Settings, GatewayStore &Store,
+                         KeyServers &Servers, EventLog &Log)
+    : m_executor(Executor), m_policy(Policy), m_settings(std::move(Settings)),
+      m_store(Store), m_keyServers(Servers), m_log(Log),
+      m_poison(poisonPolicy()), m_hosts(RosterPolicy{}, m_settings.m_host),
+      m_pool(PoolPolicy{}), m_upstreams(m_pool, m_settings.m_headers),
+      m_admission(Executor, AdmissionPolicy{}, dispatchPolicy(m_settings),
+                  m_hosts, Log),
+      m_network(Executor, PeerNetworkPolicy{}, m_hosts, m_settings.m_peerPort,
+                Log, peerEvents()),
+      m_edge(Executor, EdgePolicy{}, m_settings, m_admission, m_upstreams,
+             m_poison, Log, m_metrics, m_hosts, edgeView()),
+      m_readiness(Executor, [this](std::string_view) {
+        return isReady() ? TextAnswer{200, "ready\n"}
+                         : TextAnswer{503, "not ready\n"};
+      }) {
+  m_admission.setNetwork(m_network);
+}
+
+PeerEvents GatewayHost::peerEvents() {
+  PeerEvents Out;
+  Out.m_onMessage = [this](std::uint32_t Link, const std::string &Host,
+                           PeerMessage &Message) {
+    onMessage(Link, Host, Message);
+  };
+  Out.m_onLinkDown = [this](std::uint32_t Link, const std::string &Host,
+                            bool IsOutgoing) {
+    // Until its next beat: another coordinator is there at once.
+    if (IsOutgoing)
+      m_hosts.noteLost(Host);
+    m_admission.onLinkDown(Link);
+  };
+  Out.m_hello = [this](const std::string &Host) {
+    return HelloMessage{m_hosts.self(), m_admission.runningFor(Host)};
+  };
+  Out.m_beat = [this] { return makeBeat(); };
+  Out.m_onBeat = [this](const HostBeat &Beat) { onBeat(Beat); };
+  return Out;
+}
+
+EdgeServer::View GatewayHost::edgeView() {
+  EdgeServer::View Out;
+  Out.m_routes = [this] { return m_routes; };
+  Out.m_findServer = [this](const std::string &Id) -> const ServerEntry * {
+    const auto Found = m_directory.entries().find(Id);
+    return Found == m_directory.entries().end() ? nullptr : &Found->second;
+  };
+  Out.m_onNotHeld = [this](const std::string &Service, Key Value) {
+    const auto Keeper = m_keepers.find(Service);
+    if (Keeper == m_keepers.end())
+      return;
+    if (Keeper->second->isGranter())
+      Keeper->second->noteNotHeld(Value);
+    else if (m_hosts.isAlive(Keeper->second->claim().m_host, BootClock::now()))
+      m_network.send(Keeper->second->claim().m_host,
+                     NotHeldMessage{Service, Value});
+  };
+  Out.m_onCrash = [this](std::uint64_t Fingerprint, const ServerEntry &Server) {
+    spreadCrash({Fingerprint,
+                 Server.m_id + "@" + std::to_string(Server.m_bornMs)},
+                true);
+  };
+  return Out;
+}
+
+std::error_code GatewayHost::start() {
+  std::error_code Error = m_network.start();
+  if (!Error)
+    Error = m_readiness.start(m_settings.m_readyAddress);
+  if (!Error)
+    Error = m_edge.start();
+  if (Error)
+    return Error;
+  if (!m_settings.m_metricsAddress.empty()) {
+    m_metricsServer = std::make_unique<TextServer>(
+        m_executor,
+        [this](std::string_view) { return TextAnswer{200, metricsText()}; });
+    // Requests are served without metrics, too.
+    if (const std::error_code Failed =
+            m_metricsServer->start(m_settings.m_metricsAddress))
+      m_log.write("metrics-unavailable", {{"reason", Failed.message()}});
+  }
+  asio::co_spawn(m_executor, enter(), asio::detached);
+  asio::co_spawn(m_executor, readConfigurationLoop(), asio::detached);
+  asio::co_spawn(m_executor, readServersLoop(), asio::detached);
+  asio::co_spawn(m_executor, tickLoop(), asio::detached);
+  asio::co_spawn(m_executor, beatLoop(), asio::detached);
+  asio::co_spawn(m_executor, flushLoop(), asio::detached);
+  return {};
+}
+
+bool GatewayHost::isReady() const {
+  return !m_isStopping && m_routes != nullptr &&
+         !m_directory.entries().empty();
+}
+
+Millis GatewayHost::storeAge() const {
+  if (m_storeGoodAt == TimePoint{})
+    return Millis(INT32_MAX);
+  return std::chrono::duration_cast<Millis>(BootClock::now() - m_storeGoodAt);
+}
+
+void GatewayHost::noteStore(bool IsGood, TimePoint AskedAt,
+                            std::string_view What, std::string_view Reason) {
+  if (IsGood) {
+    m_storeGoodAt = std::max(m_storeGoodAt, AskedAt);
+    if (m_isStoreLost)
+      m_log.write("store-back", {{"read", What}});
+    m_isStoreLost = false;
+    return;
+  }
+  if (!m_isStoreLost)
+    m_log.write("store-lost", {{"read", What},
+                               {"reason", Reason},
+                               {"last_good_ms", storeAge()}});
+  m_isStoreLost = true;
+  m_metrics.count("store_failures", "read=\"" + std::string(What) + "\"");
+}
+
+asio::awaitable<void> GatewayHost::enter() {
+  while (!m_isStopping) {
+    const TimePoint AskedAt = BootClock::now();
+    const Result<std::vector<HostInfo>> Hosts =
+        co_await m_store.enterHost(m_hosts.self());
+    noteStore(Hosts.has_value(), AskedAt, "hosts",
+              Hosts ? "" : Hosts.error().message());
+    if (Hosts) {
+      m_hosts.addListed(Hosts.value(), BootClock::now());
+      break;
+    }
+    // Hosts that were there before may know what the store cannot tell now.
+    for (const std::string &Ip : m_settings.m_seedIps)
+      if (Ip != m_hosts.self().m_ip)
+        m_network.sendBeat(Ip, false);
+    co_await sleepFor(jittered(m_policy.m_storePause));
+  }
+  co_await readHostsLoop();
+}
+
+asio::awaitable<void> GatewayHost::readHostsLoop() {
+  while (!m_isStopping) {
+    co_await sleepFor(jittered(m_policy.m_readHostsEvery));
+    const TimePoint AskedAt = BootClock::now();
+    const Result<std::vector<HostInfo>> Hosts = co_await m_store.readHosts();
+    noteStore(Hosts.has_value(), AskedAt, "hosts",
+              Hosts ? "" : Hosts.error().message());
+    if (Hosts)
+      m_hosts.addListed(Hosts.value(), BootClock::now());
+  }
+}
+
+asio::awaitable<void> GatewayHost::readConfigurationLoop() {
+  const TimePoint StartedAt = BootClock::now();
+  while (!m_isStopping) {
+    const TimePoint AskedAt = BootClock::now();
+    const Result<ReadConfiguration> Read =
+        co_await m_store.awaitConfiguration(m_policy.m_configurationWait);
+    const bool IsGood = Read || Read.error() == TableErrc::Conflict;
+    noteStore(IsGood, AskedAt, "configuration",
+              IsGood ? "" : Read.error().message());
+    if (Read)
+      applyConfiguration(Read.value(), "store");
+    if (IsGood)
+      continue;
+    const bool IsNew = BootClock::now() - StartedAt > AskPeersAfter;
+    if (m_routes == nullptr && IsNew)
+      for (const HostInfo &Peer : m_hosts.anchors(BootClock::now()))
+        if (Peer.m_name != m_hosts.self().m_name)
+          m_network.send(Peer.m_name, StateRequest{});
+    co_await sleepFor(jittered(m_policy.m_storePause));
+  }
+}
+
+asio::awaitable<void> GatewayHost::readServersLoop() {
+  while (!m_isStopping) {
+    const TimePoint AskedAt = BootClock::now();
+    const Result<std::vector<ServerRow>> Rows = co_await m_store.readServers();
+    noteStore(Rows.has_value(), AskedAt, "servers",
+              Rows ? "" : Rows.error().message());
+    if (Rows) {
+      applyServers(
+          m_directory.applyListing(Rows.value(), AskedAt, BootClock::now()));
+    } else {
+      m_directory.noteReadFailed();
+    }
+    co_await sleepFor(
+        jittered(Rows ? m_policy.m_readServersEvery : m_policy.m_storePause));
+  }
+}
+
+void GatewayHost::applyConfiguration(const ReadConfiguration &Read,
+                                     std::string_view Source) {
+  const std::uint64_t Old =
+      m_routes == nullptr ? 0 : m_routes->configuration().m_version;
+  if (Read.m_configuration.m_version <= Old)
+    return;
+  m_routes = std::make_shared<RouteTable>(Read.m_configuration);
+  m_configurationText = Read.m_text;
+  m_log.write("configuration", {{"version", Read.m_configuration.m_version},
+                                {"was", Old},
+                                {"source", Source},
+                                {"routes", Read.m_configuration.m_routes.size()}});
+  std::vector<std::string> Names;
+  for (const auto &[Name, Item] : Read.m_configuration.m_services) {
+    Names.push_back(Name);
+    if (Item.m_isKeyed && m_keepers.count(Name) == 0) {
+      m_admission.setKeyMap(Name, KeyMap(0, {}));
+      asio::co_spawn(m_executor, makeKeeper(Name).run(), asio::detached);
+    }
+  }
+  m_admission.setServices(Names);
+  updateCoordinators();
+}
+
+void GatewayHost::applyServers(const DirectoryChange &Change) {
+  const auto Report = [this](const char *What,
+                             const std::vector<std::string> &Ids) {
+    for (const std::string &Id : Ids)
+      m_log.write(What, {{"server", Id}});
+  };
+  Report("server-added", Change.m_added);
+  Report("server-removed", Change.m_removed);
+  Report("server-draining", Change.m_draining);
+  Report("server-reborn", Change.m_reborn);
+  m_admission.setServers(m_directory.entries());
+  if (Change.isEmpty())
+    return;
+  std::vector<std::string> Known;
+  for (const auto &[Id, Entry] : m_directory.entries())
+    if (std::find(Change.m_reborn.begin(), Change.m_reborn.end(), Id) ==
+        Change.m_reborn.end())
+      Known.push_back(Id);
+  m_pool.retain(Known);
+}
+
+OwnershipKeeper &GatewayHost::makeKeeper(const std::string &Service) {
+  KeeperView View;
+  View.m_storeAge = [this] { return storeAge(); };
+  View.m_servers = [this]() -> const std::map<std::string, ServerEntry> & {
+    return m_directory.entries();
+  };
+  View.m_rateOf = [this, Service](const std::string &Server) {
+    return m_admission.hub()
+        .dispatcher(Service, BootClock::now())
+        .rateOf(Server);
+  };
+  View.m_load = [this, Service]() -> KeyLoad & {
+    return m_admission.hub().dispatcher(Service, BootClock::now()).keyLoad();
+  };
+  View.m_onKeyMap = [this, Service](const KeyMap &Map) {
+    if (m_admission.setKeyMap(Service, Map))
+      m_network.broadcast(KeyMapMessage{Service, Map});
+  };
+  std::unique_ptr<OwnershipKeeper> Made = std::make_unique<OwnershipKeeper>(
+      m_executor, Service, KeeperPolicy{}, GrantPolicy{}, m_store, m_keyServers,
+      m_hosts, m_log, m_metrics, std::move(View));
+  return *m_keepers.emplace(Service, std::move(Made)).first->second;
+}
+
+void GatewayHost::updateCoordinators() {
+  if (m_routes == nullptr)
+    return;
+  const TimePoint Now = BootClock::now();
+  std::vector<std::string> Names;
+  for (const auto &[Name, Item] : m_routes->configuration().m_services)
+    Names.push_back(Name);
+  std::map<std::string, std::string> Chosen = m_hosts.coordinators(Names, Now);
+  for (const auto &[Service, Keeper] : m_keepers) {
+    // The granter knows the holders first and the load of the keys.
+    const std::string &Host = Keeper->claim().m_host;
+    if (Chosen.count(Service) > 0 && !Host.empty() && m_hosts.isAlive(Host, Now) &&
+        m_hosts.lifeOf(Host) == Keeper->claim().m_life)
+      Chosen[Service] = Host;
+  }
+  m_admission.setCoordinators(std::move(Chosen));
+}
+
+void GatewayHost::onBeat(const HostBeat &Beat) {
+  const TimePoint Now = BootClock::now();
+  if (!m_hosts.isAlive(Beat.m_host.m_name, Now))
+    m_log.write("peer-heard", {{"peer", Beat.m_host.m_name},
+                               {"life", Beat.m_host.m_life},
+                               {"config", Beat.m_configVersion}});
+  m_hosts.noteBeat(Beat, Now);
+  for (const auto &[Service, Claim] : Beat.m_claims) {
+    const auto Found = m_keepers.find(Service);
+    if (Found != m_keepers.end())
+      Found->second->noteClaim(Claim);
+  }
+}
+
+HostBeat GatewayHost::makeBeat() const {
+  HostBeat Out;
+  Out.m_host = m_hosts.self();
+  Out.m_isStopping = m_isStopping;
+  Out.m_storeAgeMs = static_cast<std::uint32_t>(
+      std::min<std::int64_t>(storeAge().count(), INT32_MAX));
+  Out.m_configVersion =
+      m_routes == nullptr ? 0 : m_routes->configuration().m_version;
+  for (const auto &[Service, Keeper] : m_keepers)
+    Out.m_claims[Service] = Keeper->claim();
+  return Out;
+}
+
+void GatewayHost::spreadCrash(const CrashMessage &Message, bool IsOwn) {
+  if (m_crashes.size() >= MostCrashes)
+    m_crashes.clear();
+  // Each host passes a report on once.
+  if (!m_crashes.emplace(Message.m_fingerprint, Message.m_server).second)
+    return;
+  m_poison.noteCrash(Message.m_fingerprint, Message.m_server, steadyMs());
+  m_metrics.count("server_crashes_seen");
+  if (IsOwn)
+    for (const HostInfo &Peer : m_hosts.anchors(BootClock::now()))
+      if (Peer.m_name != m_hosts.self().m_name)
+        m_network.send(Peer.m_name, Message);
+  m_network.broadcast(Message);
+}
+
+void GatewayHost::onMessage(std::uint32_t Link, const std::string &Host,
+                            PeerMessage &Message) {
+  if (const auto *Hello = std::get_if<HelloMessage>(&Message)) {
+    m_admission.onHello(Link, *Hello);
+    for (const auto &[Service, Keeper] : m_keepers)
+      if (Keeper->isGranter())
+        m_network.reply(Link,
+                        KeyMapMessage{Service, m_admission.keyMap(Service)});
+  } else if (auto *Ask = std::get_if<AskMessage>(&Message)) {
+    const std::optional<HostInfo> Peer = m_hosts.find(Host);
+    m_admission.onAsk(Link, Peer ? Peer->m_zone : "", *Ask);
+  } else if (const auto *Queued = std::get_if<QueuedMessage>(&Message)) {
+    m_admission.onQueued(Link, Queued->m_number);
+  } else if (const auto *Made = std::get_if<DecisionMessage>(&Message)) {
+    m_admission.onDecision(Link, Made->m_decision);
+  } else if (const auto *Finish = std::get_if<FinishMessage>(&Message)) {
+    m_admission.onFinish(Link, *Finish);
+  } else if (const auto *Withdraw = std::get_if<WithdrawMessage>(&Message)) {
+    m_admission.onWithdraw(Link, *Withdraw);
+  } else if (const auto *Keys = std::get_if<KeyMapMessage>(&Message)) {
+    m_admission.setKeyMap(Keys->m_service, Keys->m_map);
+  } else if (const auto *NotHeld = std::get_if<NotHeldMessage>(&Message)) {
+    const auto Keeper = m_keepers.find(NotHeld->m_service);
+    if (Keeper != m_keepers.end())
+      Keeper->second->noteNotHeld(NotHeld->m_key);
+  } else if (std::holds_alternative<StateRequest>(Message)) {
+    StateMessage Reply;
+    Reply.m_configuration = m_configurationText;
+    for (const auto &[Id, Entry] : m_directory.entries())
+      Reply.m_servers.push_back(Entry);
+    m_network.reply(Link, Reply);
+  } else if (const auto *State = std::get_if<StateMessage>(&Message)) {
+    const Result<ReadConfiguration> Read =
+        m_store.decodeConfiguration(State->m_configuration);
+    if (Read)
+      applyConfiguration(Read.value(), "peer " + Host);
+    applyServers(m_directory.adopt(State->m_servers));
+  } else if (const auto *Crash = std::get_if<CrashMessage>(&Message)) {
+    spreadCrash(*Crash, false);
+  }
+}
+
+asio::awaitable<void> GatewayHost::tickLoop() {
+  while (true) {
+    m_admission.tick();
+    updateCoordinators();
+    co_await sleepFor(m_policy.m_tickEvery);
+  }
+}
+
+asio::awaitable<void> GatewayHost::beatLoop() {
+  while (true) {
+    m_network.sendBeats();
+    co_await sleepFor(m_policy.m_beatEvery);
+  }
+}
+
+asio::awaitable<void> GatewayHost::flushLoop() {
+  while (true) {
+    m_log.flush();
+    m_pool.dropExpired(BootClock::now());
+    co_await sleepFor(m_policy.m_flushEvery);
+  }
+}
+
+std::string GatewayHost::metricsText() {
+  m_metrics.setGauge("active_requests",
+                     static_cast<double>(m_edge.activeRequests()));
+  m_metrics.setGauge("client_connections",
+                     static_cast<double>(m_edge.connections()));
+  m_metrics.setGauge("known_servers",
+                     static_cast<double>(m_directory.entries().size()));
+  m_metrics.setGauge("store_age_ms", static_cast<double>(storeAge().count()));
+  m_metrics.setGauge("upstream_connections_opened",
+                     static_cast<double>(m_pool.opened()));
+  m_metrics.setGauge("log_lines_dropped", static_cast<double>(m_log.dropped()));
+  m_metrics.setGauge("configuration_version",
+                     m_routes == nullptr
+                         ? 0
+                         : static_cast<double>(
+                               m_routes->configuration().m_version));
+  for (const auto &[Service, Item] : m_admission.hub().all())
+    m_metrics.setGauge("waiting{service=\"" + Service + "\"}",
+                       static_cast<double>(Item->load().m_waiting));
+  return m_metrics.toText();
+}
+
+void GatewayHost::stop(std::function<void()> OnStopped) {
+  if (m_isStopping)
+    return;
+  m_isStopping = true;
+  m_hosts.setStopping();
+  m_edge.beginDrain();
+  for (const auto &[Service, Keeper] : m_keepers)
+    Keeper->stop();
+  m_network.sendBeats();
+  m_log.write("stopping", {{"active", m_edge.activeRequests()},
+                           {"connections", m_edge.connections()}});
+  asio::co_spawn(m_executor, stopSequence(std::move(OnStopped)),
+                 asio::detached);
+}
+
+asio::awaitable<void>
+GatewayHost::stopSequence(std::function<void()> OnStopped) {
+  const TimePoint End =
+      BootClock::now() + m_settings.m_stopTimeout - m_policy.m_stopMargin;
+  co_await sleepFor(m_policy.m_stopListening);
+  m_edge.closeIdle();
+  while (BootClock::now() < End &&
+         (m_edge.activeRequests() > 0 || m_edge.connections() > 0))
+    co_await sleepFor(DrainPoll);
+  m_log.write("stopped", {{"active", m_edge.activeRequests()},
+                          {"connections", m_edge.connections()}});
+  m_log.flush();
+  OnStopped();
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/edge/gateway-metrics.cc
@@ -0,0 +1,87 @@
+#include "tamarackdrum/gateway/gateway-metrics.h"
+
+#include <iterator>
+#include <spdlog/fmt/fmt.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+constexpr const char *Prefix = "tamarack_gateway_";
+
+/// Upper edges of the latency bins, in milliseconds: about a doubling each.
+const std::vector<double> BinEdges = {0,   5,   10,  20,   40,   80,  150,
+                                      300, 450, 600, 800, 1200, 2500, 5000};
+
+} // namespace
+
+GatewayMetrics::GatewayMetrics() = default;
+
+void GatewayMetrics::count(const std::string &Name, const std::string &Labels,
+                           std::uint64_t Added) {
+  m_counters[Name][Labels] += Added;
+}
+
+void GatewayMetrics::setGauge(const std::string &Name, double Value) {
+  m_gauges[Name] = Value;
+}
+
+GatewayMetrics::Timed &GatewayMetrics::timed(Series &Where,
+                                             const std::string &Service) const {
+  const auto Found = Where.find(Service);
+  if (Found != Where.end())
+    return Found->second;
+  return Where
+      .emplace(Service,
+               Timed{boost::histogram::make_histogram(Axis(BinEdges)), 0})
+      .first->second;
+}
+
+void GatewayMetrics::recordLatency(const std::string &Service, Millis Time) {
+  Timed &Item = timed(m_latency, Service);
+  Item.m_bins(static_cast<double>(Time.count()));
+  Item.m_sum += static_cast<double>(Time.count());
+}
+
+void GatewayMetrics::recordWait(const std::string &Service, Millis Time) {
+  Timed &Item = timed(m_wait, Service);
+  Item.m_bins(static_cast<double>(Time.count()));
+  Item.m_sum += static_cast<double>(Time.count());
+}
+
+std::string GatewayMetrics::toText() const {
+  std::string Out;
+  const auto Add = std::back_inserter(Out);
+  for (const auto &[Name, ByLabels] : m_counters) {
+    fmt::format_to(Add, "# TYPE {}{} counter\n", Prefix, Name);
+    for (const auto &[Labels, Value] : ByLabels)
+      fmt::format_to(Add, "{}{}{}{}{} {}\n", Prefix, Name,
+                     Labels.empty() ? "" : "{", Labels,
+                     Labels.empty() ? "" : "}", Value);
+  }
+  for (const auto &[Name, Value] : m_gauges)
+    fmt::format_to(Add, "# TYPE {0}{1} gauge\n{0}{1} {2}\n", Prefix, Name,
+                   Value);
+  const auto AddSeries = [&](const char *Name, const Series &Items) {
+    fmt::format_to(Add, "# TYPE {}{} histogram\n", Prefix, Name);
+    for (const auto &[Service, Item] : Items) {
+      double Sum = Item.m_bins.at(-1);
+      for (int I = 0; I < Item.m_bins.axis().size(); ++I) {
+        Sum += Item.m_bins.at(I);
+        fmt::format_to(Add, "{}{}_bucket{{service=\"{}\",le=\"{}\"}} {}\n",
+                       Prefix, Name, Service, Item.m_bins.axis().bin(I).upper(),
+                       Sum);
+      }
+      Sum += Item.m_bins.at(Item.m_bins.axis().size());
+      fmt::format_to(Add,
+                     "{0}{1}_bucket{{service=\"{2}\",le=\"+Inf\"}} {3}\n"
+                     "{0}{1}_sum{{service=\"{2}\"}} {4}\n"
+                     "{0}{1}_count{{service=\"{2}\"}} {3}\n",
+                     Prefix, Name, Service, Sum, Item.m_sum);
+    }
+  };
+  AddSeries("request_ms", m_latency);
+  AddSeries("slot_wait_ms", m_wait);
+  return Out;
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/edge/ownership-keeper.cc
@@ -0,0 +1,240 @@
+#include "tamarackdrum/gateway/ownership-keeper.h"
+
+#include "tamarackdrum/error.h"
+#include "tamarackdrum/sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Versions of key maps: the term above, changes within it below.
+constexpr unsigned MapChangeBits = 24;
+
+const char *toText(GrantResult Value) {
+  switch (Value) {
+  case GrantResult::Done:
+    return "done";
+  case GrantResult::HigherFence:
+    return "higher-fence";
+  case GrantResult::NotSent:
+    return "not-sent";
+  case GrantResult::NoAnswer:
+    return "no-answer";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+OwnershipKeeper::OwnershipKeeper(asio::any_io_executor Executor,
+                                 std::string Service, KeeperPolicy Policy,
+                                 GrantPolicy Grants, GatewayStore &Store,
+                                 KeyServers &Servers, Roster &Hosts,
+                                 EventLog &Log, GatewayMetrics &Metrics,
+                                 KeeperView View)
+    : m_executor(std::move(Executor)), m_service(std::move(Service)),
+      m_policy(Policy), m_grants(Grants), m_store(Store), m_servers(Servers),
+      m_hosts(Hosts), m_log(Log), m_metrics(Metrics), m_view(std::move(View)),
+      m_granter(Grants, Hosts.self().m_name, Hosts.self().m_life) {}
+
+void OwnershipKeeper::stop() {
+  m_isStopped = true;
+  m_granter.stepDown();
+}
+
+void OwnershipKeeper::noteClaim(const GranterClaim &Claim) {
+  if (Claim.m_term <= m_claim.m_term)
+    return;
+  m_claim = Claim;
+  if (m_granter.isGranter() && Claim.m_term > m_granter.term())
+    lose("a peer knows a newer term", Claim);
+}
+
+void OwnershipKeeper::lose(std::string_view Reason,
+                           const GranterClaim &Winner) {
+  m_granter.stepDown();
+  m_log.write("granter-lost", {{"service", m_service},
+                               {"reason", Reason},
+                               {"term", Winner.m_term},
+                               {"granter", Winner.m_host}});
+}
+
+std::vector<ServerEntry> OwnershipKeeper::ownServers() const {
+  std::vector<ServerEntry> Out;
+  for (const auto &[Id, Entry] : m_view.m_servers())
+    if (Entry.m_service == m_service)
+      Out.push_back(Entry);
+  return Out;
+}
+
+bool OwnershipKeeper::shouldTakeOver(TimePoint Now) const {
+  if (m_isStopped || m_granter.isGranter() || Now < m_nextTakeOver ||
+      m_view.m_storeAge() > m_policy.m_freshStore)
+    return false;
+  const std::string &Own = m_hosts.self().m_name;
+  if (!m_claim.m_host.empty() && m_claim.m_host != Own &&
+      m_hosts.isAlive(m_claim.m_host, Now)) {
+    const HostBeat *Beat = m_hosts.lastBeat(m_claim.m_host);
+    const bool IsFit =
+        Beat != nullptr && !Beat->m_isStopping &&
+        Millis(Beat->m_storeAgeMs) < m_policy.m_staleStore &&
+        m_hosts.lifeOf(m_claim.m_host) == m_claim.m_life;
+    if (IsFit)
+      return false;
+  }
+  // The first host in the common order that can reach the store.
+  for (const HostInfo &Item : m_hosts.anchors(Now)) {
+    if (Item.m_name == Own)
+      return true;
+    if (Item.m_name == m_claim.m_host)
+      continue;
+    const HostBeat *Beat = m_hosts.lastBeat(Item.m_name);
+    if (Beat != nullptr && Millis(Beat->m_storeAgeMs) < m_policy.m_freshStore)
+      return false;
+  }
+  return false;
+}
+
+asio::awaitable<void> OwnershipKeeper::takeOver() {
+  m_nextTakeOver = BootClock::now() + m_policy.m_retryPause;
+  const Result<VersionedOwnership> Read =
+      co_await m_store.readOwnership(m_service);
+  if (!Read) {
+    m_log.write("granter-read-failed", {{"service", m_service},
+                                        {"reason", Read.error().message()}});
+    co_return;
+  }
+  const OwnershipRecord &Old = Read.value().m_record;
+  const TimePoint Now = BootClock::now();
+  if (Old.m_term > m_claim.m_term) {
+    // The row knows more than the beats did: look again at that host first.
+    m_claim = {Old.m_term, Old.m_granter, Old.m_granterLife};
+    if (Old.m_granter != m_hosts.self().m_name &&
+        m_hosts.isAlive(Old.m_granter, Now) &&
+        m_hosts.lifeOf(Old.m_granter) == Old.m_granterLife)
+      co_return;
+  }
+  m_version = Read.value().m_version;
+  const bool IsOldGone =
+      Old.m_term == 0 || m_hosts.lifeOf(Old.m_granter) > Old.m_granterLife;
+  m_granter.takeOver(Old, IsOldGone, Now);
+  m_granter.setServers(ownServers(), Now);
+  m_log.write("granter-takeover", {{"service", m_service},
+                                   {"term", m_granter.term()},
+                                   {"from", Old.m_granter},
+                                   {"from_ended", IsOldGone},
+                                   {"ranges", Old.m_ranges.size()}});
+}
+
+asio::awaitable<void> OwnershipKeeper::write(OwnershipRecord Record) {
+  m_isWriting = true;
+  const TimePoint AskedAt = BootClock::now();
+  const Result<std::uint64_t> Written =
+      co_await m_store.writeOwnership(m_service, Record, m_version);
+  m_isWriting = false;
+  if (!m_granter.isGranter() || m_granter.term() != Record.m_term)
+    co_return;
+  if (Written) {
+    m_version = Written.value();
+    m_granter.noteWritten(AskedAt, BootClock::now());
+    m_claim = {Record.m_term, Record.m_granter, Record.m_granterLife};
+    m_log.write("ownership-written", {{"service", m_service},
+                                      {"term", Record.m_term},
+                                      {"version", m_version},
+                                      {"ranges", Record.m_ranges.size()}});
+    co_return;
+  }
+  m_log.write("ownership-write-failed",
+              {{"service", m_service}, {"reason", Written.error().message()}});
+  // Only a row that has been read again shows what became of the write.
+  co_await validate();
+  m_granter.noteWriteFailed();
+}
+
+asio::awaitable<void> OwnershipKeeper::validate() {
+  m_isValidating = true;
+  const TimePoint AskedAt = BootClock::now();
+  const Result<VersionedOwnership> Read =
+      co_await m_store.readOwnership(m_service);
+  m_isValidating = false;
+  if (!Read || !m_granter.isGranter())
+    co_return;
+  const OwnershipRecord &Found = Read.value().m_record;
+  if (Found.m_term > m_granter.term() ||
+      (Found.m_term == m_granter.term() &&
+       (Found.m_granter != m_hosts.self().m_name ||
+        Found.m_granterLife != m_hosts.self().m_life))) {
+    m_claim = {Found.m_term, Found.m_granter, Found.m_granterLife};
+    lose("the store names another", m_claim);
+    co_return;
+  }
+  m_validatedAt = AskedAt;
+  if (!m_isWriting)
+    m_version = Read.value().m_version;
+  if (Found.m_term == m_granter.term())
+    m_granter.noteValidated(AskedAt);
+}
+
+asio::awaitable<void> OwnershipKeeper::carryOut(GrantCall Call) {
+  const Millis Timeout =
+      Call.m_isRelease ? m_grants.m_releaseTimeout : m_grants.m_callTimeout;
+  const TimePoint StartedAt = BootClock::now();
+  const GrantReply Reply = co_await m_servers.call(Call, Timeout);
+  const TimePoint Now = BootClock::now();
+  m_metrics.count("grant_calls",
+                  std::string("result=\"") + toText(Reply.m_result) + "\"");
+  const Millis Took = std::chrono::duration_cast<Millis>(Now - StartedAt);
+  if (Reply.m_result != GrantResult::Done || Call.m_isRelease)
+    m_log.write(Call.m_isRelease ? "keys-released" : "grant-failed",
+                {{"service", m_service},
+                 {"server", Call.m_server.m_id},
+                 {"from", Call.m_from},
+                 {"to", Call.m_to},
+                 {"fence", Call.m_fence},
+                 {"result", toText(Reply.m_result)},
+                 {"took_ms", Took}});
+  m_granter.noteResult(Call.m_number, Reply.m_result, Reply.m_handover, Now);
+  publish();
+}
+
+void OwnershipKeeper::publish() {
+  if (!m_granter.isGranter())
+    return;
+  const KeyMap Current = m_granter.keyMap(BootClock::now());
+  if (Current.holdings() == m_published.holdings() &&
+      Current.version() == m_published.version() >> MapChangeBits)
+    return;
+  m_published = KeyMap((Current.version() << MapChangeBits) + ++m_mapChanges,
+                       Current.holdings());
+  m_view.m_onKeyMap(m_published);
+}
+
+asio::awaitable<void> OwnershipKeeper::run() {
+  while (!m_isStopped) {
+    const TimePoint Now = BootClock::now();
+    if (shouldTakeOver(Now))
+      co_await takeOver();
+    if (m_granter.isGranter()) {
+      m_granter.setServers(ownServers(), Now);
+      m_granter.plan(m_view.m_load(), m_view.m_rateOf, Now);
+      GrantActions Wanted = m_granter.step(BootClock::now());
+      for (GrantCall &Call : Wanted.m_calls)
+        asio::co_spawn(m_executor, carryOut(std::move(Call)), asio::detached);
+      if (Wanted.m_write)
+        asio::co_spawn(m_executor, write(std::move(*Wanted.m_write)),
+                       asio::detached);
+      const bool IsDue = Now - m_validatedAt > m_policy.m_validateEvery ||
+                         m_granter.needsValidation();
+      if (IsDue && !m_isValidating && !m_isWriting)
+        asio::co_spawn(m_executor, validate(), asio::detached);
+      publish();
+    }
+    co_await sleepFor(m_policy.m_stepEvery);
+  }
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/edge/peer-network.cc
@@ -0,0 +1,274 @@
+#include "tamarackdrum/gateway/peer-network.h"
+
+#include "tamarackdrum/sleep.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t ReadBytes = 16 * 1024;
+/// A beat is far below the size at which datagrams are split.
+constexpr std::size_t BeatBytes = 1400;
+/// Pause after a failed accept, e.g. for want of descriptors.
+constexpr Millis AcceptPause{50};
+
+} // namespace
+
+PeerNetwork::PeerNetwork(asio::any_io_executor Executor,
+                         PeerNetworkPolicy Policy, Roster &Hosts,
+                         std::uint16_t Port, EventLog &Log, PeerEvents Events)
+    : m_executor(std::move(Executor)), m_policy(Policy), m_hosts(Hosts),
+      m_port(Port), m_log(Log), m_events(std::move(Events)),
+      m_acceptor(m_executor), m_beats(m_executor) {}
+
+std::error_code PeerNetwork::start() {
+  boost::system::error_code Error;
+  const asio::ip::address Own =
+      asio::ip::make_address(m_hosts.self().m_ip, Error);
+  if (Error)
+    return Error;
+  const tcp::endpoint Address(Own, m_port);
+  m_acceptor.open(Address.protocol(), Error);
+  if (!Error)
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    m_acceptor.bind(Address, Error);
+  if (!Error)
+    m_acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (!Error)
+    m_beats.open(udp::v4(), Error);
+  if (!Error)
+    m_beats.bind(udp::endpoint(Own, m_port), Error);
+  if (Error)
+    return Error;
+  asio::co_spawn(m_executor, acceptLoop(), asio::detached);
+  asio::co_spawn(m_executor, receiveBeats(), asio::detached);
+  return {};
+}
+
+asio::awaitable<void> PeerNetwork::acceptLoop() {
+  while (true) {
+    auto [Error, Socket] = co_await m_acceptor.async_accept(UseTuple);
+    if (Error == asio::error::operation_aborted)
+      co_return;
+    if (Error) {
+      co_await sleepFor(AcceptPause);
+      continue;
+    }
+    const LinkPtr Item = std::make_shared<Link>(std::move(Socket));
+    Item->m_id = ++m_lastLink;
+    Item->m_isConnected = true;
+    prepare(*Item);
+    m_links[Item->m_id] = Item;
+    asio::co_spawn(m_executor, readLoop(Item), asio::detached);
+  }
+}
+
+void PeerNetwork::prepare(Link &Item) const {
+  boost::system::error_code Ignored; // Only costs latency if it fails.
+  Item.m_socket.set_option(tcp::no_delay(true), Ignored);
+  limitSilence(Item.m_socket, m_policy.m_silence);
+}
+
+asio::awaitable<void> PeerNetwork::receiveBeats() {
+  std::array<char, BeatBytes> Bytes{};
+  while (true) {
+    udp::endpoint From;
+    const auto [Error, Count] = co_await m_beats.async_receive_from(
+        asio::buffer(Bytes), From, UseTuple);
+    if (Error == asio::error::operation_aborted)
+      co_return;
+    if (Error)
+      continue; // E.g. a port that refused an earlier beat.
+    const Result<HostBeat> Beat =
+        decodeBeat(std::string_view(Bytes.data(), Count));
+    if (!Beat) {
+      m_log.write("beat-unreadable",
+                  {{"from", From.address().to_string()},
+                   {"reason", Beat.error().message()}});
+      continue;
+    }
+    m_events.m_onBeat(Beat.value());
+    if (!Beat.value().m_isReply)
+      sendBeat(Beat.value().m_host.m_ip, true);
+  }
+}
+
+void PeerNetwork::sendBeat(const std::string &Ip, bool IsReply) {
+  HostBeat Beat = m_events.m_beat();
+  Beat.m_isReply = IsReply;
+  const std::string Bytes = encodeBeat(Beat);
+  boost::system::error_code Error;
+  const asio::ip::address Address = asio::ip::make_address(Ip, Error);
+  // A beat that cannot be sent is as one that was lost on its way.
+  if (!Error)
+    m_beats.send_to(asio::buffer(Bytes), udp::endpoint(Address, m_port), 0,
+                    Error);
+}
+
+void PeerNetwork::sendBeats() {
+  for (const HostInfo &Peer : m_hosts.beatsDue(BootClock::now()))
+    sendBeat(Peer.m_ip, false);
+}
+
+PeerNetwork::LinkPtr PeerNetwork::outgoing(const std::string &Host) {
+  const auto Found = m_outgoing.find(Host);
+  if (Found != m_outgoing.end())
+    return Found->second;
+  const TimePoint Now = BootClock::now();
+  const auto Redial = m_redialAt.find(Host);
+  if (Redial != m_redialAt.end() && Now < Redial->second)
+    return nullptr;
+  const std::optional<HostInfo> Info = m_hosts.find(Host);
+  if (!Info)
+    return nullptr;
+  boost::system::error_code Error;
+  const asio::ip::address Address = asio::ip::make_address(Info->m_ip, Error);
+  if (Error)
+    return nullptr;
+  const LinkPtr Item = std::make_shared<Link>(tcp::socket(m_executor));
+  Item->m_id = ++m_lastLink;
+  Item->m_host = Host;
+  Item->m_isOutgoing = true;
+  m_links[Item->m_id] = Item;
+  m_outgoing[Host] = Item;
+  encode(m_events.m_hello(Host), Item->m_queue);
+  asio::co_spawn(m_executor, dial(Item, Endpoint(Address, m_port)),
+                 asio::detached);
+  return Item;
+}
+
+asio::awaitable<void> PeerNetwork::dial(LinkPtr Item, Endpoint Peer) {
+  asio::steady_timer Limit(m_executor, m_policy.m_connectTimeout);
+  Limit.async_wait([Item](boost::system::error_code Error) {
+    boost::system::error_code Ignored;
+    if (!Error && !Item->m_isConnected)
+      Item->m_socket.close(Ignored);
+  });
+  const auto [Error] = co_await Item->m_socket.async_connect(Peer, UseTuple);
+  if (Error) {
+    close(Item, Error.message());
+    co_return;
+  }
+  Item->m_isConnected = true;
+  Limit.cancel();
+  prepare(*Item);
+  if (!Item->m_queue.empty() && !Item->m_isWriting) {
+    Item->m_isWriting = true;
+    asio::co_spawn(m_executor, writeLoop(Item), asio::detached);
+  }
+  co_await readLoop(Item);
+}
+
+asio::awaitable<void> PeerNetwork::readLoop(LinkPtr Item) {
+  std::string Buffer;
+  std::string Piece(ReadBytes, '\0');
+  while (!Item->m_isClosed) {
+    const auto [Error, Count] =
+        co_await Item->m_socket.async_read_some(asio::buffer(Piece), UseTuple);
+    if (Error) {
+      close(Item, Error.message());
+      co_return;
+    }
+    Buffer.append(Piece, 0, Count);
+    Result<std::vector<PeerMessage>> Messages = decode(Buffer);
+    if (!Messages) {
+      close(Item, Messages.error().message());
+      co_return;
+    }
+    for (PeerMessage &Message : Messages.value()) {
+      if (const HelloMessage *Hello = std::get_if<HelloMessage>(&Message))
+        Item->m_host = Hello->m_host.m_name;
+      if (Item->m_host.empty()) {
+        close(Item, "no hello");
+        co_return;
+      }
+      m_hosts.noteAlive(Item->m_host, BootClock::now());
+      m_events.m_onMessage(Item->m_id, Item->m_host, Message);
+    }
+  }
+}
+
+asio::awaitable<void> PeerNetwork::writeLoop(LinkPtr Item) {
+  while (!Item->m_isClosed && !Item->m_queue.empty()) {
+    const std::string Bytes = std::move(Item->m_queue);
+    Item->m_queue.clear();
+    const auto [Error, Count] = co_await asio::async_write(
+        Item->m_socket, asio::buffer(Bytes), UseTuple);
+    if (Error) {
+      close(Item, Error.message());
+      co_return;
+    }
+  }
+  Item->m_isWriting = false;
+}
+
+void PeerNetwork::queue(const LinkPtr &Item, const PeerMessage &Message) {
+  if (Item->m_isClosed)
+    return;
+  encode(Message, Item->m_queue);
+  if (Item->m_queue.size() > m_policy.m_queueBytes) {
+    close(Item, "peer does not read");
+    return;
+  }
+  if (!Item->m_isConnected || Item->m_isWriting)
+    return;
+  Item->m_isWriting = true;
+  asio::co_spawn(m_executor, writeLoop(Item), asio::detached);
+}
+
+void PeerNetwork::close(const LinkPtr &Item, std::string_view Reason) {
+  if (Item->m_isClosed)
+    return;
+  Item->m_isClosed = true;
+  boost::system::error_code Ignored; // It is closed in any case.
+  Item->m_socket.close(Ignored);
+  m_links.erase(Item->m_id);
+  if (Item->m_isOutgoing) {
+    m_outgoing.erase(Item->m_host);
+    m_redialAt[Item->m_host] = BootClock::now() + m_policy.m_redialPause;
+  }
+  m_log.write("link-down", {{"peer", Item->m_host},
+                            {"outgoing", Item->m_isOutgoing},
+                            {"reason", Reason}});
+  m_events.m_onLinkDown(Item->m_id, Item->m_host, Item->m_isOutgoing);
+}
+
+std::uint32_t PeerNetwork::send(const std::string &Host,
+                                const PeerMessage &Message) {
+  const LinkPtr Item = outgoing(Host);
+  if (Item == nullptr)
+    return 0;
+  queue(Item, Message);
+  return Item->m_isClosed ? 0 : Item->m_id;
+}
+
+void PeerNetwork::keepLink(const std::string &Host) { outgoing(Host); }
+
+void PeerNetwork::reply(std::uint32_t Id, const PeerMessage &Message) {
+  const auto Found = m_links.find(Id);
+  if (Found != m_links.end())
+    queue(LinkPtr(Found->second), Message);
+}
+
+void PeerNetwork::broadcast(const PeerMessage &Message) {
+  std::vector<LinkPtr> Incoming;
+  for (const auto &[Id, Item] : m_links)
+    if (!Item->m_isOutgoing && !Item->m_host.empty())
+      Incoming.push_back(Item);
+  for (const LinkPtr &Item : Incoming)
+    queue(Item, Message);
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/edge/text-server.cc
@@ -0,0 +1,79 @@
+#include "tamarackdrum/gateway/text-server.h"
+
+#include "tamarackdrum/gateway/connection.h"
+#include "tamarackdrum/sleep.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Millis AcceptPause{50};
+constexpr Millis IdleTimeout{15000};
+
+} // namespace
+
+std::error_code TextServer::start(const std::string &Address) {
+  const Result<Endpoint> Own = parseEndpoint(Address);
+  if (!Own)
+    return Own.error();
+  boost::system::error_code Error;
+  m_acceptor.open(Own.value().protocol(), Error);
+  if (!Error)
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    m_acceptor.bind(Own.value(), Error);
+  if (!Error)
+    m_acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (!Error)
+    asio::co_spawn(m_executor, acceptLoop(), asio::detached);
+  return Error;
+}
+
+asio::awaitable<void> TextServer::acceptLoop() {
+  while (true) {
+    auto [Error, Socket] = co_await m_acceptor.async_accept(UseTuple);
+    if (Error == asio::error::operation_aborted)
+      co_return;
+    if (Error)
+      co_await sleepFor(AcceptPause);
+    else
+      asio::co_spawn(m_executor, serve(std::move(Socket)), asio::detached);
+  }
+}
+
+asio::awaitable<void> TextServer::serve(tcp::socket Socket) {
+  beast::tcp_stream Stream(std::move(Socket));
+  beast::flat_buffer Buffer;
+  while (true) {
+    http::request<http::empty_body> Request;
+    Stream.expires_after(IdleTimeout);
+    const auto [Error, Count] =
+        co_await http::async_read(Stream, Buffer, Request, UseTuple);
+    if (Error)
+      co_return;
+    const TextAnswer Made = m_answer(
+        std::string_view(Request.target().data(), Request.target().size()));
+    http::response<http::string_body> Reply(http::int_to_status(Made.m_status),
+                                            Request.version());
+    Reply.body() = Made.m_body;
+    Reply.keep_alive(Request.keep_alive());
+    Reply.prepare_payload();
+    const auto [WriteError, Written] =
+        co_await http::async_write(Stream, Reply, UseTuple);
+    if (WriteError || !Request.keep_alive())
+      co_return;
+  }
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/edge/upstream-exchange.cc
@@ -0,0 +1,267 @@
+#include "tamarackdrum/gateway/upstream-exchange.h"
+
+#include "tamarackdrum/error.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Answers up to this length are read whole before they are passed on, so that
+/// a torn one can be asked for again. Source: answers of the users' services
+/// are up to 30 KB.
+constexpr std::size_t WholeBytes = 128 * 1024;
+constexpr std::size_t PieceBytes = 16 * 1024;
+/// Requests up to this length are written before the answer is read: they fit
+/// into the send buffer of a socket.
+constexpr std::size_t ShortRequestBytes = 16 * 1024;
+/// Idle time after which an unsafe request gets a new connection: it could not
+/// be sent again if the server had dropped the kept one.
+constexpr Millis UnsafeMaxIdle{2500};
+/// Answers to earlier requests that may come first on a connection.
+constexpr int MostForeignAnswers = 2;
+/// Added to the time of the server, which ends work by itself in time.
+constexpr Millis AnswerGrace{80};
+constexpr Millis ProbeTimeout{250};
+constexpr std::uint32_t HeaderBytes = 64 * 1024;
+
+Millis elapsed(TimePoint Since) {
+  return std::chrono::duration_cast<Millis>(BootClock::now() - Since);
+}
+
+/// Returns the seconds of "timeout=N" in a Keep-Alive header as a time.
+Millis keepAliveTime(std::string_view Value) {
+  const std::string_view Name = "timeout=";
+  const std::size_t Found = Value.find(Name);
+  if (Found == std::string_view::npos)
+    return Millis(0);
+  unsigned Seconds = 0;
+  const char *First = Value.data() + Found + Name.size();
+  std::from_chars(First, Value.data() + Value.size(), Seconds);
+  return std::chrono::seconds(Seconds);
+}
+
+} // namespace
+
+/// A request on its way, shared by the writer and the reader.
+struct UpstreamExchange::Sending {
+  beast::tcp_stream *m_stream = nullptr;
+  std::string m_bytes;
+  BodySource m_more;
+  bool m_isDone = false;
+  bool m_isAbandoned = false;
+};
+
+asio::awaitable<void> UpstreamExchange::send(std::shared_ptr<Sending> Work) {
+  while (!Work->m_isAbandoned) {
+    const auto [Error, Count] = co_await asio::async_write(
+        Work->m_stream->socket(), asio::buffer(Work->m_bytes), UseTuple);
+    if (Error || Work->m_isAbandoned)
+      co_return;
+    if (!Work->m_more)
+      break;
+    Result<std::string> Piece = co_await Work->m_more();
+    if (!Piece || Work->m_isAbandoned) {
+      // The server must not take the part for the whole.
+      if (!Work->m_isAbandoned)
+        Work->m_stream->close();
+      co_return;
+    }
+    if (Piece.value().empty())
+      break;
+    Work->m_bytes = std::move(Piece.value());
+  }
+  Work->m_isDone = true;
+}
+
+asio::awaitable<bool>
+UpstreamExchange::readHead(Connection &Used, const UpstreamRequest &Request,
+                           UpstreamReply &Reply) {
+  for (int Foreign = 0; Foreign <= MostForeignAnswers; ++Foreign) {
+    std::shared_ptr<ResponseParser> Parser = std::make_shared<ResponseParser>();
+    Parser->header_limit(HeaderBytes);
+    Parser->body_limit(boost::none);
+    Parser->skip(Request.m_isHead);
+    const auto [Error, Count] = co_await http::async_read_header(
+        Used.m_stream, Used.m_buffer, *Parser, UseTuple);
+    if (Error == beast::error::timeout)
+      Reply.m_result = DispatchResult::TimedOut;
+    if (Error)
+      co_return false;
+    const http::response_header<> &Head = Parser->get();
+    if (Head.result_int() / 100 == 1) {
+      --Foreign;
+      continue;
+    }
+    const std::string_view Echo = Head[m_headers.m_requestId];
+    Reply.m_head = Parser;
+    if (Echo == Request.m_requestId ||
+        (Echo.empty() && Head.result_int() / 100 != 2))
+      co_return true;
+    // An answer to an earlier request: ours is still to come.
+    const bool IsRead = co_await readBody(Used, Reply);
+    if (!IsRead || Reply.m_isTooLong)
+      co_return false;
+    Reply.m_head = nullptr;
+    Reply.m_body.clear();
+  }
+  co_return false;
+}
+
+asio::awaitable<bool> UpstreamExchange::readBody(Connection &Used,
+                                                 UpstreamReply &Reply) {
+  ResponseParser &Parser = *Reply.m_head;
+  std::string Piece(PieceBytes, '\0');
+  while (!Parser.is_done()) {
+    if (Reply.m_body.size() >= WholeBytes) {
+      Reply.m_isTooLong = true;
+      co_return true;
+    }
+    Parser.get().body().data = Piece.data();
+    Parser.get().body().size = Piece.size();
+    const auto [Error, Count] = co_await http::async_read(
+        Used.m_stream, Used.m_buffer, Parser, UseTuple);
+    Reply.m_body.append(Piece.data(),
+                        Piece.size() - Parser.get().body().size);
+    if (Error && Error != http::error::need_buffer) {
+      if (Error == beast::error::timeout)
+        Reply.m_result = DispatchResult::TimedOut;
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+void UpstreamExchange::classify(UpstreamReply &Reply) const {
+  const http::response_header<> &Head = Reply.m_head->get();
+  const unsigned Status = Head.result_int();
+  const bool IsNotRun = Head.count(m_headers.m_notRun) > 0 || Status == 421;
+  Reply.m_isNotHeld = Status == 421;
+  if (IsNotRun && (Status == 503 || Status == 429 || Status == 421))
+    Reply.m_result = DispatchResult::Refused;
+  else if (Status >= 500)
+    Reply.m_result = DispatchResult::Failed;
+  else
+    Reply.m_result = DispatchResult::Served;
+}
+
+asio::awaitable<UpstreamReply> UpstreamExchange::run(UpstreamRequest Request,
+                                                     ExchangeControl &Control) {
+  UpstreamReply Reply;
+  const TimePoint StartedAt = BootClock::now();
+  const std::string Peer = Request.m_server.m_id;
+  const Millis MaxIdle =
+      Request.m_isSafe ? m_pool.policy().m_idleTime : UnsafeMaxIdle;
+  ConnectionPool::Owned Used = m_pool.takeIdle(Peer, MaxIdle);
+  if (Used == nullptr) {
+    const Millis Left =
+        std::chrono::duration_cast<Millis>(Request.m_endsAt - StartedAt);
+    const Millis Timeout = std::min(m_pool.policy().m_connectTimeout, Left);
+    Result<ConnectionPool::Owned> Opened =
+        co_await m_pool.open(Request.m_server.m_address, Timeout);
+    if (!Opened || Control.isCancelled()) {
+      Reply.m_time = elapsed(StartedAt);
+      if (Control.isCancelled())
+        Reply.m_result = DispatchResult::Withdrawn;
+      co_return Reply;
+    }
+    Used = std::move(Opened.value());
+  }
+  Reply.m_isSent = true;
+  Reply.m_result = DispatchResult::Broken;
+  Control.m_stream = &Used->m_stream;
+
+  const std::shared_ptr<Sending> Work = std::make_shared<Sending>();
+  Work->m_stream = &Used->m_stream;
+  Work->m_bytes = std::move(Request.m_head);
+  Work->m_bytes += Request.m_body;
+  Work->m_more = Request.m_more;
+  const bool IsShort = !Request.m_more && Work->m_bytes.size() < ShortRequestBytes;
+  Used->m_stream.expires_after(
+      std::chrono::duration_cast<Millis>(Request.m_endsAt - BootClock::now()) +
+      AnswerGrace);
+  if (IsShort)
+    co_await send(Work);
+  else
+    asio::co_spawn(co_await asio::this_coro::executor, send(Work),
+                   asio::detached);
+
+  bool IsWhole = co_await readHead(*Used, Request, Reply);
+  if (IsWhole)
+    IsWhole = co_await readBody(*Used, Reply);
+  Control.m_stream = nullptr;
+  Reply.m_time = elapsed(StartedAt);
+  const bool CanKeep = IsWhole && !Reply.m_isTooLong && Work->m_isDone &&
+                       Reply.m_head->get().keep_alive() &&
+                       !Reply.m_head->need_eof();
+  if (!Work->m_isDone) {
+    Work->m_isAbandoned = true;
+    // The writer still refers to the connection: it ends with it.
+    const std::shared_ptr<Connection> Last(std::move(Used));
+    Last->m_stream.close();
+    asio::post(Last->m_stream.get_executor(), [Last] {});
+  }
+  if (!IsWhole) {
+    if (Control.isCancelled())
+      Reply.m_result = DispatchResult::Withdrawn;
+    co_return Reply;
+  }
+  classify(Reply);
+  if (Reply.m_isTooLong && Used != nullptr) {
+    Reply.m_connection = std::move(Used);
+    co_return Reply;
+  }
+  if (Reply.m_isTooLong) {
+    Reply.m_result = DispatchResult::Broken;
+    co_return Reply;
+  }
+  if (CanKeep) {
+    Used->m_keepAlive =
+        keepAliveTime(Reply.m_head->get()[http::field::keep_alive]);
+    m_pool.keep(Peer, std::move(Used), Request.m_maxIdle);
+  }
+  co_return Reply;
+}
+
+asio::awaitable<Result<std::string>>
+UpstreamExchange::readMore(UpstreamReply &Reply) {
+  ResponseParser &Parser = *Reply.m_head;
+  std::string Piece(PieceBytes, '\0');
+  while (!Parser.is_done()) {
+    Parser.get().body().data = Piece.data();
+    Parser.get().body().size = Piece.size();
+    const auto [Error, Count] =
+        co_await http::async_read_some(Reply.m_connection->m_stream,
+                                  Reply.m_connection->m_buffer, Parser,
+                                  UseTuple);
+    const std::size_t Length = Piece.size() - Parser.get().body().size;
+    if (Error == beast::error::timeout)
+      co_return HttpErrc::TimedOut;
+    if (Error && Error != http::error::need_buffer)
+      co_return HttpErrc::ReplyTorn;
+    if (Length > 0) {
+      Piece.resize(Length);
+      co_return Piece;
+    }
+  }
+  co_return std::string();
+}
+
+asio::awaitable<bool> UpstreamExchange::isDown(std::string Address) {
+  Result<ConnectionPool::Owned> Opened =
+      co_await m_pool.open(Address, ProbeTimeout);
+  co_return !Opened;
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/gateway/dispatcher.cc
@@ -0,0 +1,411 @@
+#include "tamarackdrum/gateway/dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+double toMs(BootClock::duration Span) {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
+
+Millis fromMs(double Value) { return Millis(static_cast<std::int64_t>(Value)); }
+
+/// Weight of a new outcome in a server's shares of refusals and failures.
+constexpr double OutcomeWeight = 0.15;
+/// A server whose average is older than this drifts back to the service's.
+constexpr Millis EstimateMemory{4000};
+/// Added service time of a server that has just started, as a factor.
+constexpr double ColdFactor = 2.0;
+/// A running request that takes this many times the average shows that the
+/// server has become slow.
+constexpr double SlowFactor = 1.5;
+/// Least time that an answer takes; less cannot be waited for.
+constexpr double LeastServiceShare = 0.5;
+/// Requests of the server's own zone are preferred among the first few.
+constexpr int ZoneLookAhead = 4;
+/// Expected time until moving keys have a new holder: a release and a grant.
+constexpr double MoveMs = 600;
+
+} // namespace
+
+const char *toText(RefusalReason Value) noexcept {
+  switch (Value) {
+  case RefusalReason::None:
+    return "none";
+  case RefusalReason::NoServer:
+    return "no-server";
+  case RefusalReason::Overloaded:
+    return "overloaded";
+  case RefusalReason::NoRetryBudget:
+    return "no-retry-budget";
+  }
+  return "unknown";
+}
+
+Dispatcher::Dispatcher(DispatchPolicy Policy)
+    : m_policy(Policy), m_retries(Policy.m_retries),
+      m_meanMs(static_cast<double>(Policy.m_firstEstimate.count())) {}
+
+std::size_t Dispatcher::slotsOf(const Server &Item) const {
+  const double Slots = std::ceil(m_policy.m_slotShare * Item.m_entry.m_slots);
+  return std::max<std::size_t>(1, static_cast<std::size_t>(Slots));
+}
+
+bool Dispatcher::hasRoom(const Server &Item, TimePoint Now,
+                         bool OthersWait) const {
+  if (Item.m_entry.m_isDraining || Now < Item.m_pausedUntil)
+    return false;
+  const std::size_t Limit = slotsOf(Item) + (OthersWait ? m_policy.m_ahead : 0);
+  // After a pause one request at a time shows whether the server is back.
+  if (Item.m_pause.count() > 0)
+    return Item.m_running == 0;
+  return Item.m_running < Limit;
+}
+
+double Dispatcher::expectedMs(const Server &Item, TimePoint Now) const {
+  double Own = m_meanMs;
+  if (Item.m_meanMs > 0) {
+    const double Age = toMs(Now - Item.m_lastSample);
+    const double Trust =
+        std::exp(-Age / static_cast<double>(EstimateMemory.count()));
+    Own = Item.m_meanMs * Trust + m_meanMs * (1 - Trust);
+  }
+  if (Item.m_entry.m_coldLeft.count() > 0 && Item.m_meanMs == 0)
+    Own *= ColdFactor;
+  return Own;
+}
+
+double Dispatcher::serviceRate(TimePoint Now) const {
+  double Rate = 0;
+  for (const auto &[Id, Item] : m_servers)
+    if (!Item.m_entry.m_isDraining && Now >= Item.m_pausedUntil)
+      Rate += static_cast<double>(slotsOf(Item)) / expectedMs(Item, Now) *
+              (1 - Item.m_refusedShare);
+  return Rate;
+}
+
+void Dispatcher::setServers(const std::vector<ServerEntry> &Servers,
+                            TimePoint Now, DispatchDecisions &Out) {
+  std::set<std::string> Known;
+  for (const ServerEntry &Entry : Servers) {
+    Known.insert(Entry.m_id);
+    Server &Item = m_servers[Entry.m_id];
+    if (Item.m_entry.m_bornMs != Entry.m_bornMs) {
+      const std::size_t Count = Item.m_running;
+      Item = Server{};
+      Item.m_running = Count;
+    }
+    Item.m_entry = Entry;
+  }
+  for (auto Item = m_servers.begin(); Item != m_servers.end();)
+    Item = Known.count(Item->first) > 0 ? std::next(Item) : m_servers.erase(Item);
+  fillAll(Now, Out);
+}
+
+void Dispatcher::setKeyMap(KeyMap Map, TimePoint Now, DispatchDecisions &Out) {
+  m_isKeyed = true;
+  m_keys = std::move(Map);
+  fillAll(Now, Out);
+}
+
+Dispatcher::Server *Dispatcher::choose(const DispatchAsk &Ask, TimePoint Now) {
+  const auto IsTried = [&Ask](const std::string &Id) {
+    return std::find(Ask.m_tried.begin(), Ask.m_tried.end(), Id) !=
+           Ask.m_tried.end();
+  };
+  if (m_isKeyed) {
+    const auto Found = m_servers.find(m_keys.holderOf(Ask.m_key.value_or(0)));
+    if (Found == m_servers.end() || !hasRoom(Found->second, Now, false))
+      return nullptr;
+    return &Found->second;
+  }
+  Server *Best = nullptr;
+  double BestCost = 0;
+  for (auto &[Id, Item] : m_servers) {
+    if (!hasRoom(Item, Now, false) || IsTried(Id))
+      continue;
+    const double Sound =
+        std::max(0.05, (1 - Item.m_refusedShare) * (1 - Item.m_failedShare));
+    double Cost = expectedMs(Item, Now) / (Sound * Sound);
+    if (Item.m_entry.m_zone != Ask.m_zone)
+      Cost += static_cast<double>(m_policy.m_crossZoneCost.count());
+    if (Best == nullptr || Cost < BestCost) {
+      Best = &Item;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+void Dispatcher::place(const DispatchAsk &Ask, Server &Target, TimePoint Now,
+                       DispatchDecisions &Out) {
+  ++Target.m_running;
+  m_running[Ask.m_ticket] = {Target.m_entry.m_id, Now, std::nullopt};
+  Out.push_back({Ask.m_ticket, Target.m_entry.m_id, RefusalReason::None, {}});
+}
+
+void Dispatcher::refuse(const DispatchAsk &Ask, RefusalReason Reason,
+                        Millis RetryAfter, DispatchDecisions &Out) const {
+  Out.push_back({Ask.m_ticket, "", Reason,
+                 std::max(RetryAfter, m_policy.m_leastRetryAfter)});
+}
+
+void Dispatcher::ask(const DispatchAsk &Ask, TimePoint Now,
+                     DispatchDecisions &Out) {
+  if (Ask.m_key)
+    m_keyLoad.note(*Ask.m_key, Now);
+  if (!Ask.m_isRepeat) {
+    m_retries.noteRequest(Now);
+  } else if (!m_retries.take(Now)) {
+    refuse(Ask, RefusalReason::NoRetryBudget, m_policy.m_blindRetryAfter, Out);
+    return;
+  }
+  if (m_servers.empty()) {
+    refuse(Ask, RefusalReason::NoServer, m_policy.m_blindRetryAfter, Out);
+    return;
+  }
+  if (Server *Target = choose(Ask, Now)) {
+    place(Ask, *Target, Now, Out);
+    return;
+  }
+  enqueue(Ask, Now, Out);
+}
+
+void Dispatcher::enqueue(const DispatchAsk &Ask, TimePoint Now,
+                         DispatchDecisions &Out) {
+  Waiting Item{Ask, Now + Ask.m_objectiveLeft, Now + Ask.m_timeLeft, false};
+  double Rate = 0;
+  double Service = m_meanMs;
+  double Extra = 0;
+  std::size_t Ahead = 0;
+  std::size_t All = 0;
+  const std::string *Holder = nullptr;
+  if (m_isKeyed) {
+    Holder = &m_keys.holderOf(Ask.m_key.value_or(0));
+    const auto Found = m_servers.find(*Holder);
+    if (Found == m_servers.end()) {
+      Extra = MoveMs;
+      Rate = 1 / m_meanMs;
+    } else {
+      Service = expectedMs(Found->second, Now);
+      Rate = static_cast<double>(slotsOf(Found->second)) / Service;
+      if (Now < Found->second.m_pausedUntil)
+        Extra = toMs(Found->second.m_pausedUntil - Now);
+    }
+  } else {
+    Rate = serviceRate(Now);
+  }
+  for (const Waiting &Other : m_waiting) {
+    if (Holder != nullptr &&
+        m_keys.holderOf(Other.m_ask.m_key.value_or(0)) != *Holder)
+      continue;
+    ++All;
+    if (!Other.m_isLate && Other.m_objectiveAt <= Item.m_objectiveAt)
+      ++Ahead;
+  }
+  if (Rate <= 0) {
+    refuse(Ask, RefusalReason::NoServer, m_policy.m_blindRetryAfter, Out);
+    return;
+  }
+  const double Wait = Extra + static_cast<double>(Ahead + 1) / Rate;
+  const double Objective = toMs(Ask.m_objectiveLeft);
+  const double Left = toMs(Ask.m_timeLeft);
+  Item.m_isLate = Wait + Service > Objective;
+  if (Item.m_isLate) {
+    const double LateWait = Extra + static_cast<double>(All + 1) / Rate;
+    if (LateWait + Service > Left * m_policy.m_lateShare) {
+      refuse(Ask, RefusalReason::Overloaded, fromMs(LateWait), Out);
+      return;
+    }
+  }
+  m_waiting.push_back(std::move(Item));
+}
+
+bool Dispatcher::isEligible(const Waiting &Item, const Server &Target) const {
+  const std::string &Id = Target.m_entry.m_id;
+  if (m_isKeyed)
+    return m_keys.holderOf(Item.m_ask.m_key.value_or(0)) == Id;
+  const std::vector<std::string> &Tried = Item.m_ask.m_tried;
+  return std::find(Tried.begin(), Tried.end(), Id) == Tried.end();
+}
+
+Dispatcher::Queue::iterator Dispatcher::nextFor(const Server &Target,
+                                                TimePoint Now) {
+  const double Service = expectedMs(Target, Now);
+  std::vector<Queue::iterator> Urgent;
+  Queue::iterator Late = m_waiting.end();
+  for (Queue::iterator Item = m_waiting.begin(); Item != m_waiting.end();
+       ++Item) {
+    if (!isEligible(*Item, Target))
+      continue;
+    if (!Item->m_isLate &&
+        toMs(Item->m_objectiveAt - Now) < Service * LeastServiceShare)
+      Item->m_isLate = true;
+    if (!Item->m_isLate)
+      Urgent.push_back(Item);
+    else if (Late == m_waiting.end() || Item->m_endsAt < Late->m_endsAt)
+      Late = Item;
+  }
+  if (Urgent.empty())
+    return Late;
+  std::sort(Urgent.begin(), Urgent.end(), [](const auto &A, const auto &B) {
+    return A->m_objectiveAt < B->m_objectiveAt;
+  });
+  int Looked = 0;
+  for (const Queue::iterator &Item : Urgent) {
+    if (Looked++ == ZoneLookAhead)
+      break;
+    if (Item->m_ask.m_zone == Target.m_entry.m_zone)
+      return Item;
+  }
+  return Urgent.front();
+}
+
+void Dispatcher::fill(Server &Target, TimePoint Now, DispatchDecisions &Out) {
+  while (!m_waiting.empty() && hasRoom(Target, Now, true)) {
+    const Queue::iterator Next = nextFor(Target, Now);
+    if (Next == m_waiting.end())
+      return;
+    place(Next->m_ask, Target, Now, Out);
+    m_waiting.erase(Next);
+  }
+}
+
+void Dispatcher::fillAll(TimePoint Now, DispatchDecisions &Out) {
+  if (m_waiting.empty())
+    return;
+  for (auto &[Id, Item] : m_servers)
+    fill(Item, Now, Out);
+}
+
+void Dispatcher::withdraw(const Ticket &Id) {
+  m_waiting.remove_if(
+      [&Id](const Waiting &Item) { return Item.m_ask.m_ticket == Id; });
+}
+
+void Dispatcher::learn(Server &Item, DispatchResult Outcome, Millis ServiceTime,
+                       TimePoint Now) {
+  const auto Move = [](double &Share, bool Hit) {
+    Share += OutcomeWeight * ((Hit ? 1.0 : 0.0) - Share);
+  };
+  if (Outcome == DispatchResult::Withdrawn)
+    return;
+  Move(Item.m_refusedShare, Outcome == DispatchResult::Refused);
+  Move(Item.m_failedShare, Outcome == DispatchResult::Failed ||
+                               Outcome == DispatchResult::Broken);
+  const bool IsBroken = Outcome == DispatchResult::Broken ||
+                        Outcome == DispatchResult::Unreachable;
+  Item.m_brokenInRow = IsBroken ? Item.m_brokenInRow + 1 : 0;
+  if (Outcome == DispatchResult::Unreachable ||
+      Item.m_brokenInRow >= m_policy.m_brokenToPause) {
+    Item.m_pause = Item.m_pause.count() == 0
+                       ? m_policy.m_firstPause
+                       : std::min(Item.m_pause * 2, m_policy.m_longestPause);
+    Item.m_pausedUntil = Now + Item.m_pause;
+  } else if (!IsBroken && Outcome != DispatchResult::TimedOut) {
+    Item.m_pause = Millis(0);
+  }
+  const bool HasTime = Outcome == DispatchResult::Served ||
+                       Outcome == DispatchResult::TimedOut ||
+                       Outcome == DispatchResult::Failed;
+  if (!HasTime)
+    return;
+  const double Sample = std::max<double>(1, toMs(ServiceTime));
+  const double Old = Item.m_meanMs > 0 ? Item.m_meanMs : m_meanMs;
+  Item.m_meanMs = Old + m_policy.m_sampleWeight * (Sample - Old);
+  Item.m_lastSample = Now;
+  m_meanMs += m_policy.m_sampleWeight / 10 * (Sample - m_meanMs);
+}
+
+void Dispatcher::finish(const Ticket &Id, DispatchResult Outcome,
+                        Millis ServiceTime, TimePoint Now,
+                        DispatchDecisions &Out) {
+  const auto Found = m_running.find(Id);
+  if (Found == m_running.end())
+    return;
+  const auto Item = m_servers.find(Found->second.m_server);
+  m_running.erase(Found);
+  if (Item == m_servers.end())
+    return;
+  if (Item->second.m_running > 0)
+    --Item->second.m_running;
+  learn(Item->second, Outcome, ServiceTime, Now);
+  fill(Item->second, Now, Out);
+}
+
+void Dispatcher::adopt(const Ticket &Id, const std::string &Server,
+                       TimePoint Now) {
+  if (!m_running.emplace(Id, Running{Server, Now, std::nullopt}).second)
+    return;
+  const auto Item = m_servers.find(Server);
+  if (Item != m_servers.end())
+    ++Item->second.m_running;
+}
+
+void Dispatcher::dropLink(std::uint32_t Link, TimePoint Now) {
+  m_waiting.remove_if([Link](const Waiting &Item) {
+    return Item.m_ask.m_ticket.m_link == Link;
+  });
+  for (auto &[Id, Item] : m_running)
+    if (Id.m_link == Link)
+      Item.m_endsAt = Now + fromMs(m_meanMs * 2);
+}
+
+void Dispatcher::tick(TimePoint Now, DispatchDecisions &Out) {
+  for (auto Item = m_running.begin(); Item != m_running.end();) {
+    const auto Owner = m_servers.find(Item->second.m_server);
+    if (Item->second.m_endsAt && Now >= *Item->second.m_endsAt) {
+      if (Owner != m_servers.end() && Owner->second.m_running > 0)
+        --Owner->second.m_running;
+      Item = m_running.erase(Item);
+      continue;
+    }
+    // An unanswered request is a lower bound of the server's service time.
+    const double Elapsed = toMs(Now - Item->second.m_startedAt);
+    if (Owner != m_servers.end() &&
+        Elapsed > SlowFactor * std::max(Owner->second.m_meanMs, m_meanMs)) {
+      Owner->second.m_meanMs = Elapsed / SlowFactor;
+      Owner->second.m_lastSample = Now;
+    }
+    ++Item;
+  }
+  for (Queue::iterator Item = m_waiting.begin(); Item != m_waiting.end();) {
+    if (toMs(Item->m_endsAt - Now) > m_meanMs * LeastServiceShare) {
+      ++Item;
+      continue;
+    }
+    refuse(Item->m_ask, RefusalReason::Overloaded,
+           fromMs(static_cast<double>(m_waiting.size()) /
+                  std::max(1e-3, serviceRate(Now))),
+           Out);
+    Item = m_waiting.erase(Item);
+  }
+  fillAll(Now, Out);
+}
+
+double Dispatcher::rateOf(const std::string &Server) const {
+  const auto Found = m_servers.find(Server);
+  if (Found == m_servers.end())
+    return 0;
+  const double Mean =
+      Found->second.m_meanMs > 0 ? Found->second.m_meanMs : m_meanMs;
+  return static_cast<double>(slotsOf(Found->second)) * 1000.0 / Mean;
+}
+
+std::size_t Dispatcher::waitingFor(const std::string &Server) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting &Item) {
+        return m_keys.holderOf(Item.m_ask.m_key.value_or(0)) == Server;
+      }));
+}
+
+DispatchLoad Dispatcher::load() const {
+  DispatchLoad Out{m_waiting.size(), m_running.size(), 0};
+  for (const auto &[Id, Item] : m_servers)
+    Out.m_slots += slotsOf(Item);
+  return Out;
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/gateway/key-placement.cc
@@ -0,0 +1,251 @@
+#include "tamarackdrum/gateway/key-placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+/// Load assumed of all keys together where nothing has been asked for yet, in
+/// requests a second.
+constexpr double IdleLoad = 1.0;
+/// A window of keys is moved if its load lies this close to the excess.
+constexpr double LeastFit = 0.5;
+constexpr double MostFit = 1.3;
+/// Keys without a holder go to this many servers at most.
+constexpr std::uint32_t MostPieces = 4;
+
+struct Loads {
+  std::map<std::string, double> m_byServer;
+  double m_spreadPerKey = 0;
+};
+
+std::uint32_t widthOf(const KeyHolding &Keys) {
+  return static_cast<std::uint32_t>(Keys.m_to) - Keys.m_from + 1;
+}
+
+double loadOf(const KeyHolding &Keys, const std::vector<KeyRate> &Rates,
+              double SpreadPerKey) {
+  double Sum = SpreadPerKey * widthOf(Keys);
+  const auto First = std::lower_bound(
+      Rates.begin(), Rates.end(), Keys.m_from,
+      [](const KeyRate &Item, Key From) { return Item.m_key < From; });
+  for (auto Item = First; Item != Rates.end() && Item->m_key <= Keys.m_to;
+       ++Item)
+    Sum += Item->m_rate;
+  return Sum;
+}
+
+double utilization(const std::string &Server, const Loads &Current,
+                   const std::map<std::string, double> &Capacity) {
+  const auto Load = Current.m_byServer.find(Server);
+  return (Load == Current.m_byServer.end() ? 0 : Load->second) /
+         std::max(0.1, Capacity.at(Server));
+}
+
+std::string coolest(const Loads &Current,
+                    const std::map<std::string, double> &Capacity,
+                    double Added) {
+  std::string Best;
+  double Least = 0;
+  for (const auto &[Server, Rate] : Capacity) {
+    const double Value = utilization(Server, Current, Capacity) +
+                         Added / std::max(0.1, Rate);
+    if (Best.empty() || Value < Least) {
+      Best = Server;
+      Least = Value;
+    }
+  }
+  return Best;
+}
+
+/// Deals all keys out in proportion to capacity.
+std::vector<KeyMove> dealAll(const std::map<std::string, double> &Capacity) {
+  double Total = 0;
+  for (const auto &[Server, Rate] : Capacity)
+    Total += Rate;
+  std::vector<KeyMove> Out;
+  double Sum = 0;
+  std::uint32_t From = 0;
+  for (const auto &[Server, Rate] : Capacity) {
+    Sum += Rate;
+    const std::uint32_t End = std::min<std::uint32_t>(
+        KeyCount, static_cast<std::uint32_t>(std::lround(KeyCount * Sum / Total)));
+    if (End > From)
+      Out.push_back({static_cast<Key>(From), static_cast<Key>(End - 1), Server});
+    From = std::max(From, End);
+  }
+  return Out;
+}
+
+/// Deals the keys of one range without a holder to the servers with most room.
+void rehome(const KeyHolding &Keys, std::size_t Servers,
+            const std::map<std::string, double> &Capacity,
+            const std::vector<KeyRate> &Rates, Loads &Current,
+            std::vector<KeyMove> &Out) {
+  const std::uint32_t Width = widthOf(Keys);
+  const std::uint32_t Share =
+      std::max<std::uint32_t>(1, KeyCount / static_cast<std::uint32_t>(2 * Servers));
+  const std::uint32_t Pieces =
+      std::min({MostPieces, Width, std::max<std::uint32_t>(1, Width / Share)});
+  for (std::uint32_t I = 0; I < Pieces; ++I) {
+    const std::uint32_t From = Keys.m_from + Width * I / Pieces;
+    const std::uint32_t To = Keys.m_from + Width * (I + 1) / Pieces - 1;
+    const KeyHolding Piece{static_cast<Key>(From), static_cast<Key>(To), ""};
+    const double Load = loadOf(Piece, Rates, Current.m_spreadPerKey);
+    const std::string Target = coolest(Current, Capacity, Load);
+    Current.m_byServer[Target] += Load;
+    Out.push_back({Piece.m_from, Piece.m_to, Target});
+  }
+}
+
+/// Returns the narrowest part of \p Keys whose load is about \p Wanted.
+std::optional<KeyHolding> findWindow(const KeyHolding &Keys, double Wanted,
+                                     const std::vector<KeyRate> &Rates,
+                                     double SpreadPerKey) {
+  std::vector<KeyRate> Own;
+  for (const KeyRate &Item : Rates)
+    if (Item.m_key >= Keys.m_from && Item.m_key <= Keys.m_to)
+      Own.push_back(Item);
+  std::optional<KeyHolding> Best;
+  std::size_t First = 0;
+  double Sum = 0;
+  for (std::size_t Last = 0; Last < Own.size(); ++Last) {
+    Sum += Own[Last].m_rate;
+    while (First < Last && Sum - Own[First].m_rate >= Wanted * LeastFit)
+      Sum -= Own[First++].m_rate;
+    if (Sum < Wanted * LeastFit || Sum > Wanted * MostFit)
+      continue;
+    const KeyHolding Found{Own[First].m_key, Own[Last].m_key, ""};
+    if (!Best || widthOf(Found) < widthOf(*Best))
+      Best = Found;
+  }
+  if (Best)
+    return Best;
+  // Nothing was asked for: cut a part off by its number of keys.
+  const double Whole = loadOf(Keys, Rates, SpreadPerKey);
+  if (!Own.empty() || Whole <= 0)
+    return std::nullopt;
+  const std::uint32_t Width = std::clamp<std::uint32_t>(
+      static_cast<std::uint32_t>(widthOf(Keys) * Wanted / Whole), 1,
+      widthOf(Keys));
+  return KeyHolding{static_cast<Key>(Keys.m_to - Width + 1), Keys.m_to, ""};
+}
+
+/// Returns one move from the busiest server to the one with most room.
+std::optional<KeyMove>
+planRelief(const std::vector<PlacedRange> &Ranges, const Loads &Current,
+           const std::map<std::string, double> &Capacity,
+           const std::vector<KeyRate> &Rates, const PlacementPolicy &Policy) {
+  std::string Hot;
+  std::string Cold;
+  for (const auto &[Server, Rate] : Capacity) {
+    if (Hot.empty() || utilization(Server, Current, Capacity) >
+                           utilization(Hot, Current, Capacity))
+      Hot = Server;
+    if (Cold.empty() || utilization(Server, Current, Capacity) <
+                            utilization(Cold, Current, Capacity))
+      Cold = Server;
+  }
+  if (Hot.empty() || Hot == Cold)
+    return std::nullopt;
+  const double High = utilization(Hot, Current, Capacity);
+  const double Low = utilization(Cold, Current, Capacity);
+  const bool HasNothing = Low <= 0;
+  const bool IsUnequal = High > Policy.m_busyShare && High - Low > Policy.m_gap;
+  if (!HasNothing && !IsUnequal)
+    return std::nullopt;
+  const double CapHot = std::max(0.1, Capacity.at(Hot));
+  const double CapCold = std::max(0.1, Capacity.at(Cold));
+  const double Excess = (High - Low) * CapHot * CapCold / (CapHot + CapCold);
+  std::optional<KeyMove> Best;
+  for (const PlacedRange &Range : Ranges) {
+    if (!Range.m_canMove || Range.m_keys.m_server != Hot)
+      continue;
+    const std::optional<KeyHolding> Found =
+        findWindow(Range.m_keys, Excess, Rates, Current.m_spreadPerKey);
+    if (!Found)
+      continue;
+    if (!Best || widthOf(*Found) < static_cast<std::uint32_t>(
+                                       Best->m_to - Best->m_from + 1))
+      Best = KeyMove{Found->m_from, Found->m_to, Cold};
+  }
+  return Best;
+}
+
+/// Returns \p Ranges with \p Move carried out and its keys not to be moved on.
+std::vector<PlacedRange> withMove(const std::vector<PlacedRange> &Ranges,
+                                  const KeyMove &Move) {
+  std::vector<PlacedRange> Out;
+  for (const PlacedRange &Range : Ranges) {
+    const KeyHolding &Keys = Range.m_keys;
+    if (Move.m_to < Keys.m_from || Move.m_from > Keys.m_to) {
+      Out.push_back(Range);
+      continue;
+    }
+    if (Keys.m_from < Move.m_from)
+      Out.push_back({{Keys.m_from, static_cast<Key>(Move.m_from - 1),
+                      Keys.m_server},
+                     Range.m_canMove});
+    Out.push_back({{std::max(Keys.m_from, Move.m_from),
+                    std::min(Keys.m_to, Move.m_to), Move.m_target},
+                   false});
+    if (Keys.m_to > Move.m_to)
+      Out.push_back({{static_cast<Key>(Move.m_to + 1), Keys.m_to,
+                      Keys.m_server},
+                     Range.m_canMove});
+  }
+  return Out;
+}
+
+} // namespace
+
+std::vector<KeyMove> planKeyMoves(const std::vector<PlacedRange> &Ranges,
+                                  const std::map<std::string, double> &Capacity,
+                                  const std::vector<KeyRate> &Rates,
+                                  const PlacementPolicy &Policy) {
+  if (Capacity.empty())
+    return {};
+  const bool HasNone =
+      std::all_of(Ranges.begin(), Ranges.end(), [&](const PlacedRange &Range) {
+        return Capacity.count(Range.m_keys.m_server) == 0;
+      });
+  if (HasNone)
+    return dealAll(Capacity);
+
+  double Total = IdleLoad;
+  for (const KeyRate &Item : Rates)
+    Total += Item.m_rate;
+  Loads Current;
+  Current.m_spreadPerKey = Policy.m_spreadShare * Total / KeyCount;
+  std::vector<KeyMove> Out;
+  for (const PlacedRange &Range : Ranges)
+    if (Capacity.count(Range.m_keys.m_server) > 0)
+      Current.m_byServer[Range.m_keys.m_server] +=
+          loadOf(Range.m_keys, Rates, Current.m_spreadPerKey);
+  for (const PlacedRange &Range : Ranges)
+    if (Capacity.count(Range.m_keys.m_server) == 0)
+      rehome(Range.m_keys, Capacity.size(), Capacity, Rates, Current, Out);
+
+  std::vector<PlacedRange> After = Ranges;
+  for (std::size_t I = 0; I < Policy.m_movesPerRound; ++I) {
+    const std::optional<KeyMove> Move =
+        planRelief(After, Current, Capacity, Rates, Policy);
+    if (!Move)
+      break;
+    for (const PlacedRange &Range : After)
+      if (Range.m_keys.m_from <= Move->m_from &&
+          Move->m_to <= Range.m_keys.m_to) {
+        const double Load = loadOf({Move->m_from, Move->m_to, ""}, Rates,
+                                   Current.m_spreadPerKey);
+        Current.m_byServer[Range.m_keys.m_server] -= Load;
+        Current.m_byServer[Move->m_target] += Load;
+      }
+    After = withMove(After, *Move);
+    Out.push_back(*Move);
+  }
+  return Out;
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/gateway/peer-message.cc
@@ -0,0 +1,308 @@
+#include "tamarackdrum/gateway/peer-message.h"
+
+#include "tamarackdrum/error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+/// Version of the messages between hosts; others are refused.
+constexpr std::uint32_t ProtocolVersion = 1;
+/// Largest message, in bytes: a state message with 1,000 servers.
+constexpr std::uint32_t LargestMessage = 4 << 20;
+constexpr std::size_t LengthBytes = 4;
+
+using Json = nlohmann::json;
+
+/// Reads the elements of an array one after the other; throws on a wrong type
+/// or a missing element.
+class Reader {
+public:
+  explicit Reader(const Json &Array) : m_array(Array) {
+    if (!Array.is_array())
+      throw std::invalid_argument("not an array");
+  }
+
+  template <typename T> T take() { return next().get<T>(); }
+  const Json &next() { return m_array.at(m_next++); }
+  Millis takeMillis() { return Millis(take<std::int64_t>()); }
+
+private:
+  const Json &m_array;
+  std::size_t m_next = 0;
+};
+
+template <typename... Parts> Json packAll(const Parts &...Values) {
+  return Json::array({Json(Values)...});
+}
+
+Json pack(const HostInfo &Info) {
+  return packAll(Info.m_name, Info.m_ip, Info.m_zone, Info.m_life, Info.m_weight);
+}
+
+HostInfo readHost(const Json &Value) {
+  Reader In(Value);
+  HostInfo Out;
+  Out.m_name = In.take<std::string>();
+  Out.m_ip = In.take<std::string>();
+  Out.m_zone = In.take<std::string>();
+  Out.m_life = In.take<std::int64_t>();
+  Out.m_weight = In.take<unsigned>();
+  return Out;
+}
+
+Json pack(const HelloMessage &Value) {
+  Json Running = Json::array();
+  for (const RunningDispatch &Item : Value.m_running)
+    Running.push_back(packAll(Item.m_number, Item.m_service, Item.m_server));
+  return packAll(pack(Value.m_host), Running);
+}
+
+void read(Reader In, HelloMessage &Out) {
+  Out.m_host = readHost(In.next());
+  for (const Json &Value : In.next()) {
+    Reader Item(Value);
+    RunningDispatch Running;
+    Running.m_number = Item.take<std::uint32_t>();
+    Running.m_service = Item.take<std::string>();
+    Running.m_server = Item.take<std::string>();
+    Out.m_running.push_back(std::move(Running));
+  }
+}
+
+Json pack(const AskMessage &Value) {
+  const DispatchAsk &Ask = Value.m_ask;
+  return packAll(Value.m_service, Ask.m_ticket.m_number,
+          Ask.m_key ? static_cast<int>(*Ask.m_key) : -1, Ask.m_isRepeat,
+          Ask.m_objectiveLeft.count(), Ask.m_timeLeft.count(), Ask.m_tried);
+}
+
+void read(Reader In, AskMessage &Out) {
+  Out.m_service = In.take<std::string>();
+  Out.m_ask.m_ticket.m_number = In.take<std::uint32_t>();
+  const int Wanted = In.take<int>();
+  if (Wanted >= static_cast<int>(KeyCount))
+    throw std::invalid_argument("key out of range");
+  if (Wanted >= 0)
+    Out.m_ask.m_key = static_cast<Key>(Wanted);
+  Out.m_ask.m_isRepeat = In.take<bool>();
+  Out.m_ask.m_objectiveLeft = In.takeMillis();
+  Out.m_ask.m_timeLeft = In.takeMillis();
+  Out.m_ask.m_tried = In.take<std::vector<std::string>>();
+}
+
+Json pack(const QueuedMessage &Value) {
+  return packAll(Value.m_number);
+}
+
+void read(Reader In, QueuedMessage &Out) {
+  Out.m_number = In.take<std::uint32_t>();
+}
+
+Json pack(const DecisionMessage &Value) {
+  const DispatchDecision &Made = Value.m_decision;
+  return packAll(Made.m_ticket.m_number, Made.m_server,
+          static_cast<int>(Made.m_reason), Made.m_retryAfter.count());
+}
+
+void read(Reader In, DecisionMessage &Out) {
+  Out.m_decision.m_ticket.m_number = In.take<std::uint32_t>();
+  Out.m_decision.m_server = In.take<std::string>();
+  Out.m_decision.m_reason = static_cast<RefusalReason>(In.take<int>());
+  Out.m_decision.m_retryAfter = In.takeMillis();
+}
+
+Json pack(const FinishMessage &Value) {
+  return packAll(Value.m_service, Value.m_number,
+          static_cast<int>(Value.m_result), Value.m_serviceTime.count());
+}
+
+void read(Reader In, FinishMessage &Out) {
+  Out.m_service = In.take<std::string>();
+  Out.m_number = In.take<std::uint32_t>();
+  Out.m_result = static_cast<DispatchResult>(In.take<int>());
+  Out.m_serviceTime = In.takeMillis();
+}
+
+Json pack(const WithdrawMessage &Value) {
+  return packAll(Value.m_service, Value.m_number);
+}
+
+void read(Reader In, WithdrawMessage &Out) {
+  Out.m_service = In.take<std::string>();
+  Out.m_number = In.take<std::uint32_t>();
+}
+
+Json pack(const KeyMapMessage &Value) {
+  Json Holdings = Json::array();
+  for (const KeyHolding &Item : Value.m_map.holdings())
+    Holdings.push_back(packAll(Item.m_from, Item.m_to, Item.m_server));
+  return packAll(Value.m_service, Value.m_map.version(), Holdings);
+}
+
+void read(Reader In, KeyMapMessage &Out) {
+  Out.m_service = In.take<std::string>();
+  const std::uint64_t Version = In.take<std::uint64_t>();
+  std::vector<KeyHolding> Holdings;
+  for (const Json &Value : In.next()) {
+    Reader Item(Value);
+    KeyHolding Holding;
+    Holding.m_from = Item.take<Key>();
+    Holding.m_to = Item.take<Key>();
+    Holding.m_server = Item.take<std::string>();
+    Holdings.push_back(std::move(Holding));
+  }
+  Out.m_map = KeyMap(Version, std::move(Holdings));
+}
+
+Json pack(const NotHeldMessage &Value) {
+  return packAll(Value.m_service, Value.m_key);
+}
+
+void read(Reader In, NotHeldMessage &Out) {
+  Out.m_service = In.take<std::string>();
+  Out.m_key = In.take<Key>();
+}
+
+Json pack(const StateRequest &) { return Json::array(); }
+
+void read(const Reader &, StateRequest &) {}
+
+Json pack(const StateMessage &Value) {
+  Json Servers = Json::array();
+  for (const ServerEntry &Item : Value.m_servers)
+    Servers.push_back(packAll(Item.m_id, Item.m_service, Item.m_address,
+                              Item.m_zone, Item.m_slots, Item.m_isDraining,
+                              Item.m_bornMs, Item.m_report,
+                              Item.m_coldLeft.count()));
+  return packAll(Value.m_configuration, Servers);
+}
+
+void read(Reader In, StateMessage &Out) {
+  Out.m_configuration = In.take<std::string>();
+  for (const Json &Value : In.next()) {
+    Reader Item(Value);
+    ServerEntry Entry;
+    Entry.m_id = Item.take<std::string>();
+    Entry.m_service = Item.take<std::string>();
+    Entry.m_address = Item.take<std::string>();
+    Entry.m_zone = Item.take<std::string>();
+    Entry.m_slots = Item.take<unsigned>();
+    Entry.m_isDraining = Item.take<bool>();
+    Entry.m_bornMs = Item.take<std::int64_t>();
+    Entry.m_report = Item.take<std::uint64_t>();
+    Entry.m_coldLeft = Item.takeMillis();
+    Out.m_servers.push_back(std::move(Entry));
+  }
+}
+
+Json pack(const CrashMessage &Value) {
+  return packAll(Value.m_fingerprint, Value.m_server);
+}
+
+void read(Reader In, CrashMessage &Out) {
+  Out.m_fingerprint = In.take<std::uint64_t>();
+  Out.m_server = In.take<std::string>();
+}
+
+/// Reads the message whose alternative in PeerMessage is \p Index.
+template <std::size_t Index = 0>
+PeerMessage readAlternative(std::size_t Wanted, const Reader &In) {
+  if constexpr (Index == std::variant_size_v<PeerMessage>) {
+    throw std::invalid_argument("unknown message");
+  } else {
+    if (Wanted != Index)
+      return readAlternative<Index + 1>(Wanted, In);
+    std::variant_alternative_t<Index, PeerMessage> Out;
+    read(In, Out);
+    return Out;
+  }
+}
+
+std::uint32_t readLength(const std::string &Buffer) {
+  std::uint32_t Length = 0;
+  for (std::size_t I = 0; I < LengthBytes; ++I)
+    Length = Length << 8U | static_cast<unsigned char>(Buffer[I]);
+  return Length;
+}
+
+} // namespace
+
+void encode(const PeerMessage &Message, std::string &Out) {
+  const Json Content =
+      std::visit([](const auto &Value) { return pack(Value); }, Message);
+  const std::vector<std::uint8_t> Body =
+      Json::to_msgpack(packAll(ProtocolVersion, Message.index(), Content));
+  const std::uint32_t Length = static_cast<std::uint32_t>(Body.size());
+  for (int Shift = 24; Shift >= 0; Shift -= 8)
+    Out.push_back(static_cast<char>(Length >> static_cast<unsigned>(Shift)));
+  Out.append(Body.begin(), Body.end());
+}
+
+Result<std::vector<PeerMessage>> decode(std::string &Buffer) {
+  std::vector<PeerMessage> Out;
+  std::size_t Taken = 0;
+  try {
+    while (Buffer.size() - Taken >= LengthBytes) {
+      const std::uint32_t Length = readLength(Buffer.substr(Taken, LengthBytes));
+      if (Length > LargestMessage)
+        return ControlErrc::Malformed;
+      if (Buffer.size() - Taken - LengthBytes < Length)
+        break;
+      const char *First = Buffer.data() + Taken + LengthBytes;
+      const Json Message = Json::from_msgpack(First, First + Length);
+      Reader In(Message);
+      if (In.take<std::uint32_t>() != ProtocolVersion)
+        return ControlErrc::WrongVersion;
+      const std::uint32_t Index = In.take<std::uint32_t>();
+      Out.push_back(readAlternative(Index, Reader(In.next())));
+      Taken += LengthBytes + Length;
+    }
+  } catch (const std::exception &) {
+    // The library throws on bytes that are no message.
+    return ControlErrc::Malformed;
+  }
+  Buffer.erase(0, Taken);
+  return Out;
+}
+
+std::string encodeBeat(const HostBeat &Beat) {
+  Json Claims = Json::array();
+  for (const auto &[Service, Claim] : Beat.m_claims)
+    Claims.push_back(packAll(Service, Claim.m_term, Claim.m_host, Claim.m_life));
+  const std::vector<std::uint8_t> Body = Json::to_msgpack(packAll(
+      ProtocolVersion, pack(Beat.m_host), Beat.m_isStopping, Beat.m_isReply,
+      Beat.m_storeAgeMs, Beat.m_configVersion, Claims));
+  return {Body.begin(), Body.end()};
+}
+
+Result<HostBeat> decodeBeat(std::string_view Bytes) {
+  try {
+    const Json Message = Json::from_msgpack(Bytes.begin(), Bytes.end());
+    Reader In(Message);
+    if (In.take<std::uint32_t>() != ProtocolVersion)
+      return ControlErrc::WrongVersion;
+    HostBeat Out;
+    Out.m_host = readHost(In.next());
+    Out.m_isStopping = In.take<bool>();
+    Out.m_isReply = In.take<bool>();
+    Out.m_storeAgeMs = In.take<std::uint32_t>();
+    Out.m_configVersion = In.take<std::uint64_t>();
+    for (const Json &Value : In.next()) {
+      Reader Item(Value);
+      const std::string Service = Item.take<std::string>();
+      GranterClaim Claim;
+      Claim.m_term = Item.take<std::uint64_t>();
+      Claim.m_host = Item.take<std::string>();
+      Claim.m_life = Item.take<std::int64_t>();
+      Out.m_claims[Service] = Claim;
+    }
+    return Out;
+  } catch (const std::exception &) {
+    // The library throws on bytes that are no message.
+    return ControlErrc::Malformed;
+  }
+}
+
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/gateway/roster.cc
@@ -0,0 +1,182 @@
+#include "tamarackdrum/gateway/roster.h"
+
+#include <algorithm>
+#include <set>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+/// A host announces itself to all hosts that it knows for this long, so that
+/// each learns its address.
+constexpr Millis AnnounceTime{1500};
+/// Hosts of at least this part of the largest processor share may coordinate.
+constexpr double LeastWeightShare = 0.9;
+
+} // namespace
+
+Roster::Roster(RosterPolicy Policy, HostInfo Self)
+    : m_policy(Policy), m_self(std::move(Self)) {}
+
+void Roster::addListed(const std::vector<HostInfo> &Hosts, TimePoint Now) {
+  for (const HostInfo &Info : Hosts) {
+    if (Info.m_name == m_self.m_name || Info.m_ip == m_self.m_ip)
+      continue;
+    Peer &Item = m_hosts[Info.m_name];
+    if (Item.m_addedAt == TimePoint{})
+      Item.m_addedAt = Now;
+    if (Info.m_life >= Item.m_info.m_life)
+      Item.m_info = Info;
+  }
+}
+
+void Roster::noteBeat(const HostBeat &Beat, TimePoint Now) {
+  if (Beat.m_host.m_name == m_self.m_name)
+    return;
+  Peer &Item = m_hosts[Beat.m_host.m_name];
+  // The life of a process comes from a clock that may jump: an earlier one
+  // counts once the later one is silent.
+  if (Beat.m_host.m_life < Item.m_info.m_life && isAlive(Item, Now))
+    return;
+  if (Item.m_addedAt == TimePoint{})
+    Item.m_addedAt = Now;
+  Item.m_info = Beat.m_host;
+  Item.m_beat = Beat;
+  Item.m_heardAt = Now;
+  Item.m_isLost = false;
+}
+
+void Roster::noteAlive(const std::string &Host, TimePoint Now) {
+  const auto Found = m_hosts.find(Host);
+  if (Found != m_hosts.end() && !Found->second.m_isLost)
+    Found->second.m_heardAt = Now;
+}
+
+void Roster::noteLost(const std::string &Host) {
+  const auto Found = m_hosts.find(Host);
+  if (Found != m_hosts.end())
+    Found->second.m_isLost = true;
+}
+
+bool Roster::isAlive(const Peer &Item, TimePoint Now) const {
+  return !Item.m_isLost && Item.m_heardAt != TimePoint{} &&
+         Now - Item.m_heardAt < m_policy.m_deadAfter;
+}
+
+bool Roster::isAlive(const std::string &Host, TimePoint Now) const {
+  if (Host == m_self.m_name)
+    return true;
+  const auto Found = m_hosts.find(Host);
+  return Found != m_hosts.end() && isAlive(Found->second, Now);
+}
+
+std::int64_t Roster::lifeOf(const std::string &Host) const {
+  if (Host == m_self.m_name)
+    return m_self.m_life;
+  const auto Found = m_hosts.find(Host);
+  return Found == m_hosts.end() ? 0 : Found->second.m_info.m_life;
+}
+
+std::optional<HostInfo> Roster::find(const std::string &Host) const {
+  if (Host == m_self.m_name)
+    return m_self;
+  const auto Found = m_hosts.find(Host);
+  if (Found == m_hosts.end())
+    return std::nullopt;
+  return Found->second.m_info;
+}
+
+const HostBeat *Roster::lastBeat(const std::string &Host) const {
+  const auto Found = m_hosts.find(Host);
+  return Found == m_hosts.end() ? nullptr : &Found->second.m_beat;
+}
+
+std::vector<const Roster::Peer *> Roster::ordered() const {
+  unsigned Largest = m_self.m_weight;
+  for (const auto &[Name, Item] : m_hosts)
+    Largest = std::max(Largest, Item.m_info.m_weight);
+  std::vector<const Peer *> Out;
+  for (const auto &[Name, Item] : m_hosts)
+    if (Item.m_info.m_weight >= LeastWeightShare * Largest ||
+        Item.m_info.m_weight == 0)
+      Out.push_back(&Item);
+  std::sort(Out.begin(), Out.end(), [](const Peer *A, const Peer *B) {
+    return hashKey(A->m_info.m_name) < hashKey(B->m_info.m_name);
+  });
+  return Out;
+}
+
+std::vector<HostInfo> Roster::beatsDue(TimePoint Now) {
+  if (m_startedAt == TimePoint{})
+    m_startedAt = Now;
+  const bool IsNew = Now - m_startedAt < AnnounceTime;
+  for (auto Item = m_hosts.begin(); Item != m_hosts.end();) {
+    const TimePoint Last = std::max(Item->second.m_heardAt, Item->second.m_addedAt);
+    Item = Now - Last > m_policy.m_forgetAfter ? m_hosts.erase(Item)
+                                               : std::next(Item);
+  }
+  std::vector<HostInfo> Out;
+  unsigned Live = 0;
+  std::set<std::string> Wanted;
+  for (const Peer *Item : ordered()) {
+    const bool IsLive = isAlive(*Item, Now);
+    if (Live >= m_policy.m_anchors && !IsNew)
+      break;
+    Live += IsLive ? 1 : 0;
+    const Millis Every = IsLive || IsNew ? m_policy.m_beatEvery : m_policy.m_retryEvery;
+    if (Now - Item->m_sentAt >= Every)
+      Wanted.insert(Item->m_info.m_name);
+  }
+  for (auto &[Name, Item] : m_hosts) {
+    const bool IsAnnounced = IsNew && Now - Item.m_sentAt >= m_policy.m_beatEvery;
+    if (!IsAnnounced && Wanted.count(Name) == 0)
+      continue;
+    Item.m_sentAt = Now;
+    Out.push_back(Item.m_info);
+  }
+  return Out;
+}
+
+std::vector<HostInfo> Roster::anchors(TimePoint Now) const {
+  unsigned Largest = m_self.m_weight;
+  std::vector<HostInfo> Out;
+  for (const Peer *Item : ordered())
+    if (isAlive(*Item, Now) && !Item->m_beat.m_isStopping) {
+      Out.push_back(Item->m_info);
+      Largest = std::max(Largest, Item->m_info.m_weight);
+    }
+  if (!m_isStopping && m_self.m_weight >= LeastWeightShare * Largest) {
+    const auto Place = std::find_if(
+        Out.begin(), Out.end(), [this](const HostInfo &Other) {
+          return hashKey(m_self.m_name) < hashKey(Other.m_name);
+        });
+    Out.insert(Place, m_self);
+  }
+  if (Out.size() > m_policy.m_anchors)
+    Out.resize(m_policy.m_anchors);
+  return Out;
+}
+
+std::map<std::string, std::string>
+Roster::coordinators(const std::vector<std::string> &Services,
+                     TimePoint Now) const {
+  std::map<std::string, std::string> Out;
+  const std::vector<HostInfo> Hosts = anchors(Now);
+  if (Hosts.empty())
+    return Out;
+  std::set<std::string> Used;
+  for (const std::string &Service : Services) {
+    const HostInfo *Best = nullptr;
+    for (const HostInfo &Item : Hosts) {
+      if (Used.count(Item.m_name) > 0 && Used.size() < Hosts.size())
+        continue;
+      if (Best == nullptr || hashKey(Service + Item.m_name) >
+                                 hashKey(Service + Best->m_name))
+        Best = &Item;
+    }
+    Used.insert(Best->m_name);
+    Out[Service] = Best->m_name;
+  }
+  return Out;
+}
+
+} // namespace tamarackdrum::gateway
