--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -58,7 +58,8 @@
   boost::asio::awaitable<void> stopSequence(std::function<void()> OnStopped);
 
   void applyConfiguration(const ReadConfiguration &Read, std::string_view Source);
-  void applyServers(const DirectoryChange &Change);
+  /// \p IsListing: other fields than those of \p Change may be new, too.
+  void applyServers(const DirectoryChange &Change, bool IsListing = false);
   void noteStore(bool IsGood, TimePoint AskedAt, std::string_view What,
                  std::string_view Reason);
   void updateCoordinators();
@@ -95,6 +96,7 @@
   std::map<std::string, std::unique_ptr<OwnershipKeeper>> m_keepers;
   std::set<std::pair<std::uint64_t, std::string>> m_crashes;
   TimePoint m_storeGoodAt{};
+  TimePoint m_storeGoodSince{}; ///< Begin of the span without a failure.
   bool m_isStoreLost = false;
   bool m_isStopping = false;
 };
--- a/include/tamarackdrum/gateway/roster.h
+++ b/include/tamarackdrum/gateway/roster.h
@@ -42,6 +42,7 @@
   bool m_isStopping = false;
   bool m_isReply = false;
   std::uint32_t m_storeAgeMs = 0; ///< Since its last good read of the store.
+  std::uint32_t m_storeGoodMs = 0; ///< How long it has served it since.
   std::uint64_t m_configVersion = 0;
   std::map<std::string, GranterClaim> m_claims; ///< By service.
 
--- a/include/tamarackdrum/gateway/server-directory.h
+++ b/include/tamarackdrum/gateway/server-directory.h
@@ -71,6 +71,13 @@
   /// Notes that a listing could not be read.
   void noteReadFailed() { m_hasFailed = true; }
 
+  /// Notes that the registry has been served to others for \p Span without a
+  /// break: what is missing after an outage of this host alone has left.
+  DirectoryChange noteServedToOthers(Millis Span, TimePoint Now);
+
+  /// Removes entries that have not come back in time.
+  DirectoryChange expire(TimePoint Now);
+
   /// Takes entries that a peer knows, if this directory has none of its own.
   DirectoryChange adopt(const std::vector<ServerEntry> &Entries);
 
@@ -85,6 +92,8 @@
   std::map<std::string, ServerEntry> m_entries;
   TimePoint m_lastListing{};
   TimePoint m_graceUntil{};
+  TimePoint m_lostSince{}; ///< Last good listing before the last outage.
+  std::set<std::string> m_missing; ///< Not in the last listing, but kept.
   bool m_isLoaded = false;
   bool m_hasFailed = false;
 };
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -155,6 +155,8 @@
 void GatewayHost::noteStore(bool IsGood, TimePoint AskedAt,
                             std::string_view What, std::string_view Reason) {
   if (IsGood) {
+    if (m_storeGoodSince == TimePoint{})
+      m_storeGoodSince = AskedAt;
     m_storeGoodAt = std::max(m_storeGoodAt, AskedAt);
     if (m_isStoreLost)
       m_log.write("store-back", {{"read", What}});
@@ -166,6 +168,7 @@
                                {"reason", Reason},
                                {"last_good_ms", storeAge()}});
   m_isStoreLost = true;
+  m_storeGoodSince = TimePoint{};
   m_metrics.count("store_failures", "read=\"" + std::string(What) + "\"");
 }
 
@@ -231,7 +234,8 @@
               Rows ? "" : Rows.error().message());
     if (Rows) {
       applyServers(
-          m_directory.applyListing(Rows.value(), AskedAt, BootClock::now()));
+          m_directory.applyListing(Rows.value(), AskedAt, BootClock::now()),
+          true);
     } else {
       m_directory.noteReadFailed();
     }
@@ -264,7 +268,7 @@
   updateCoordinators();
 }
 
-void GatewayHost::applyServers(const DirectoryChange &Change) {
+void GatewayHost::applyServers(const DirectoryChange &Change, bool IsListing) {
   const auto Report = [this](const char *What,
                              const std::vector<std::string> &Ids) {
     for (const std::string &Id : Ids)
@@ -274,9 +278,9 @@
   Report("server-removed", Change.m_removed);
   Report("server-draining", Change.m_draining);
   Report("server-reborn", Change.m_reborn);
-  m_admission.setServers(m_directory.entries());
-  if (Change.isEmpty())
+  if (Change.isEmpty() && !IsListing)
     return;
+  m_admission.setServers(m_directory.entries());
   std::vector<std::string> Known;
   for (const auto &[Id, Entry] : m_directory.entries())
     if (std::find(Change.m_reborn.begin(), Change.m_reborn.end(), Id) ==
@@ -334,6 +338,8 @@
                                {"life", Beat.m_host.m_life},
                                {"config", Beat.m_configVersion}});
   m_hosts.noteBeat(Beat, Now);
+  applyServers(
+      m_directory.noteServedToOthers(Millis(Beat.m_storeGoodMs), Now));
   for (const auto &[Service, Claim] : Beat.m_claims) {
     const auto Found = m_keepers.find(Service);
     if (Found != m_keepers.end())
@@ -347,6 +353,10 @@
   Out.m_isStopping = m_isStopping;
   Out.m_storeAgeMs = static_cast<std::uint32_t>(
       std::min<std::int64_t>(storeAge().count(), INT32_MAX));
+  if (m_storeGoodSince != TimePoint{})
+    Out.m_storeGoodMs = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<Millis>(m_storeGoodAt - m_storeGoodSince)
+            .count());
   Out.m_configVersion =
       m_routes == nullptr ? 0 : m_routes->configuration().m_version;
   for (const auto &[Service, Keeper] : m_keepers)
@@ -414,6 +424,7 @@
 asio::awaitable<void> GatewayHost::tickLoop() {
   while (true) {
     m_admission.tick();
+    applyServers(m_directory.expire(BootClock::now()));
     updateCoordinators();
     co_await sleepFor(m_policy.m_tickEvery);
   }
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -273,7 +273,7 @@
     Claims.push_back(packAll(Service, Claim.m_term, Claim.m_host, Claim.m_life));
   const std::vector<std::uint8_t> Body = Json::to_msgpack(packAll(
       ProtocolVersion, pack(Beat.m_host), Beat.m_isStopping, Beat.m_isReply,
-      Beat.m_storeAgeMs, Beat.m_configVersion, Claims));
+      Beat.m_storeAgeMs, Beat.m_storeGoodMs, Beat.m_configVersion, Claims));
   return {Body.begin(), Body.end()};
 }
 
@@ -288,6 +288,7 @@
     Out.m_isStopping = In.take<bool>();
     Out.m_isReply = In.take<bool>();
     Out.m_storeAgeMs = In.take<std::uint32_t>();
+    Out.m_storeGoodMs = In.take<std::uint32_t>();
     Out.m_configVersion = In.take<std::uint64_t>();
     for (const Json &Value : In.next()) {
       Reader Item(Value);
--- a/src/gateway/server-directory.cc
+++ b/src/gateway/server-directory.cc
@@ -18,8 +18,12 @@
   DirectoryChange Out;
   if (m_isLoaded && AskedAt < m_lastListing)
     return Out;
-  if (m_isLoaded && (m_hasFailed || AskedAt - m_lastListing > m_policy.m_outageGap))
+  const bool IsOutageOver =
+      m_hasFailed || AskedAt - m_lastListing > m_policy.m_outageGap;
+  if (m_isLoaded && IsOutageOver) {
     m_graceUntil = Now + m_policy.m_returnGrace;
+    m_lostSince = m_lastListing;
+  }
   m_hasFailed = false;
   m_isLoaded = true;
   m_lastListing = AskedAt;
@@ -43,19 +47,37 @@
       Out.m_draining.push_back(Row.m_id);
     Found->second = Row.m_entry;
   }
-  for (auto Item = m_entries.begin(); Item != m_entries.end();) {
-    const bool IsKept = Present.count(Item->first) > 0 ||
-                        (Now < m_graceUntil && !Item->second.m_isDraining);
-    if (IsKept) {
-      ++Item;
+  m_missing.clear();
+  for (const auto &[Id, Entry] : m_entries)
+    if (Present.count(Id) == 0)
+      m_missing.insert(Id);
+  const DirectoryChange Expired = expire(Now);
+  Out.m_removed = Expired.m_removed;
+  return Out;
+}
+
+DirectoryChange ServerDirectory::expire(TimePoint Now) {
+  DirectoryChange Out;
+  for (auto Id = m_missing.begin(); Id != m_missing.end();) {
+    const auto Item = m_entries.find(*Id);
+    if (Now < m_graceUntil && !Item->second.m_isDraining) {
+      ++Id;
       continue;
     }
-    Out.m_removed.push_back(Item->first);
-    Item = m_entries.erase(Item);
+    Out.m_removed.push_back(*Id);
+    m_entries.erase(Item);
+    Id = m_missing.erase(Id);
   }
   return Out;
 }
 
+DirectoryChange ServerDirectory::noteServedToOthers(Millis Span,
+                                                    TimePoint Now) {
+  if (Now < m_graceUntil && Now - Span < m_lostSince)
+    m_graceUntil = Now;
+  return expire(Now);
+}
+
 DirectoryChange
 ServerDirectory::adopt(const std::vector<ServerEntry> &Entries) {
   DirectoryChange Out;
