Begin a takeover anew when its record was not written

Cause: a granter that is about to stop had moved a range after the next granter had read the record. Ruled out: late grants; the log shows none unanswered.

Change: a term that is not in the row leads to a new read of the row.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -62,6 +62,8 @@
 
   /// Answers with "Connection: close" from now on.
   void beginDrain() { m_isDraining = true; }
+  /// Refuses the requests that wait for a slot: they may come back elsewhere.
+  void refuseWaiting();
   /// Takes no new connections and closes those without a request.
   void closeIdle();
   std::size_t activeRequests() const { return m_active; }
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -27,7 +27,9 @@
   /// needs two misses of a question a second to send no new ones.
   Millis m_stopListening{3300};
   /// Taken off the stop timeout, so that the end is the process's own.
-  Millis m_stopMargin{500};
+  Millis m_stopMargin{400};
+  /// Before that end, requests that wait are refused.
+  Millis m_refuseMargin{400};
 
   bool operator==(const HostPolicy &) const = default;
 };
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -28,6 +28,8 @@
 /// Retry-After where a server has refused or could not be reached: others have
 /// room within the time of a request.
 constexpr Millis ServerRetryAfter{200};
+/// Retry-After of a host that stops: another host takes the request at once.
+constexpr Millis StoppingRetryAfter{50};
 /// Least time that is worth another dispatch.
 constexpr Millis LeastTime{20};
 /// The server ends work by itself at the deadline that it is told; this host
@@ -131,6 +133,7 @@
   ExchangeControl m_control;
   AdmissionWait m_wait;
   bool m_isClientGone = false;
+  bool m_isStopped = false; ///< Refused since this host stops.
   // What has happened so far:
   unsigned m_dispatches = 0;
   unsigned m_unreachable = 0;
@@ -201,6 +204,16 @@
       Client->m_stream.cancel();
 }
 
+void EdgeServer::refuseWaiting() {
+  for (const SessionPtr &Client : m_sessions) {
+    const std::shared_ptr<Exchange> Item = Client->m_current.lock();
+    if (Item == nullptr || Item->m_wait.m_number == 0)
+      continue;
+    Item->m_isStopped = true;
+    m_slots.cancel(Item->m_wait);
+  }
+}
+
 asio::awaitable<void> EdgeServer::serve(SessionPtr Client) {
   while (!Client->m_mustClose) {
     const std::shared_ptr<Exchange> Item = std::make_shared<Exchange>();
@@ -514,11 +527,16 @@
     co_await answer(Client, Item, Status, Reason, Millis(0));
     co_return;
   }
-  if (Item->m_refusal.m_reason != RefusalReason::None) {
+  if (!Item->m_isStopped &&
+      Item->m_refusal.m_reason != RefusalReason::None) {
     co_await answer(Client, Item, 503, toText(Item->m_refusal.m_reason),
                     Item->m_refusal.m_retryAfter);
     co_return;
   }
+  if (Item->m_isStopped) {
+    co_await answer(Client, Item, 503, "stopping", StoppingRetryAfter);
+    co_return;
+  }
   const bool IsRefused = Item->m_lastResult == DispatchResult::Refused;
   const std::string_view Reason =
       IsRefused ? "server refused" : "server unreachable";
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -489,8 +489,11 @@
   co_await sleepFor(m_policy.m_stopListening);
   m_edge.closeIdle();
   while (BootClock::now() < End &&
-         (m_edge.activeRequests() > 0 || m_edge.connections() > 0))
+         (m_edge.activeRequests() > 0 || m_edge.connections() > 0)) {
+    if (BootClock::now() > End - m_policy.m_refuseMargin)
+      m_edge.refuseWaiting();
     co_await sleepFor(DrainPoll);
+  }
   m_log.write("stopped", {{"active", m_edge.activeRequests()},
                           {"connections", m_edge.connections()}});
   m_log.flush();
--- a/src/edge/ownership-keeper.cc
+++ b/src/edge/ownership-keeper.cc
@@ -152,7 +152,8 @@
               {{"service", m_service}, {"reason", Written.error().message()}});
   // Only a row that has been read again shows what became of the write.
   co_await validate();
-  m_granter.noteWriteFailed();
+  if (m_granter.isGranter())
+    m_granter.noteWriteFailed();
 }
 
 asio::awaitable<void> OwnershipKeeper::validate() {
@@ -172,11 +173,17 @@
     lose("the store names another", m_claim);
     co_return;
   }
+  if (Found.m_term < m_granter.term()) {
+    // The takeover has not taken effect, and the row may have changed since it
+    // was read: it must begin anew from there.
+    if (!m_isWriting)
+      m_granter.stepDown();
+    co_return;
+  }
   m_validatedAt = AskedAt;
   if (!m_isWriting)
     m_version = Read.value().m_version;
-  if (Found.m_term == m_granter.term())
-    m_granter.noteValidated(AskedAt);
+  m_granter.noteValidated(AskedAt);
 }
 
 asio::awaitable<void> OwnershipKeeper::carryOut(GrantCall Call) {
--- /dev/null
+++ b/test/gateway/roster-test.cc
@@ -0,0 +1,103 @@
+#include "tamarackdrum/gateway/roster.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+class RosterTest : public testing::Test {
+protected:
+  static HostInfo makeHost(const std::string &Name, unsigned Weight = 20) {
+    return {Name, "10.0.0." + Name.substr(1), "zone-a", 1000, Weight};
+  }
+
+  void hear(const std::string &Name, unsigned Weight = 20,
+            bool IsStopping = false) {
+    HostBeat Beat;
+    Beat.m_host = makeHost(Name, Weight);
+    Beat.m_isStopping = IsStopping;
+    m_subject.noteBeat(Beat, m_now);
+  }
+
+  std::vector<std::string> anchorNames() const {
+    std::vector<std::string> Out;
+    for (const HostInfo &Item : m_subject.anchors(m_now))
+      Out.push_back(Item.m_name);
+    return Out;
+  }
+
+  const RosterPolicy m_policy;
+  Roster m_subject{m_policy, makeHost("h1")};
+  TimePoint m_now{std::chrono::seconds(100)};
+};
+
+TEST_F(RosterTest, Alive_SilentForLong_IsDead) {
+  hear("h2");
+  m_now += m_policy.m_deadAfter - Millis(1);
+  EXPECT_TRUE(m_subject.isAlive("h2", m_now));
+  m_now += Millis(1);
+  EXPECT_FALSE(m_subject.isAlive("h2", m_now));
+}
+
+TEST_F(RosterTest, Alive_LinkLost_IsDeadUntilNextBeat) {
+  hear("h2");
+  m_subject.noteLost("h2");
+  EXPECT_FALSE(m_subject.isAlive("h2", m_now));
+  hear("h2");
+  EXPECT_TRUE(m_subject.isAlive("h2", m_now));
+}
+
+TEST_F(RosterTest, Alive_EarlierLifeWhileLaterIsSilent_CountsAfterAll) {
+  HostBeat Later;
+  Later.m_host = makeHost("h2");
+  Later.m_host.m_life = 5000;
+  m_subject.noteBeat(Later, m_now);
+  hear("h2"); // Life 1000: an old datagram.
+  EXPECT_EQ(m_subject.lifeOf("h2"), 5000);
+  m_now += m_policy.m_deadAfter;
+  hear("h2"); // The clock of the host was set back before its restart.
+  EXPECT_EQ(m_subject.lifeOf("h2"), 1000);
+}
+
+TEST_F(RosterTest, Coordinators_EnoughHosts_AreDifferent) {
+  for (const char *Name : {"h2", "h3", "h4", "h5"})
+    hear(Name);
+  std::set<std::string> Used;
+  for (const auto &[Service, Host] :
+       m_subject.coordinators({"a", "b", "c"}, m_now))
+    Used.insert(Host);
+  EXPECT_EQ(Used.size(), 3U);
+}
+
+TEST_F(RosterTest, Coordinators_FewHosts_ServeSeveralServices) {
+  const std::map<std::string, std::string> Chosen =
+      m_subject.coordinators({"a", "b", "c"}, m_now);
+  EXPECT_EQ(Chosen.size(), 3U);
+  EXPECT_EQ(Chosen.at("a"), "h1");
+}
+
+TEST_F(RosterTest, Anchors_UnlikeHosts_AreTheLargest) {
+  hear("h2", 50);
+  hear("h3", 50);
+  EXPECT_THAT(anchorNames(), testing::UnorderedElementsAre("h2", "h3"));
+}
+
+TEST_F(RosterTest, Anchors_StoppingHost_IsLeftOut) {
+  hear("h2", 50, true);
+  hear("h3", 50);
+  EXPECT_THAT(anchorNames(), testing::ElementsAre("h3"));
+}
+
+TEST_F(RosterTest, BeatsDue_ManyHosts_GoToFewOnceAnnounced) {
+  for (int I = 2; I < 40; ++I)
+    hear("h" + std::to_string(I));
+  EXPECT_EQ(m_subject.beatsDue(m_now).size(), 38U);
+  m_now += Millis(1600);
+  for (int I = 2; I < 40; ++I)
+    hear("h" + std::to_string(I));
+  EXPECT_EQ(m_subject.beatsDue(m_now).size(), m_policy.m_anchors);
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
--- /dev/null
+++ b/test/gateway/server-directory-test.cc
@@ -0,0 +1,119 @@
+#include "tamarackdrum/gateway/server-directory.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+class ServerDirectoryTest : public testing::Test {
+protected:
+  static ServerRow makeRow(std::string Id, std::int64_t Born = 1000,
+                           std::uint64_t Report = 1) {
+    ServerRow Out{Id, true, {}};
+    Out.m_entry.m_id = Id;
+    Out.m_entry.m_service = "cart";
+    Out.m_entry.m_address = "10.0.0.1:80";
+    Out.m_entry.m_bornMs = Born;
+    Out.m_entry.m_report = Report;
+    return Out;
+  }
+
+  DirectoryChange list(const std::vector<ServerRow> &Rows) {
+    return m_subject.applyListing(Rows, m_now, m_now);
+  }
+
+  bool has(const std::string &Id) const {
+    return m_subject.entries().count(Id) > 0;
+  }
+
+  ServerDirectory m_subject;
+  TimePoint m_now{std::chrono::seconds(100)};
+};
+
+TEST_F(ServerDirectoryTest, Listing_ServerMissing_IsRemovedAtOnce) {
+  list({makeRow("a"), makeRow("b")});
+  m_now += Millis(700);
+  EXPECT_THAT(list({makeRow("a")}).m_removed, ElementsAre("b"));
+}
+
+TEST_F(ServerDirectoryTest, Listing_UnreadableRow_LastGoodStateStands) {
+  list({makeRow("a")});
+  m_now += Millis(700);
+  EXPECT_TRUE(list({ServerRow{"a", false, {}}}).isEmpty());
+  EXPECT_TRUE(has("a"));
+}
+
+TEST_F(ServerDirectoryTest, Listing_UnreadableRowOfUnknownServer_AddsNothing) {
+  EXPECT_TRUE(list({ServerRow{"x", false, {}}}).isEmpty());
+  EXPECT_FALSE(has("x"));
+}
+
+TEST_F(ServerDirectoryTest, Listing_OlderReport_IsIgnored) {
+  ServerRow Draining = makeRow("a", 1000, 9);
+  Draining.m_entry.m_isDraining = true;
+  list({Draining});
+  list({makeRow("a", 1000, 8)});
+  EXPECT_TRUE(m_subject.entries().at("a").m_isDraining);
+}
+
+TEST_F(ServerDirectoryTest, Listing_LaterStart_IsReborn) {
+  list({makeRow("a", 1000, 50)});
+  EXPECT_THAT(list({makeRow("a", 2000, 1)}).m_reborn, ElementsAre("a"));
+}
+
+TEST_F(ServerDirectoryTest, Listing_AfterOutage_MissingServersHaveAGrace) {
+  list({makeRow("a"), makeRow("b")});
+  m_subject.noteReadFailed();
+  m_now += Millis(8000);
+  EXPECT_THAT(list({makeRow("a")}).m_removed, IsEmpty());
+  m_now += Millis(2100);
+  EXPECT_THAT(m_subject.expire(m_now).m_removed, IsEmpty());
+  m_now += Millis(200);
+  EXPECT_THAT(m_subject.expire(m_now).m_removed, ElementsAre("b"));
+}
+
+TEST_F(ServerDirectoryTest, Listing_ServerBackWithinGrace_Stays) {
+  list({makeRow("b")});
+  m_subject.noteReadFailed();
+  m_now += Millis(8000);
+  list({});
+  m_now += Millis(1500);
+  list({makeRow("b")});
+  m_now += Millis(5000);
+  EXPECT_TRUE(m_subject.expire(m_now).isEmpty());
+  EXPECT_TRUE(has("b"));
+}
+
+TEST_F(ServerDirectoryTest, Listing_DrainingServerMissingAfterOutage_IsGone) {
+  ServerRow Draining = makeRow("b");
+  Draining.m_entry.m_isDraining = true;
+  list({Draining});
+  m_subject.noteReadFailed();
+  m_now += Millis(8000);
+  EXPECT_THAT(list({}).m_removed, ElementsAre("b"));
+}
+
+// A host alone was cut off from the store; a server left meanwhile and got a
+// request after the cut.
+TEST_F(ServerDirectoryTest, ServedToOthers_OutageOfThisHostOnly_EndsTheGrace) {
+  list({makeRow("a"), makeRow("b")});
+  m_subject.noteReadFailed();
+  m_now += Millis(8000);
+  list({makeRow("a")});
+  EXPECT_THAT(m_subject.noteServedToOthers(Millis(7000), m_now).m_removed,
+              IsEmpty());
+  EXPECT_THAT(m_subject.noteServedToOthers(Millis(9000), m_now).m_removed,
+              ElementsAre("b"));
+}
+
+TEST_F(ServerDirectoryTest, Adopt_OwnListingKnown_TakesNothing) {
+  list({makeRow("a")});
+  EXPECT_TRUE(m_subject.adopt({makeRow("b").m_entry}).isEmpty());
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
