Wait for the first server that is back when all are paused; more unit tests

Cause: with every server of a service paused, requests were refused at once for want of a server. Change: the wait until the first pause ends is counted instead.

--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -188,6 +188,7 @@
   bool hasRoom(const Server &Item, TimePoint Now, bool OthersWait) const;
   double expectedMs(const Server &Item, TimePoint Now) const;
   double serviceRate(TimePoint Now) const;
+  std::optional<TimePoint> firstBack() const;
   Server *choose(const DispatchAsk &Ask, TimePoint Now);
   void place(const DispatchAsk &Ask, Server &Target, TimePoint Now,
              DispatchDecisions &Out);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -86,6 +86,14 @@
   return Rate;
 }
 
+std::optional<TimePoint> Dispatcher::firstBack() const {
+  std::optional<TimePoint> Out;
+  for (const auto &[Id, Item] : m_servers)
+    if (!Item.m_entry.m_isDraining && (!Out || Item.m_pausedUntil < *Out))
+      Out = Item.m_pausedUntil;
+  return Out;
+}
+
 void Dispatcher::setServers(const std::vector<ServerEntry> &Servers,
                             TimePoint Now, DispatchDecisions &Out) {
   std::set<std::string> Known;
@@ -204,6 +212,12 @@
     }
   } else {
     Rate = serviceRate(Now);
+    if (Rate <= 0) {
+      // All are paused: the first one that is back is worth waiting for.
+      const std::optional<TimePoint> Back = firstBack();
+      Extra = Back ? std::max(0.0, toMs(*Back - Now)) : 0;
+      Rate = Back ? 1 / m_meanMs : 0;
+    }
   }
   for (const Waiting &Other : m_waiting) {
     if (Holder != nullptr &&
--- /dev/null
+++ b/test/gateway/key-granter-test.cc
@@ -0,0 +1,239 @@
+#include "tamarackdrum/gateway/key-granter.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+class KeyGranterTest : public testing::Test {
+protected:
+  static ServerEntry makeServer(const std::string &Id, std::int64_t Born = 1) {
+    ServerEntry Out;
+    Out.m_id = Id;
+    Out.m_service = "stock";
+    Out.m_address = "10.0.0.1:80";
+    Out.m_bornMs = Born;
+    return Out;
+  }
+
+  static RangeRecord makeRange(Key From, Key To, const std::string &Owner,
+                               std::uint64_t Fence) {
+    return {From, To, {Owner, 1}, Fence, {}, 0};
+  }
+
+  void setServers(const std::vector<ServerEntry> &Servers) {
+    m_subject.setServers(Servers, m_now);
+  }
+
+  void plan() {
+    m_subject.plan(m_load, [](const std::string &) { return 10.0; }, m_now);
+  }
+
+  /// One step; the store takes its record at once.
+  std::vector<GrantCall> step(bool IsStoreUp = true) {
+    GrantActions Made = m_subject.step(m_now);
+    if (Made.m_write && IsStoreUp)
+      m_subject.noteWritten(m_now, m_now);
+    else if (Made.m_write)
+      m_subject.noteWriteFailed();
+    return Made.m_calls;
+  }
+
+  /// Runs for \p Span; calls are answered by m_answer.
+  void run(Millis Span) {
+    const TimePoint End = m_now + Span;
+    while (m_now < End) {
+      plan();
+      for (const GrantCall &Call : step()) {
+        m_calls.push_back(Call);
+        const GrantResult Outcome = m_answer(Call);
+        m_subject.noteResult(Call.m_number, Outcome,
+                             Call.m_isRelease ? "handed-over" : "", m_now);
+      }
+      m_now += Millis(50);
+    }
+  }
+
+  void takeOver(const OwnershipRecord &Read, bool IsOldGone = true) {
+    m_subject.takeOver(Read, IsOldGone, false, m_now);
+  }
+
+  std::string holderOf(Key Value) const {
+    return m_subject.keyMap(m_now).holderOf(Value);
+  }
+
+  const GrantPolicy m_policy;
+  KeyGranter m_subject{m_policy, "h1", 100};
+  KeyLoad m_load;
+  TimePoint m_now{std::chrono::seconds(100)};
+  std::vector<GrantCall> m_calls;
+  std::function<GrantResult(const GrantCall &)> m_answer =
+      [](const GrantCall &) { return GrantResult::Done; };
+};
+
+TEST_F(KeyGranterTest, TakeOver_NoRecord_AllKeysAreDealt) {
+  takeOver({});
+  setServers({makeServer("a"), makeServer("b")});
+  run(Millis(1000));
+  EXPECT_EQ(holderOf(0), "a");
+  EXPECT_EQ(holderOf(65535), "b");
+}
+
+TEST_F(KeyGranterTest, Step_RecordNotWritten_NothingIsGranted) {
+  takeOver({});
+  setServers({makeServer("a")});
+  plan();
+  EXPECT_TRUE(step(false).empty());
+  m_now += Millis(500);
+  plan();
+  EXPECT_TRUE(step(false).empty());
+}
+
+TEST_F(KeyGranterTest, TakeOver_RecordKnown_OwnersAreFencedInPlace) {
+  OwnershipRecord Read{4, "h0", 5, {makeRange(0, 65535, "a", 77)}};
+  takeOver(Read);
+  setServers({makeServer("a")});
+  run(Millis(300));
+  ASSERT_FALSE(m_calls.empty());
+  EXPECT_EQ(m_calls[0].m_server.m_id, "a");
+  EXPECT_GT(m_calls[0].m_fence, 77U);
+  EXPECT_EQ(m_subject.term(), 5U);
+}
+
+TEST_F(KeyGranterTest, Move_OwnerAnswers_ReleaseComesBeforeTheGrant) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(500));
+  m_calls.clear();
+  ServerEntry Draining = makeServer("a");
+  Draining.m_isDraining = true;
+  setServers({Draining, makeServer("b")});
+  run(Millis(1500));
+  ASSERT_GE(m_calls.size(), 2U);
+  std::size_t Release = m_calls.size();
+  std::size_t Grant = m_calls.size();
+  for (std::size_t I = 0; I < m_calls.size(); ++I) {
+    if (m_calls[I].m_isRelease)
+      Release = std::min(Release, I);
+    else if (m_calls[I].m_server.m_id == "b")
+      Grant = std::min(Grant, I);
+  }
+  EXPECT_LT(Release, Grant);
+  EXPECT_EQ(m_calls[Grant].m_handover, "handed-over");
+  EXPECT_GT(m_calls[Grant].m_fence, m_calls[Release].m_fence);
+}
+
+TEST_F(KeyGranterTest, Move_OwnerIsSilent_KeysWaitForTheEndOfItsHold) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(1000));
+  const TimePoint LostAt = m_now;
+  m_answer = [](const GrantCall &Call) {
+    return Call.m_server.m_id == "a" ? GrantResult::NotSent
+                                     : GrantResult::Done;
+  };
+  setServers({makeServer("b")});
+  while (holderOf(0) != "b" && m_now - LostAt < Millis(10000))
+    run(Millis(50));
+  EXPECT_GE(m_now - LostAt, m_policy.m_hold - m_policy.m_renewEvery);
+  EXPECT_LE(m_now - LostAt, m_policy.m_hold + Millis(1000));
+}
+
+// An unanswered grant may be carried out seconds later: a release that is
+// answered before proves nothing until that grant's hold would have lapsed.
+TEST_F(KeyGranterTest, Move_GrantUnanswered_ReleaseIsNotEnough) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(700));
+  m_answer = [](const GrantCall &Call) {
+    return Call.m_isRelease || Call.m_server.m_id == "b"
+               ? GrantResult::Done
+               : GrantResult::NoAnswer;
+  };
+  run(Millis(800));
+  const TimePoint MovedAt = m_now;
+  setServers({makeServer("b")});
+  run(Millis(1000));
+  EXPECT_NE(holderOf(0), "b");
+  while (holderOf(0) != "b" && m_now - MovedAt < Millis(10000))
+    run(Millis(50));
+  EXPECT_EQ(holderOf(0), "b");
+}
+
+TEST_F(KeyGranterTest, TakeOver_OldGranterMayLive_SilentOwnerIsWaitedFor) {
+  OwnershipRecord Read{4, "h0", 5, {makeRange(0, 65535, "a", 77)}};
+  takeOver(Read, false);
+  setServers({makeServer("b")});
+  m_answer = [](const GrantCall &Call) {
+    return Call.m_server.m_id == "a" ? GrantResult::NotSent
+                                     : GrantResult::Done;
+  };
+  run(m_policy.m_unvalidatedLimit);
+  EXPECT_EQ(holderOf(0), "");
+  run(Millis(4000));
+  m_subject.noteValidated(m_now);
+  run(Millis(1000));
+  EXPECT_EQ(holderOf(0), "b");
+}
+
+TEST_F(KeyGranterTest, SetServers_OwnerReborn_IsGrantedAnewWithAHigherToken) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(500));
+  const std::uint64_t Before = m_calls.back().m_fence;
+  setServers({makeServer("a", 2)});
+  EXPECT_EQ(holderOf(0), "");
+  run(Millis(500));
+  EXPECT_EQ(holderOf(0), "a");
+  EXPECT_GT(m_calls.back().m_fence, Before);
+}
+
+TEST_F(KeyGranterTest, NoteResult_HigherFence_NothingIsSentUntilValidated) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(500));
+  m_answer = [](const GrantCall &) { return GrantResult::HigherFence; };
+  run(Millis(700));
+  EXPECT_TRUE(m_subject.needsValidation());
+  m_calls.clear();
+  run(Millis(2000));
+  EXPECT_TRUE(m_calls.empty());
+  m_answer = [](const GrantCall &) { return GrantResult::Done; };
+  m_subject.noteValidated(m_now);
+  run(Millis(500));
+  EXPECT_EQ(holderOf(0), "a");
+}
+
+TEST_F(KeyGranterTest, Step_TermNotValidatedForLong_RenewsNoMore) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(500));
+  run(m_policy.m_unvalidatedLimit);
+  m_calls.clear();
+  run(Millis(2000));
+  EXPECT_TRUE(m_calls.empty());
+  EXPECT_EQ(holderOf(0), "");
+}
+
+TEST_F(KeyGranterTest, LengthenHolds_HostStopsInAnOutage_GrantsLastLonger) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(500));
+  m_calls.clear();
+  m_subject.lengthenHolds();
+  run(Millis(50));
+  ASSERT_EQ(m_calls.size(), 1U);
+  EXPECT_EQ(m_calls[0].m_hold, m_policy.m_longestHold);
+}
+
+TEST_F(KeyGranterTest, StepDown_WasGranter_NothingIsDone) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(500));
+  m_subject.stepDown();
+  EXPECT_TRUE(m_subject.step(m_now).m_calls.empty());
+  EXPECT_FALSE(m_subject.isGranter());
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
--- a/test/gateway/roster-test.cc
+++ b/test/gateway/roster-test.cc
@@ -2,6 +2,7 @@
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <set>
 
 namespace tamarackdrum::gateway {
 namespace {
@@ -9,7 +10,15 @@
 class RosterTest : public testing::Test {
 protected:
   static HostInfo makeHost(const std::string &Name, unsigned Weight = 20) {
-    return {Name, "10.0.0." + Name.substr(1), "zone-a", 1000, Weight};
+    std::string Ip("10.0.0.");
+    Ip += Name.back();
+    return {Name, Ip, "zone-a", 1000, Weight};
+  }
+
+  static std::string numbered(int Number) {
+    std::string Out("h");
+    Out += std::to_string(Number);
+    return Out;
   }
 
   void hear(const std::string &Name, unsigned Weight = 20,
@@ -91,11 +100,11 @@
 
 TEST_F(RosterTest, BeatsDue_ManyHosts_GoToFewOnceAnnounced) {
   for (int I = 2; I < 40; ++I)
-    hear("h" + std::to_string(I));
+    hear(numbered(I));
   EXPECT_EQ(m_subject.beatsDue(m_now).size(), 38U);
   m_now += Millis(1600);
   for (int I = 2; I < 40; ++I)
-    hear("h" + std::to_string(I));
+    hear(numbered(I));
   EXPECT_EQ(m_subject.beatsDue(m_now).size(), m_policy.m_anchors);
 }
 
