Read the store once for all hosts; stay in the zone within the objective

Change: the first live anchor that reaches the store reads and passes its news over the peers' links; a host that hears nothing for 1.1 s (1.5 s for the configuration) reads by itself. A server of the asking zone is taken while its expected time, with a margin, is within the objective. Keys move after 1.2 s instead of 2.5 s; late requests may use 0.85 of their time.

--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -83,9 +83,10 @@
   /// they start without a round trip. Source: a round trip of 5 ms against
   /// work of 90 ms or more.
   unsigned m_ahead = 0;
-  /// What a server in another zone is worth less, in expected service time.
-  /// Source: bytes between zones are priced.
-  Millis m_crossZoneCost{40};
+  /// A server of the asking host's zone is chosen while its expected service
+  /// time, times this, is within the objective: bytes between zones are
+  /// dear, and a faster answer within the objective is worth no more.
+  double m_zoneSafety = 1.6;
   /// Service time that is assumed before any was seen.
   Millis m_firstEstimate{150};
   /// Weight of a new service time in a server's average.
@@ -99,7 +100,7 @@
   /// A pause begins after that many failures in a row.
   unsigned m_brokenToPause = 2;
   /// Part of the remaining time that a late request may be expected to wait.
-  double m_lateShare = 0.6;
+  double m_lateShare = 0.85;
   /// Retry-After where nothing better is known: about two polls of the server
   /// registry.
   Millis m_blindRetryAfter{1000};
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -16,10 +16,18 @@
   /// behind by a second.
   Millis m_readServersEvery{700};
   /// How long a read of the configuration waits for news.
-  Millis m_configurationWait{1000};
+  Millis m_configurationWait{800};
+  /// Age of what the reader has passed on from which a host reads by itself.
+  /// Source: what the operator changes holds after 2 s.
+  Millis m_listingAge{1100};
+  Millis m_configurationAge{1500};
+  /// How often a host looks whether it has to read.
+  Millis m_lookEvery{100};
+  /// A span of good reads is broken by a pause of this length.
+  Millis m_goodGap{1500};
   /// Pause after a failed read of the store, and the factor of its spread.
   Millis m_storePause{250};
-  Millis m_readHostsEvery{10000};
+  Millis m_readHostsEvery{30000};
   Millis m_tickEvery{40};
   Millis m_beatEvery{100}; ///< How often due beats are looked for.
   Millis m_flushEvery{200};
@@ -73,7 +81,12 @@
   HostBeat makeBeat() const;
   void spreadCrash(const CrashMessage &Message, bool IsOwn);
   OwnershipKeeper &makeKeeper(const std::string &Service);
-  Millis storeAge() const;
+  Millis storeLost() const; ///< Since the last good read, if one has failed.
+  bool isReader() const;    ///< Reads the store for the other hosts, too.
+  void shareListing(TimePoint AskedAt, const std::vector<ServerRow> &Rows);
+  ListingMessage makeListing(TimePoint AskedAt, bool HasRows) const;
+  void onListing(std::uint32_t Link, const ListingMessage &Listing);
+  void pushTo(std::uint32_t Link);
   Millis storeGood() const; ///< Span of good reads up to the last one.
   PeerEvents peerEvents();
   EdgeServer::View edgeView();
@@ -100,6 +113,12 @@
   std::string m_configurationText;
   std::map<std::string, std::unique_ptr<OwnershipKeeper>> m_keepers;
   std::set<std::pair<std::uint64_t, std::string>> m_crashes;
+  std::vector<ServerRow> m_rows; ///< As last read by this host.
+  std::uint64_t m_rowsVersion = 0;
+  TimePoint m_rowsAskedAt{};
+  TimePoint m_listingAt{}; ///< When the last listing was asked for, by whom ever.
+  TimePoint m_configurationAt{}; ///< The configuration was the newest then.
+  std::uint64_t m_heardVersion = 0; ///< Rows of the reader, as last applied.
   TimePoint m_storeGoodAt{};
   TimePoint m_storeGoodSince{}; ///< Begin of the span without a failure.
   bool m_isStoreLost = false;
--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -63,9 +63,9 @@
   /// Least time between two records, so that changes share a call.
   Millis m_writeEvery{150};
   /// Least time between two rounds of placement.
-  Millis m_planEvery{700};
+  Millis m_planEvery{350};
   /// Keys stay at a new holder for this time at least.
-  Millis m_settleTime{2500};
+  Millis m_settleTime{1200};
   PlacementPolicy m_placement;
 
   bool operator==(const GrantPolicy &) const = default;
--- a/include/tamarackdrum/gateway/key-map.h
+++ b/include/tamarackdrum/gateway/key-map.h
@@ -59,7 +59,7 @@
 class KeyLoad {
 public:
   /// \p Memory is the time constant of the decay.
-  explicit KeyLoad(Millis Memory = Millis(4000)) : m_memory(Memory) {}
+  explicit KeyLoad(Millis Memory = Millis(2500)) : m_memory(Memory) {}
 
   void note(Key Value, TimePoint Now);
 
--- a/include/tamarackdrum/gateway/ownership-keeper.h
+++ b/include/tamarackdrum/gateway/ownership-keeper.h
@@ -18,10 +18,9 @@
   Millis m_stepEvery{50};
   /// How often a granter makes sure that its term is the newest.
   Millis m_validateEvery{1500};
-  /// Age of a host's last good read of the store from which it should no
-  /// longer be granter if another one can reach the store.
-  Millis m_staleStore{2500};
-  Millis m_freshStore{1200};
+  /// A granter that has not reached the store for this long gives way to a
+  /// host that can.
+  Millis m_staleStore{1500};
   /// Pause after a failed takeover.
   Millis m_retryPause{400};
 
@@ -30,11 +29,13 @@
 
 /// What the keeper needs to know of its host.
 struct KeeperView {
-  std::function<Millis()> m_storeAge; ///< Since the last good read.
+  std::function<Millis()> m_storeLost; ///< Since when it fails; 0 if not.
   std::function<Millis()> m_storeGood; ///< Span of good reads up to now.
   std::function<const std::map<std::string, ServerEntry> &()> m_servers;
   std::function<double(const std::string &Server)> m_rateOf;
   std::function<KeyLoad &()> m_load;
+  /// Notes whether a call to the store that was made at a time succeeded.
+  std::function<void(bool IsGood, TimePoint AskedAt)> m_onStore;
   /// Takes a new map of holders.
   std::function<void(const KeyMap &)> m_onKeyMap;
 };
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -102,10 +102,31 @@
   bool operator==(const CrashMessage &) const = default;
 };
 
+/// What the reader of the store has read last. Sent after each good read, so
+/// that the other hosts need not read, too.
+struct ListingMessage {
+  std::uint64_t m_version = 0; ///< Grows when the rows change.
+  std::uint32_t m_ageMs = 0;   ///< Since the read was asked for.
+  std::uint32_t m_configAgeMs = 0; ///< Since the configuration was known.
+  std::uint64_t m_configVersion = 0;
+  bool m_hasRows = false; ///< Otherwise they are those of m_version.
+  std::vector<ServerRow> m_rows;
+
+  bool operator==(const ListingMessage &) const = default;
+};
+
+/// A new configuration, as the store holds it.
+struct ConfigurationMessage {
+  std::string m_text;
+
+  bool operator==(const ConfigurationMessage &) const = default;
+};
+
 using PeerMessage =
     std::variant<HelloMessage, AskMessage, QueuedMessage, DecisionMessage,
                  FinishMessage, WithdrawMessage, KeyMapMessage, NotHeldMessage,
-                 StateRequest, StateMessage, CrashMessage>;
+                 StateRequest, StateMessage, CrashMessage, ListingMessage,
+                 ConfigurationMessage>;
 
 /// Appends the encoding of \p Message to \p Out.
 void encode(const PeerMessage &Message, std::string &Out);
--- a/include/tamarackdrum/gateway/roster.h
+++ b/include/tamarackdrum/gateway/roster.h
@@ -41,7 +41,9 @@
   HostInfo m_host;
   bool m_isStopping = false;
   bool m_isReply = false;
-  std::uint32_t m_storeAgeMs = 0; ///< Since its last good read of the store.
+  /// Since its last good read of the store, if the last one has failed; 0
+  /// otherwise.
+  std::uint32_t m_storeLostMs = 0;
   std::uint32_t m_storeGoodMs = 0; ///< How long it has served it since.
   std::uint64_t m_configVersion = 0;
   std::map<std::string, GranterClaim> m_claims; ///< By service.
--- a/include/tamarackdrum/gateway/server-directory.h
+++ b/include/tamarackdrum/gateway/server-directory.h
@@ -32,6 +32,8 @@
   std::string m_id;
   bool m_isReadable = false;
   ServerEntry m_entry;
+
+  bool operator==(const ServerRow &) const = default;
 };
 
 /// Time limits of the directory.
@@ -40,8 +42,9 @@
   /// this long to register again. Source: the platform promises about 2 s.
   Millis m_returnGrace{2200};
   /// A gap between good listings from which it counts as an outage. Source:
-  /// twice the polling interval.
-  Millis m_outageGap{1400};
+  /// several polling
+  /// intervals, since a new reader may have to be found in between.
+  Millis m_outageGap{2500};
 
   bool operator==(const DirectoryPolicy &) const = default;
 };
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -146,10 +146,26 @@
          !m_directory.entries().empty();
 }
 
-Millis GatewayHost::storeAge() const {
+Millis GatewayHost::storeLost() const {
+  if (!m_isStoreLost)
+    return Millis(0);
   if (m_storeGoodAt == TimePoint{})
     return Millis(INT32_MAX);
-  return std::chrono::duration_cast<Millis>(BootClock::now() - m_storeGoodAt);
+  return std::max(Millis(1), std::chrono::duration_cast<Millis>(
+                                 BootClock::now() - m_storeGoodAt));
+}
+
+bool GatewayHost::isReader() const {
+  if (m_isStoreLost)
+    return false;
+  for (const HostInfo &Item : m_hosts.anchors(BootClock::now())) {
+    if (Item.m_name == m_hosts.self().m_name)
+      return true;
+    const HostBeat *Beat = m_hosts.lastBeat(Item.m_name);
+    if (Beat != nullptr && Beat->m_storeLostMs == 0)
+      return false;
+  }
+  return false;
 }
 
 Millis GatewayHost::storeGood() const {
@@ -161,7 +177,8 @@
 void GatewayHost::noteStore(bool IsGood, TimePoint AskedAt,
                             std::string_view What, std::string_view Reason) {
   if (IsGood) {
-    if (m_storeGoodSince == TimePoint{})
+    if (m_storeGoodSince == TimePoint{} ||
+        AskedAt - m_storeGoodAt > m_policy.m_goodGap)
       m_storeGoodSince = AskedAt;
     m_storeGoodAt = std::max(m_storeGoodAt, AskedAt);
     if (m_isStoreLost)
@@ -172,7 +189,9 @@
   if (!m_isStoreLost)
     m_log.write("store-lost", {{"read", What},
                                {"reason", Reason},
-                               {"last_good_ms", storeAge()}});
+                               {"last_good_ms",
+                                std::chrono::duration_cast<Millis>(
+                                    BootClock::now() - m_storeGoodAt)}});
   m_isStoreLost = true;
   m_storeGoodSince = TimePoint{};
   m_metrics.count("store_failures", "read=\"" + std::string(What) + "\"");
@@ -214,11 +233,18 @@
   const TimePoint StartedAt = BootClock::now();
   while (true) {
     const TimePoint AskedAt = BootClock::now();
+    if (!isReader() &&
+        AskedAt - m_configurationAt < m_policy.m_configurationAge) {
+      co_await sleepFor(m_policy.m_lookEvery);
+      continue;
+    }
     const Result<ReadConfiguration> Read =
         co_await m_store.awaitConfiguration(m_policy.m_configurationWait);
     const bool IsGood = Read || Read.error() == TableErrc::Conflict;
     noteStore(IsGood, AskedAt, "configuration",
               IsGood ? "" : Read.error().message());
+    if (IsGood)
+      m_configurationAt = BootClock::now();
     if (Read)
       applyConfiguration(Read.value(), "store");
     if (IsGood)
@@ -235,21 +261,101 @@
 asio::awaitable<void> GatewayHost::readServersLoop() {
   while (true) {
     const TimePoint AskedAt = BootClock::now();
+    const Millis Limit = isReader() ? m_policy.m_readServersEvery
+                                    : m_policy.m_listingAge;
+    if (AskedAt - m_listingAt < Limit) {
+      co_await sleepFor(m_policy.m_lookEvery);
+      continue;
+    }
     const Result<std::vector<ServerRow>> Rows = co_await m_store.readServers();
     noteStore(Rows.has_value(), AskedAt, "servers",
               Rows ? "" : Rows.error().message());
-    if (Rows) {
-      applyServers(
-          m_directory.applyListing(Rows.value(), AskedAt, BootClock::now()),
-          true);
-    } else {
+    if (!Rows) {
       m_directory.noteReadFailed();
+      co_await sleepFor(jittered(m_policy.m_storePause));
+      continue;
     }
-    co_await sleepFor(
-        jittered(Rows ? m_policy.m_readServersEvery : m_policy.m_storePause));
+    m_listingAt = AskedAt;
+    m_heardVersion = 0;
+    applyServers(
+        m_directory.applyListing(Rows.value(), AskedAt, BootClock::now()),
+        true);
+    shareListing(AskedAt, Rows.value());
   }
 }
 
+void GatewayHost::shareListing(TimePoint AskedAt,
+                               const std::vector<ServerRow> &Rows) {
+  // Reports that differ in their number or in the cold time left are no news.
+  const auto Stripped = [](std::vector<ServerRow> Items) {
+    for (ServerRow &Row : Items) {
+      Row.m_entry.m_report = 0;
+      Row.m_entry.m_coldLeft = Millis(Row.m_entry.m_coldLeft.count() > 0);
+    }
+    return Items;
+  };
+  const bool IsNews = Stripped(Rows) != Stripped(m_rows);
+  m_rows = Rows;
+  m_rowsAskedAt = AskedAt;
+  if (IsNews || m_rowsVersion == 0)
+    ++m_rowsVersion;
+  if (isReader())
+    m_network.broadcast(makeListing(AskedAt, IsNews));
+}
+
+ListingMessage GatewayHost::makeListing(TimePoint AskedAt, bool HasRows) const {
+  const TimePoint Now = BootClock::now();
+  const auto AgeMs = [Now](TimePoint Since) {
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(
+        std::chrono::duration_cast<Millis>(Now - Since).count(), INT32_MAX));
+  };
+  ListingMessage Out;
+  // Versions of different lives of readers must differ.
+  Out.m_version =
+      (static_cast<std::uint64_t>(m_hosts.self().m_life) << 20U) + m_rowsVersion;
+  Out.m_ageMs = AgeMs(AskedAt);
+  Out.m_configAgeMs = AgeMs(m_configurationAt);
+  Out.m_configVersion =
+      m_routes == nullptr ? 0 : m_routes->configuration().m_version;
+  Out.m_hasRows = HasRows;
+  if (HasRows)
+    Out.m_rows = m_rows;
+  return Out;
+}
+
+void GatewayHost::onListing(std::uint32_t Link, const ListingMessage &Listing) {
+  const TimePoint Now = BootClock::now();
+  const std::uint64_t Own =
+      m_routes == nullptr ? 0 : m_routes->configuration().m_version;
+  if (Listing.m_configVersion >= Own && Listing.m_configVersion > 0) {
+    if (Listing.m_configVersion > Own)
+      m_network.reply(Link, StateRequest{});
+    else
+      m_configurationAt = std::max(
+          m_configurationAt, Now - Millis(Listing.m_configAgeMs));
+  }
+  const TimePoint AskedAt = Now - Millis(Listing.m_ageMs);
+  if (!Listing.m_hasRows && Listing.m_version != m_heardVersion) {
+    m_network.reply(Link, StateRequest{}); // Rows were missed.
+    return;
+  }
+  if (AskedAt < m_listingAt)
+    return;
+  m_listingAt = AskedAt;
+  if (!Listing.m_hasRows)
+    return;
+  m_heardVersion = Listing.m_version;
+  applyServers(m_directory.applyListing(Listing.m_rows, AskedAt, Now), true);
+}
+
+void GatewayHost::pushTo(std::uint32_t Link) {
+  if (!isReader() || m_rowsVersion == 0)
+    return;
+  if (!m_configurationText.empty())
+    m_network.reply(Link, ConfigurationMessage{m_configurationText});
+  m_network.reply(Link, makeListing(m_rowsAskedAt, true));
+}
+
 void GatewayHost::applyConfiguration(const ReadConfiguration &Read,
                                      std::string_view Source) {
   const std::uint64_t Old =
@@ -258,6 +364,8 @@
     return;
   m_routes = std::make_shared<RouteTable>(Read.m_configuration);
   m_configurationText = Read.m_text;
+  if (isReader())
+    m_network.broadcast(ConfigurationMessage{m_configurationText});
   m_log.write("configuration", {{"version", Read.m_configuration.m_version},
                                 {"was", Old},
                                 {"source", Source},
@@ -297,7 +405,10 @@
 
 OwnershipKeeper &GatewayHost::makeKeeper(const std::string &Service) {
   KeeperView View;
-  View.m_storeAge = [this] { return storeAge(); };
+  View.m_storeLost = [this] { return storeLost(); };
+  View.m_onStore = [this](bool IsGood, TimePoint AskedAt) {
+    noteStore(IsGood, AskedAt, "ownership", "not readable");
+  };
   View.m_storeGood = [this] { return storeGood(); };
   View.m_servers = [this]() -> const std::map<std::string, ServerEntry> & {
     return m_directory.entries();
@@ -336,6 +447,10 @@
       Chosen[Service] = Host;
   }
   m_admission.setCoordinators(std::move(Chosen));
+  // The reader's news come over the links that its peers have opened.
+  for (const HostInfo &Item : m_hosts.anchors(Now))
+    if (Item.m_name != m_hosts.self().m_name)
+      m_network.keepLink(Item.m_name);
 }
 
 void GatewayHost::onBeat(const HostBeat &Beat) {
@@ -358,8 +473,8 @@
   HostBeat Out;
   Out.m_host = m_hosts.self();
   Out.m_isStopping = m_isStopping;
-  Out.m_storeAgeMs = static_cast<std::uint32_t>(
-      std::min<std::int64_t>(storeAge().count(), INT32_MAX));
+  Out.m_storeLostMs = static_cast<std::uint32_t>(
+      std::min<std::int64_t>(storeLost().count(), INT32_MAX));
   Out.m_storeGoodMs = static_cast<std::uint32_t>(storeGood().count());
   Out.m_configVersion =
       m_routes == nullptr ? 0 : m_routes->configuration().m_version;
@@ -387,6 +502,7 @@
                             PeerMessage &Message) {
   if (const auto *Hello = std::get_if<HelloMessage>(&Message)) {
     m_admission.onHello(Link, *Hello);
+    pushTo(Link);
     for (const auto &[Service, Keeper] : m_keepers)
       if (Keeper->isGranter())
         m_network.reply(Link,
@@ -414,12 +530,22 @@
     for (const auto &[Id, Entry] : m_directory.entries())
       Reply.m_servers.push_back(Entry);
     m_network.reply(Link, Reply);
+    pushTo(Link);
   } else if (const auto *State = std::get_if<StateMessage>(&Message)) {
     const Result<ReadConfiguration> Read =
         m_store.decodeConfiguration(State->m_configuration);
     if (Read)
       applyConfiguration(Read.value(), "peer " + Host);
     applyServers(m_directory.adopt(State->m_servers));
+  } else if (const auto *Listing = std::get_if<ListingMessage>(&Message)) {
+    onListing(Link, *Listing);
+  } else if (const auto *News = std::get_if<ConfigurationMessage>(&Message)) {
+    const Result<ReadConfiguration> Read =
+        m_store.decodeConfiguration(News->m_text);
+    if (Read)
+      applyConfiguration(Read.value(), "reader " + Host);
+    else
+      m_log.write("configuration-unreadable", {{"peer", Host}});
   } else if (const auto *Crash = std::get_if<CrashMessage>(&Message)) {
     spreadCrash(*Crash, false);
   }
@@ -456,7 +582,7 @@
                      static_cast<double>(m_edge.connections()));
   m_metrics.setGauge("known_servers",
                      static_cast<double>(m_directory.entries().size()));
-  m_metrics.setGauge("store_age_ms", static_cast<double>(storeAge().count()));
+  m_metrics.setGauge("store_lost_ms", static_cast<double>(storeLost().count()));
   m_metrics.setGauge("upstream_connections_opened",
                      static_cast<double>(m_pool.opened()));
   m_metrics.setGauge("log_lines_dropped", static_cast<double>(m_log.dropped()));
--- a/src/edge/ownership-keeper.cc
+++ b/src/edge/ownership-keeper.cc
@@ -49,10 +49,10 @@
     if (Peer.m_name == m_hosts.self().m_name || Beat == nullptr)
       continue;
     HearsPeers = true;
-    if (Millis(Beat->m_storeAgeMs) < m_policy.m_staleStore)
+    if (Beat->m_storeLostMs == 0)
       return;
   }
-  if (HearsPeers && m_view.m_storeAge() > m_policy.m_freshStore)
+  if (HearsPeers && m_view.m_storeLost() > Millis(0))
     m_granter.lengthenHolds();
 }
 
@@ -95,7 +95,7 @@
 
 bool OwnershipKeeper::shouldTakeOver(TimePoint Now) const {
   if (m_isStopped || m_granter.isGranter() || Now < m_nextTakeOver ||
-      m_view.m_storeAge() > m_policy.m_freshStore)
+      m_view.m_storeLost() > Millis(0))
     return false;
   const std::string &Own = m_hosts.self().m_name;
   if (!m_claim.m_host.empty() && m_claim.m_host != Own &&
@@ -103,7 +103,7 @@
     const HostBeat *Beat = m_hosts.lastBeat(m_claim.m_host);
     const bool IsFit =
         Beat != nullptr && !Beat->m_isStopping &&
-        Millis(Beat->m_storeAgeMs) < m_policy.m_staleStore &&
+        Millis(Beat->m_storeLostMs) < m_policy.m_staleStore &&
         m_hosts.lifeOf(m_claim.m_host) == m_claim.m_life;
     if (IsFit)
       return false;
@@ -115,16 +115,18 @@
     if (Item.m_name == m_claim.m_host)
       continue;
     const HostBeat *Beat = m_hosts.lastBeat(Item.m_name);
-    if (Beat != nullptr && Millis(Beat->m_storeAgeMs) < m_policy.m_freshStore)
+    if (Beat != nullptr && Beat->m_storeLostMs == 0)
       return false;
   }
   return false;
 }
 
 asio::awaitable<void> OwnershipKeeper::takeOver() {
-  m_nextTakeOver = BootClock::now() + m_policy.m_retryPause;
+  const TimePoint AskedAt = BootClock::now();
+  m_nextTakeOver = AskedAt + m_policy.m_retryPause;
   const Result<VersionedOwnership> Read =
       co_await m_store.readOwnership(m_service);
+  m_view.m_onStore(Read.has_value(), AskedAt);
   if (!Read) {
     m_log.write("granter-read-failed", {{"service", m_service},
                                         {"reason", Read.error().message()}});
@@ -184,6 +186,7 @@
   const Result<VersionedOwnership> Read =
       co_await m_store.readOwnership(m_service);
   m_isValidating = false;
+  m_view.m_onStore(Read.has_value(), AskedAt);
   if (!Read || !m_granter.isGranter())
     co_return;
   const OwnershipRecord &Found = Read.value().m_record;
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -138,21 +138,29 @@
     return &Found->second;
   }
   Server *Best = nullptr;
+  Server *BestInZone = nullptr;
   double BestCost = 0;
+  double BestInZoneCost = 0;
   for (auto &[Id, Item] : m_servers) {
     if (!hasRoom(Item, Now, false) || IsTried(Id))
       continue;
     const double Sound =
         std::max(0.05, (1 - Item.m_refusedShare) * (1 - Item.m_failedShare));
-    double Cost = expectedMs(Item, Now) / (Sound * Sound);
-    if (Item.m_entry.m_zone != Ask.m_zone)
-      Cost += static_cast<double>(m_policy.m_crossZoneCost.count());
+    const double Cost = expectedMs(Item, Now) / (Sound * Sound);
     if (Best == nullptr || Cost < BestCost) {
       Best = &Item;
       BestCost = Cost;
     }
+    if (Item.m_entry.m_zone == Ask.m_zone &&
+        (BestInZone == nullptr || Cost < BestInZoneCost)) {
+      BestInZone = &Item;
+      BestInZoneCost = Cost;
+    }
   }
-  return Best;
+  const bool IsZoneGood =
+      BestInZone != nullptr &&
+      BestInZoneCost * m_policy.m_zoneSafety <= toMs(Ask.m_objectiveLeft);
+  return IsZoneGood ? BestInZone : Best;
 }
 
 void Dispatcher::place(const DispatchAsk &Ask, Server &Target, TimePoint Now,
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -169,34 +169,71 @@
 
 void read(const Reader &, StateRequest &) {}
 
+Json packServer(const ServerEntry &Item) {
+  return packAll(Item.m_id, Item.m_service, Item.m_address, Item.m_zone,
+                 Item.m_slots, Item.m_isDraining, Item.m_bornMs, Item.m_report,
+                 Item.m_coldLeft.count());
+}
+
+ServerEntry readServer(const Json &Value) {
+  Reader Item(Value);
+  ServerEntry Entry;
+  Entry.m_id = Item.take<std::string>();
+  Entry.m_service = Item.take<std::string>();
+  Entry.m_address = Item.take<std::string>();
+  Entry.m_zone = Item.take<std::string>();
+  Entry.m_slots = Item.take<unsigned>();
+  Entry.m_isDraining = Item.take<bool>();
+  Entry.m_bornMs = Item.take<std::int64_t>();
+  Entry.m_report = Item.take<std::uint64_t>();
+  Entry.m_coldLeft = Item.takeMillis();
+  return Entry;
+}
+
 Json pack(const StateMessage &Value) {
   Json Servers = Json::array();
   for (const ServerEntry &Item : Value.m_servers)
-    Servers.push_back(packAll(Item.m_id, Item.m_service, Item.m_address,
-                              Item.m_zone, Item.m_slots, Item.m_isDraining,
-                              Item.m_bornMs, Item.m_report,
-                              Item.m_coldLeft.count()));
+    Servers.push_back(packServer(Item));
   return packAll(Value.m_configuration, Servers);
 }
 
 void read(Reader In, StateMessage &Out) {
   Out.m_configuration = In.take<std::string>();
+  for (const Json &Value : In.next())
+    Out.m_servers.push_back(readServer(Value));
+}
+
+Json pack(const ListingMessage &Value) {
+  Json Rows = Json::array();
+  for (const ServerRow &Row : Value.m_rows)
+    Rows.push_back(Row.m_isReadable ? packServer(Row.m_entry)
+                                    : packAll(Row.m_id));
+  return packAll(Value.m_version, Value.m_ageMs, Value.m_configAgeMs,
+                 Value.m_configVersion, Value.m_hasRows, Rows);
+}
+
+void read(Reader In, ListingMessage &Out) {
+  Out.m_version = In.take<std::uint64_t>();
+  Out.m_ageMs = In.take<std::uint32_t>();
+  Out.m_configAgeMs = In.take<std::uint32_t>();
+  Out.m_configVersion = In.take<std::uint64_t>();
+  Out.m_hasRows = In.take<bool>();
   for (const Json &Value : In.next()) {
-    Reader Item(Value);
-    ServerEntry Entry;
-    Entry.m_id = Item.take<std::string>();
-    Entry.m_service = Item.take<std::string>();
-    Entry.m_address = Item.take<std::string>();
-    Entry.m_zone = Item.take<std::string>();
-    Entry.m_slots = Item.take<unsigned>();
-    Entry.m_isDraining = Item.take<bool>();
-    Entry.m_bornMs = Item.take<std::int64_t>();
-    Entry.m_report = Item.take<std::uint64_t>();
-    Entry.m_coldLeft = Item.takeMillis();
-    Out.m_servers.push_back(std::move(Entry));
+    ServerRow Row;
+    Row.m_isReadable = Value.size() > 1;
+    Row.m_id = Value.at(0).get<std::string>();
+    if (Row.m_isReadable)
+      Row.m_entry = readServer(Value);
+    Out.m_rows.push_back(std::move(Row));
   }
 }
 
+Json pack(const ConfigurationMessage &Value) { return packAll(Value.m_text); }
+
+void read(Reader In, ConfigurationMessage &Out) {
+  Out.m_text = In.take<std::string>();
+}
+
 Json pack(const CrashMessage &Value) {
   return packAll(Value.m_fingerprint, Value.m_server);
 }
@@ -273,7 +310,7 @@
     Claims.push_back(packAll(Service, Claim.m_term, Claim.m_host, Claim.m_life));
   const std::vector<std::uint8_t> Body = Json::to_msgpack(packAll(
       ProtocolVersion, pack(Beat.m_host), Beat.m_isStopping, Beat.m_isReply,
-      Beat.m_storeAgeMs, Beat.m_storeGoodMs, Beat.m_configVersion, Claims));
+      Beat.m_storeLostMs, Beat.m_storeGoodMs, Beat.m_configVersion, Claims));
   return {Body.begin(), Body.end()};
 }
 
@@ -287,7 +324,7 @@
     Out.m_host = readHost(In.next());
     Out.m_isStopping = In.take<bool>();
     Out.m_isReply = In.take<bool>();
-    Out.m_storeAgeMs = In.take<std::uint32_t>();
+    Out.m_storeLostMs = In.take<std::uint32_t>();
     Out.m_storeGoodMs = In.take<std::uint32_t>();
     Out.m_configVersion = In.take<std::uint64_t>();
     for (const Json &Value : In.next()) {
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -30,7 +30,9 @@
           NotHeldMessage{"cart", 65535},
           StateRequest{},
           StateMessage{"{}", {Server}},
-          CrashMessage{~0ULL, "s-1@5"}};
+          CrashMessage{~0ULL, "s-1@5"},
+          ListingMessage{3, 4, 5, 6, true, {{"s-1", true, Server}, {"x"}}},
+          ConfigurationMessage{"{}"}};
 }
 
 TEST(PeerMessageTest, Decode_EachMessage_IsAsEncoded) {
@@ -67,7 +69,7 @@
   HostBeat Beat;
   Beat.m_host = {"h1", "10.0.0.1", "zone-a", 5, 20};
   Beat.m_isStopping = true;
-  Beat.m_storeAgeMs = 17;
+  Beat.m_storeLostMs = 17;
   Beat.m_storeGoodMs = 18;
   Beat.m_configVersion = 3;
   Beat.m_claims["cart"] = {4, "h2", 6};
