Check key ownership with a model; bound grants of all earlier granters

Ruled out: combined renewals, merges, late records.

Change: the record carries the store's time until which earlier grants may hold; a granter that ended or knows of the newer term shortens it; ambiguous ranges wait.

--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -36,6 +36,8 @@
   std::uint64_t m_term = 0;
   std::string m_granter;         ///< Host name.
   std::int64_t m_granterLife = 0; ///< Start of the granting process, Unix ms.
+  /// Time of the store until which grants of earlier granters may hold.
+  std::int64_t m_unsafeUntilMs = 0;
   std::vector<RangeRecord> m_ranges;
 
   bool operator==(const OwnershipRecord &) const = default;
@@ -56,6 +58,8 @@
   double m_clockFactor = 1.02;
   /// Added to the end of a hold for the way of the grant.
   Millis m_margin{150};
+  /// A takeover is written within this time after the record was read.
+  Millis m_takeOverTime{2500};
   /// A call that has no answer after this time has failed.
   Millis m_callTimeout{600};
   /// Releases wait for running work.
@@ -107,10 +111,14 @@
   KeyGranter(GrantPolicy Policy, std::string Host, std::int64_t Life);
 
   /// Becomes the granter after \p Read, which takes effect with the write that
-  /// step() asks for. \p IsOldGone: the process that wrote \p Read has ended.
+  /// step() asks for. \p StoreMs is the time of the store at \p Now.
+  /// \p IsOldGone: the process that wrote \p Read grants no more.
   /// \p WasStoreAway: it may have lengthened its holds before.
   void takeOver(const OwnershipRecord &Read, bool IsOldGone, bool WasStoreAway,
-                TimePoint Now);
+                std::int64_t StoreMs, TimePoint Now);
+  /// Notes that the granter before grants no more: its process has ended, or
+  /// it knows of this term.
+  void noteOldGone(TimePoint Now);
 
   /// Renews all grants with the longest hold at the next step().
   void lengthenHolds();
@@ -161,12 +169,15 @@
     bool m_isCalling = false;
     TimePoint m_callingSince{};
     TimePoint m_confirmedAt{};  ///< Sending of the last answered grant.
-    TimePoint m_unansweredAt{}; ///< Sending of the last unanswered grant.
+    TimePoint m_answeredAt{};   ///< Its answer: it had arrived before.
+    TimePoint m_unansweredAt{}; ///< When the last unanswered one was given up.
     TimePoint m_nextAt{};
     TimePoint m_movedAt{};
     // Of the previous owner:
     TimePoint m_previousEndsAt{};   ///< Its hold has lapsed by then.
     TimePoint m_releaseCountsAt{};  ///< Its release proves nothing before.
+    bool m_isPreviousInherited = false; ///< From an earlier granter.
+    bool m_isPreviousGone = false;      ///< Its life has ended.
     bool m_isReleasing = false;
     bool m_isReleased = false;
     TimePoint m_nextReleaseAt{};
@@ -187,6 +198,9 @@
   void markChanged(Range &Item);
   bool isSettled(const Range &Item) const;
   TimePoint lastHoldEnd(const Range &Item) const;
+  bool isPreviousFree(const Range &Item, TimePoint Now) const;
+  void setInheritedEnd(TimePoint End);
+  Millis longestInherited() const;
   void assign(Range &Item, const ServerLife &Owner, TimePoint Now);
   void regrant(Range &Item, const ServerLife &Owner);
   void move(const KeyMove &Wanted, TimePoint Now);
@@ -217,6 +231,9 @@
   std::uint64_t m_offeredChange = 0; ///< Newest change in the last offer.
   std::uint64_t m_writtenChange = 0;
   TimePoint m_validatedAt{};
+  TimePoint m_takenAt{};
+  std::int64_t m_takenStoreMs = 0;
+  TimePoint m_olderEndsAt{};     ///< The same for those before the last one.
   TimePoint m_inheritedEndsAt{}; ///< Grants of earlier granters lapse by then.
   TimePoint m_wroteAt{};
   TimePoint m_plannedAt{};
--- a/include/tamarackdrum/gateway/ownership-keeper.h
+++ b/include/tamarackdrum/gateway/ownership-keeper.h
@@ -21,7 +21,7 @@
   /// A granter that has not reached the store for this long gives way to a
   /// host that can.
   Millis m_staleStore{1500};
-  /// Pause after a failed takeover.
+  /// Pause after a failed takeover or write.
   Millis m_retryPause{400};
 
   bool operator==(const KeeperPolicy &) const = default;
@@ -67,6 +67,8 @@
   bool shouldTakeOver(TimePoint Now) const;
   /// Returns whether the store may have been away for all hosts of late.
   bool wasStoreAway() const;
+  /// Returns whether the granter \p Old surely grants no more.
+  bool hasGivenWay(const GranterClaim &Old) const;
   boost::asio::awaitable<void> takeOver();
   boost::asio::awaitable<void> write(OwnershipRecord Record);
   boost::asio::awaitable<void> validate();
@@ -87,6 +89,7 @@
   const KeeperView m_view;
   KeyGranter m_granter;
   GranterClaim m_claim;
+  GranterClaim m_before; ///< Granter before this host.
   std::uint64_t m_version = 0; ///< Of the row, as last read or written.
   bool m_isStopped = false; ///< Takes no term any more.
   bool m_isEnded = false;
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -45,6 +45,7 @@
 struct VersionedOwnership {
   OwnershipRecord m_record; ///< Term 0 if there is none yet.
   std::uint64_t m_version = 0;
+  std::int64_t m_storeMs = 0; ///< Steady time of the store at the read.
 
   bool operator==(const VersionedOwnership &) const = default;
 };
--- a/src/edge/ownership-keeper.cc
+++ b/src/edge/ownership-keeper.cc
@@ -81,6 +81,17 @@
   return Out;
 }
 
+bool OwnershipKeeper::hasGivenWay(const GranterClaim &Old) const {
+  if (Old.m_term == 0 || m_hosts.lifeOf(Old.m_host) > Old.m_life)
+    return true;
+  const HostBeat *Beat = m_hosts.lastBeat(Old.m_host);
+  if (Beat == nullptr || Beat->m_host.m_life != Old.m_life)
+    return false;
+  // A granter that knows of a newer term has stopped.
+  const auto Claim = Beat->m_claims.find(m_service);
+  return Claim != Beat->m_claims.end() && Claim->second.m_term > Old.m_term;
+}
+
 bool OwnershipKeeper::wasStoreAway() const {
   const Millis Since = m_grants.m_longestHold + m_policy.m_staleStore;
   if (m_view.m_storeGood() > Since)
@@ -144,8 +155,12 @@
   }
   m_version = Read.value().m_version;
   const bool IsOldGone =
-      Old.m_term == 0 || m_hosts.lifeOf(Old.m_granter) > Old.m_granterLife;
-  m_granter.takeOver(Old, IsOldGone, wasStoreAway(), Now);
+      hasGivenWay({Old.m_term, Old.m_granter, Old.m_granterLife});
+  // The store's time of the answer is taken as that of the question: what has
+  // to be waited for ends later rather than earlier.
+  m_granter.takeOver(Old, IsOldGone, wasStoreAway(), Read.value().m_storeMs,
+                     Now);
+  m_before = {Old.m_term, Old.m_granter, Old.m_granterLife};
   m_granter.setServers(ownServers(), Now);
   m_log.write("granter-takeover", {{"service", m_service},
                                    {"term", m_granter.term()},
@@ -176,6 +191,7 @@
               {{"service", m_service}, {"reason", Written.error().message()}});
   // Only a row that has been read again shows what became of the write.
   co_await validate();
+  co_await sleepFor(m_policy.m_retryPause);
   if (m_granter.isGranter())
     m_granter.noteWriteFailed();
 }
@@ -251,6 +267,8 @@
     if (shouldTakeOver(Now))
       co_await takeOver();
     if (m_granter.isGranter()) {
+      if (hasGivenWay(m_before))
+        m_granter.noteOldGone(Now);
       m_granter.setServers(ownServers(), Now);
       m_granter.plan(m_view.m_load(), m_view.m_rateOf, Now);
       GrantActions Wanted = m_granter.step(BootClock::now());
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -41,12 +41,31 @@
 }
 
 TimePoint KeyGranter::lastHoldEnd(const Range &Item) const {
-  TimePoint Last = std::max(Item.m_confirmedAt, Item.m_unansweredAt);
+  TimePoint Last = std::max(Item.m_answeredAt, Item.m_unansweredAt);
+  // A call that is on its way arrives before it is given up.
   if (Item.m_isCalling)
-    Last = std::max(Last, Item.m_callingSince);
-  const TimePoint Own = holdEnd(
-      Last, m_isLengthening ? m_policy.m_longestHold : m_policy.m_hold);
-  return Item.m_isInherited ? std::max(Own, m_inheritedEndsAt) : Own;
+    Last = std::max(Last, Item.m_callingSince + 2 * m_policy.m_callTimeout);
+  return holdEnd(Last,
+                 m_isLengthening ? m_policy.m_longestHold : m_policy.m_hold);
+}
+
+Millis KeyGranter::longestInherited() const {
+  return m_wasStoreAway ? m_policy.m_longestHold : m_policy.m_hold;
+}
+
+void KeyGranter::setInheritedEnd(TimePoint End) {
+  m_inheritedEndsAt = std::max(m_olderEndsAt, End);
+  m_record.m_unsafeUntilMs =
+      m_takenStoreMs +
+      std::chrono::duration_cast<Millis>(m_inheritedEndsAt - m_takenAt).count();
+}
+
+void KeyGranter::noteOldGone(TimePoint Now) {
+  if (!m_isGranter || m_isOldGone)
+    return;
+  m_isOldGone = true;
+  setInheritedEnd(holdEnd(Now, longestInherited()));
+  m_isDirty = true;
 }
 
 void KeyGranter::markChanged(Range &Item) {
@@ -64,21 +83,32 @@
 }
 
 void KeyGranter::takeOver(const OwnershipRecord &Read, bool IsOldGone,
-                          bool WasStoreAway, TimePoint Now) {
+                          bool WasStoreAway, std::int64_t StoreMs,
+                          TimePoint Now) {
   stepDown();
   m_wasStoreAway = WasStoreAway;
+  m_takenAt = Now;
+  m_takenStoreMs = StoreMs;
+  m_olderEndsAt =
+      Now + Millis(std::max<std::int64_t>(0, Read.m_unsafeUntilMs - StoreMs));
   m_isGranter = true;
   m_isOldGone = IsOldGone;
   m_record = Read;
   m_record.m_term = Read.m_term + 1;
   m_record.m_granter = m_host;
   m_record.m_granterLife = m_life;
+  // Up to the write of this term the old granter may find its own the newest.
+  setInheritedEnd(holdEnd(IsOldGone ? Now
+                                    : Now + m_policy.m_takeOverTime +
+                                          m_policy.m_unvalidatedLimit,
+                          longestInherited()));
   m_fences = 0;
   m_isDirty = true;
   for (const RangeRecord &Old : Read.m_ranges) {
     Range Item;
     Item.m_record = Old;
     Item.m_isInherited = true;
+    Item.m_isPreviousInherited = true;
     Item.m_movedAt = Now;
     if (!Old.m_owner.isNobody())
       Item.m_record.m_fence = nextFence();
@@ -112,17 +142,11 @@
   m_isWriting = false;
   m_writtenChange = m_offeredChange;
   m_validatedAt = std::max(m_validatedAt, AskedAt);
-  if (m_isWritten)
+  if (!m_isWritten && Now - m_takenAt > m_policy.m_takeOverTime) {
+    stepDown();
     return;
+  }
   m_isWritten = true;
-  m_inheritedEndsAt =
-      holdEnd(m_isOldGone ? Now : Now + m_policy.m_unvalidatedLimit,
-              m_wasStoreAway ? m_policy.m_longestHold : m_policy.m_hold);
-  for (Range &Item : m_ranges)
-    if (!Item.m_record.m_previous.isNobody()) {
-      Item.m_previousEndsAt = m_inheritedEndsAt;
-      Item.m_releaseCountsAt = Now;
-    }
 }
 
 void KeyGranter::noteValidated(TimePoint AskedAt) {
@@ -180,13 +204,14 @@
     if (Owner != m_servers.end() &&
         Owner->second.m_bornMs > Item.m_record.m_owner.m_bornMs) {
       Item.m_isInherited = false;
+      Item.m_answeredAt = {};
       Item.m_unansweredAt = {};
       regrant(Item, {Owner->first, Owner->second.m_bornMs});
     }
     const auto Previous = m_servers.find(Item.m_record.m_previous.m_id);
     if (Previous != m_servers.end() &&
         Previous->second.m_bornMs > Item.m_record.m_previous.m_bornMs)
-      Item.m_isReleased = true;
+      Item.m_isPreviousGone = true;
   }
 }
 
@@ -237,13 +262,18 @@
     Item->m_isCalling = false;
     if (Outcome == GrantResult::Done) {
       Item->m_confirmedAt = Made.m_sentAt;
+      Item->m_answeredAt = Now;
       Item->m_isInherited = false;
       Item->m_handover.clear();
+      // What went unanswered before has run out by now.
+      if (Item->m_unansweredAt != TimePoint{} &&
+          Now >= holdEnd(Item->m_unansweredAt))
+        Item->m_unansweredAt = {};
       continue;
     }
     Item->m_nextAt = Now + RetryPause;
     if (Outcome == GrantResult::NoAnswer)
-      Item->m_unansweredAt = Made.m_sentAt;
+      Item->m_unansweredAt = Now;
     if (Outcome == GrantResult::HigherFence) {
       Item->m_confirmedAt = {};
       m_needsValidation = true;
@@ -269,10 +299,11 @@
 void KeyGranter::assign(Range &Item, const ServerLife &Owner, TimePoint Now) {
   RangeRecord &Record = Item.m_record;
   if (Record.m_previous.isNobody() && !Record.m_owner.isNobody()) {
-    const bool IsUnsure = Item.m_isCalling ||
-                          Item.m_unansweredAt > Item.m_confirmedAt ||
-                          (Item.m_isInherited && !m_isOldGone);
+    const bool IsUnsure =
+        Item.m_isCalling || Item.m_unansweredAt != TimePoint{};
     Item.m_previousEndsAt = lastHoldEnd(Item);
+    Item.m_isPreviousInherited = Item.m_isInherited;
+    Item.m_isPreviousGone = false;
     Item.m_releaseCountsAt = IsUnsure ? Item.m_previousEndsAt : Now;
     Item.m_isReleased = false;
     Item.m_isReleasing = false;
@@ -281,6 +312,7 @@
     Record.m_previousFence = Record.m_fence;
   }
   Item.m_isInherited = false;
+  Item.m_answeredAt = {};
   Item.m_unansweredAt = {};
   Item.m_handover.clear();
   Item.m_movedAt = Now;
@@ -295,10 +327,16 @@
   split(Wanted.m_from);
   if (Wanted.m_to < KeyCount - 1)
     split(static_cast<Key>(Wanted.m_to + 1));
-  for (Range &Item : m_ranges)
-    if (Item.m_record.m_from >= Wanted.m_from &&
-        Item.m_record.m_to <= Wanted.m_to && Item.m_record.m_owner != Owner)
+  for (Range &Item : m_ranges) {
+    const RangeRecord &Record = Item.m_record;
+    // Both owners of an inherited range may hold it: the record is written
+    // before a grant and only some time after it.
+    const bool IsAmbiguous =
+        Item.m_isInherited && !Record.m_previous.isNobody();
+    if (Record.m_from >= Wanted.m_from && Record.m_to <= Wanted.m_to &&
+        Record.m_owner != Owner && !IsAmbiguous)
       assign(Item, Owner, Now);
+  }
 }
 
 void KeyGranter::mergeNeighbours() {
@@ -307,7 +345,8 @@
   const auto IsCalm = [this](const Range &Item) {
     return isSettled(Item) && Item.m_record.m_previous.isNobody() &&
            !Item.m_isInherited && !Item.m_isCalling &&
-           Item.m_confirmedAt >= Item.m_unansweredAt;
+           Item.m_confirmedAt != TimePoint{} &&
+           Item.m_unansweredAt == TimePoint{};
   };
   for (std::size_t I = 0; I + 1 < m_ranges.size();) {
     Range &Lower = m_ranges[I];
@@ -358,14 +397,21 @@
   mergeNeighbours();
 }
 
+bool KeyGranter::isPreviousFree(const Range &Item, TimePoint Now) const {
+  if (Item.m_isPreviousGone)
+    return true;
+  if (Item.m_isPreviousInherited && Now < m_inheritedEndsAt)
+    return false;
+  return (Item.m_isReleased && Now >= Item.m_releaseCountsAt) ||
+         Now >= Item.m_previousEndsAt;
+}
+
 void KeyGranter::settlePrevious(TimePoint Now) {
   for (Range &Item : m_ranges) {
     RangeRecord &Record = Item.m_record;
     if (Record.m_previous.isNobody() || !isSettled(Item))
       continue;
-    const bool IsFree = (Item.m_isReleased && Now >= Item.m_releaseCountsAt) ||
-                        Now >= Item.m_previousEndsAt;
-    if (!IsFree)
+    if (!isPreviousFree(Item, Now))
       continue;
     // The record still names the previous owner until the next write, which
     // is the safe side: the owner may be granted the keys from here on.
--- a/src/gateway/record-json.cc
+++ b/src/gateway/record-json.cc
@@ -35,6 +35,7 @@
   return Json{{"term", Record.m_term},
               {"granter", Record.m_granter},
               {"granter_life", Record.m_granterLife},
+              {"unsafe_until_ms", Record.m_unsafeUntilMs},
               {"ranges", std::move(Ranges)}}
       .dump();
 }
@@ -46,6 +47,7 @@
     Out.m_term = Value.at("term").get<std::uint64_t>();
     Out.m_granter = Value.at("granter").get<std::string>();
     Out.m_granterLife = Value.at("granter_life").get<std::int64_t>();
+    Out.m_unsafeUntilMs = Value.at("unsafe_until_ms").get<std::int64_t>();
     for (const Json &Item : Value.at("ranges")) {
       RangeRecord Range;
       Range.m_from = Item.at("from").get<Key>();
--- /dev/null
+++ b/test/gateway/ownership-model-test.cc
@@ -0,0 +1,409 @@
+/// \file
+/// Random histories of granters, servers and the store on a virtual clock: no
+/// key ever has two holders, and tokens of a key only grow when it changes
+/// hands.
+
+#include "tamarackdrum/gateway/key-granter.h"
+
+#include <gtest/gtest.h>
+#include <random>
+#include <rapidcheck/gtest.h>
+#include <sstream>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+constexpr int Hosts = 3;
+constexpr int Servers = 4;
+constexpr int SampledKeys = 16;
+constexpr Millis StepTime{25};
+constexpr Millis HistoryTime{40000};
+/// A hold runs up to this much longer on a server with a slow clock.
+constexpr double SlowClock = 1.02;
+
+Key sampledKey(int Index) {
+  return static_cast<Key>(Index * (KeyCount / SampledKeys) + 100);
+}
+
+std::string nameOf(char Kind, int Index) {
+  return {Kind, static_cast<char>('0' + Index)};
+}
+
+struct ModelStore {
+  OwnershipRecord m_record;
+  std::uint64_t m_version = 0;
+};
+
+struct ModelServer {
+  struct Hold {
+    TimePoint m_until{};
+    std::uint64_t m_fence = 0;
+  };
+  std::int64_t m_born = 1;
+  bool m_isUp = true;
+  bool m_isDraining = false;
+  std::vector<Hold> m_holds = std::vector<Hold>(SampledKeys);
+};
+
+/// Something that happens later.
+struct Event {
+  TimePoint m_at;
+  std::function<void()> m_run;
+};
+
+class Model {
+public:
+  explicit Model(std::uint32_t Seed) : m_random(Seed) {
+    for (int I = 0; I < Hosts; ++I)
+      restart(I);
+  }
+
+  /// Returns what was broken, or an empty text.
+  std::string trace() const { return m_trace.str(); }
+
+  std::string run() {
+    const TimePoint End = m_now + HistoryTime;
+    while (m_now < End && m_fault.empty()) {
+      m_now += StepTime;
+      runEvents();
+      disturb();
+      for (int I = 0; I < Hosts; ++I)
+        if (m_now >= m_hosts[I].m_frozenUntil)
+          turn(I);
+    }
+    return m_fault;
+  }
+
+private:
+  struct Host {
+    std::unique_ptr<KeyGranter> m_granter;
+    std::int64_t m_life = 0;
+    std::uint64_t m_version = 0;
+    TimePoint m_frozenUntil{};
+    TimePoint m_validatedAt{};
+    TimePoint m_cutUntil{}; ///< From the store.
+    bool m_isWriting = false;
+    std::pair<std::string, std::int64_t> m_before;
+    KeyLoad m_load;
+  };
+
+  /// The store's own clock differs from those of the hosts.
+  std::int64_t storeMs() const {
+    return std::chrono::duration_cast<Millis>(m_now.time_since_epoch())
+               .count() -
+           123456;
+  }
+
+  std::ostream &note() {
+    return m_trace << std::chrono::duration_cast<Millis>(
+                          m_now.time_since_epoch())
+                          .count()
+                   << " ";
+  }
+
+  bool chance(double Share) {
+    return std::uniform_real_distribution<>(0, 1)(m_random) < Share;
+  }
+  Millis delay(int Least, int Most) {
+    return Millis(std::uniform_int_distribution<>(Least, Most)(m_random));
+  }
+  int pick(int Count) {
+    return std::uniform_int_distribution<>(0, Count - 1)(m_random);
+  }
+
+  void after(Millis Time, std::function<void()> Run) {
+    m_events.push_back({m_now + Time, std::move(Run)});
+  }
+
+  void runEvents() {
+    std::vector<Event> Due;
+    for (std::size_t I = 0; I < m_events.size();) {
+      if (m_events[I].m_at > m_now) {
+        ++I;
+        continue;
+      }
+      Due.push_back(std::move(m_events[I]));
+      m_events.erase(m_events.begin() + static_cast<std::ptrdiff_t>(I));
+    }
+    for (Event &Item : Due)
+      Item.m_run();
+  }
+
+  void restart(int Index) {
+    Host &Item = m_hosts[Index];
+    Item.m_life = ++m_lives;
+    Item.m_granter = std::make_unique<KeyGranter>(
+        GrantPolicy{}, nameOf('h', Index),
+        Item.m_life);
+    Item.m_isWriting = false;
+  }
+
+  std::vector<ServerEntry> entries() const {
+    std::vector<ServerEntry> Out;
+    for (int I = 0; I < Servers; ++I) {
+      // A crashed server stays listed for a while.
+      if (!m_listed[I])
+        continue;
+      ServerEntry Entry;
+      Entry.m_id = nameOf('s', I);
+      Entry.m_service = "stock";
+      Entry.m_address = Entry.m_id;
+      Entry.m_bornMs = m_servers[I].m_born;
+      Entry.m_isDraining = m_servers[I].m_isDraining;
+      Out.push_back(Entry);
+    }
+    return Out;
+  }
+
+  void disturb() {
+    const int Index = pick(Servers);
+    ModelServer &Server = m_servers[Index];
+    if (chance(0.004)) {
+      Server.m_isUp = false;
+      after(delay(200, 3000), [this, Index] {
+        if (!m_servers[Index].m_isUp)
+          m_listed[Index] = false;
+      });
+    }
+    if (!Server.m_isUp && chance(0.02)) {
+      Server = ModelServer{};
+      Server.m_born = ++m_births;
+      m_listed[Index] = true;
+    }
+    if (chance(0.004))
+      Server.m_isDraining = !Server.m_isDraining;
+    if (chance(0.003))
+      m_listed[Index] = !m_listed[Index] && Server.m_isUp;
+    const int Which = pick(Hosts);
+    if (chance(0.002))
+      restart(Which);
+    if (chance(0.002))
+      m_hosts[Which].m_frozenUntil = m_now + delay(500, 6000);
+    if (chance(0.002))
+      m_hosts[Which].m_cutUntil = m_now + delay(500, 9000);
+    if (chance(0.001))
+      for (Host &Item : m_hosts)
+        Item.m_cutUntil = m_now + delay(500, 9000);
+  }
+
+  bool isEnded(const std::string &Host, std::int64_t Life) const {
+    return Host.empty() || m_hosts[Host.back() - '0'].m_life > Life;
+  }
+
+  void turn(int Index) {
+    Host &Item = m_hosts[Index];
+    KeyGranter &Granter = *Item.m_granter;
+    const bool HasStore = m_now >= Item.m_cutUntil;
+    if (!Granter.isGranter()) {
+      if (HasStore && chance(m_store.m_version == 0 ? 0.2 : 0.01)) {
+        Item.m_version = m_store.m_version;
+        note() << "h" << Index << " takes over from "
+               << m_store.m_record.m_granter << " term "
+               << m_store.m_record.m_term + 1 << " ended "
+               << isEnded(m_store.m_record.m_granter,
+                          m_store.m_record.m_granterLife)
+               << '\n';
+        Granter.takeOver(m_store.m_record,
+                         isEnded(m_store.m_record.m_granter,
+                                 m_store.m_record.m_granterLife),
+                         false, storeMs(), m_now);
+        Item.m_before = {m_store.m_record.m_granter,
+                         m_store.m_record.m_granterLife};
+        Granter.setServers(entries(), m_now);
+      }
+      return;
+    }
+    for (int I = 0; I < SampledKeys; ++I)
+      if (chance(I < 3 ? 0.3 : 0.02))
+        Item.m_load.note(sampledKey(I), m_now);
+    if (isEnded(Item.m_before.first, Item.m_before.second))
+      Granter.noteOldGone(m_now);
+    Granter.setServers(entries(), m_now);
+    Granter.plan(Item.m_load, [](const std::string &) { return 8.0; }, m_now);
+    GrantActions Made = Granter.step(m_now);
+    for (const GrantCall &Call : Made.m_calls)
+      send(Index, Call);
+    if (Made.m_write)
+      write(Index, *Made.m_write);
+    const bool IsDue = m_now - Item.m_validatedAt > Millis(1500) ||
+                       Granter.needsValidation();
+    if (HasStore && IsDue && !Item.m_isWriting)
+      validate(Index);
+  }
+
+  void validate(int Index) {
+    Host &Item = m_hosts[Index];
+    KeyGranter &Granter = *Item.m_granter;
+    const OwnershipRecord &Found = m_store.m_record;
+    Item.m_validatedAt = m_now;
+    if (Found.m_term < Granter.term() || Found.m_term > Granter.term() ||
+        Found.m_granterLife != Item.m_life) {
+      Granter.stepDown();
+      return;
+    }
+    Item.m_version = m_store.m_version;
+    Granter.noteValidated(m_now);
+  }
+
+  bool apply(const OwnershipRecord &Record, std::uint64_t Version) {
+    if (m_store.m_version != Version)
+      return false;
+    m_store.m_record = Record;
+    ++m_store.m_version;
+    note() << Record.m_granter << " has written version " << m_store.m_version;
+    for (const RangeRecord &Item : Record.m_ranges)
+      m_trace << " [" << Item.m_from << ".." << Item.m_to << " "
+              << Item.m_owner.m_id << " " << Item.m_fence << " "
+              << Item.m_previous.m_id << "]";
+    m_trace << '\n';
+    return true;
+  }
+
+  void write(int Index, const OwnershipRecord &Record) {
+    Host &Item = m_hosts[Index];
+    Item.m_isWriting = true;
+    const std::uint64_t Version = Item.m_version;
+    const std::int64_t Life = Item.m_life;
+    const TimePoint AskedAt = m_now;
+    const bool IsCut = m_now < Item.m_cutUntil;
+    const bool IsLost = chance(0.1);
+    if (IsLost && !IsCut)
+      after(chance(0.5) ? delay(1000, 6000) : Millis(0),
+            [this, Record, Version] { apply(Record, Version); });
+    after(delay(5, 200), [=, this] {
+      const bool IsDone = !IsCut && !IsLost && apply(Record, Version);
+      after(delay(1, 50), [=, this] {
+        Host &Writer = m_hosts[Index];
+        if (Writer.m_life != Life)
+          return;
+        Writer.m_isWriting = false;
+        KeyGranter &Granter = *Writer.m_granter;
+        if (!Granter.isGranter() || Granter.term() != Record.m_term)
+          return;
+        if (IsDone) {
+          Writer.m_version = Version + 1;
+          Granter.noteWritten(AskedAt, m_now);
+          return;
+        }
+        if (m_now >= Writer.m_cutUntil)
+          validate(Index);
+        if (Granter.isGranter())
+          Granter.noteWriteFailed();
+      });
+    });
+  }
+
+  void send(int Index, const GrantCall &Call) {
+    note() << "h" << Index << (Call.m_isRelease ? " release " : " grant ")
+           << Call.m_server.m_id << " " << Call.m_from << ".." << Call.m_to
+           << " fence " << Call.m_fence << " call " << Call.m_number << '\n';
+    const std::int64_t Life = m_hosts[Index].m_life;
+    const auto Report = [=, this](GrantResult Outcome, Millis Later) {
+      after(Later, [=, this] {
+        note() << "h" << Index << " call " << Call.m_number << " result "
+               << static_cast<int>(Outcome) << '\n';
+        if (m_hosts[Index].m_life == Life)
+          m_hosts[Index].m_granter->noteResult(Call.m_number, Outcome, "x",
+                                               m_now);
+      });
+    };
+    const int Server = Call.m_server.m_id.back() - '0';
+    if (chance(0.05)) {
+      Report(GrantResult::NotSent, delay(1, 300));
+      return;
+    }
+    const Millis Way = chance(0.05) ? delay(100, 500) : delay(1, 20);
+    const bool IsLate = chance(0.05);
+    after(Way, [=, this] {
+      const TimePoint ArrivedAt = m_now;
+      if (!m_servers[Server].m_isUp) {
+        Report(GrantResult::NoAnswer, Millis(100));
+        return;
+      }
+      if (IsLate) {
+        after(delay(200, 4000), [=, this] { carryOut(Call, Server, ArrivedAt); });
+        Report(GrantResult::NoAnswer, Millis(100));
+        return;
+      }
+      const GrantResult Outcome = carryOut(Call, Server, ArrivedAt);
+      Report(Outcome, Call.m_isRelease ? delay(1, 900) : delay(1, 50));
+    });
+  }
+
+  GrantResult carryOut(const GrantCall &Call, int Index, TimePoint ArrivedAt) {
+    ModelServer &Server = m_servers[Index];
+    if (!Server.m_isUp || Server.m_born != Call.m_server.m_bornMs)
+      return GrantResult::NoAnswer;
+    const auto IsIn = [&Call](int I) {
+      return sampledKey(I) >= Call.m_from && sampledKey(I) <= Call.m_to;
+    };
+    for (int I = 0; I < SampledKeys && !Call.m_isRelease; ++I)
+      if (IsIn(I) && Server.m_holds[I].m_fence > Call.m_fence)
+        return GrantResult::HigherFence;
+    const Millis Hold(static_cast<std::int64_t>(
+        static_cast<double>(Call.m_hold.count()) * SlowClock));
+    for (int I = 0; I < SampledKeys; ++I) {
+      if (!IsIn(I))
+        continue;
+      if (Call.m_isRelease) {
+        Server.m_holds[I].m_until = {};
+        continue;
+      }
+      const TimePoint Until = ArrivedAt + Hold;
+      // What is carried out after its hold is over changes nothing.
+      if (Until <= m_now)
+        continue;
+      // A grant that was taken late is excused while its hold runs.
+      if (ArrivedAt == m_now)
+        check(I, Index, Call);
+      Server.m_holds[I] = {Until, Call.m_fence};
+    }
+    return GrantResult::Done;
+  }
+
+  void check(int I, int Index, const GrantCall &Call) {
+    for (int Other = 0; Other < Servers; ++Other) {
+      if (Other == Index || !m_servers[Other].m_isUp)
+        continue;
+      const ModelServer::Hold &Held = m_servers[Other].m_holds[I];
+      std::ostringstream Out;
+      if (Held.m_until > m_now)
+        Out << "key " << I << " of s" << Other << " fence " << Held.m_fence
+            << " given to s" << Index << " fence " << Call.m_fence;
+      else if (Held.m_fence >= Call.m_fence)
+        Out << "token of key " << I << " fell: s" << Other << " had "
+            << Held.m_fence << ", s" << Index << " got " << Call.m_fence;
+      if (!Out.str().empty())
+        m_fault = Out.str();
+    }
+  }
+
+  std::mt19937 m_random;
+  TimePoint m_now{std::chrono::seconds(1000)};
+  std::int64_t m_lives = 0;
+  std::int64_t m_births = 1;
+  ModelStore m_store;
+  std::vector<ModelServer> m_servers = std::vector<ModelServer>(Servers);
+  std::vector<bool> m_listed = std::vector<bool>(Servers, true);
+  std::array<Host, Hosts> m_hosts;
+  std::vector<Event> m_events;
+  std::string m_fault;
+  std::ostringstream m_trace; ///< What was sent, for a history that fails.
+};
+
+RC_GTEST_PROP(OwnershipModelTest, RandomHistory_AnyFaults_OneHolderAKey,
+              (std::uint32_t Seed)) {
+  for (std::uint32_t I = 0; I < 10; ++I) {
+    Model Subject(Seed + I * 7919);
+    const std::string Fault = Subject.run();
+    if (Fault.empty())
+      continue;
+    std::ostringstream Out;
+    Out << "seed " << Seed + I * 7919 << ": " << Fault << '\n'
+        << Subject.trace();
+    RC_FAIL(Out.str());
+  }
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
