--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -22,8 +22,8 @@
 using asio::ip::tcp;
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t PieceBytes = 16 * 1024;
-constexpr std::size_t ReadBytes = 4 * 1024;
+constexpr std::size_t PieceBytes = 16U << 10U;
+constexpr std::size_t ReadBytes = 4U << 10U;
 constexpr Millis AcceptPause{20};
 /// Retry-After where a server has refused or could not be reached: others have
 /// room within the time of a request.
--- a/src/edge/peer-network.cc
+++ b/src/edge/peer-network.cc
@@ -17,7 +17,7 @@
 using asio::ip::udp;
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t ReadBytes = 16 * 1024;
+constexpr std::size_t ReadBytes = 16U << 10U;
 /// A beat is far below the size at which datagrams are split.
 constexpr std::size_t BeatBytes = 1400;
 /// Pause after a failed accept, e.g. for want of descriptors.
--- a/src/edge/upstream-exchange.cc
+++ b/src/edge/upstream-exchange.cc
@@ -21,11 +21,11 @@
 /// Answers up to this length are read whole before they are passed on, so that
 /// a torn one can be asked for again. Source: answers of the users' services
 /// are up to 30 KB.
-constexpr std::size_t WholeBytes = 128 * 1024;
-constexpr std::size_t PieceBytes = 16 * 1024;
+constexpr std::size_t WholeBytes = 128U << 10U;
+constexpr std::size_t PieceBytes = 16U << 10U;
 /// Requests up to this length are written before the answer is read: they fit
 /// into the send buffer of a socket.
-constexpr std::size_t ShortRequestBytes = 16 * 1024;
+constexpr std::size_t ShortRequestBytes = 16U << 10U;
 /// Idle time after which an unsafe request gets a new connection: it could not
 /// be sent again if the server had dropped the kept one.
 constexpr Millis UnsafeMaxIdle{2500};
@@ -34,7 +34,7 @@
 /// Added to the time of the server, which ends work by itself in time.
 constexpr Millis AnswerGrace{80};
 constexpr Millis ProbeTimeout{250};
-constexpr std::uint32_t HeaderBytes = 64 * 1024;
+constexpr std::uint32_t HeaderBytes = 64U << 10U;
 
 Millis elapsed(TimePoint Since) {
   return std::chrono::duration_cast<Millis>(BootClock::now() - Since);
@@ -209,7 +209,7 @@
   if (!Work->m_isDone) {
     Work->m_isAbandoned = true;
     // The writer still refers to the connection: it ends with it.
-    const std::shared_ptr<Connection> Last(std::move(Used));
+    const std::shared_ptr<Connection> Last(Used.release());
     Last->m_stream.close();
     asio::post(Last->m_stream.get_executor(), [Last] {});
   }
