--- /dev/null
+++ b/test/gateway/fake-platform.h
@@ -0,0 +1,202 @@
+/// \file
+/// Store, key servers and backend servers in the memory of a test.
+
+#ifndef TAMARACKDRUM_FAKE_PLATFORM_H
+#define TAMARACKDRUM_FAKE_PLATFORM_H
+
+#include "tamarackdrum/error.h"
+#include "tamarackdrum/gateway/gateway-host.h"
+#include "tamarackdrum/sleep.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+namespace tamarackdrum::gateway::test {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+inline constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+inline const HeaderNames Headers{"Test-Id", "Test-Deadline", "Test-Server",
+                                 "Test-Not-Run", "Test-Key"};
+
+/// A store in memory that all hosts of a test share.
+class FakeStore : public GatewayStore {
+public:
+  Task<std::vector<ServerRow>> readServers() override {
+    co_await sleepFor(Millis(1));
+    if (!m_isUp)
+      co_return TableErrc::Unavailable;
+    co_return m_servers;
+  }
+  Task<ReadConfiguration> awaitConfiguration(Millis) override {
+    co_await sleepFor(Millis(10));
+    if (!m_isUp)
+      co_return TableErrc::Unavailable;
+    if (m_configuration.m_version == 0)
+      co_return TableErrc::Conflict;
+    co_return ReadConfiguration{m_configuration, "text"};
+  }
+  Result<ReadConfiguration>
+  decodeConfiguration(const std::string &Text) const override {
+    if (Text != "text")
+      return TableErrc::Malformed;
+    return ReadConfiguration{m_configuration, Text};
+  }
+  Task<VersionedOwnership> readOwnership(std::string) override {
+    co_await sleepFor(Millis(1));
+    if (!m_isUp)
+      co_return TableErrc::Unavailable;
+    const VersionedOwnership Out = m_ownership;
+    // What another granter writes right after the read.
+    if (m_onRead)
+      std::exchange(m_onRead, nullptr)();
+    co_return Out;
+  }
+  Task<std::uint64_t> writeOwnership(std::string, OwnershipRecord Record,
+                                     std::uint64_t Version) override {
+    co_await sleepFor(Millis(1));
+    if (!m_isUp)
+      co_return TableErrc::Unavailable;
+    if (Version != m_ownership.m_version)
+      co_return TableErrc::Conflict;
+    m_ownership.m_record = std::move(Record);
+    ++m_ownership.m_version;
+    co_return m_ownership.m_version;
+  }
+  Task<std::vector<HostInfo>> enterHost(HostInfo Self) override {
+    m_hosts.push_back(std::move(Self));
+    co_return m_hosts;
+  }
+  Task<std::vector<HostInfo>> readHosts() override { co_return m_hosts; }
+
+  bool m_isUp = true;
+  std::vector<ServerRow> m_servers;
+  Configuration m_configuration;
+  VersionedOwnership m_ownership;
+  std::vector<HostInfo> m_hosts;
+  std::function<void()> m_onRead;
+};
+
+/// Servers that take every grant.
+class FakeKeyServers : public KeyServers {
+public:
+  asio::awaitable<GrantReply> call(GrantCall Call, Millis) override {
+    m_calls.push_back(std::move(Call));
+    co_await sleepFor(Millis(1));
+    co_return GrantReply{GrantResult::Done, ""};
+  }
+
+  std::vector<GrantCall> m_calls;
+};
+
+/// A request as a server has read it.
+struct SeenRequest {
+  std::string m_method;
+  std::string m_target;
+  std::string m_id;
+  std::string m_expected;
+  std::string m_deadline;
+  std::string m_body;
+};
+
+/// A backend server whose answers the test writes itself.
+class ScriptedServer {
+public:
+  using Stream = boost::beast::tcp_stream;
+  /// Answers one request; the connection is closed if it returns false.
+  using Script =
+      std::function<asio::awaitable<bool>(Stream &, const SeenRequest &)>;
+
+  explicit ScriptedServer(asio::io_context &Context)
+      : m_context(Context),
+        m_acceptor(Context, {asio::ip::address_v4::loopback(), 0}) {
+    asio::co_spawn(Context, acceptLoop(), asio::detached);
+  }
+
+  std::string address() const {
+    std::string Out("127.0.0.1:");
+    Out += std::to_string(m_acceptor.local_endpoint().port());
+    return Out;
+  }
+
+  Script m_script = answerOk;
+  std::vector<SeenRequest> m_seen;
+  std::size_t m_connections = 0;
+
+  static std::string okText(const std::string &Id, const std::string &Body) {
+    std::string Out("HTTP/1.1 200 OK\r\nTest-Id: ");
+    Out += Id;
+    Out += "\r\nTest-Signature: s\r\nContent-Length: ";
+    Out += std::to_string(Body.size());
+    Out += "\r\n\r\n";
+    Out += Body;
+    return Out;
+  }
+
+  static asio::awaitable<bool> send(Stream &To, std::string Text) {
+    const auto [Error, Count] =
+        co_await asio::async_write(To, asio::buffer(Text), UseTuple);
+    co_return !Error;
+  }
+
+  static asio::awaitable<bool> answerOk(Stream &To, const SeenRequest &Seen) {
+    std::string Text = okText(Seen.m_id, "hello");
+    co_return co_await send(To, std::move(Text));
+  }
+
+  static asio::awaitable<bool> refuse(Stream &To, const SeenRequest &Seen) {
+    std::string Text("HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nTest-Id: ");
+    Text += Seen.m_id;
+    Text += "\r\nContent-Length: 0\r\n\r\n";
+    co_return co_await send(To, std::move(Text));
+  }
+
+private:
+  asio::awaitable<void> acceptLoop() {
+    while (true) {
+      auto [Error, Socket] = co_await m_acceptor.async_accept(UseTuple);
+      if (Error)
+        co_return;
+      ++m_connections;
+      asio::co_spawn(m_context, serve(std::move(Socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> serve(asio::ip::tcp::socket Socket) {
+    Stream Peer(std::move(Socket));
+    boost::beast::flat_buffer Buffer;
+    while (true) {
+      http::request_parser<http::string_body> Parser;
+      Parser.body_limit(boost::none);
+      const auto [Error, Count] =
+          co_await http::async_read(Peer, Buffer, Parser, UseTuple);
+      if (Error)
+        co_return;
+      const auto &Request = Parser.get();
+      const SeenRequest Seen{std::string(Request.method_string()),
+                             std::string(Request.target()),
+                             std::string(Request["Test-Id"]),
+                             std::string(Request["Test-Server"]),
+                             std::string(Request["Test-Deadline"]),
+                             Request.body()};
+      m_seen.push_back(Seen);
+      const bool IsKept = co_await m_script(Peer, Seen);
+      if (!IsKept)
+        co_return;
+    }
+  }
+
+  asio::io_context &m_context;
+  asio::ip::tcp::acceptor m_acceptor;
+};
+
+} // namespace tamarackdrum::gateway::test
+
+#endif // TAMARACKDRUM_FAKE_PLATFORM_H
--- /dev/null
+++ b/test/gateway/gateway-host-test.cc
@@ -0,0 +1,474 @@
+#include "fake-platform.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+using namespace test;
+
+/// Ends a wait for something that never happens; no verdict depends on it.
+constexpr Millis Patience{30000};
+
+/// One or more hosts, two servers of the unkeyed service "web" and two of the
+/// keyed service "stock".
+class GatewayHostTest : public testing::Test {
+protected:
+  GatewayHostTest() {
+    for (int I = 0; I < 2; ++I) {
+      addServer(m_web[I], I == 0 ? "web-0" : "web-1", "web");
+      addServer(m_stock[I], I == 0 ? "stock-0" : "stock-1", "stock");
+    }
+    Configuration &Config = m_store.m_configuration;
+    Config.m_version = 3;
+    Config.m_routes = {
+        makeRoute("safe", "/web/", RequestKind::Safe, "web"),
+        makeRoute("once", "/pay/", RequestKind::Unsafe, "web"),
+        makeRoute("keyed", "/stock/", RequestKind::Safe, "stock")};
+    Config.m_services["web"] = {"web", "/", 100, false};
+    Config.m_services["stock"] = {"stock", "/", 100, true};
+    Config.m_limits.m_bodyBytes = 16U << 20U;
+  }
+
+  ~GatewayHostTest() override {
+    m_context.stop();
+    ::close(m_null);
+  }
+
+  static Route makeRoute(const char *Name, const char *Prefix, RequestKind Kind,
+                         const char *Service) {
+    Route Out;
+    Out.m_name = Name;
+    Out.m_host = "shop.example";
+    Out.m_prefix = Prefix;
+    Out.m_kind = Kind;
+    Out.m_timeout = Millis(20000);
+    Out.m_objective = Millis(10000);
+    Out.m_attempts = 2;
+    Out.m_parts = {{Service, 1}};
+    return Out;
+  }
+
+  void addServer(const ScriptedServer &Server, const char *Id,
+                 const char *Service) {
+    ServerRow Row{Id, true, {}};
+    Row.m_entry.m_id = Id;
+    Row.m_entry.m_service = Service;
+    Row.m_entry.m_address = Server.address();
+    Row.m_entry.m_zone = "zone-a";
+    Row.m_entry.m_slots = 2;
+    Row.m_entry.m_bornMs = 1;
+    m_store.m_servers.push_back(Row);
+  }
+
+  /// Runs until \p Condition holds.
+  template <typename Predicate> bool runUntil(Predicate Condition) {
+    const TimePoint End = BootClock::now() + Patience;
+    while (!Condition() && BootClock::now() < End)
+      m_context.run_one_for(Millis(20));
+    return Condition();
+  }
+
+  std::uint16_t freePort() {
+    asio::ip::tcp::acceptor Probe(m_context,
+                                  {asio::ip::address_v4::loopback(), 0});
+    return Probe.local_endpoint().port();
+  }
+
+  GatewayHost &addHost(int Number) {
+    if (m_peerPort == 0)
+      m_peerPort = freePort();
+    GatewaySettings Settings;
+    std::string Ip("127.0.0.");
+    Ip += std::to_string(Number + 1);
+    Settings.m_host = {Number == 0 ? "host-0" : "host-1", Ip, "zone-a",
+                       Number + 1, 20};
+    std::string Client(Ip);
+    Client += ":";
+    Client += std::to_string(freePort());
+    std::string Ready(Ip);
+    Ready += ":";
+    Ready += std::to_string(freePort());
+    Settings.m_clientAddress = Client;
+    Settings.m_readyAddress = Ready;
+    Settings.m_peerPort = m_peerPort;
+    Settings.m_headers = Headers;
+    m_addresses.push_back(parseEndpoint(Client).value());
+    m_hosts.push_back(std::make_unique<GatewayHost>(m_context.get_executor(),
+                                                    HostPolicy{}, Settings,
+                                                    m_store, m_keys, m_log));
+    EXPECT_FALSE(m_hosts.back()->start());
+    return *m_hosts.back();
+  }
+
+  void startAll(int Count = 1) {
+    for (int I = 0; I < Count; ++I)
+      addHost(I);
+    EXPECT_TRUE(runUntil([this] {
+      return std::all_of(m_hosts.begin(), m_hosts.end(),
+                         [](const auto &Item) { return Item->isReady(); });
+    }));
+  }
+
+  struct Answer {
+    bool m_isWhole = false;
+    unsigned m_status = 0;
+    std::string m_body;
+    http::response<http::string_body> m_head;
+  };
+
+  asio::awaitable<void> exchange(std::string Bytes, int Host,
+                                 std::shared_ptr<Answer> Out,
+                                 std::shared_ptr<bool> IsDone) {
+    boost::beast::tcp_stream Stream(m_context);
+    const auto [Error] =
+        co_await Stream.async_connect(m_addresses[Host], UseTuple);
+    if (!Error) {
+      co_await asio::async_write(Stream, asio::buffer(Bytes), UseTuple);
+      boost::beast::flat_buffer Buffer;
+      http::response_parser<http::string_body> Parser;
+      Parser.body_limit(boost::none);
+      const auto [ReadError, Count] =
+          co_await http::async_read(Stream, Buffer, Parser, UseTuple);
+      Out->m_isWhole = !ReadError;
+      Out->m_head = Parser.release();
+      Out->m_status = Out->m_head.result_int();
+      Out->m_body = Out->m_head.body();
+    }
+    *IsDone = true;
+  }
+
+  /// Sends \p Bytes on a new connection and returns the answer.
+  Answer send(const std::string &Bytes, int Host = 0) {
+    const std::shared_ptr<Answer> Out = std::make_shared<Answer>();
+    const std::shared_ptr<bool> IsDone = std::make_shared<bool>(false);
+    asio::co_spawn(m_context, exchange(Bytes, Host, Out, IsDone),
+                   asio::detached);
+    EXPECT_TRUE(runUntil([IsDone] { return *IsDone; }));
+    return *Out;
+  }
+
+  static std::string get(const std::string &Path,
+                         const std::string &More = "") {
+    std::string Out("GET ");
+    Out += Path;
+    Out += " HTTP/1.1\r\nHost: shop.example\r\nTest-Id: id-1\r\n"
+           "Test-Deadline: 15000\r\n";
+    Out += More;
+    Out += "\r\n";
+    return Out;
+  }
+
+  static std::string post(const std::string &Path, const std::string &Body) {
+    std::string Out("POST ");
+    Out += Path;
+    Out += " HTTP/1.1\r\nHost: shop.example\r\nTest-Id: id-1\r\n"
+           "Test-Deadline: 15000\r\nContent-Length: ";
+    Out += std::to_string(Body.size());
+    Out += "\r\n\r\n";
+    Out += Body;
+    return Out;
+  }
+
+  std::size_t webRequests() const {
+    return m_web[0].m_seen.size() + m_web[1].m_seen.size();
+  }
+
+  void setWeb(const ScriptedServer::Script &Script) {
+    for (ScriptedServer &Server : m_web)
+      Server.m_script = Script;
+  }
+
+  asio::io_context m_context{1};
+  const int m_null = ::open("/dev/null", O_WRONLY);
+  EventLog m_log{LogPolicy{}, "test", m_null};
+  FakeStore m_store;
+  FakeKeyServers m_keys;
+  std::array<ScriptedServer, 2> m_web{ScriptedServer(m_context),
+                                      ScriptedServer(m_context)};
+  std::array<ScriptedServer, 2> m_stock{ScriptedServer(m_context),
+                                        ScriptedServer(m_context)};
+  std::uint16_t m_peerPort = 0;
+  std::vector<Endpoint> m_addresses;
+  std::vector<std::unique_ptr<GatewayHost>> m_hosts;
+};
+
+TEST_F(GatewayHostTest, Request_ServerAnswers_IsRelayedUnchanged) {
+  startAll();
+  const Answer Got = send(get("/web/a?b=%20c", "X-Other: kept\r\n"));
+  EXPECT_EQ(Got.m_status, 200U);
+  EXPECT_EQ(Got.m_body, "hello");
+  EXPECT_EQ(Got.m_head["Test-Signature"], "s");
+  ASSERT_EQ(webRequests(), 1U);
+  const ScriptedServer &Used = m_web[0].m_seen.empty() ? m_web[1] : m_web[0];
+  EXPECT_EQ(Used.m_seen[0].m_target, "/web/a?b=%20c");
+  EXPECT_EQ(Used.m_seen[0].m_id, "id-1");
+  EXPECT_EQ(Used.m_seen[0].m_expected, &Used == &m_web[0] ? "web-0" : "web-1");
+  EXPECT_LE(std::stoi(Used.m_seen[0].m_deadline), 15000);
+}
+
+TEST_F(GatewayHostTest, Request_NoRoute_IsNotFound) {
+  startAll();
+  EXPECT_EQ(send(get("/none/")).m_status, 404U);
+}
+
+TEST_F(GatewayHostTest, Request_NoConfigurationYet_MayComeBack) {
+  m_store.m_configuration.m_version = 0;
+  addHost(0);
+  const Answer Got = send(get("/web/"));
+  EXPECT_EQ(Got.m_status, 503U);
+  EXPECT_FALSE(Got.m_head["Retry-After"].empty());
+}
+
+TEST_F(GatewayHostTest, Request_OneServerRefuses_TheOtherIsAsked) {
+  m_web[0].m_script = ScriptedServer::refuse;
+  startAll();
+  for (int I = 0; I < 3; ++I)
+    EXPECT_EQ(send(get("/web/")).m_status, 200U);
+}
+
+TEST_F(GatewayHostTest, UnsafeRequest_AllServersRefuse_IsSaidNotToHaveRun) {
+  setWeb(ScriptedServer::refuse);
+  startAll();
+  const Answer Got = send(post("/pay/", "card"));
+  EXPECT_EQ(Got.m_status, 503U);
+  EXPECT_FALSE(Got.m_head["Retry-After"].empty());
+  EXPECT_EQ(webRequests(), 2U);
+}
+
+TEST_F(GatewayHostTest, UnsafeRequest_ConnectionBreaks_IsNotSentAgain) {
+  setWeb([](ScriptedServer::Stream &,
+            const SeenRequest &) -> asio::awaitable<bool> { co_return false; });
+  startAll();
+  EXPECT_EQ(send(post("/pay/", "card")).m_status, 502U);
+  EXPECT_EQ(webRequests(), 1U);
+}
+
+TEST_F(GatewayHostTest, SafeRequest_AnswerIsTorn_IsSentAgain) {
+  m_web[0].m_script = [](ScriptedServer::Stream &To,
+                         const SeenRequest &Seen) -> asio::awaitable<bool> {
+    std::string Text = ScriptedServer::okText(Seen.m_id, "whole answer");
+    Text.resize(Text.size() - 3);
+    co_await ScriptedServer::send(To, std::move(Text));
+    co_return false;
+  };
+  startAll();
+  for (int I = 0; I < 3; ++I) {
+    const Answer Got = send(get("/web/"));
+    EXPECT_TRUE(Got.m_isWhole);
+    EXPECT_EQ(Got.m_body, "hello");
+  }
+}
+
+TEST_F(GatewayHostTest, Answer_AnotherRequestsComesFirst_OwnIsRelayed) {
+  setWeb([](ScriptedServer::Stream &To,
+            const SeenRequest &Seen) -> asio::awaitable<bool> {
+    std::string Text = ScriptedServer::okText("id-0", "not yours");
+    Text += ScriptedServer::okText(Seen.m_id, "yours");
+    co_return co_await ScriptedServer::send(To, std::move(Text));
+  });
+  startAll();
+  EXPECT_EQ(send(get("/web/")).m_body, "yours");
+}
+
+TEST_F(GatewayHostTest, Answer_SurplusBytes_ConnectionIsNotUsedAgain) {
+  setWeb([](ScriptedServer::Stream &To,
+            const SeenRequest &Seen) -> asio::awaitable<bool> {
+    std::string Text = ScriptedServer::okText(Seen.m_id, "yours");
+    Text += ScriptedServer::okText(Seen.m_id, "again");
+    co_return co_await ScriptedServer::send(To, std::move(Text));
+  });
+  startAll();
+  for (int I = 0; I < 3; ++I)
+    EXPECT_EQ(send(get("/web/")).m_body, "yours");
+  EXPECT_EQ(m_web[0].m_connections + m_web[1].m_connections, 3U);
+}
+
+TEST_F(GatewayHostTest, Answer_EndsWithItsConnection_IsWhole) {
+  setWeb([](ScriptedServer::Stream &To,
+            const SeenRequest &Seen) -> asio::awaitable<bool> {
+    std::string Text("HTTP/1.1 200 OK\r\nTest-Id: ");
+    Text += Seen.m_id;
+    Text += "\r\n\r\nunframed";
+    co_await ScriptedServer::send(To, std::move(Text));
+    boost::system::error_code Ignored;
+    To.socket().shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+    co_return false;
+  });
+  startAll();
+  const Answer Got = send(get("/web/"));
+  EXPECT_EQ(Got.m_body, "unframed");
+  EXPECT_TRUE(Got.m_isWhole);
+}
+
+// 503 promises that a request has not run; a server's own does not.
+TEST_F(GatewayHostTest,
+       UnsafeRequest_ServerFailsWith503_IsNotSaidNotToHaveRun) {
+  setWeb([](ScriptedServer::Stream &To,
+            const SeenRequest &Seen) -> asio::awaitable<bool> {
+    std::string Text("HTTP/1.1 503 Failed\r\nTest-Id: ");
+    Text += Seen.m_id;
+    Text += "\r\nContent-Length: 0\r\n\r\n";
+    co_return co_await ScriptedServer::send(To, std::move(Text));
+  });
+  startAll();
+  EXPECT_EQ(send(post("/pay/", "card")).m_status, 502U);
+  EXPECT_EQ(webRequests(), 1U);
+}
+
+TEST_F(GatewayHostTest, Request_BothBodyLengths_IsRefusedAndClosed) {
+  startAll();
+  const Answer Got =
+      send("POST /pay/ HTTP/1.1\r\nHost: shop.example\r\nTest-Id: id-1\r\n"
+           "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  EXPECT_EQ(Got.m_status, 400U);
+  EXPECT_EQ(Got.m_head[http::field::connection], "close");
+  EXPECT_EQ(webRequests(), 0U);
+}
+
+TEST_F(GatewayHostTest, Request_ChunkedBody_ArrivesWhole) {
+  startAll();
+  const Answer Got = send(
+      "POST /pay/ HTTP/1.1\r\nHost: shop.example\r\nTest-Id: id-1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  EXPECT_EQ(Got.m_status, 200U);
+  const ScriptedServer &Used = m_web[0].m_seen.empty() ? m_web[1] : m_web[0];
+  EXPECT_EQ(Used.m_seen[0].m_body, "abcde");
+}
+
+TEST_F(GatewayHostTest, Request_LongBodyAndAnswer_AreStreamedWhole) {
+  const std::string Long(3U << 20U, 'x');
+  setWeb([&Long](ScriptedServer::Stream &To,
+                 const SeenRequest &Seen) -> asio::awaitable<bool> {
+    std::string Text = ScriptedServer::okText(Seen.m_id, Long);
+    co_return co_await ScriptedServer::send(To, std::move(Text));
+  });
+  startAll();
+  const Answer Got = send(post("/pay/", Long));
+  EXPECT_TRUE(Got.m_isWhole);
+  EXPECT_EQ(Got.m_body.size(), Long.size());
+  const ScriptedServer &Used = m_web[0].m_seen.empty() ? m_web[1] : m_web[0];
+  EXPECT_EQ(Used.m_seen[0].m_body.size(), Long.size());
+}
+
+TEST_F(GatewayHostTest, Request_ServerIsSilent_RouteTimeoutIsAnswered) {
+  m_store.m_configuration.m_routes[1].m_timeout = Millis(200);
+  setWeb([](ScriptedServer::Stream &,
+            const SeenRequest &) -> asio::awaitable<bool> {
+    co_await sleepFor(Patience);
+    co_return false;
+  });
+  startAll();
+  EXPECT_EQ(send(post("/pay/", "card")).m_status, 504U);
+}
+
+TEST_F(GatewayHostTest, SafeRequest_ClientLeaves_ServerIsLeftToo) {
+  bool IsLeft = false;
+  setWeb([&IsLeft](ScriptedServer::Stream &To,
+                   const SeenRequest &) -> asio::awaitable<bool> {
+    std::string Rest(1, '\0');
+    const auto [Error, Count] =
+        co_await To.async_read_some(asio::buffer(Rest), UseTuple);
+    IsLeft = Error.failed();
+    co_return false;
+  });
+  startAll();
+  asio::ip::tcp::socket Client(m_context);
+  Client.connect(m_addresses[0]);
+  asio::write(Client, asio::buffer(get("/web/")));
+  ASSERT_TRUE(runUntil([this] { return webRequests() == 1; }));
+  Client.close();
+  EXPECT_TRUE(runUntil([&IsLeft] { return IsLeft; }));
+}
+
+TEST_F(GatewayHostTest, Stop_RequestIsRunning_IsAnsweredAndClosed) {
+  bool MayAnswer = false;
+  setWeb([&MayAnswer](ScriptedServer::Stream &To,
+                      const SeenRequest &Seen) -> asio::awaitable<bool> {
+    while (!MayAnswer)
+      co_await sleepFor(Millis(5));
+    co_return co_await ScriptedServer::answerOk(To, Seen);
+  });
+  startAll();
+  const std::shared_ptr<Answer> Got = std::make_shared<Answer>();
+  const std::shared_ptr<bool> IsDone = std::make_shared<bool>(false);
+  asio::co_spawn(m_context, exchange(get("/web/"), 0, Got, IsDone),
+                 asio::detached);
+  ASSERT_TRUE(runUntil([this] { return webRequests() == 1; }));
+  bool IsStopped = false;
+  m_hosts[0]->stop([&IsStopped] { IsStopped = true; });
+  EXPECT_FALSE(m_hosts[0]->isReady());
+  MayAnswer = true;
+  ASSERT_TRUE(runUntil([&] { return *IsDone && IsStopped; }));
+  EXPECT_EQ(Got->m_status, 200U);
+  EXPECT_EQ(Got->m_head[http::field::connection], "close");
+}
+
+TEST_F(GatewayHostTest, KeyedRequest_TwoHosts_GoesToTheHolder) {
+  startAll(2);
+  ASSERT_TRUE(runUntil([this] {
+    return send(get("/stock/", "Test-Key: 1\r\n")).m_status == 200;
+  }));
+  for (int Host = 0; Host < 2; ++Host)
+    EXPECT_EQ(send(get("/stock/", "Test-Key: 65535\r\n"), Host).m_status, 200U);
+  std::set<std::string> Holders;
+  for (const RangeRecord &Range : m_store.m_ownership.m_record.m_ranges)
+    Holders.insert(Range.m_owner.m_id);
+  EXPECT_EQ(Holders.size(), 2U);
+  EXPECT_FALSE(m_stock[0].m_seen.empty());
+  EXPECT_FALSE(m_stock[1].m_seen.empty());
+}
+
+TEST_F(GatewayHostTest, KeyedRequest_NoKey_IsBad) {
+  startAll();
+  EXPECT_EQ(send(get("/stock/")).m_status, 400U);
+  EXPECT_EQ(send(get("/stock/", "Test-Key: 65536\r\n")).m_status, 400U);
+}
+
+// A granter that was about to stop had moved keys after the next one had read
+// the record: its content was written over the newer one.
+TEST_F(GatewayHostTest, Takeover_RecordChangesAfterTheRead_NewerOneCounts) {
+  const OwnershipRecord Read{
+      4, "gone", 1, 0, {{0, 65535, {"stock-0", 1}, 70, {}, 0}}};
+  m_store.m_ownership = {Read, 9, 0};
+  m_store.m_onRead = [this] {
+    m_store.m_ownership.m_record.m_ranges[0] = {0,  65535, {"stock-1", 1},
+                                                71, {},    0};
+    m_store.m_ownership.m_version = 10;
+  };
+  startAll();
+  ASSERT_TRUE(runUntil([this] { return !m_keys.m_calls.empty(); }));
+  EXPECT_EQ(m_keys.m_calls[0].m_server.m_id, "stock-1");
+  EXPECT_FALSE(m_keys.m_calls[0].m_isRelease);
+}
+
+TEST_F(GatewayHostTest, StoreIsAway_RequestsAreServedOn) {
+  startAll();
+  ASSERT_EQ(send(get("/web/")).m_status, 200U);
+  m_store.m_isUp = false;
+  for (int I = 0; I < 5; ++I)
+    EXPECT_EQ(send(get("/web/")).m_status, 200U);
+}
+
+TEST(MayDispatchAgainTest, UnsafeRequest_MayHaveRun_Never) {
+  for (DispatchResult Result :
+       {DispatchResult::Broken, DispatchResult::TimedOut,
+        DispatchResult::Failed, DispatchResult::Withdrawn})
+    EXPECT_FALSE(mayDispatchAgain(RequestKind::Unsafe, Result, true, 1, 5));
+  EXPECT_FALSE(mayDispatchAgain(RequestKind::Unsafe, DispatchResult::Refused,
+                                true, 1, 5));
+  EXPECT_TRUE(mayDispatchAgain(RequestKind::Unsafe, DispatchResult::Refused,
+                               false, 1, 5));
+}
+
+TEST(MayDispatchAgainTest, SafeRequest_AttemptsUsed_NoMore) {
+  EXPECT_TRUE(
+      mayDispatchAgain(RequestKind::Safe, DispatchResult::Broken, true, 1, 2));
+  EXPECT_FALSE(
+      mayDispatchAgain(RequestKind::Safe, DispatchResult::Broken, true, 2, 2));
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
