--- a/include/tamarackdrum/gateway/ownership-keeper.h
+++ b/include/tamarackdrum/gateway/ownership-keeper.h
@@ -21,6 +21,9 @@
   /// A granter that has not reached the store for this long gives way to a
   /// host that can.
   Millis m_staleStore{1500};
+  /// A process that has just started hears the beats of the others first: the
+  /// granter among them, or that its old process has ended.
+  Millis m_startPause{1000};
   /// Pause after a failed takeover or write.
   Millis m_retryPause{400};
 
@@ -96,7 +99,7 @@
   bool m_isValidating = false;
   bool m_isWriting = false;
   TimePoint m_validatedAt{};
-  TimePoint m_nextTakeOver{};
+  TimePoint m_nextTakeOver;
   KeyMap m_published;
   std::uint64_t m_mapChanges = 0;
 };
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -226,11 +226,11 @@
     if (Item.m_record.m_from < Made.m_from || Item.m_record.m_to > Made.m_to)
       continue;
     const RangeRecord &Record = Item.m_record;
-    const bool IsMatch = Made.m_isRelease
-                             ? Record.m_previous == Made.m_server &&
-                                   Record.m_previousFence == Made.m_fence
-                             : Record.m_owner == Made.m_server &&
-                                   Record.m_fence == Made.m_fence;
+    const bool IsMatch =
+        Made.m_isRelease
+            ? Record.m_previous == Made.m_server &&
+                  Record.m_previousFence == Made.m_fence
+            : Record.m_owner == Made.m_server && Record.m_fence == Made.m_fence;
     if (IsMatch)
       Out.push_back(&Item);
   }
