Limit the grants on their way to one server

Ruled out: connections of requests, which are kept.

The test with 16 ranges fails before (16 calls) and passes after.

--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -62,6 +62,8 @@
   Millis m_takeOverTime{2500};
   /// A call that has no answer after this time has failed.
   Millis m_callTimeout{600};
+  /// Grants on their way to one server at most: each takes a connection.
+  std::size_t m_callsPerServer = 2;
   /// Releases wait for running work.
   Millis m_releaseTimeout{6000};
   /// Least time between two records, so that changes share a call.
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -431,6 +431,10 @@
            Item.m_record.m_previous.isNobody() &&
            findLife(Item.m_record.m_owner) != nullptr;
   };
+  std::map<std::string, std::size_t> Calling;
+  for (const auto &[Number, Item] : m_calls)
+    if (!Item.m_call.m_isRelease)
+      ++Calling[Item.m_call.m_server.m_id];
   for (std::size_t I = 0; I < m_ranges.size();) {
     Range &First = m_ranges[I];
     if (!IsReady(First)) {
@@ -445,7 +449,9 @@
       IsDue = IsDue || Now >= m_ranges[End].m_nextAt;
       ++End;
     }
-    if (IsDue) {
+    std::size_t &Busy = Calling[First.m_record.m_owner.m_id];
+    if (IsDue && Busy < m_policy.m_callsPerServer) {
+      ++Busy;
       GrantCall Made;
       Made.m_number = ++m_lastCall;
       Made.m_server = First.m_record.m_owner;
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -225,6 +225,29 @@
   EXPECT_EQ(m_calls[0].m_hold, m_policy.m_longestHold);
 }
 
+// A hundred ranges were renewed at once after a takeover, each on a connection
+// of its own.
+TEST_F(KeyGranterTest, Step_ManyRangesAreDue_FewCallsAtATime) {
+  OwnershipRecord Read{4, "h0", 5, 0, {}};
+  for (Key I = 0; I < 16; ++I) {
+    const Key From = static_cast<Key>(I * 4096);
+    Read.m_ranges.push_back(
+        makeRange(From, static_cast<Key>(From + 4095), "a", 70U + I));
+  }
+  takeOver(Read);
+  setServers({makeServer("a")});
+  EXPECT_TRUE(step().empty());
+  const std::vector<GrantCall> First = step();
+  EXPECT_EQ(First.size(), m_policy.m_callsPerServer);
+  EXPECT_TRUE(step().empty());
+  for (const GrantCall &Call : First)
+    m_subject.noteResult(Call.m_number, GrantResult::Done, "", m_now);
+  EXPECT_EQ(step().size(), m_policy.m_callsPerServer);
+  run(Millis(1000));
+  EXPECT_EQ(holderOf(0), "a");
+  EXPECT_EQ(holderOf(65535), "a");
+}
+
 TEST_F(KeyGranterTest, StepDown_WasGranter_NothingIsDone) {
   takeOver({});
   setServers({makeServer("a")});
