--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -28,7 +28,7 @@
   std::uint32_t m_link = 0;
   std::uint32_t m_number = 0;
 
-  auto operator<=>(const Ticket &) const = default;
+  auto operator<=>(const Ticket &) const = default; // NOLINT: generated code
 };
 
 /// A request that wants a slot.
