--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -1,8 +1,6 @@
 #include "fake-platform.h"
 
-#include <fcntl.h>
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 namespace tamarackdrum::gateway {
 namespace {
@@ -11,6 +9,8 @@
 
 /// Ends a wait for something that never happens; no verdict depends on it.
 constexpr Millis Patience{30000};
+/// A descriptor that takes no log lines.
+constexpr int NoOutput = -1;
 
 /// One or more hosts, two servers of the unkeyed service "web" and two of the
 /// keyed service "stock".
@@ -32,10 +32,7 @@
     Config.m_limits.m_bodyBytes = 16U << 20U;
   }
 
-  ~GatewayHostTest() override {
-    m_context.stop();
-    ::close(m_null);
-  }
+  ~GatewayHostTest() override { m_context.stop(); }
 
   static Route makeRoute(const char *Name, const char *Prefix, RequestKind Kind,
                          const char *Service) {
@@ -182,8 +179,7 @@
   }
 
   asio::io_context m_context{1};
-  const int m_null = ::open("/dev/null", O_WRONLY);
-  EventLog m_log{LogPolicy{}, "test", m_null};
+  EventLog m_log{LogPolicy{}, "test", NoOutput};
   FakeStore m_store;
   FakeKeyServers m_keys;
   std::array<ScriptedServer, 2> m_web{ScriptedServer(m_context),
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -63,7 +63,7 @@
     return m_subject.keyMap(m_now).holderOf(Value);
   }
 
-  const GrantPolicy m_policy;
+  const GrantPolicy m_policy{};
   KeyGranter m_subject{m_policy, "h1", 100};
   KeyLoad m_load;
   TimePoint m_now{std::chrono::seconds(100)};
--- a/test/gateway/key-placement-test.cc
+++ b/test/gateway/key-placement-test.cc
@@ -11,7 +11,7 @@
     return planKeyMoves(m_ranges, m_capacity, m_rates, m_policy);
   }
 
-  const PlacementPolicy m_policy;
+  const PlacementPolicy m_policy{};
   std::vector<PlacedRange> m_ranges{{{0, 32767, "a"}, true},
                                     {{32768, 65535, "b"}, true}};
   std::map<std::string, double> m_capacity{{"a", 10}, {"b", 10}};
--- a/test/gateway/retry-window-test.cc
+++ b/test/gateway/retry-window-test.cc
@@ -14,7 +14,7 @@
     return Out;
   }
 
-  const RetryPolicy m_policy;
+  const RetryPolicy m_policy{};
   RetryWindow m_subject{m_policy};
   TimePoint m_now{std::chrono::seconds(100)};
 };
--- a/test/gateway/roster-test.cc
+++ b/test/gateway/roster-test.cc
@@ -36,7 +36,7 @@
     return Out;
   }
 
-  const RosterPolicy m_policy;
+  const RosterPolicy m_policy{};
   Roster m_subject{m_policy, makeHost("h1")};
   TimePoint m_now{std::chrono::seconds(100)};
 };
