Drop suspended coroutines before what they refer to

Ruled out: a data race between workers (all reports name one thread); the machine's load (it repeats with the machine half idle).

--- a/src/app/tamarackd.cc
+++ b/src/app/tamarackd.cc
@@ -8,6 +8,7 @@
 #include "tamarackdrum/entry-host.h"
 #include "tamarackdrum/http-host-list.h"
 #include "tamarackdrum/http-table.h"
+#include "tamarackdrum/worker-context.h"
 
 #include <boost/asio.hpp>
 #include <boost/program_options.hpp>
@@ -131,7 +132,7 @@
 }
 
 int runDaemon(const Options &Line, const Settings &Config) {
-  asio::io_context Workers;
+  WorkerContext Workers;
   HttpClient PeerClient(HttpClientLimits{});
   HttpClient ServerClient(
       HttpClientLimits{ConnectionsPerServer, ConnectionsPerServer});
@@ -163,6 +164,7 @@
   const bool IsDrained = stopGracefully(*Host, Config.m_stopTimeout);
   Workers.stop();
   Threads.clear();
+  Workers.dropPending();
   SPDLOG_INFO("stopped drained={}", IsDrained);
   return IsDrained ? ExitGraceful : ExitCutOff;
 }
