--- a/include/tamarackdrum/gateway/gateway-metrics.h
+++ b/include/tamarackdrum/gateway/gateway-metrics.h
@@ -9,6 +9,7 @@
 
 #include <boost/histogram.hpp>
 #include <map>
+#include <string_view>
 #include <vector>
 
 namespace tamarackdrum::gateway {
@@ -27,9 +28,25 @@
   /// Records how long a request waited for a slot.
   void recordWait(const std::string &Service, Millis Time);
 
+  /// Adds a message of \p Kind, a string literal, to a peer in this zone or
+  /// in another one.
+  void countPeerMessage(std::string_view Kind, bool IsOtherZone,
+                        std::size_t Bytes);
+  /// Adds the bytes of one exchange with a backend server in this zone or in
+  /// another one.
+  void countServerBytes(const std::string &Service, bool IsOtherZone,
+                        std::size_t Bytes);
+
   std::string toText() const;
 
 private:
+  struct Volume {
+    std::uint64_t m_count = 0;
+    std::uint64_t m_bytes = 0;
+  };
+  template <typename Name>
+  using VolumeByZone = std::map<std::pair<Name, bool>, Volume>;
+
   using Axis = boost::histogram::axis::variable<double>;
   using Histogram =
       decltype(boost::histogram::make_histogram(std::declval<Axis>()));
@@ -43,6 +60,8 @@
 
   std::map<std::string, std::map<std::string, std::uint64_t>> m_counters;
   std::map<std::string, double> m_gauges;
+  VolumeByZone<std::string_view> m_peerMessages;
+  VolumeByZone<std::string> m_serverExchanges;
   Series m_latency;
   Series m_wait;
 };
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -128,6 +128,9 @@
                  StateRequest, StateMessage, CrashMessage, ListingMessage,
                  ConfigurationMessage>;
 
+/// Returns the name of the kind of message, for logs and metrics.
+const char *toText(const PeerMessage &Message) noexcept;
+
 /// Appends the encoding of \p Message to \p Out.
 void encode(const PeerMessage &Message, std::string &Out);
 
--- a/include/tamarackdrum/gateway/peer-network.h
+++ b/include/tamarackdrum/gateway/peer-network.h
@@ -6,6 +6,7 @@
 
 #include "tamarackdrum/gateway/connection.h"
 #include "tamarackdrum/gateway/event-log.h"
+#include "tamarackdrum/gateway/gateway-metrics.h"
 #include "tamarackdrum/gateway/peer-message.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -47,7 +48,7 @@
 public:
   PeerNetwork(boost::asio::any_io_executor Executor, PeerNetworkPolicy Policy,
               Roster &Hosts, std::uint16_t Port, EventLog &Log,
-              PeerEvents Events);
+              GatewayMetrics &Metrics, PeerEvents Events);
 
   /// Opens the ports. Errors: those of the system.
   std::error_code start();
@@ -78,6 +79,7 @@
     bool m_isConnected = false;
     bool m_isClosed = false;
     bool m_isWriting = false;
+    bool m_isOtherZone = false; ///< As far as is known of the peer.
     std::string m_queue;
   };
   using LinkPtr = std::shared_ptr<Link>;
@@ -89,6 +91,7 @@
   boost::asio::awaitable<void> writeLoop(LinkPtr Item);
   LinkPtr outgoing(const std::string &Host);
   void queue(const LinkPtr &Item, const PeerMessage &Message);
+  void setHost(Link &Item, const HostInfo &Peer) const;
   void close(const LinkPtr &Item, std::string_view Reason);
   void prepare(Link &Item) const;
 
@@ -97,6 +100,7 @@
   Roster &m_hosts;
   const std::uint16_t m_port;
   EventLog &m_log;
+  GatewayMetrics &m_metrics;
   const PeerEvents m_events;
   boost::asio::ip::tcp::acceptor m_acceptor;
   boost::asio::ip::udp::socket m_beats;
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -475,8 +475,12 @@
   const ServerEntry Chosen = *Server;
   Item->m_lastServer = Chosen.m_id;
   UpstreamRequest Request = makeRequest(Client, Item, Chosen);
+  const std::size_t SentBytes = Request.m_head.size() + Request.m_body.size();
   UpstreamReply Reply =
       co_await m_upstreams.run(std::move(Request), Item->m_control);
+  m_metrics.countServerBytes(Item->m_service->m_name,
+                             Chosen.m_zone != m_hosts.self().m_zone,
+                             SentBytes + Reply.m_body.size());
   m_slots.finish(Item->m_service->m_name, Taken, Reply.m_result, Reply.m_time);
   Item->m_lastResult = Reply.m_result;
   if (Reply.m_isSent)
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -59,7 +59,7 @@
       m_admission(Executor, AdmissionPolicy{}, dispatchPolicy(m_settings),
                   m_hosts, Log),
       m_network(Executor, PeerNetworkPolicy{}, m_hosts, m_settings.m_peerPort,
-                Log, peerEvents()),
+                Log, m_metrics, peerEvents()),
       m_edge(Executor, EdgePolicy{}, m_settings, m_admission, m_upstreams,
              m_poison, Log, m_metrics, m_hosts, edgeView()),
       m_readiness(Executor, [this](std::string_view) {
--- a/src/edge/gateway-metrics.cc
+++ b/src/edge/gateway-metrics.cc
@@ -48,6 +48,20 @@
   Item.m_sum += static_cast<double>(Time.count());
 }
 
+void GatewayMetrics::countPeerMessage(std::string_view Kind, bool IsOtherZone,
+                                      std::size_t Bytes) {
+  Volume &Item = m_peerMessages[{Kind, IsOtherZone}];
+  ++Item.m_count;
+  Item.m_bytes += Bytes;
+}
+
+void GatewayMetrics::countServerBytes(const std::string &Service,
+                                      bool IsOtherZone, std::size_t Bytes) {
+  Volume &Item = m_serverExchanges[{Service, IsOtherZone}];
+  ++Item.m_count;
+  Item.m_bytes += Bytes;
+}
+
 std::string GatewayMetrics::toText() const {
   std::string Out;
   const auto Add = std::back_inserter(Out);
@@ -58,6 +72,19 @@
                      Labels.empty() ? "" : "{", Labels,
                      Labels.empty() ? "" : "}", Value);
   }
+  const auto AddVolumes = [&](const char *Name, const char *Label,
+                              const auto &Items) {
+    for (const char *What : {"count", "bytes"}) {
+      fmt::format_to(Add, "# TYPE {}{}_{} counter\n", Prefix, Name, What);
+      for (const auto &[Key, Item] : Items)
+        fmt::format_to(Add, "{}{}_{}{{{}=\"{}\",zone=\"{}\"}} {}\n", Prefix,
+                       Name, What, Label, Key.first,
+                       Key.second ? "other" : "own",
+                       *What == 'c' ? Item.m_count : Item.m_bytes);
+    }
+  };
+  AddVolumes("peer_messages", "message", m_peerMessages);
+  AddVolumes("server_exchanges", "service", m_serverExchanges);
   for (const auto &[Name, Value] : m_gauges)
     fmt::format_to(Add, "# TYPE {0}{1} gauge\n{0}{1} {2}\n", Prefix, Name,
                    Value);
--- a/src/edge/peer-network.cc
+++ b/src/edge/peer-network.cc
@@ -27,9 +27,10 @@
 
 PeerNetwork::PeerNetwork(asio::any_io_executor Executor,
                          PeerNetworkPolicy Policy, Roster &Hosts,
-                         std::uint16_t Port, EventLog &Log, PeerEvents Events)
+                         std::uint16_t Port, EventLog &Log,
+                         GatewayMetrics &Metrics, PeerEvents Events)
     : m_executor(std::move(Executor)), m_policy(Policy), m_hosts(Hosts),
-      m_port(Port), m_log(Log), m_events(std::move(Events)),
+      m_port(Port), m_log(Log), m_metrics(Metrics), m_events(std::move(Events)),
       m_acceptor(m_executor), m_beats(m_executor) {}
 
 std::error_code PeerNetwork::start() {
@@ -138,7 +139,7 @@
     return nullptr;
   const LinkPtr Item = std::make_shared<Link>(tcp::socket(m_executor));
   Item->m_id = ++m_lastLink;
-  Item->m_host = Host;
+  setHost(*Item, *Info);
   Item->m_isOutgoing = true;
   m_links[Item->m_id] = Item;
   m_outgoing[Host] = Item;
@@ -188,7 +189,7 @@
     }
     for (PeerMessage &Message : Messages.value()) {
       if (const HelloMessage *Hello = std::get_if<HelloMessage>(&Message))
-        Item->m_host = Hello->m_host.m_name;
+        setHost(*Item, Hello->m_host);
       if (Item->m_host.empty()) {
         close(Item, "no hello");
         co_return;
@@ -213,10 +214,18 @@
   Item->m_isWriting = false;
 }
 
+void PeerNetwork::setHost(Link &Item, const HostInfo &Peer) const {
+  Item.m_host = Peer.m_name;
+  Item.m_isOtherZone = Peer.m_zone != m_hosts.self().m_zone;
+}
+
 void PeerNetwork::queue(const LinkPtr &Item, const PeerMessage &Message) {
   if (Item->m_isClosed)
     return;
+  const std::size_t Before = Item->m_queue.size();
   encode(Message, Item->m_queue);
+  m_metrics.countPeerMessage(toText(Message), Item->m_isOtherZone,
+                             Item->m_queue.size() - Before);
   if (Item->m_queue.size() > m_policy.m_queueBytes) {
     close(Item, "peer does not read");
     return;
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -2,6 +2,7 @@
 
 #include "tamarackdrum/error.h"
 
+#include <array>
 #include <nlohmann/json.hpp>
 
 namespace tamarackdrum::gateway {
@@ -264,8 +265,18 @@
   return Length;
 }
 
+/// Names of the alternatives of PeerMessage, in their order.
+constexpr std::array<const char *, std::variant_size_v<PeerMessage>> KindNames{
+    "hello",    "ask",     "queued",       "decision",      "finish",
+    "withdraw", "key-map", "not-held",     "state-request", "state",
+    "crash",    "listing", "configuration"};
+
 } // namespace
 
+const char *toText(const PeerMessage &Message) noexcept {
+  return KindNames[Message.index()];
+}
+
 void encode(const PeerMessage &Message, std::string &Out) {
   const Json Content =
       std::visit([](const auto &Value) { return pack(Value); }, Message);
