Send key maps and listings as changes; drop servers after a calm; refuse late requests of a stop

After 2.5 s of calm the next change looked like the end of an outage, and a server that had left was kept for the grace.

Ruled out: slow reads of the store (the reader dropped the server 160 ms after the store had acknowledged it).

Change: ListingSource and ListingSink pass on what has changed; each listing is applied; KeyMapChange likewise, whole on request. Requests are refused as not run from 2.9 s after the stop signal.

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -62,6 +62,9 @@
   void setServers(const std::map<std::string, ServerEntry> &Servers);
   /// Takes the holders of the keys of a service, if they are news.
   bool setKeyMap(const std::string &Service, const KeyMap &Map);
+  /// Takes a change of them. Returns false if it builds on a map that this
+  /// host has not got.
+  bool changeKeyMap(const std::string &Service, const KeyMapChange &Change);
   void setServices(const std::vector<std::string> &Names);
 
   // Messages of other hosts.
--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -61,6 +61,8 @@
 
   /// Answers with "Connection: close" from now on.
   void beginDrain() { m_isDraining = true; }
+  /// Refuses requests that arrive from now on.
+  void refuseNew() { m_isRefusing = true; }
   /// Refuses the requests that wait for a slot: they may come back elsewhere.
   void refuseWaiting();
   /// Takes no new connections and closes those without a request.
@@ -122,6 +124,7 @@
   std::size_t m_active = 0;
   std::size_t m_heldBytes = 0;
   bool m_isDraining = false;
+  bool m_isRefusing = false;
   std::map<std::string, Millis> m_fullDeadlines; ///< Longest seen, by route.
 };
 
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_GATEWAY_GATEWAY_HOST_H
 
 #include "tamarackdrum/gateway/edge-server.h"
+#include "tamarackdrum/gateway/listing-feed.h"
 #include "tamarackdrum/gateway/ownership-keeper.h"
 #include "tamarackdrum/gateway/text-server.h"
 
@@ -31,6 +32,10 @@
   Millis m_tickEvery{40};
   Millis m_beatEvery{100}; ///< How often due beats are looked for.
   Millis m_flushEvery{200};
+  /// From the stop signal until further requests are refused: clients that
+  /// keep their connection may have sent one just before they learn of it, and
+  /// a later one might not end in time.
+  Millis m_stopTaking{2900};
   /// From the stop signal until idle connections are closed: the platform
   /// needs two misses of a question a second to send no new ones.
   Millis m_stopListening{3300};
@@ -40,6 +45,7 @@
   Millis m_refuseMargin{400};
   /// For last calls, at the very end.
   Millis m_leaveTime{120};
+  DirectoryPolicy m_directory;
 
   bool operator==(const HostPolicy &) const = default;
 };
@@ -59,6 +65,8 @@
   /// Returns whether clients should be sent here.
   bool isReady() const;
 
+  std::size_t knownServers() const { return m_directory.entries().size(); }
+
 private:
   boost::asio::awaitable<void> enter();
   boost::asio::awaitable<void> readConfigurationLoop();
@@ -85,9 +93,11 @@
   Millis storeLost() const; ///< Since the last good read, if one has failed.
   bool isReader() const;    ///< Reads the store for the other hosts, too.
   void shareListing(TimePoint AskedAt, const std::vector<ServerRow> &Rows);
-  ListingMessage makeListing(TimePoint AskedAt, bool HasRows) const;
-  void onListing(std::uint32_t Link, const ListingMessage &Listing);
-  void pushTo(std::uint32_t Link);
+  void setAges(ListingMessage &News) const;
+  void onListing(std::uint32_t Link, const std::string &Host,
+                 const ListingMessage &Listing);
+  void pushTo(std::uint32_t Link, const StateRequest &Needed);
+  void sendKeyMap(std::uint32_t Link, const std::string &Service);
   Millis storeGood() const; ///< Span of good reads up to the last one.
   PeerEvents peerEvents();
   EdgeServer::View edgeView();
@@ -114,13 +124,12 @@
   std::string m_configurationText;
   std::map<std::string, std::unique_ptr<OwnershipKeeper>> m_keepers;
   std::set<std::pair<std::uint64_t, std::string>> m_crashes;
-  std::vector<ServerRow> m_rows; ///< As last read by this host.
-  std::uint64_t m_rowsVersion = 0;
+  ListingSource m_listings; ///< As last read by this host.
   TimePoint m_rowsAskedAt{};
   TimePoint
       m_listingAt{}; ///< When the last listing was asked for, by whom ever.
-  TimePoint m_configurationAt{};    ///< The configuration was the newest then.
-  std::uint64_t m_heardVersion = 0; ///< Rows of the reader, as last applied.
+  TimePoint m_configurationAt{}; ///< The configuration was the newest then.
+  std::map<std::string, ListingSink> m_heard; ///< By reader.
   TimePoint m_storeGoodAt{};
   TimePoint m_storeGoodSince{}; ///< Begin of the span without a failure.
   bool m_isStoreLost = false;
--- a/include/tamarackdrum/gateway/key-map.h
+++ b/include/tamarackdrum/gateway/key-map.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace tamarackdrum::gateway {
@@ -55,6 +56,26 @@
   std::vector<KeyHolding> m_holdings;
 };
 
+/// What turns one map of holders into the next.
+struct KeyMapChange {
+  std::uint64_t m_base = 0; ///< Version that it changes; 0: it is a whole map.
+  std::uint64_t m_version = 0;
+  std::vector<KeyHolding> m_holdings; ///< Sorted; where the holder differs.
+
+  bool operator==(const KeyMapChange &) const = default;
+};
+
+/// Returns \p Map as a change that needs no earlier map.
+KeyMapChange wholeMap(const KeyMap &Map);
+
+/// Returns what turns \p Old into \p Next.
+KeyMapChange changeBetween(const KeyMap &Old, const KeyMap &Next);
+
+/// Returns the map that \p Change leads to, or nothing if it does not build on
+/// \p Old.
+std::optional<KeyMap> applyChange(const KeyMap &Old,
+                                  const KeyMapChange &Change);
+
 /// Decaying rate of arrivals for each key.
 class KeyLoad {
 public:
--- /dev/null
+++ b/include/tamarackdrum/gateway/listing-feed.h
@@ -0,0 +1,52 @@
+/// \file
+/// Passes the server registry on from the host that reads the store to the
+/// others, as changes of what they have.
+
+#ifndef TAMARACKDRUM_GATEWAY_LISTING_FEED_H
+#define TAMARACKDRUM_GATEWAY_LISTING_FEED_H
+
+#include "tamarackdrum/gateway/peer-message.h"
+
+#include <map>
+
+namespace tamarackdrum::gateway {
+
+/// The reader's side.
+class ListingSource {
+public:
+  /// \p Life, Unix ms, keeps the versions of different processes apart.
+  explicit ListingSource(std::int64_t Life)
+      : m_version(static_cast<std::uint64_t>(Life) << VersionBits) {}
+
+  /// Takes the rows of a read, and returns what has changed since the read
+  /// before. Ages and the configuration's version are left to the caller.
+  ListingMessage update(const std::vector<ServerRow> &Rows);
+
+  /// Returns all rows of the last read.
+  ListingMessage whole() const;
+
+  bool hasRows() const { return m_hasRows; }
+
+private:
+  static constexpr unsigned VersionBits = 20;
+
+  std::uint64_t m_version;
+  std::map<std::string, ServerRow> m_rows;
+  bool m_hasRows = false;
+};
+
+/// The side of the other hosts, for one reader.
+class ListingSink {
+public:
+  /// Takes a message and returns the rows that it leads to, or nothing if it
+  /// builds on rows that this host has not got: it must ask for all of them.
+  std::optional<std::vector<ServerRow>> apply(const ListingMessage &News);
+
+private:
+  std::uint64_t m_version = 0;
+  std::map<std::string, ServerRow> m_rows;
+};
+
+} // namespace tamarackdrum::gateway
+
+#endif // TAMARACKDRUM_GATEWAY_LISTING_FEED_H
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -65,10 +65,10 @@
   bool operator==(const WithdrawMessage &) const = default;
 };
 
-/// Holders of the keys of a service.
+/// Holders of the keys of a service: all, or those that have changed.
 struct KeyMapMessage {
   std::string m_service;
-  KeyMap m_map;
+  KeyMapChange m_change;
 
   bool operator==(const KeyMapMessage &) const = default;
 };
@@ -81,12 +81,23 @@
   bool operator==(const NotHeldMessage &) const = default;
 };
 
-/// Asks a peer for what it knows, when the store cannot be read.
+/// Asks the granter for all holders of the keys of a service.
+struct KeyMapRequest {
+  std::string m_service;
+
+  bool operator==(const KeyMapRequest &) const = default;
+};
+
+/// Asks a peer for what it knows of the store's content.
 struct StateRequest {
+  bool m_needsConfiguration = true;
+  bool m_needsServers = true;
+
   bool operator==(const StateRequest &) const = default;
 };
 
-/// The configuration as the store holds it, and the server directory.
+/// The configuration as the store holds it, and the server directory, from a
+/// host that does not read the store at present.
 struct StateMessage {
   std::string m_configuration; ///< Empty if there is none.
   std::vector<ServerEntry> m_servers;
@@ -106,11 +117,13 @@
 /// that the other hosts need not read, too.
 struct ListingMessage {
   std::uint64_t m_version = 0;     ///< Grows when the rows change.
+  std::uint64_t m_base = 0;        ///< Version that the rows change; 0: none.
   std::uint32_t m_ageMs = 0;       ///< Since the read was asked for.
   std::uint32_t m_configAgeMs = 0; ///< Since the configuration was known.
   std::uint64_t m_configVersion = 0;
-  bool m_hasRows = false; ///< Otherwise they are those of m_version.
-  std::vector<ServerRow> m_rows;
+  bool m_hasRows = false;        ///< Otherwise they are those of m_version.
+  std::vector<ServerRow> m_rows; ///< New and changed ones.
+  std::vector<std::string> m_removed; ///< Ids of those that are gone.
 
   bool operator==(const ListingMessage &) const = default;
 };
@@ -125,8 +138,8 @@
 using PeerMessage =
     std::variant<HelloMessage, AskMessage, QueuedMessage, DecisionMessage,
                  FinishMessage, WithdrawMessage, KeyMapMessage, NotHeldMessage,
-                 StateRequest, StateMessage, CrashMessage, ListingMessage,
-                 ConfigurationMessage>;
+                 KeyMapRequest, StateRequest, StateMessage, CrashMessage,
+                 ListingMessage, ConfigurationMessage>;
 
 /// Returns the name of the kind of message, for logs and metrics.
 const char *toText(const PeerMessage &Message) noexcept;
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -202,6 +202,18 @@
   return true;
 }
 
+bool Admission::changeKeyMap(const std::string &Service,
+                             const KeyMapChange &Change) {
+  const KeyMap &Known = keyMap(Service);
+  if (Change.m_version <= Known.version())
+    return true;
+  const std::optional<KeyMap> Next = applyChange(Known, Change);
+  if (!Next)
+    return false;
+  setKeyMap(Service, *Next);
+  return true;
+}
+
 const KeyMap &Admission::keyMap(const std::string &Service) const {
   static const KeyMap None;
   const auto Found = m_keyMaps.find(Service);
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -373,6 +373,10 @@
   const bool IsRead = co_await readBody(Client, Item);
   if (!IsRead)
     co_return;
+  if (m_isRefusing) {
+    co_await answer(Client, Item, 503, "stopping", StoppingRetryAfter);
+    co_return;
+  }
   if (Item->m_table == nullptr) {
     co_await answer(Client, Item, 503, "no configuration", Millis(1000));
     co_return;
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -55,17 +55,20 @@
     : m_executor(Executor), m_policy(Policy), m_settings(std::move(Settings)),
       m_store(Store), m_keyServers(Servers), m_log(Log),
       m_poison(poisonPolicy()), m_hosts(RosterPolicy{}, m_settings.m_host),
-      m_pool(PoolPolicy{}), m_upstreams(m_pool, m_settings.m_headers),
+      m_directory(Policy.m_directory), m_pool(PoolPolicy{}),
+      m_upstreams(m_pool, m_settings.m_headers),
       m_admission(Executor, AdmissionPolicy{}, dispatchPolicy(m_settings),
                   m_hosts, Log),
       m_network(Executor, PeerNetworkPolicy{}, m_hosts, m_settings.m_peerPort,
                 Log, m_metrics, peerEvents()),
       m_edge(Executor, EdgePolicy{}, m_settings, m_admission, m_upstreams,
              m_poison, Log, m_metrics, m_hosts, edgeView()),
-      m_readiness(Executor, [this](std::string_view) {
-        return isReady() ? TextAnswer{200, "ready\n"}
-                         : TextAnswer{503, "not ready\n"};
-      }) {
+      m_readiness(Executor,
+                  [this](std::string_view) {
+                    return isReady() ? TextAnswer{200, "ready\n"}
+                                     : TextAnswer{503, "not ready\n"};
+                  }),
+      m_listings(m_settings.m_host.m_life) {
   m_admission.setNetwork(m_network);
 }
 
@@ -276,7 +279,6 @@
       continue;
     }
     m_listingAt = AskedAt;
-    m_heardVersion = 0;
     applyServers(
         m_directory.applyListing(Rows.value(), AskedAt, BootClock::now()),
         true);
@@ -286,74 +288,65 @@
 
 void GatewayHost::shareListing(TimePoint AskedAt,
                                const std::vector<ServerRow> &Rows) {
-  // Reports that differ in their number or in the cold time left are no news.
-  const auto Stripped = [](std::vector<ServerRow> Items) {
-    for (ServerRow &Row : Items) {
-      Row.m_entry.m_report = 0;
-      Row.m_entry.m_coldLeft = Millis(Row.m_entry.m_coldLeft.count() > 0);
-    }
-    return Items;
-  };
-  const bool IsNews = Stripped(Rows) != Stripped(m_rows);
-  m_rows = Rows;
   m_rowsAskedAt = AskedAt;
-  if (IsNews || m_rowsVersion == 0)
-    ++m_rowsVersion;
-  if (isReader())
-    m_network.broadcast(makeListing(AskedAt, IsNews));
+  ListingMessage News = m_listings.update(Rows);
+  if (!isReader())
+    return;
+  setAges(News);
+  m_network.broadcast(News);
 }
 
-ListingMessage GatewayHost::makeListing(TimePoint AskedAt, bool HasRows) const {
+void GatewayHost::setAges(ListingMessage &News) const {
   const TimePoint Now = BootClock::now();
   const auto AgeMs = [Now](TimePoint Since) {
     return static_cast<std::uint32_t>(std::min<std::int64_t>(
         std::chrono::duration_cast<Millis>(Now - Since).count(), INT32_MAX));
   };
-  ListingMessage Out;
-  // Versions of different lives of readers must differ.
-  Out.m_version = (static_cast<std::uint64_t>(m_hosts.self().m_life) << 20U) +
-                  m_rowsVersion;
-  Out.m_ageMs = AgeMs(AskedAt);
-  Out.m_configAgeMs = AgeMs(m_configurationAt);
-  Out.m_configVersion =
+  News.m_ageMs = AgeMs(m_rowsAskedAt);
+  News.m_configAgeMs = AgeMs(m_configurationAt);
+  News.m_configVersion =
       m_routes == nullptr ? 0 : m_routes->configuration().m_version;
-  Out.m_hasRows = HasRows;
-  if (HasRows)
-    Out.m_rows = m_rows;
-  return Out;
 }
 
-void GatewayHost::onListing(std::uint32_t Link, const ListingMessage &Listing) {
+void GatewayHost::onListing(std::uint32_t Link, const std::string &Host,
+                            const ListingMessage &Listing) {
   const TimePoint Now = BootClock::now();
   const std::uint64_t Own =
       m_routes == nullptr ? 0 : m_routes->configuration().m_version;
-  if (Listing.m_configVersion >= Own && Listing.m_configVersion > 0) {
-    if (Listing.m_configVersion > Own)
-      m_network.reply(Link, StateRequest{});
-    else
-      m_configurationAt =
-          std::max(m_configurationAt, Now - Millis(Listing.m_configAgeMs));
-  }
+  const std::optional<std::vector<ServerRow>> Rows =
+      m_heard[Host].apply(Listing);
+  const StateRequest Needed{Listing.m_configVersion > Own, !Rows};
+  if (Needed.m_needsConfiguration || Needed.m_needsServers)
+    m_network.reply(Link, Needed);
+  if (Listing.m_configVersion == Own && Own > 0)
+    m_configurationAt =
+        std::max(m_configurationAt, Now - Millis(Listing.m_configAgeMs));
   const TimePoint AskedAt = Now - Millis(Listing.m_ageMs);
-  if (!Listing.m_hasRows && Listing.m_version != m_heardVersion) {
-    m_network.reply(Link, StateRequest{}); // Rows were missed.
-    return;
-  }
-  if (AskedAt < m_listingAt)
+  if (!Rows || AskedAt < m_listingAt)
     return;
   m_listingAt = AskedAt;
-  if (!Listing.m_hasRows)
-    return;
-  m_heardVersion = Listing.m_version;
-  applyServers(m_directory.applyListing(Listing.m_rows, AskedAt, Now), true);
-}
-
-void GatewayHost::pushTo(std::uint32_t Link) {
-  if (!isReader() || m_rowsVersion == 0)
+  applyServers(m_directory.applyListing(*Rows, AskedAt, Now),
+               Listing.m_hasRows);
+}
+
+void GatewayHost::pushTo(std::uint32_t Link, const StateRequest &Needed) {
+  if (!isReader() || !m_listings.hasRows()) {
+    StateMessage Known;
+    if (Needed.m_needsConfiguration)
+      Known.m_configuration = m_configurationText;
+    if (Needed.m_needsServers)
+      for (const auto &[Id, Entry] : m_directory.entries())
+        Known.m_servers.push_back(Entry);
+    m_network.reply(Link, Known);
     return;
-  if (!m_configurationText.empty())
+  }
+  if (Needed.m_needsConfiguration && !m_configurationText.empty())
     m_network.reply(Link, ConfigurationMessage{m_configurationText});
-  m_network.reply(Link, makeListing(m_rowsAskedAt, true));
+  if (!Needed.m_needsServers)
+    return;
+  ListingMessage Whole = m_listings.whole();
+  setAges(Whole);
+  m_network.reply(Link, Whole);
 }
 
 void GatewayHost::applyConfiguration(const ReadConfiguration &Read,
@@ -423,8 +416,9 @@
     return m_admission.hub().dispatcher(Service, BootClock::now()).keyLoad();
   };
   View.m_onKeyMap = [this, Service](const KeyMap &Map) {
+    const KeyMapChange Change = changeBetween(m_admission.keyMap(Service), Map);
     if (m_admission.setKeyMap(Service, Map))
-      m_network.broadcast(KeyMapMessage{Service, Map});
+      m_network.broadcast(KeyMapMessage{Service, Change});
   };
   std::unique_ptr<OwnershipKeeper> Made = std::make_unique<OwnershipKeeper>(
       m_executor, Service, KeeperPolicy{}, GrantPolicy{}, m_store, m_keyServers,
@@ -432,6 +426,11 @@
   return *m_keepers.emplace(Service, std::move(Made)).first->second;
 }
 
+void GatewayHost::sendKeyMap(std::uint32_t Link, const std::string &Service) {
+  m_network.reply(
+      Link, KeyMapMessage{Service, wholeMap(m_admission.keyMap(Service))});
+}
+
 void GatewayHost::updateCoordinators() {
   if (m_routes == nullptr)
     return;
@@ -503,11 +502,11 @@
                             PeerMessage &Message) {
   if (const auto *Hello = std::get_if<HelloMessage>(&Message)) {
     m_admission.onHello(Link, *Hello);
-    pushTo(Link);
+    if (isReader() && m_listings.hasRows())
+      pushTo(Link, StateRequest{});
     for (const auto &[Service, Keeper] : m_keepers)
       if (Keeper->isGranter())
-        m_network.reply(Link,
-                        KeyMapMessage{Service, m_admission.keyMap(Service)});
+        sendKeyMap(Link, Service);
   } else if (auto *Ask = std::get_if<AskMessage>(&Message)) {
     const std::optional<HostInfo> Peer = m_hosts.find(Host);
     m_admission.onAsk(Link, Peer ? Peer->m_zone : "", *Ask);
@@ -520,18 +519,16 @@
   } else if (const auto *Withdraw = std::get_if<WithdrawMessage>(&Message)) {
     m_admission.onWithdraw(Link, *Withdraw);
   } else if (const auto *Keys = std::get_if<KeyMapMessage>(&Message)) {
-    m_admission.setKeyMap(Keys->m_service, Keys->m_map);
+    if (!m_admission.changeKeyMap(Keys->m_service, Keys->m_change))
+      m_network.reply(Link, KeyMapRequest{Keys->m_service});
+  } else if (const auto *Wanted = std::get_if<KeyMapRequest>(&Message)) {
+    sendKeyMap(Link, Wanted->m_service);
   } else if (const auto *NotHeld = std::get_if<NotHeldMessage>(&Message)) {
     const auto Keeper = m_keepers.find(NotHeld->m_service);
     if (Keeper != m_keepers.end())
       Keeper->second->noteNotHeld(NotHeld->m_key);
-  } else if (std::holds_alternative<StateRequest>(Message)) {
-    StateMessage Reply;
-    Reply.m_configuration = m_configurationText;
-    for (const auto &[Id, Entry] : m_directory.entries())
-      Reply.m_servers.push_back(Entry);
-    m_network.reply(Link, Reply);
-    pushTo(Link);
+  } else if (const auto *Needed = std::get_if<StateRequest>(&Message)) {
+    pushTo(Link, *Needed);
   } else if (const auto *State = std::get_if<StateMessage>(&Message)) {
     const Result<ReadConfiguration> Read =
         m_store.decodeConfiguration(State->m_configuration);
@@ -539,7 +536,7 @@
       applyConfiguration(Read.value(), "peer " + Host);
     applyServers(m_directory.adopt(State->m_servers));
   } else if (const auto *Listing = std::get_if<ListingMessage>(&Message)) {
-    onListing(Link, *Listing);
+    onListing(Link, Host, *Listing);
   } else if (const auto *News = std::get_if<ConfigurationMessage>(&Message)) {
     const Result<ReadConfiguration> Read =
         m_store.decodeConfiguration(News->m_text);
@@ -581,8 +578,7 @@
                      static_cast<double>(m_edge.activeRequests()));
   m_metrics.setGauge("client_connections",
                      static_cast<double>(m_edge.connections()));
-  m_metrics.setGauge("known_servers",
-                     static_cast<double>(m_directory.entries().size()));
+  m_metrics.setGauge("known_servers", static_cast<double>(knownServers()));
   m_metrics.setGauge("store_lost_ms", static_cast<double>(storeLost().count()));
   m_metrics.setGauge("upstream_connections_opened",
                      static_cast<double>(m_pool.opened()));
@@ -617,7 +613,9 @@
 GatewayHost::stopSequence(std::function<void()> OnStopped) {
   const TimePoint End =
       BootClock::now() + m_settings.m_stopTimeout - m_policy.m_stopMargin;
-  co_await sleepFor(m_policy.m_stopListening);
+  co_await sleepFor(m_policy.m_stopTaking);
+  m_edge.refuseNew();
+  co_await sleepFor(m_policy.m_stopListening - m_policy.m_stopTaking);
   m_edge.closeIdle();
   while (BootClock::now() < End &&
          (m_edge.activeRequests() > 0 || m_edge.connections() > 0)) {
--- a/src/gateway/key-map.cc
+++ b/src/gateway/key-map.cc
@@ -11,8 +11,68 @@
 /// Shortest span between two decays; bounds the work on each arrival.
 constexpr Millis DecayStep{200};
 
+/// Appends keys to a sorted list; equal neighbours become one.
+void append(std::vector<KeyHolding> &Out, const KeyHolding &Added) {
+  if (!Out.empty() && Out.back().m_to + 1 == Added.m_from &&
+      Out.back().m_server == Added.m_server)
+    Out.back().m_to = Added.m_to;
+  else
+    Out.push_back(Added);
+}
+
+/// Appends the part of \p Holdings from \p From to before \p End.
+void appendPart(std::vector<KeyHolding> &Out,
+                const std::vector<KeyHolding> &Holdings, std::uint32_t From,
+                std::uint32_t End) {
+  for (const KeyHolding &Item : Holdings) {
+    const std::uint32_t First = std::max<std::uint32_t>(From, Item.m_from);
+    const std::uint32_t Next = std::min<std::uint32_t>(End, Item.m_to + 1U);
+    if (First < Next)
+      append(Out, {static_cast<Key>(First), static_cast<Key>(Next - 1),
+                   Item.m_server});
+  }
+}
+
 } // namespace
 
+KeyMapChange wholeMap(const KeyMap &Map) {
+  return {0, Map.version(), Map.holdings()};
+}
+
+KeyMapChange changeBetween(const KeyMap &Old, const KeyMap &Next) {
+  if (Old.holdings().empty())
+    return wholeMap(Next);
+  KeyMapChange Out{Old.version(), Next.version(), {}};
+  auto Before = Old.holdings().begin();
+  for (const KeyHolding &Item : Next.holdings()) {
+    while (Before != Old.holdings().end() && Before->m_to < Item.m_from)
+      ++Before;
+    for (auto At = Before;
+         At != Old.holdings().end() && At->m_from <= Item.m_to; ++At)
+      if (At->m_server != Item.m_server)
+        append(Out.m_holdings, {std::max(At->m_from, Item.m_from),
+                                std::min(At->m_to, Item.m_to), Item.m_server});
+  }
+  return Out;
+}
+
+std::optional<KeyMap> applyChange(const KeyMap &Old,
+                                  const KeyMapChange &Change) {
+  if (Change.m_base == 0)
+    return KeyMap(Change.m_version, Change.m_holdings);
+  if (Change.m_base != Old.version())
+    return std::nullopt;
+  std::vector<KeyHolding> Holdings;
+  std::uint32_t Done = 0;
+  for (const KeyHolding &Item : Change.m_holdings) {
+    appendPart(Holdings, Old.holdings(), Done, Item.m_from);
+    append(Holdings, Item);
+    Done = Item.m_to + 1U;
+  }
+  appendPart(Holdings, Old.holdings(), Done, KeyCount);
+  return KeyMap(Change.m_version, std::move(Holdings));
+}
+
 const std::string &KeyMap::holderOf(Key Value) const {
   static const std::string Nobody;
   const auto After = std::upper_bound(
--- /dev/null
+++ b/src/gateway/listing-feed.cc
@@ -0,0 +1,75 @@
+#include "tamarackdrum/gateway/listing-feed.h"
+
+namespace tamarackdrum::gateway {
+namespace {
+
+/// Returns whether \p Next is no news: reports that differ in their number or
+/// in the cold time left change nothing.
+bool isSame(const ServerRow &Old, const ServerRow &Next) {
+  ServerRow Comparable = Next;
+  Comparable.m_entry.m_report = Old.m_entry.m_report;
+  if ((Old.m_entry.m_coldLeft.count() > 0) ==
+      (Next.m_entry.m_coldLeft.count() > 0))
+    Comparable.m_entry.m_coldLeft = Old.m_entry.m_coldLeft;
+  return Comparable == Old;
+}
+
+std::vector<ServerRow> valuesOf(const std::map<std::string, ServerRow> &Rows) {
+  std::vector<ServerRow> Out;
+  Out.reserve(Rows.size());
+  for (const auto &[Id, Row] : Rows)
+    Out.push_back(Row);
+  return Out;
+}
+
+} // namespace
+
+ListingMessage ListingSource::update(const std::vector<ServerRow> &Rows) {
+  ListingMessage Out;
+  std::map<std::string, ServerRow> Next;
+  for (const ServerRow &Row : Rows) {
+    Next[Row.m_id] = Row;
+    const auto Old = m_rows.find(Row.m_id);
+    if (Old == m_rows.end() || !isSame(Old->second, Row))
+      Out.m_rows.push_back(Row);
+    else
+      Next[Row.m_id] = Old->second;
+  }
+  for (const auto &[Id, Row] : m_rows)
+    if (Next.count(Id) == 0)
+      Out.m_removed.push_back(Id);
+  Out.m_hasRows = !Out.m_rows.empty() || !Out.m_removed.empty() || !m_hasRows;
+  Out.m_base = m_hasRows ? m_version : 0;
+  if (Out.m_hasRows)
+    ++m_version;
+  Out.m_version = m_version;
+  m_rows = std::move(Next);
+  m_hasRows = true;
+  return Out;
+}
+
+ListingMessage ListingSource::whole() const {
+  ListingMessage Out;
+  Out.m_version = m_version;
+  Out.m_hasRows = m_hasRows;
+  Out.m_rows = valuesOf(m_rows);
+  return Out;
+}
+
+std::optional<std::vector<ServerRow>>
+ListingSink::apply(const ListingMessage &News) {
+  if (!News.m_hasRows && News.m_version != m_version)
+    return std::nullopt;
+  if (News.m_hasRows && News.m_base != 0 && News.m_base != m_version)
+    return std::nullopt;
+  if (News.m_hasRows && News.m_base == 0)
+    m_rows.clear();
+  for (const ServerRow &Row : News.m_rows)
+    m_rows[Row.m_id] = Row;
+  for (const std::string &Id : News.m_removed)
+    m_rows.erase(Id);
+  m_version = News.m_version;
+  return valuesOf(m_rows);
+}
+
+} // namespace tamarackdrum::gateway
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -137,24 +137,24 @@
 
 Json pack(const KeyMapMessage &Value) {
   Json Holdings = Json::array();
-  for (const KeyHolding &Item : Value.m_map.holdings())
+  for (const KeyHolding &Item : Value.m_change.m_holdings)
     Holdings.push_back(packAll(Item.m_from, Item.m_to, Item.m_server));
-  return packAll(Value.m_service, Value.m_map.version(), Holdings);
+  return packAll(Value.m_service, Value.m_change.m_base,
+                 Value.m_change.m_version, Holdings);
 }
 
 void read(Reader In, KeyMapMessage &Out) {
   Out.m_service = In.take<std::string>();
-  const std::uint64_t Version = In.take<std::uint64_t>();
-  std::vector<KeyHolding> Holdings;
+  Out.m_change.m_base = In.take<std::uint64_t>();
+  Out.m_change.m_version = In.take<std::uint64_t>();
   for (const Json &Value : In.next()) {
     Reader Item(Value);
     KeyHolding Holding;
     Holding.m_from = Item.take<Key>();
     Holding.m_to = Item.take<Key>();
     Holding.m_server = Item.take<std::string>();
-    Holdings.push_back(std::move(Holding));
+    Out.m_change.m_holdings.push_back(std::move(Holding));
   }
-  Out.m_map = KeyMap(Version, std::move(Holdings));
 }
 
 Json pack(const NotHeldMessage &Value) {
@@ -166,9 +166,20 @@
   Out.m_key = In.take<Key>();
 }
 
-Json pack(const StateRequest &) { return Json::array(); }
+Json pack(const KeyMapRequest &Value) { return packAll(Value.m_service); }
 
-void read(const Reader &, StateRequest &) {}
+void read(Reader In, KeyMapRequest &Out) {
+  Out.m_service = In.take<std::string>();
+}
+
+Json pack(const StateRequest &Value) {
+  return packAll(Value.m_needsConfiguration, Value.m_needsServers);
+}
+
+void read(Reader In, StateRequest &Out) {
+  Out.m_needsConfiguration = In.take<bool>();
+  Out.m_needsServers = In.take<bool>();
+}
 
 Json packServer(const ServerEntry &Item) {
   return packAll(Item.m_id, Item.m_service, Item.m_address, Item.m_zone,
@@ -209,12 +220,14 @@
   for (const ServerRow &Row : Value.m_rows)
     Rows.push_back(Row.m_isReadable ? packServer(Row.m_entry)
                                     : packAll(Row.m_id));
-  return packAll(Value.m_version, Value.m_ageMs, Value.m_configAgeMs,
-                 Value.m_configVersion, Value.m_hasRows, Rows);
+  return packAll(Value.m_version, Value.m_base, Value.m_ageMs,
+                 Value.m_configAgeMs, Value.m_configVersion, Value.m_hasRows,
+                 Rows, Value.m_removed);
 }
 
 void read(Reader In, ListingMessage &Out) {
   Out.m_version = In.take<std::uint64_t>();
+  Out.m_base = In.take<std::uint64_t>();
   Out.m_ageMs = In.take<std::uint32_t>();
   Out.m_configAgeMs = In.take<std::uint32_t>();
   Out.m_configVersion = In.take<std::uint64_t>();
@@ -227,6 +240,7 @@
       Row.m_entry = readServer(Value);
     Out.m_rows.push_back(std::move(Row));
   }
+  Out.m_removed = In.take<std::vector<std::string>>();
 }
 
 Json pack(const ConfigurationMessage &Value) { return packAll(Value.m_text); }
@@ -267,9 +281,9 @@
 
 /// Names of the alternatives of PeerMessage, in their order.
 constexpr std::array<const char *, std::variant_size_v<PeerMessage>> KindNames{
-    "hello",    "ask",     "queued",       "decision",      "finish",
-    "withdraw", "key-map", "not-held",     "state-request", "state",
-    "crash",    "listing", "configuration"};
+    "hello",    "ask",     "queued",   "decision",        "finish",
+    "withdraw", "key-map", "not-held", "key-map-request", "state-request",
+    "state",    "crash",   "listing",  "configuration"};
 
 } // namespace
 
--- /dev/null
+++ b/test/gateway/listing-feed-test.cc
@@ -0,0 +1,63 @@
+#include "tamarackdrum/gateway/listing-feed.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+class ListingFeedTest : public testing::Test {
+protected:
+  static ServerRow makeRow(const std::string &Id, bool IsDraining = false,
+                           std::uint64_t Report = 1) {
+    ServerRow Out{Id, true, {}};
+    Out.m_entry.m_id = Id;
+    Out.m_entry.m_isDraining = IsDraining;
+    Out.m_entry.m_report = Report;
+    return Out;
+  }
+
+  ListingSource m_source{1700000000000};
+  ListingSink m_sink;
+  std::vector<ServerRow> m_rows{makeRow("a"), makeRow("b"), makeRow("c")};
+};
+
+TEST_F(ListingFeedTest, Update_FirstRead_IsWhole) {
+  const ListingMessage Result = m_source.update(m_rows);
+  EXPECT_EQ(Result.m_base, 0U);
+  EXPECT_EQ(m_sink.apply(Result), m_rows);
+}
+
+TEST_F(ListingFeedTest, Update_OneRowChangedOneGone_NamesJustThese) {
+  m_sink.apply(m_source.update(m_rows));
+  const std::vector<ServerRow> Next{makeRow("a"), makeRow("b", true)};
+  const ListingMessage Result = m_source.update(Next);
+  EXPECT_EQ(Result.m_rows, (std::vector<ServerRow>{makeRow("b", true)}));
+  EXPECT_EQ(Result.m_removed, std::vector<std::string>{"c"});
+  EXPECT_EQ(m_sink.apply(Result), Next);
+}
+
+TEST_F(ListingFeedTest, Update_OnlyReportNumbersDiffer_IsNoNews) {
+  m_sink.apply(m_source.update(m_rows));
+  const std::vector<ServerRow> Next{makeRow("a", false, 9), makeRow("b"),
+                                    makeRow("c")};
+  const ListingMessage Result = m_source.update(Next);
+  EXPECT_FALSE(Result.m_hasRows);
+  EXPECT_EQ(m_sink.apply(Result), m_rows);
+}
+
+TEST_F(ListingFeedTest, Apply_MessageMissed_AsksForAll) {
+  m_sink.apply(m_source.update(m_rows));
+  m_source.update({makeRow("a")});
+  const ListingMessage Result = m_source.update({makeRow("a"), makeRow("d")});
+  EXPECT_EQ(m_sink.apply(Result), std::nullopt);
+  const std::vector<ServerRow> Whole{makeRow("a"), makeRow("d")};
+  EXPECT_EQ(m_sink.apply(m_source.whole()), Whole);
+}
+
+TEST_F(ListingFeedTest, Apply_NoNewsOfAnUnknownVersion_AsksForAll) {
+  m_source.update(m_rows);
+  EXPECT_EQ(m_sink.apply(m_source.update(m_rows)), std::nullopt);
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
