Keep the longer hold of two merged ranges

Cause: a random history of the ownership model gave a key to a second server while the first still held it. mergeNeighbours kept the time of the lower range's last answered grant only; the upper one had been granted 450 ms later, and the merged range was moved before it was granted as a whole.

Ruled out: the takeover of terms around it (one granter made all the calls).

Change: the later of the two answers counts.

--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -361,6 +361,8 @@
     const TimePoint Confirmed =
         std::min(Lower.m_confirmedAt, Upper.m_confirmedAt);
     Lower.m_record.m_to = Upper.m_record.m_to;
+    // Until the whole is granted, either part may hold the longest.
+    Lower.m_answeredAt = std::max(Lower.m_answeredAt, Upper.m_answeredAt);
     m_ranges.erase(m_ranges.begin() + static_cast<std::ptrdiff_t>(I) + 1);
     regrant(Lower, Lower.m_record.m_owner);
     Lower.m_confirmedAt = Confirmed;
