Keep log lines of changes apart from those of requests

Ruled out: a higher bound (its cost is processor time of small hosts).

Change: at most 200 of the lines are about single requests; a listing that changes more than 20 servers is one line.

--- a/include/tamarackdrum/gateway/event-log.h
+++ b/include/tamarackdrum/gateway/event-log.h
@@ -37,6 +37,9 @@
 struct LogPolicy {
   /// Lines a second at most; those beyond are counted and dropped.
   unsigned m_linesPerSecond = 300;
+  /// Of these, lines about single requests: what the process believes must
+  /// stay visible under load.
+  unsigned m_requestLinesPerSecond = 200;
   /// Bytes that wait for a slow reader of standard output at most.
   std::size_t m_bufferBytes = 256U << 10U;
 
@@ -48,15 +51,21 @@
 public:
   EventLog(LogPolicy Policy, std::string Host, int Descriptor);
 
+  /// Writes a line about what the process believes or does.
   void write(std::string_view Event, std::initializer_list<LogField> Fields);
 
+  /// Writes a line about a single request.
+  void writeRequest(std::string_view Event,
+                    std::initializer_list<LogField> Fields);
+
   /// Hands buffered lines to the descriptor as far as it takes them at once.
   void flush();
 
   std::uint64_t dropped() const { return m_dropped; }
 
 private:
-  bool takeLine();
+  bool takeLine(bool IsRequest);
+  void append(std::string_view Event, std::initializer_list<LogField> Fields);
 
   const LogPolicy m_policy;
   const std::string m_host;
@@ -64,6 +73,7 @@
   std::string m_buffer;
   std::int64_t m_second = 0;
   unsigned m_linesInSecond = 0;
+  unsigned m_requestLinesInSecond = 0;
   std::uint64_t m_dropped = 0;
   std::uint64_t m_reportedDropped = 0;
 };
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -97,9 +97,10 @@
 void Admission::fallBack(const PendingPtr &Item, std::string_view Reason) {
   if (Item->m_isDecided)
     return;
-  m_log.write("dispatch-fallback", {{"service", Item->m_service},
-                                    {"number", Item->m_ask.m_ticket.m_number},
-                                    {"reason", Reason}});
+  m_log.writeRequest("dispatch-fallback",
+                     {{"service", Item->m_service},
+                      {"number", Item->m_ask.m_ticket.m_number},
+                      {"reason", Reason}});
   if (Item->m_place == AdmissionPlace::Coordinator && Item->m_link != 0)
     m_network->reply(
         Item->m_link,
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -639,11 +639,11 @@
 asio::awaitable<void> EdgeServer::checkCrash(std::uint64_t Fingerprint,
                                              ServerEntry Server) {
   const bool IsDown = co_await m_upstreams.isDown(Server.m_address);
-  m_log.write("server-broke-off",
-              {{"server", Server.m_id},
-               {"address", Server.m_address},
-               {"is_down", IsDown},
-               {"fingerprint", std::to_string(Fingerprint)}});
+  m_log.writeRequest("server-broke-off",
+                     {{"server", Server.m_id},
+                      {"address", Server.m_address},
+                      {"is_down", IsDown},
+                      {"fingerprint", std::to_string(Fingerprint)}});
   if (IsDown)
     m_view.m_onCrash(Fingerprint, Server);
 }
@@ -749,7 +749,7 @@
                   fmt::format("service=\"{}\",status=\"{}\"", Service, Status));
   if (Item.m_service != nullptr)
     m_metrics.recordLatency(Service, Took);
-  m_log.write(
+  m_log.writeRequest(
       "request",
       {{"id", Item.m_id},
        {"status", Status},
--- a/src/edge/event-log.cc
+++ b/src/edge/event-log.cc
@@ -45,27 +45,42 @@
 EventLog::EventLog(LogPolicy Policy, std::string Host, int Descriptor)
     : m_policy(Policy), m_host(std::move(Host)), m_descriptor(Descriptor) {}
 
-bool EventLog::takeLine() {
+bool EventLog::takeLine(bool IsRequest) {
   const std::int64_t Second = std::chrono::duration_cast<std::chrono::seconds>(
                                   BootClock::now().time_since_epoch())
                                   .count();
   if (Second != m_second) {
     m_second = Second;
     m_linesInSecond = 0;
+    m_requestLinesInSecond = 0;
   }
-  if (m_linesInSecond < m_policy.m_linesPerSecond &&
-      m_buffer.size() < m_policy.m_bufferBytes) {
-    ++m_linesInSecond;
-    return true;
+  const bool HasRoom =
+      m_linesInSecond < m_policy.m_linesPerSecond &&
+      m_buffer.size() < m_policy.m_bufferBytes &&
+      (!IsRequest || m_requestLinesInSecond < m_policy.m_requestLinesPerSecond);
+  if (!HasRoom) {
+    ++m_dropped;
+    return false;
   }
-  ++m_dropped;
-  return false;
+  ++m_linesInSecond;
+  m_requestLinesInSecond += IsRequest ? 1 : 0;
+  return true;
 }
 
 void EventLog::write(std::string_view Event,
                      std::initializer_list<LogField> Fields) {
-  if (!takeLine())
-    return;
+  if (takeLine(false))
+    append(Event, Fields);
+}
+
+void EventLog::writeRequest(std::string_view Event,
+                            std::initializer_list<LogField> Fields) {
+  if (takeLine(true))
+    append(Event, Fields);
+}
+
+void EventLog::append(std::string_view Event,
+                      std::initializer_list<LogField> Fields) {
   fmt::format_to(std::back_inserter(m_buffer),
                  R"({{"unix_ms":{},"host":"{}","event":"{}")", unixMillis(),
                  m_host, Event);
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t MostCrashes = 4096;
 /// Pause between two looks whether running requests have ended.
 constexpr Millis DrainPoll{50};
+/// Changes of more servers than this are logged by their number.
+constexpr std::size_t LongestChange = 20;
 /// A process without a configuration asks its peers after this time.
 constexpr Millis AskPeersAfter{600};
 
@@ -379,8 +381,12 @@
 void GatewayHost::applyServers(const DirectoryChange &Change, bool IsListing) {
   const auto Report = [this](const char *What,
                              const std::vector<std::string> &Ids) {
-    for (const std::string &Id : Ids)
-      m_log.write(What, {{"server", Id}});
+    // The first listing names all servers of the site.
+    if (Ids.size() > LongestChange)
+      m_log.write(What, {{"servers", Ids.size()}});
+    else
+      for (const std::string &Id : Ids)
+        m_log.write(What, {{"server", Id}});
   };
   Report("server-added", Change.m_added);
   Report("server-removed", Change.m_removed);
