Serve the newest first past capacity; hand over slots between coordinators

Links that existed were not told what runs. - Requests with 76 ms left of 500 ms of work were given slots, ended with the deadline, and their short times made servers look faster still. - Past capacity the most urgent request first makes each one miss its objective by a little; lateness was judged by the slowest server that had looked at it.

Ruled out: lost links (none went down then), the store (up).

Change: dispatches end by the time of their request; a new coordinator forgets what it knew and is told what runs (RunningMessage), waiting asks move to it; hosts learn servers' speeds from their own dispatches. Times of work that ended early only raise an estimate. A request needs 1.3 times the expected service time to get a slot, and what cannot be served any more is refused at the next tick. The newest goes first once the last in order would wait for more than 0.8 of its objective (1.3 if keyed).

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -68,7 +68,7 @@
   void setServices(const std::vector<std::string> &Names);
 
   // Messages of other hosts.
-  void onHello(std::uint32_t Link, const HelloMessage &Message);
+  void onRunning(std::uint32_t Link, const std::vector<RunningDispatch> &Items);
   void onAsk(std::uint32_t Link, const std::string &Zone, AskMessage &Message);
   void onQueued(std::uint32_t Link, std::uint32_t Number);
   void onDecision(std::uint32_t Link, const DispatchDecision &Made);
@@ -105,9 +105,14 @@
     std::string m_server;
     AdmissionPlace m_place;
     std::uint32_t m_link;
+    TimePoint m_endsAt;
   };
 
   void submit(const PendingPtr &Item);
+  /// Takes an ask back from where it waits.
+  void withdraw(const Pending &Item);
+  /// Hands what runs and waits over to the new coordinator of a service.
+  void moveTo(const std::string &Host, const std::string &Service);
   void fallBack(const PendingPtr &Item, std::string_view Reason);
   void decide(std::uint32_t Number, const DispatchDecision &Made);
   DispatchPolicy localPolicy() const;
--- a/include/tamarackdrum/gateway/dispatch-hub.h
+++ b/include/tamarackdrum/gateway/dispatch-hub.h
@@ -34,8 +34,11 @@
   void withdraw(const std::string &Service, const Ticket &Id);
   void finish(const std::string &Service, const Ticket &Id,
               DispatchResult Outcome, Millis ServiceTime, TimePoint Now);
+  void forgetRunning(const std::string &Service);
+  void observe(const std::string &Service, const std::string &Server,
+               DispatchResult Outcome, Millis ServiceTime, TimePoint Now);
   void adopt(const std::string &Service, const Ticket &Id,
-             const std::string &Server, TimePoint Now);
+             const std::string &Server, Millis TimeLeft, TimePoint Now);
   void dropLink(std::uint32_t Link, TimePoint Now);
   void tick(TimePoint Now);
 
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -102,8 +102,24 @@
   Millis m_notHeldPause{120};
   /// A pause begins after that many failures in a row.
   unsigned m_brokenToPause = 2;
+  /// Part of the expected service time that must be left of the objective for
+  /// a request to count as one that can be in time. Source: `tamarack-replay`.
+  double m_inTimeShare = 0.8;
+  /// The same of the time that is left at all: with less, most requests would
+  /// end unanswered and waste their slot.
+  double m_leastTimeShare = 1.3;
+  /// The newest request goes first once the last one in order would have to
+  /// wait for more than this part of its objective: of an unkeyed service, and
+  /// of one holder of keys, whose few slots are often behind for a moment.
+  /// Source: `tamarack-replay`.
+  double m_backlogShare = 0.8;
+  double m_keyedBacklogShare = 1.3;
   /// Part of the remaining time that a late request may be expected to wait.
   double m_lateShare = 0.85;
+  /// A dispatch whose end was not reported counts as ended this long after the
+  /// time that its request had. Source: hosts end requests in time and report
+  /// at once, so that this covers a slow link.
+  Millis m_reportGrace{1000};
   /// Retry-After where nothing better is known: about two polls of the server
   /// registry.
   Millis m_blindRetryAfter{1000};
@@ -142,8 +158,18 @@
   void finish(const Ticket &Id, DispatchResult Outcome, Millis ServiceTime,
               TimePoint Now, DispatchDecisions &Out);
 
-  /// Notes a dispatch that another dispatcher has decided.
-  void adopt(const Ticket &Id, const std::string &Server, TimePoint Now);
+  /// Notes a dispatch that another dispatcher has decided and that ends within
+  /// \p TimeLeft.
+  void adopt(const Ticket &Id, const std::string &Server, Millis TimeLeft,
+             TimePoint Now);
+
+  /// Forgets all dispatches that run: others have decided since, and the hosts
+  /// report what they have running.
+  void forgetRunning();
+
+  /// Learns from a dispatch that another dispatcher has decided.
+  void observe(const std::string &Server, DispatchResult Outcome,
+               Millis ServiceTime, TimePoint Now);
 
   /// Drops what came by a link that was lost. Running requests keep their slot
   /// for the service time that is expected of them.
@@ -166,7 +192,7 @@
   struct Running {
     std::string m_server;
     TimePoint m_startedAt;
-    std::optional<TimePoint> m_endsAt; ///< Set when its host was lost.
+    TimePoint m_endsAt; ///< Its slot is free by then, reported or not.
   };
   struct Server {
     ServerEntry m_entry;
@@ -189,6 +215,19 @@
   };
   using Queue = std::list<Waiting>;
 
+  /// The most and the least urgent of some requests.
+  struct Span {
+    Queue::iterator m_first;
+    Queue::iterator m_last;
+
+    void add(Queue::iterator Item, Queue::iterator None) {
+      if (m_first == None || Item->m_objectiveAt < m_first->m_objectiveAt)
+        m_first = Item;
+      if (m_last == None || Item->m_objectiveAt >= m_last->m_objectiveAt)
+        m_last = Item;
+    }
+  };
+
   /// How fast a request's turn comes.
   struct Outlook {
     double m_perMs = 0;     ///< Requests served in a millisecond.
@@ -220,6 +259,10 @@
   void fillAll(TimePoint Now, DispatchDecisions &Out);
   void enqueue(const DispatchAsk &Ask, TimePoint Now, DispatchDecisions &Out);
   Queue::iterator nextFor(const Server &Target, TimePoint Now);
+  /// Marks a request that can no longer be in time.
+  void updateLate(Waiting &Item, double ServiceMs, TimePoint Now) const;
+  /// Refuses what waits but can no longer be served.
+  void refuseHopeless(TimePoint Now, DispatchDecisions &Out);
   void learn(Server &Item, DispatchResult Outcome, Millis ServiceTime,
              TimePoint Now);
 
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -16,6 +16,7 @@
   std::uint32_t m_number = 0;
   std::string m_service;
   std::string m_server;
+  Millis m_timeLeft{0}; ///< Until it has ended at the latest.
 
   bool operator==(const RunningDispatch &) const = default;
 };
@@ -28,6 +29,13 @@
   bool operator==(const HelloMessage &) const = default;
 };
 
+/// The same over a link that is there already.
+struct RunningMessage {
+  std::vector<RunningDispatch> m_running;
+
+  bool operator==(const RunningMessage &) const = default;
+};
+
 /// A host wants a slot. The ticket's link is set by the receiver.
 struct AskMessage {
   std::string m_service;
@@ -136,10 +144,10 @@
 };
 
 using PeerMessage =
-    std::variant<HelloMessage, AskMessage, QueuedMessage, DecisionMessage,
-                 FinishMessage, WithdrawMessage, KeyMapMessage, NotHeldMessage,
-                 KeyMapRequest, StateRequest, StateMessage, CrashMessage,
-                 ListingMessage, ConfigurationMessage>;
+    std::variant<HelloMessage, RunningMessage, AskMessage, QueuedMessage,
+                 DecisionMessage, FinishMessage, WithdrawMessage, KeyMapMessage,
+                 NotHeldMessage, KeyMapRequest, StateRequest, StateMessage,
+                 CrashMessage, ListingMessage, ConfigurationMessage>;
 
 /// Returns the name of the kind of message, for logs and metrics.
 const char *toText(const PeerMessage &Message) noexcept;
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -70,7 +70,8 @@
   Admitted Out{Item->m_decision, Number, Item->m_place};
   if (!Out.m_decision.m_server.empty())
     m_running[Number] = {Item->m_service, Out.m_decision.m_server,
-                         Item->m_place, Item->m_link};
+                         Item->m_place, Item->m_link,
+                         Item->m_sentAt + Item->m_ask.m_timeLeft};
   co_return Out;
 }
 
@@ -78,6 +79,7 @@
   const auto Found = m_coordinators.find(Item->m_service);
   const TimePoint Now = BootClock::now();
   Item->m_sentAt = Now;
+  Item->m_isTaken = false;
   if (Found != m_coordinators.end() && Found->second == m_hosts.self().m_name) {
     Item->m_place = AdmissionPlace::Here;
     Item->m_isTaken = true;
@@ -126,16 +128,19 @@
   if (Wait.m_number == 0 || Found == m_pending.end() ||
       Found->second->m_isDecided)
     return;
-  const PendingPtr Item = Found->second;
-  const Ticket Id{0, Wait.m_number};
-  if (Item->m_place == AdmissionPlace::Here)
-    m_hub.withdraw(Item->m_service, Id);
-  else if (Item->m_place == AdmissionPlace::Fallback)
-    m_fallback.withdraw(Item->m_service, Id);
+  withdraw(*Found->second);
+  decide(Wait.m_number,
+         {Ticket{0, Wait.m_number}, "", RefusalReason::None, Millis(0)});
+}
+
+void Admission::withdraw(const Pending &Item) {
+  const Ticket &Id = Item.m_ask.m_ticket;
+  if (Item.m_place == AdmissionPlace::Here)
+    m_hub.withdraw(Item.m_service, Id);
+  else if (Item.m_place == AdmissionPlace::Fallback)
+    m_fallback.withdraw(Item.m_service, Id);
   else
-    m_network->reply(Item->m_link,
-                     WithdrawMessage{Item->m_service, Wait.m_number});
-  decide(Wait.m_number, {Id, "", RefusalReason::None, Millis(0)});
+    m_network->reply(Item.m_link, WithdrawMessage{Item.m_service, Id.m_number});
 }
 
 void Admission::finish(const std::string &Service, const Admitted &Taken,
@@ -151,6 +156,9 @@
     m_fallback.finish(Service, Id, Outcome, ServiceTime, Now);
   // A dispatch that another place has decided may have been adopted here.
   m_hub.finish(Service, Id, Outcome, ServiceTime, Now);
+  // Whoever coordinates next should not have to learn the servers' speeds.
+  if (Item.m_place == AdmissionPlace::Coordinator)
+    m_hub.observe(Service, Item.m_server, Outcome, ServiceTime, Now);
   const auto Coordinator = m_coordinators.find(Service);
   if (Coordinator == m_coordinators.end() ||
       Coordinator->second == m_hosts.self().m_name ||
@@ -166,7 +174,6 @@
     return;
   const std::map<std::string, std::string> Old =
       std::exchange(m_coordinators, std::move(Coordinators));
-  const TimePoint Now = BootClock::now();
   for (const auto &[Service, Host] : m_coordinators) {
     const auto Before = Old.find(Service);
     if (Before != Old.end() && Before->second == Host)
@@ -175,13 +182,35 @@
                 {{"service", Service},
                  {"is", Host},
                  {"was", Before == Old.end() ? "" : Before->second}});
-    if (Host == m_hosts.self().m_name) {
-      for (const auto &[Number, Item] : m_running)
-        if (Item.m_service == Service)
-          m_hub.adopt(Service, {0, Number}, Item.m_server, Now);
-    } else {
-      m_network->keepLink(Host);
-    }
+    moveTo(Host, Service);
+  }
+}
+
+void Admission::moveTo(const std::string &Host, const std::string &Service) {
+  const TimePoint Now = BootClock::now();
+  if (Host == m_hosts.self().m_name) {
+    m_hub.forgetRunning(Service);
+    for (const auto &[Number, Item] : m_running)
+      if (Item.m_service == Service)
+        m_hub.adopt(Service, {0, Number}, Item.m_server,
+                    std::chrono::duration_cast<Millis>(Item.m_endsAt - Now),
+                    Now);
+  } else {
+    m_network->send(Host, RunningMessage{runningFor(Host)});
+  }
+  std::vector<PendingPtr> Waiting;
+  for (const auto &[Number, Item] : m_pending)
+    if (Item->m_service == Service && !Item->m_isDecided &&
+        Item->m_place != AdmissionPlace::Fallback)
+      Waiting.push_back(Item);
+  for (const PendingPtr &Item : Waiting) {
+    withdraw(*Item);
+    const Millis Waited =
+        std::chrono::duration_cast<Millis>(Now - Item->m_sentAt);
+    Item->m_ask.m_timeLeft -= Waited;
+    Item->m_ask.m_objectiveLeft =
+        std::max(Millis(0), Item->m_ask.m_objectiveLeft - Waited);
+    submit(Item);
   }
 }
 
@@ -226,10 +255,12 @@
   m_fallback.retain(Names);
 }
 
-void Admission::onHello(std::uint32_t Link, const HelloMessage &Message) {
+void Admission::onRunning(std::uint32_t Link,
+                          const std::vector<RunningDispatch> &Items) {
   const TimePoint Now = BootClock::now();
-  for (const RunningDispatch &Item : Message.m_running)
-    m_hub.adopt(Item.m_service, {Link, Item.m_number}, Item.m_server, Now);
+  for (const RunningDispatch &Item : Items)
+    m_hub.adopt(Item.m_service, {Link, Item.m_number}, Item.m_server,
+                Item.m_timeLeft, Now);
 }
 
 void Admission::onAsk(std::uint32_t Link, const std::string &Zone,
@@ -296,10 +327,12 @@
 std::vector<RunningDispatch>
 Admission::runningFor(const std::string &Host) const {
   std::vector<RunningDispatch> Out;
+  const TimePoint Now = BootClock::now();
   for (const auto &[Number, Item] : m_running) {
     const auto Found = m_coordinators.find(Item.m_service);
     if (Found != m_coordinators.end() && Found->second == Host)
-      Out.push_back({Number, Item.m_service, Item.m_server});
+      Out.push_back({Number, Item.m_service, Item.m_server,
+                     std::chrono::duration_cast<Millis>(Item.m_endsAt - Now)});
   }
   return Out;
 }
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -507,12 +507,14 @@
 void GatewayHost::onMessage(std::uint32_t Link, const std::string &Host,
                             PeerMessage &Message) {
   if (const auto *Hello = std::get_if<HelloMessage>(&Message)) {
-    m_admission.onHello(Link, *Hello);
+    m_admission.onRunning(Link, Hello->m_running);
     if (isReader() && m_listings.hasRows())
       pushTo(Link, StateRequest{});
     for (const auto &[Service, Keeper] : m_keepers)
       if (Keeper->isGranter())
         sendKeyMap(Link, Service);
+  } else if (const auto *Running = std::get_if<RunningMessage>(&Message)) {
+    m_admission.onRunning(Link, Running->m_running);
   } else if (auto *Ask = std::get_if<AskMessage>(&Message)) {
     const std::optional<HostInfo> Peer = m_hosts.find(Host);
     m_admission.onAsk(Link, Peer ? Peer->m_zone : "", *Ask);
--- a/src/gateway/dispatch-hub.cc
+++ b/src/gateway/dispatch-hub.cc
@@ -85,9 +85,22 @@
   deliver(Service, Made);
 }
 
+void DispatchHub::forgetRunning(const std::string &Service) {
+  const auto Found = m_dispatchers.find(Service);
+  if (Found != m_dispatchers.end())
+    Found->second->forgetRunning();
+}
+
+void DispatchHub::observe(const std::string &Service, const std::string &Server,
+                          DispatchResult Outcome, Millis ServiceTime,
+                          TimePoint Now) {
+  dispatcher(Service, Now).observe(Server, Outcome, ServiceTime, Now);
+}
+
 void DispatchHub::adopt(const std::string &Service, const Ticket &Id,
-                        const std::string &Server, TimePoint Now) {
-  dispatcher(Service, Now).adopt(Id, Server, Now);
+                        const std::string &Server, Millis TimeLeft,
+                        TimePoint Now) {
+  dispatcher(Service, Now).adopt(Id, Server, TimeLeft, Now);
 }
 
 void DispatchHub::dropLink(std::uint32_t Link, TimePoint Now) {
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -21,8 +21,8 @@
 /// A running request that takes this many times the average shows that the
 /// server has become slow.
 constexpr double SlowFactor = 1.5;
-/// Least time that an answer takes; less cannot be waited for.
-constexpr double LeastServiceShare = 0.5;
+/// Stands for all servers of an unkeyed service.
+const std::string Everyone;
 /// Expected time until moving keys have a new holder: a release and a grant.
 constexpr double MoveMs = 600;
 
@@ -195,7 +195,8 @@
 void Dispatcher::place(const DispatchAsk &Ask, Server &Target, TimePoint Now,
                        DispatchDecisions &Out) {
   ++Target.m_running;
-  m_running[Ask.m_ticket] = {Target.m_entry.m_id, Now, std::nullopt};
+  m_running[Ask.m_ticket] = {Target.m_entry.m_id, Now,
+                             Now + Ask.m_timeLeft + m_policy.m_reportGrace};
   Out.push_back({Ask.m_ticket, Target.m_entry.m_id, RefusalReason::None, {}});
 }
 
@@ -261,8 +262,8 @@
 
 void Dispatcher::enqueue(const DispatchAsk &Ask, TimePoint Now,
                          DispatchDecisions &Out) {
-  Waiting Item{Ask, Now + Ask.m_objectiveLeft, Now + Ask.m_timeLeft,
-               zoneWaitEnd(Ask, Now), false};
+  Waiting Item{Ask, Now + std::min(Ask.m_objectiveLeft, Ask.m_timeLeft),
+               Now + Ask.m_timeLeft, zoneWaitEnd(Ask, Now), false};
   const Outlook Expected = outlookFor(Ask, Now);
   if (Expected.m_perMs <= 0) {
     refuse(Ask, RefusalReason::NoServer, m_policy.m_blindRetryAfter, Out);
@@ -302,38 +303,54 @@
 Dispatcher::Queue::iterator Dispatcher::nextFor(const Server &Target,
                                                 TimePoint Now) {
   const double Service = expectedMs(Target, Now);
-  std::vector<Queue::iterator> Urgent;
-  Queue::iterator Late = m_waiting.end();
-  for (Queue::iterator Item = m_waiting.begin(); Item != m_waiting.end();
-       ++Item) {
+  const Queue::iterator None = m_waiting.end();
+  std::size_t Count = 0;
+  Span Urgent{None, None};
+  Span OfZone{None, None};
+  Queue::iterator Late = None;
+  for (Queue::iterator Item = m_waiting.begin(); Item != None; ++Item) {
     if (!isEligible(*Item, Target))
       continue;
-    if (!Item->m_isLate &&
-        toMs(Item->m_objectiveAt - Now) < Service * LeastServiceShare)
-      Item->m_isLate = true;
-    const bool IsKept =
-        Now < Item->m_zoneUntil && Item->m_ask.m_zone != Target.m_entry.m_zone;
-    if (IsKept)
+    ++Count;
+    const bool IsOfZone = Item->m_ask.m_zone == Target.m_entry.m_zone;
+    const bool IsKept = !IsOfZone && Now < Item->m_zoneUntil;
+    if (IsKept ||
+        toMs(Item->m_endsAt - Now) < Service * m_policy.m_leastTimeShare)
       continue;
-    if (!Item->m_isLate)
-      Urgent.push_back(Item);
-    else if (Late == m_waiting.end() || Item->m_endsAt < Late->m_endsAt)
-      Late = Item;
+    updateLate(*Item, std::min(Service, m_meanMs), Now);
+    if (Item->m_isLate) {
+      if (Late == None || Item->m_endsAt < Late->m_endsAt)
+        Late = Item;
+      continue;
+    }
+    // A faster server can still serve it in time.
+    if (toMs(Item->m_objectiveAt - Now) < Service * m_policy.m_inTimeShare)
+      continue;
+    Urgent.add(Item, None);
+    if (IsOfZone)
+      OfZone.add(Item, None);
   }
-  if (Urgent.empty())
+  if (Urgent.m_first == None)
     return Late;
-  std::sort(Urgent.begin(), Urgent.end(), [](const auto &A, const auto &B) {
-    return A->m_objectiveAt < B->m_objectiveAt;
-  });
-  if (m_isKeyed)
-    return Urgent.front();
-  const auto OfZone =
-      std::find_if(Urgent.begin(), Urgent.end(), [&Target](const auto &Item) {
-        return Item->m_ask.m_zone == Target.m_entry.m_zone;
-      });
+  // Past capacity, serving in order makes each request miss its objective by a
+  // little: the newest one still has all of its time.
+  const Outlook Expected = outlookFor(Urgent.m_last->m_ask, Now);
+  const double Share =
+      m_isKeyed ? m_policy.m_keyedBacklogShare : m_policy.m_backlogShare;
+  const bool IsOver = Expected.m_perMs > 0 &&
+                      Expected.waitMs(Count) + Expected.m_serviceMs >
+                          toMs(Urgent.m_last->m_objectiveAt - Now) * Share;
   // One of another zone goes first only while the server's own can wait.
-  const bool CanWait = OfZone == Urgent.end() || Now < (*OfZone)->m_zoneUntil;
-  return CanWait ? Urgent.front() : *OfZone;
+  const bool CanWait =
+      OfZone.m_first == None || Now < OfZone.m_first->m_zoneUntil;
+  const Span &Chosen = m_isKeyed || CanWait ? Urgent : OfZone;
+  return IsOver ? Chosen.m_last : Chosen.m_first;
+}
+
+void Dispatcher::updateLate(Waiting &Item, double ServiceMs,
+                            TimePoint Now) const {
+  if (toMs(Item.m_objectiveAt - Now) < ServiceMs * m_policy.m_inTimeShare)
+    Item.m_isLate = true;
 }
 
 void Dispatcher::fill(Server &Target, TimePoint Now, DispatchDecisions &Out) {
@@ -393,6 +410,9 @@
     return;
   const double Sample = std::max<double>(1, toMs(ServiceTime));
   const double Old = Item.m_meanMs > 0 ? Item.m_meanMs : m_meanMs;
+  // Work that was ended early would have taken longer.
+  if (Outcome != DispatchResult::Served && Sample < Old)
+    return;
   Item.m_meanMs = Old + m_policy.m_sampleWeight * (Sample - Old);
   Item.m_lastSample = Now;
   m_meanMs += m_policy.m_sampleWeight / 10 * (Sample - m_meanMs);
@@ -414,13 +434,27 @@
   fill(Item->second, Now, Out);
 }
 
+void Dispatcher::forgetRunning() {
+  m_running.clear();
+  for (auto &[Id, Item] : m_servers)
+    Item.m_running = 0;
+}
+
+void Dispatcher::observe(const std::string &Server, DispatchResult Outcome,
+                         Millis ServiceTime, TimePoint Now) {
+  const auto Found = m_servers.find(Server);
+  if (Found != m_servers.end())
+    learn(Found->second, Outcome, ServiceTime, Now);
+}
+
 void Dispatcher::adopt(const Ticket &Id, const std::string &Server,
-                       TimePoint Now) {
-  if (!m_running.emplace(Id, Running{Server, Now, std::nullopt}).second)
+                       Millis TimeLeft, TimePoint Now) {
+  const Running Item{Server, Now, Now + TimeLeft + m_policy.m_reportGrace};
+  if (!m_running.emplace(Id, Item).second)
     return;
-  const auto Item = m_servers.find(Server);
-  if (Item != m_servers.end())
-    ++Item->second.m_running;
+  const auto Owner = m_servers.find(Server);
+  if (Owner != m_servers.end())
+    ++Owner->second.m_running;
 }
 
 void Dispatcher::dropLink(std::uint32_t Link, TimePoint Now) {
@@ -429,13 +463,13 @@
   });
   for (auto &[Id, Item] : m_running)
     if (Id.m_link == Link)
-      Item.m_endsAt = Now + fromMs(m_meanMs * 2);
+      Item.m_endsAt = std::min(Item.m_endsAt, Now + fromMs(m_meanMs * 2));
 }
 
 void Dispatcher::tick(TimePoint Now, DispatchDecisions &Out) {
   for (auto Item = m_running.begin(); Item != m_running.end();) {
     const auto Owner = m_servers.find(Item->second.m_server);
-    if (Item->second.m_endsAt && Now >= *Item->second.m_endsAt) {
+    if (Now >= Item->second.m_endsAt) {
       if (Owner != m_servers.end() && Owner->second.m_running > 0)
         --Owner->second.m_running;
       Item = m_running.erase(Item);
@@ -450,18 +484,49 @@
     }
     ++Item;
   }
+  refuseHopeless(Now, Out);
+  fillAll(Now, Out);
+}
+
+void Dispatcher::refuseHopeless(TimePoint Now, DispatchDecisions &Out) {
+  // Requests that share servers share their turn: all of an unkeyed service,
+  // or those of one holder.
+  struct Share {
+    Outlook m_expected;
+    std::size_t m_before = 0;
+  };
+  std::map<std::string, Share> Shares;
+  const auto Find = [&](const Waiting &Item) -> Share & {
+    const std::string &Holder =
+        m_isKeyed ? m_keys.holderOf(Item.m_ask.m_key.value_or(0)) : Everyone;
+    const auto Found = Shares.find(Holder);
+    if (Found != Shares.end())
+      return Found->second;
+    return Shares.emplace(Holder, Share{outlookFor(Item.m_ask, Now), 0})
+        .first->second;
+  };
+  for (Waiting &Item : m_waiting) {
+    Share &Own = Find(Item);
+    updateLate(Item, Own.m_expected.m_serviceMs, Now);
+    Own.m_before += Item.m_isLate ? 0 : 1;
+  }
   for (Queue::iterator Item = m_waiting.begin(); Item != m_waiting.end();) {
-    if (toMs(Item->m_endsAt - Now) > m_meanMs * LeastServiceShare) {
+    Share &Own = Find(*Item);
+    const double Left = toMs(Item->m_endsAt - Now);
+    const double Service = Own.m_expected.m_serviceMs;
+    const double Wait = Own.m_expected.m_perMs > 0
+                            ? Own.m_expected.waitMs(Own.m_before)
+                            : toMs(m_policy.m_blindRetryAfter);
+    const bool IsHopeless = Left < Service * m_policy.m_leastTimeShare ||
+                            (Item->m_isLate && Wait + Service > Left);
+    if (!IsHopeless) {
+      Own.m_before += Item->m_isLate ? 1 : 0;
       ++Item;
       continue;
     }
-    refuse(Item->m_ask, RefusalReason::Overloaded,
-           fromMs(static_cast<double>(m_waiting.size()) /
-                  std::max(1e-3, serviceRate(Now))),
-           Out);
+    refuse(Item->m_ask, RefusalReason::Overloaded, fromMs(Wait), Out);
     Item = m_waiting.erase(Item);
   }
-  fillAll(Now, Out);
 }
 
 double Dispatcher::rateOf(const std::string &Server) const {
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// Version of the messages between hosts; others are refused.
-constexpr std::uint32_t ProtocolVersion = 1;
+constexpr std::uint32_t ProtocolVersion = 2;
 /// Largest message, in bytes: a state message with 1,000 servers.
 constexpr std::uint32_t LargestMessage = 4 << 20;
 constexpr std::size_t LengthBytes = 4;
@@ -54,23 +54,43 @@
   return Out;
 }
 
-Json pack(const HelloMessage &Value) {
-  Json Running = Json::array();
-  for (const RunningDispatch &Item : Value.m_running)
-    Running.push_back(packAll(Item.m_number, Item.m_service, Item.m_server));
-  return packAll(pack(Value.m_host), Running);
+Json pack(const std::vector<RunningDispatch> &Items) {
+  Json Out = Json::array();
+  for (const RunningDispatch &Item : Items)
+    Out.push_back(packAll(Item.m_number, Item.m_service, Item.m_server,
+                          Item.m_timeLeft.count()));
+  return Out;
 }
 
-void read(Reader In, HelloMessage &Out) {
-  Out.m_host = readHost(In.next());
-  for (const Json &Value : In.next()) {
+std::vector<RunningDispatch> readRunning(const Json &Values) {
+  std::vector<RunningDispatch> Out;
+  for (const Json &Value : Values) {
     Reader Item(Value);
     RunningDispatch Running;
     Running.m_number = Item.take<std::uint32_t>();
     Running.m_service = Item.take<std::string>();
     Running.m_server = Item.take<std::string>();
-    Out.m_running.push_back(std::move(Running));
+    Running.m_timeLeft = Item.takeMillis();
+    Out.push_back(std::move(Running));
   }
+  return Out;
+}
+
+Json pack(const HelloMessage &Value) {
+  return packAll(pack(Value.m_host), pack(Value.m_running));
+}
+
+void read(Reader In, HelloMessage &Out) {
+  Out.m_host = readHost(In.next());
+  Out.m_running = readRunning(In.next());
+}
+
+Json pack(const RunningMessage &Value) {
+  return packAll(pack(Value.m_running));
+}
+
+void read(Reader In, RunningMessage &Out) {
+  Out.m_running = readRunning(In.next());
 }
 
 Json pack(const AskMessage &Value) {
@@ -281,9 +301,9 @@
 
 /// Names of the alternatives of PeerMessage, in their order.
 constexpr std::array<const char *, std::variant_size_v<PeerMessage>> KindNames{
-    "hello",    "ask",     "queued",   "decision",        "finish",
-    "withdraw", "key-map", "not-held", "key-map-request", "state-request",
-    "state",    "crash",   "listing",  "configuration"};
+    "hello",         "running",  "ask",     "queued",   "decision",
+    "finish",        "withdraw", "key-map", "not-held", "key-map-request",
+    "state-request", "state",    "crash",   "listing",  "configuration"};
 
 } // namespace
 
--- a/standin/dispatch-replay.cc
+++ b/standin/dispatch-replay.cc
@@ -659,6 +659,8 @@
       if (Item.m_at >= From && Item.m_at < To && Share(0.2))
         Item.m_leavesAfter = Out.m_objective / 2;
     }
+  else if (Name == "tight")
+    Out.m_timeout = Millis(static_cast<std::int64_t>(2.5 * Options.m_workMs));
   else if (Name == "shift")
     for (Arrival &Item : Out.m_arrivals) {
       const bool IsMoved = Item.m_at >= From && Item.m_at < To &&
--- a/test/gateway/dispatcher-test.cc
+++ b/test/gateway/dispatcher-test.cc
@@ -185,6 +185,49 @@
   EXPECT_LE(Taken, m_policy.m_retries.m_slack);
 }
 
+// Hosts that were gone, or that reported to another coordinator, left slots
+// taken for good.
+TEST_F(DispatcherTest, Tick_EndIsNeverReported_SlotIsFreeAfterItsTime) {
+  setServers({makeServer("a")});
+  ASSERT_EQ(ask(makeAsk(1, Millis(600), Millis(2000)))->m_server, "a");
+  m_now += Millis(2000) + m_policy.m_reportGrace;
+  m_made.clear();
+  m_subject.tick(m_now, m_made);
+  EXPECT_EQ(ask(makeAsk(2))->m_server, "a");
+}
+
+TEST_F(DispatcherTest, ForgetRunning_CoordinatorAgain_CountsWhatIsReported) {
+  setServers({makeServer("a", 2)});
+  ask(makeAsk(1));
+  ask(makeAsk(2));
+  m_subject.forgetRunning();
+  m_subject.adopt({9, 1}, "a", Millis(1000), m_now);
+  EXPECT_EQ(ask(makeAsk(3))->m_server, "a");
+  EXPECT_EQ(ask(makeAsk(4)), nullptr);
+}
+
+// A request that was ended early says only that it would have taken longer.
+TEST_F(DispatcherTest, Finish_TimedOutEarly_DoesNotMakeAServerLookFast) {
+  setServers({makeServer("a", 1)});
+  const double Before = m_subject.rateOf("a");
+  for (std::uint32_t I = 1; I <= 50; ++I) {
+    ask(makeAsk(I));
+    finish(I, DispatchResult::TimedOut, Millis(5));
+  }
+  EXPECT_LE(m_subject.rateOf("a"), Before);
+}
+
+TEST_F(DispatcherTest, Tick_LessTimeThanTheServiceTakes_IsRefused) {
+  setServers({makeServer("a", 1)});
+  ask(makeAsk(1));
+  EXPECT_EQ(ask(makeAsk(2, Millis(600), Millis(400))), nullptr);
+  m_now += Millis(400) - m_policy.m_firstEstimate;
+  m_made.clear();
+  m_subject.tick(m_now, m_made);
+  ASSERT_NE(find(2), nullptr);
+  EXPECT_EQ(find(2)->m_reason, RefusalReason::Overloaded);
+}
+
 // Servers that shed part of their work have room for the client's return.
 TEST_F(DispatcherTest, Ask_NoBudgetButFreeSlots_MayComeBackAtOnce) {
   setServers({makeServer("a", 1000)});
@@ -266,7 +309,7 @@
 
 TEST_F(DispatcherTest, Adopt_DispatchOfAnotherCoordinator_TakesItsSlot) {
   setServers({makeServer("a")});
-  m_subject.adopt({3, 9}, "a", m_now);
+  m_subject.adopt({3, 9}, "a", Millis(1000), m_now);
   EXPECT_EQ(ask(makeAsk(1)), nullptr);
   m_made.clear();
   m_subject.finish({3, 9}, DispatchResult::Served, Millis(10), m_now, m_made);
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -19,7 +19,9 @@
   Server.m_id = "s-1";
   Server.m_bornMs = 123456789012;
   Server.m_coldLeft = Millis(7);
-  return {HelloMessage{{"h1", "10.0.0.1", "zone-a", 5, 20}, {{1, "cart", "s"}}},
+  return {HelloMessage{{"h1", "10.0.0.1", "zone-a", 5, 20},
+                       {{1, "cart", "s", Millis(9)}}},
+          RunningMessage{{{2, "cart", "s", Millis(8)}}},
           AskMessage{"cart", Ask},
           QueuedMessage{7},
           DecisionMessage{{{0, 7}, "", RefusalReason::Overloaded, Millis(250)}},
