--- a/bench/tamarack-replay.cc
+++ b/bench/tamarack-replay.cc
@@ -4,8 +4,10 @@
 
 #include "dispatch-replay.h"
 
+#include <array>
 #include <boost/program_options.hpp>
 #include <iostream>
+#include <span>
 #include <spdlog/fmt/fmt.h>
 
 namespace tamarackdrum::replay {
@@ -24,6 +26,7 @@
 
 Options parse(int Argc, char **Argv) {
   Options Out;
+  std::int64_t Objective = 0;
   po::options_description Known("Usage: tamarack-replay [options]");
   Known.add_options()("help", "print this help")(
       "pattern", po::value(&Out.m_patterns)->multitoken(),
@@ -44,11 +47,18 @@
       "slots of each server")(
       "work-ms",
       po::value(&Out.m_trace.m_workMs)->default_value(Out.m_trace.m_workMs),
-      "mean work of a request");
+      "mean work of a request")(
+      "spread",
+      po::value(&Out.m_trace.m_spread)->default_value(Out.m_trace.m_spread),
+      "spread of the logarithm of the work")(
+      "objective-ms", po::value(&Objective)->default_value(600),
+      "time within which an answer is in time; the timeout and the deadline "
+      "are 2 and 4 times as long");
   po::variables_map Values;
   po::store(po::parse_command_line(Argc, Argv, Known), Values);
   po::notify(Values);
   Out.m_isHelp = Values.count("help") > 0;
+  Out.m_trace.m_objective = Millis(Objective);
   if (Out.m_isHelp)
     std::cout << Known;
   if (Out.m_patterns.empty())
@@ -56,8 +66,23 @@
   return Out;
 }
 
+/// A way to decide, as a row of the table names it.
+struct Variant {
+  const char *m_name;
+  Decider m_decider;
+  bool m_isPlacementFixed;
+};
+
+constexpr std::array<Variant, 3> Unkeyed{
+    {{"dispatcher", Decider::Dispatcher, false},
+     {"first-come", Decider::FirstCome, false},
+     {"random-two-local", Decider::RandomTwoLocal, false}}};
+constexpr std::array<Variant, 2> Keyed{
+    {{"dispatcher", Decider::Dispatcher, false},
+     {"fixed-keys", Decider::Dispatcher, true}}};
+
 void printRow(const Options &Line, const std::string &Pattern, double Load,
-              Decider Kind) {
+              const Variant &Kind) {
   double Credit = 0;
   double Worst = 0;
   ReplayResult Sum;
@@ -67,7 +92,8 @@
     Made.m_load = Load;
     const Trace Played = makePattern(Pattern, Made);
     ReplayPolicy Policy = Line.m_policy;
-    Policy.m_decider = Kind;
+    Policy.m_decider = Kind.m_decider;
+    Policy.m_isPlacementFixed = Kind.m_isPlacementFixed;
     const ReplayResult Result = replay(Played, Policy);
     Credit += Result.credit(Played.m_lateWorth) / Line.m_seeds;
     Worst += Result.worstCredit(Played.m_lateWorth) / Line.m_seeds;
@@ -82,15 +108,19 @@
     Sum.m_messages += Result.m_messages;
     Sum.m_busyMs += Result.m_busyMs;
     Sum.m_wastedMs += Result.m_wastedMs;
+    Sum.m_notHeld += Result.m_notHeld;
+    Sum.m_keysMoved += Result.m_keysMoved / Line.m_seeds;
+    Sum.m_writes += Result.m_writes;
   }
   const double Owed = Sum.m_owed;
   fmt::print("{:11} {:4.2f} {:17} {:6.3f} {:6.3f} {:6.3f} {:6.3f} {:6.3f} "
-             "{:6.3f} {:6.3f} {:6.3f} {:6.3f} {:6.2f}\n",
-             Pattern, Load, toText(Kind), Credit, Worst, Sum.m_inTime / Owed,
+             "{:6.3f} {:6.3f} {:6.3f} {:6.3f} {:6.2f} {:6.2f} {:6} {:6}\n",
+             Pattern, Load, Kind.m_name, Credit, Worst, Sum.m_inTime / Owed,
              Sum.m_late / Owed, Sum.m_refused / Owed, Sum.m_refusedAgain / Owed,
              Sum.m_failed / Owed, Sum.otherZoneShare(),
              Sum.m_busyMs > 0 ? Sum.m_wastedMs / Sum.m_busyMs : 0,
-             Sum.m_messages / Owed);
+             Sum.m_messages / Owed, Sum.m_keysMoved,
+             Sum.m_notHeld / Line.m_seeds, Sum.m_writes / Line.m_seeds);
 }
 
 int run(int Argc, char **Argv) {
@@ -98,14 +128,17 @@
   if (Line.m_isHelp)
     return 0;
   fmt::print("{:11} {:4} {:17} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} "
-             "{:>6} {:>6} {:>6}\n",
+             "{:>6} {:>6} {:>6} {:>6} {:>6} {:>6}\n",
              "pattern", "load", "decider", "credit", "worst", "intime", "late",
-             "refus", "again", "fail", "zone", "waste", "msgs");
+             "refus", "again", "fail", "zone", "waste", "msgs", "moved",
+             "unheld", "writes");
   for (const std::string &Pattern : Line.m_patterns)
-    for (double Load : Line.m_loads)
-      for (Decider Kind :
-           {Decider::Dispatcher, Decider::FirstCome, Decider::RandomTwoLocal})
+    for (double Load : Line.m_loads) {
+      const bool IsKeyed = Pattern.find("key") != std::string::npos;
+      for (const Variant &Kind : IsKeyed ? std::span<const Variant>(Keyed)
+                                         : std::span<const Variant>(Unkeyed))
         printRow(Line, Pattern, Load, Kind);
+    }
   return 0;
 }
 
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -120,6 +120,8 @@
   /// time that its request had. Source: hosts end requests in time and report
   /// at once, so that this covers a slow link.
   Millis m_reportGrace{1000};
+  /// Time within which what waits for keys should be served by their holder.
+  Millis m_backlogTime{1000};
   /// Retry-After where nothing better is known: about two polls of the server
   /// registry.
   Millis m_blindRetryAfter{1000};
@@ -185,7 +187,9 @@
   std::size_t waitingFor(const std::string &Server) const;
 
   DispatchLoad load() const;
-  KeyLoad &keyLoad() { return m_keyLoad; }
+  /// Returns requests a second of the busy keys, in order. What waits counts
+  /// as if it had come within the time that it may take to be served.
+  std::vector<KeyRate> keyDemand(TimePoint Now);
   const KeyMap &keyMap() const { return m_keys; }
 
 private:
--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -69,9 +69,9 @@
   /// Least time between two records, so that changes share a call.
   Millis m_writeEvery{150};
   /// Least time between two rounds of placement.
-  Millis m_planEvery{350};
+  Millis m_planEvery{200};
   /// Keys stay at a new holder for this time at least.
-  Millis m_settleTime{1200};
+  Millis m_settleTime{500};
   PlacementPolicy m_placement;
 
   bool operator==(const GrantPolicy &) const = default;
@@ -151,8 +151,9 @@
   void noteResult(std::uint64_t Call, GrantResult Outcome,
                   const std::string &Handover, TimePoint Now);
 
-  /// Chooses new holders; \p RateOf returns requests a second of a server.
-  void plan(KeyLoad &Load,
+  /// Chooses new holders, if a round is due. \p Demand returns requests a
+  /// second of the busy keys, \p RateOf those that a server can serve.
+  void plan(const std::function<std::vector<KeyRate>()> &Demand,
             const std::function<double(const std::string &)> &RateOf,
             TimePoint Now);
 
--- a/include/tamarackdrum/gateway/key-map.h
+++ b/include/tamarackdrum/gateway/key-map.h
@@ -76,6 +76,14 @@
 std::optional<KeyMap> applyChange(const KeyMap &Old,
                                   const KeyMapChange &Change);
 
+/// Requests a second of one key.
+struct KeyRate {
+  Key m_key = 0;
+  double m_rate = 0;
+
+  bool operator==(const KeyRate &) const = default;
+};
+
 /// Decaying rate of arrivals for each key.
 class KeyLoad {
 public:
@@ -87,12 +95,8 @@
   /// Returns arrivals a second of the keys \p From to \p To.
   double rate(std::uint32_t From, std::uint32_t To, TimePoint Now);
 
-  /// Calls \p Visit(key, rate) for each key that has been asked for, in order.
-  template <typename Visitor> void forEach(TimePoint Now, Visitor Visit) {
-    decay(Now);
-    for (const auto &[Value, Weight] : m_weights)
-      Visit(Value, Weight * m_toRate);
-  }
+  /// Returns the rates of the keys that have been asked for, in order.
+  std::vector<KeyRate> rates(TimePoint Now);
 
 private:
   void decay(TimePoint Now);
--- a/include/tamarackdrum/gateway/key-placement.h
+++ b/include/tamarackdrum/gateway/key-placement.h
@@ -22,14 +22,6 @@
   bool operator==(const PlacedRange &) const = default;
 };
 
-/// Requests a second of one key.
-struct KeyRate {
-  Key m_key = 0;
-  double m_rate = 0;
-
-  bool operator==(const KeyRate &) const = default;
-};
-
 /// Keys that should get another holder.
 struct KeyMove {
   Key m_from = 0;
@@ -45,7 +37,15 @@
   /// ... if another server's is lower by this.
   double m_gap = 0.3;
   /// Moves of one round at most; each one stops its keys for a moment.
-  std::size_t m_movesPerRound = 3;
+  std::size_t m_movesPerRound = 10;
+  /// Part of a server's capacity from which one key is taken to be what keeps
+  /// it busy.
+  double m_dominantShare = 1.0;
+  /// Part of a server's capacity from which a whole range is worth its move.
+  double m_leastRelief = 0.1;
+  /// Ranges are split only while there are fewer: each one has to be renewed
+  /// by a call of its own and lies in one row of the store.
+  std::size_t m_mostRanges = 800;
   /// Part of the whole load that is assumed to be spread over all keys, since
   /// few keys are seen in a few seconds.
   double m_spreadShare = 0.25;
--- a/include/tamarackdrum/gateway/ownership-keeper.h
+++ b/include/tamarackdrum/gateway/ownership-keeper.h
@@ -36,7 +36,7 @@
   std::function<Millis()> m_storeGood; ///< Span of good reads up to now.
   std::function<const std::map<std::string, ServerEntry> &()> m_servers;
   std::function<double(const std::string &Server)> m_rateOf;
-  std::function<KeyLoad &()> m_load;
+  std::function<std::vector<KeyRate>()> m_demand;
   /// Notes whether a call to the store that was made at a time succeeded.
   std::function<void(bool IsGood, TimePoint AskedAt)> m_onStore;
   /// Takes a new map of holders.
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -418,8 +418,9 @@
         .dispatcher(Service, BootClock::now())
         .rateOf(Server);
   };
-  View.m_load = [this, Service]() -> KeyLoad & {
-    return m_admission.hub().dispatcher(Service, BootClock::now()).keyLoad();
+  View.m_demand = [this, Service] {
+    const TimePoint Now = BootClock::now();
+    return m_admission.hub().dispatcher(Service, Now).keyDemand(Now);
   };
   View.m_onKeyMap = [this, Service](const KeyMap &Map) {
     const KeyMapChange Change = changeBetween(m_admission.keyMap(Service), Map);
--- a/src/edge/ownership-keeper.cc
+++ b/src/edge/ownership-keeper.cc
@@ -270,7 +270,7 @@
       if (hasGivenWay(m_before))
         m_granter.noteOldGone(Now);
       m_granter.setServers(ownServers(), Now);
-      m_granter.plan(m_view.m_load(), m_view.m_rateOf, Now);
+      m_granter.plan(m_view.m_demand, m_view.m_rateOf, Now);
       GrantActions Wanted = m_granter.step(BootClock::now());
       for (GrantCall &Call : Wanted.m_calls)
         asio::co_spawn(m_executor, carryOut(std::move(Call)), asio::detached);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -249,8 +249,9 @@
   }
   const auto Holder = m_servers.find(m_keys.holderOf(Ask.m_key.value_or(0)));
   if (Holder == m_servers.end()) {
+    // Ranges that move go to different servers.
     Out.m_pauseMs = MoveMs;
-    Out.m_perMs = 1 / m_meanMs;
+    Out.m_perMs = serviceRate(Now);
     return Out;
   }
   Out.m_serviceMs = expectedMs(Holder->second, Now);
@@ -538,6 +539,21 @@
   return static_cast<double>(slotsOf(Found->second)) * 1000.0 / Mean;
 }
 
+std::vector<KeyRate> Dispatcher::keyDemand(TimePoint Now) {
+  std::map<Key, double> ByKey;
+  for (const KeyRate &Item : m_keyLoad.rates(Now))
+    ByKey[Item.m_key] = Item.m_rate;
+  const double Each =
+      1000.0 / static_cast<double>(m_policy.m_backlogTime.count());
+  for (const Waiting &Item : m_waiting)
+    ByKey[Item.m_ask.m_key.value_or(0)] += Each;
+  std::vector<KeyRate> Out;
+  Out.reserve(ByKey.size());
+  for (const auto &[Value, Rate] : ByKey)
+    Out.push_back({Value, Rate});
+  return Out;
+}
+
 std::size_t Dispatcher::waitingFor(const std::string &Server) const {
   return static_cast<std::size_t>(std::count_if(
       m_waiting.begin(), m_waiting.end(), [&](const Waiting &Item) {
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -341,8 +341,10 @@
 }
 
 void KeyGranter::mergeNeighbours() {
-  if (m_ranges.size() <=
-      RangesPerServer * std::max<std::size_t>(1, m_servers.size()))
+  const std::size_t Enough =
+      std::min(RangesPerServer * std::max<std::size_t>(1, m_servers.size()),
+               m_policy.m_placement.m_mostRanges / 2);
+  if (m_ranges.size() <= Enough)
     return;
   const auto IsCalm = [this](const Range &Item) {
     return isSettled(Item) && Item.m_record.m_previous.isNobody() &&
@@ -370,7 +372,7 @@
   }
 }
 
-void KeyGranter::plan(KeyLoad &Load,
+void KeyGranter::plan(const std::function<std::vector<KeyRate>()> &Demand,
                       const std::function<double(const std::string &)> &RateOf,
                       TimePoint Now) {
   if (!m_isGranter || !m_isWritten || m_needsValidation ||
@@ -393,12 +395,8 @@
                        HasOwner ? Record.m_owner.m_id : std::string()},
                       CanMove});
   }
-  std::vector<KeyRate> Rates;
-  Load.forEach(Now, [&Rates](Key Value, double Rate) {
-    Rates.push_back({Value, Rate});
-  });
   for (const KeyMove &Wanted :
-       planKeyMoves(Placed, Capacity, Rates, m_policy.m_placement))
+       planKeyMoves(Placed, Capacity, Demand(), m_policy.m_placement))
     move(Wanted, Now);
   mergeNeighbours();
 }
--- a/src/gateway/key-map.cc
+++ b/src/gateway/key-map.cc
@@ -107,6 +107,15 @@
   }
 }
 
+std::vector<KeyRate> KeyLoad::rates(TimePoint Now) {
+  decay(Now);
+  std::vector<KeyRate> Out;
+  Out.reserve(m_weights.size());
+  for (const auto &[Value, Weight] : m_weights)
+    Out.push_back({Value, Weight * m_toRate});
+  return Out;
+}
+
 double KeyLoad::rate(std::uint32_t From, std::uint32_t To, TimePoint Now) {
   decay(Now);
   double Sum = 0;
--- a/src/gateway/key-placement.cc
+++ b/src/gateway/key-placement.cc
@@ -13,8 +13,8 @@
 /// A window of keys is moved if its load lies this close to the excess.
 constexpr double LeastFit = 0.5;
 constexpr double MostFit = 1.3;
-/// Keys without a holder go to this many servers at most.
-constexpr std::uint32_t MostPieces = 4;
+/// A range without a holder goes to this many servers at most.
+constexpr std::uint32_t PiecesOfRange = 4;
 
 struct Loads {
   std::map<std::string, double> m_byServer;
@@ -82,13 +82,13 @@
 }
 
 /// Deals the keys of one range without a holder to the servers with most room.
-void rehome(const KeyHolding &Keys, std::size_t Servers,
+void rehome(const KeyHolding &Keys, std::uint32_t MostPieces,
             const std::map<std::string, double> &Capacity,
             const std::vector<KeyRate> &Rates, Loads &Current,
             std::vector<KeyMove> &Out) {
   const std::uint32_t Width = widthOf(Keys);
   const std::uint32_t Share = std::max<std::uint32_t>(
-      1, KeyCount / static_cast<std::uint32_t>(2 * Servers));
+      1, KeyCount / static_cast<std::uint32_t>(2 * Capacity.size()));
   const std::uint32_t Pieces =
       std::min({MostPieces, Width, std::max<std::uint32_t>(1, Width / Share)});
   for (std::uint32_t I = 0; I < Pieces; ++I) {
@@ -135,48 +135,97 @@
   return KeyHolding{static_cast<Key>(Keys.m_to - Width + 1), Keys.m_to, ""};
 }
 
-/// Returns one move from the busiest server to the one with most room.
-std::optional<KeyMove> planRelief(const std::vector<PlacedRange> &Ranges,
-                                  const Loads &Current,
-                                  const std::map<std::string, double> &Capacity,
-                                  const std::vector<KeyRate> &Rates,
-                                  const PlacementPolicy &Policy) {
-  std::string Hot;
-  std::string Cold;
-  for (const auto &[Server, Rate] : Capacity) {
-    if (Hot.empty() || utilization(Server, Current, Capacity) >
-                           utilization(Hot, Current, Capacity))
-      Hot = Server;
-    if (Cold.empty() || utilization(Server, Current, Capacity) <
-                            utilization(Cold, Current, Capacity))
-      Cold = Server;
+/// Returns the busiest key that \p Server holds, or nothing.
+std::optional<KeyRate> busiestKeyOf(const std::string &Server,
+                                    const std::vector<PlacedRange> &Ranges,
+                                    const std::vector<KeyRate> &Rates) {
+  std::optional<KeyRate> Out;
+  for (const PlacedRange &Range : Ranges) {
+    const KeyHolding &Keys = Range.m_keys;
+    if (Keys.m_server != Server)
+      continue;
+    for (const KeyRate &Item : Rates)
+      if (Item.m_key >= Keys.m_from && Item.m_key <= Keys.m_to &&
+          (!Out || Item.m_rate > Out->m_rate))
+        Out = Item;
   }
-  if (Hot.empty() || Hot == Cold)
-    return std::nullopt;
-  const double High = utilization(Hot, Current, Capacity);
-  const double Low = utilization(Cold, Current, Capacity);
-  const bool HasNothing = Low <= 0;
-  const bool IsUnequal = High > Policy.m_busyShare && High - Low > Policy.m_gap;
-  if (!HasNothing && !IsUnequal)
-    return std::nullopt;
-  const double CapHot = std::max(0.1, Capacity.at(Hot));
-  const double CapCold = std::max(0.1, Capacity.at(Cold));
-  const double Excess = (High - Low) * CapHot * CapCold / (CapHot + CapCold);
-  std::optional<KeyMove> Best;
+  return Out;
+}
+
+/// Returns the narrowest part of what \p Hot holds whose load is about
+/// \p Excess.
+std::optional<KeyHolding> findPart(const std::string &Hot, double Excess,
+                                   const std::vector<PlacedRange> &Ranges,
+                                   const std::vector<KeyRate> &Rates,
+                                   double SpreadPerKey) {
+  std::optional<KeyHolding> Best;
   for (const PlacedRange &Range : Ranges) {
     if (!Range.m_canMove || Range.m_keys.m_server != Hot)
       continue;
     const std::optional<KeyHolding> Found =
-        findWindow(Range.m_keys, Excess, Rates, Current.m_spreadPerKey);
-    if (!Found)
+        findWindow(Range.m_keys, Excess, Rates, SpreadPerKey);
+    if (Found && (!Best || widthOf(*Found) < widthOf(*Best)))
+      Best = Found;
+  }
+  return Best;
+}
+
+/// Returns the busiest range of \p Hot whose load is between \p Least and about
+/// \p Excess.
+std::optional<KeyHolding> findWhole(const std::string &Hot, double Least,
+                                    double Excess,
+                                    const std::vector<PlacedRange> &Ranges,
+                                    const std::vector<KeyRate> &Rates,
+                                    double SpreadPerKey) {
+  std::optional<KeyHolding> Best;
+  double Most = Least;
+  for (const PlacedRange &Range : Ranges) {
+    if (!Range.m_canMove || Range.m_keys.m_server != Hot)
+      continue;
+    const double Load = loadOf(Range.m_keys, Rates, SpreadPerKey);
+    if (Load < Most || Load > Excess * MostFit)
       continue;
-    if (!Best || widthOf(*Found) <
-                     static_cast<std::uint32_t>(Best->m_to - Best->m_from + 1))
-      Best = KeyMove{Found->m_from, Found->m_to, Cold};
+    Best = Range.m_keys;
+    Most = Load;
   }
   return Best;
 }
 
+/// Returns one move from the busiest server to the one with most room. A server
+/// that a single key keeps busy can't be relieved, so the next one is taken.
+std::optional<KeyMove> planRelief(const std::vector<PlacedRange> &Ranges,
+                                  const Loads &Current,
+                                  const std::map<std::string, double> &Capacity,
+                                  const std::vector<KeyRate> &Rates,
+                                  const PlacementPolicy &Policy) {
+  std::vector<std::pair<double, std::string>> ByUse;
+  for (const auto &[Server, Rate] : Capacity)
+    ByUse.emplace_back(utilization(Server, Current, Capacity), Server);
+  std::sort(ByUse.begin(), ByUse.end());
+  const auto &[Low, Cold] = ByUse.front();
+  const double CapCold = std::max(0.1, Capacity.at(Cold));
+  for (std::size_t I = ByUse.size() - 1; I > 0; --I) {
+    const auto &[High, Hot] = ByUse[I];
+    const bool IsUnequal =
+        High > Policy.m_busyShare && High - Low > Policy.m_gap;
+    if (Low > 0 && !IsUnequal)
+      return std::nullopt;
+    const double CapHot = std::max(0.1, Capacity.at(Hot));
+    const double Excess = (High - Low) * CapHot * CapCold / (CapHot + CapCold);
+    const std::optional<KeyHolding> Found =
+        Ranges.size() < Policy.m_mostRanges
+            ? findPart(Hot, Excess, Ranges, Rates, Current.m_spreadPerKey)
+            : findWhole(Hot, Policy.m_leastRelief * CapHot, Excess, Ranges,
+                        Rates, Current.m_spreadPerKey);
+    if (Found)
+      return KeyMove{Found->m_from, Found->m_to, Cold};
+    const std::optional<KeyRate> Top = busiestKeyOf(Hot, Ranges, Rates);
+    if (!Top || Top->m_rate < Policy.m_dominantShare * CapHot)
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
 /// Returns \p Ranges with \p Move carried out and its keys not to be moved on.
 std::vector<PlacedRange> withMove(const std::vector<PlacedRange> &Ranges,
                                   const KeyMove &Move) {
@@ -229,7 +278,10 @@
           loadOf(Range.m_keys, Rates, Current.m_spreadPerKey);
   for (const PlacedRange &Range : Ranges)
     if (Capacity.count(Range.m_keys.m_server) == 0)
-      rehome(Range.m_keys, Capacity.size(), Capacity, Rates, Current, Out);
+      rehome(Range.m_keys,
+             Ranges.size() + Out.size() < Policy.m_mostRanges ? PiecesOfRange
+                                                              : 1,
+             Capacity, Rates, Current, Out);
 
   std::vector<PlacedRange> After = Ranges;
   for (std::size_t I = 0; I < Policy.m_movesPerRound; ++I) {
--- a/src/gateway/record-json.cc
+++ b/src/gateway/record-json.cc
@@ -2,33 +2,50 @@
 
 #include "tamarackdrum/error.h"
 
+#include <map>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace tamarackdrum::gateway {
 namespace {
 
 using Json = nlohmann::json;
 
-Json lifeToJson(const ServerLife &Life) {
-  return Json::array({Json(Life.m_id), Json(Life.m_bornMs)});
-}
+/// Lives of servers, each once; ranges name them by their place.
+class LifeTable {
+public:
+  std::size_t placeOf(const ServerLife &Life) {
+    const auto [Found, IsNew] = m_places.emplace(
+        std::make_pair(Life.m_id, Life.m_bornMs), m_places.size());
+    if (IsNew)
+      m_json.push_back(Json::array({Json(Life.m_id), Json(Life.m_bornMs)}));
+    return Found->second;
+  }
+  const Json &json() const { return m_json; }
+
+private:
+  std::map<std::pair<std::string, std::int64_t>, std::size_t> m_places;
+  Json m_json = Json::array();
+};
 
-ServerLife lifeFromJson(const Json &Value) {
+ServerLife lifeFromJson(const Json &Lives, const Json &Place) {
+  const Json &Value = Lives.at(Place.get<std::size_t>());
   return {Value.at(0).get<std::string>(), Value.at(1).get<std::int64_t>()};
 }
 
 } // namespace
 
 std::string toJson(const OwnershipRecord &Record) {
+  // A range is [from, to, owner, fence], then [previous, previous fence] if
+  // there is one.
+  LifeTable Lives;
   Json Ranges = Json::array();
   for (const RangeRecord &Item : Record.m_ranges) {
-    Json Range = {{"from", Item.m_from},
-                  {"to", Item.m_to},
-                  {"owner", lifeToJson(Item.m_owner)},
-                  {"fence", Item.m_fence}};
+    Json Range = Json::array(
+        {Item.m_from, Item.m_to, Lives.placeOf(Item.m_owner), Item.m_fence});
     if (!Item.m_previous.isNobody()) {
-      Range["previous"] = lifeToJson(Item.m_previous);
-      Range["previous_fence"] = Item.m_previousFence;
+      Range.push_back(Lives.placeOf(Item.m_previous));
+      Range.push_back(Item.m_previousFence);
     }
     Ranges.push_back(std::move(Range));
   }
@@ -36,6 +53,7 @@
               {"granter", Record.m_granter},
               {"granter_life", Record.m_granterLife},
               {"unsafe_until_ms", Record.m_unsafeUntilMs},
+              {"lives", Lives.json()},
               {"ranges", std::move(Ranges)}}
       .dump();
 }
@@ -48,15 +66,16 @@
     Out.m_granter = Value.at("granter").get<std::string>();
     Out.m_granterLife = Value.at("granter_life").get<std::int64_t>();
     Out.m_unsafeUntilMs = Value.at("unsafe_until_ms").get<std::int64_t>();
+    const Json &Lives = Value.at("lives");
     for (const Json &Item : Value.at("ranges")) {
       RangeRecord Range;
-      Range.m_from = Item.at("from").get<Key>();
-      Range.m_to = Item.at("to").get<Key>();
-      Range.m_owner = lifeFromJson(Item.at("owner"));
-      Range.m_fence = Item.at("fence").get<std::uint64_t>();
-      if (Item.contains("previous")) {
-        Range.m_previous = lifeFromJson(Item.at("previous"));
-        Range.m_previousFence = Item.at("previous_fence").get<std::uint64_t>();
+      Range.m_from = Item.at(0).get<Key>();
+      Range.m_to = Item.at(1).get<Key>();
+      Range.m_owner = lifeFromJson(Lives, Item.at(2));
+      Range.m_fence = Item.at(3).get<std::uint64_t>();
+      if (Item.size() > 4) {
+        Range.m_previous = lifeFromJson(Lives, Item.at(4));
+        Range.m_previousFence = Item.at(5).get<std::uint64_t>();
       }
       Out.m_ranges.push_back(std::move(Range));
     }
--- a/standin/dispatch-replay.cc
+++ b/standin/dispatch-replay.cc
@@ -12,7 +12,10 @@
 
 using namespace gateway;
 
-constexpr double TickMs = 40; ///< As in the gateway.
+constexpr double TickMs = 40;        ///< As in the gateway.
+constexpr double GranterStepMs = 50; ///< As in the gateway.
+constexpr double LeadMs = 5000;      ///< From the start to the first request.
+constexpr double WriteMs = 8;        ///< A write of the store, there and back.
 constexpr double WorstSpanMs = 5000;
 /// Part of its remaining time that a client waits before it comes back.
 constexpr double LongestReturnShare = 1.0 / 3;
@@ -38,6 +41,7 @@
   std::size_t m_try = 0;
   double m_workMs = 0;
   double m_endsAt = 0;
+  std::optional<Key> m_key;
 };
 
 struct ServerState {
@@ -45,6 +49,8 @@
   std::size_t m_index = 0;
   unsigned m_running = 0;
   std::deque<Job> m_queue;
+  std::vector<KeyHolding> m_held;          ///< Granted and not released.
+  std::multimap<double, Key> m_keysAtWork; ///< By the end of the work.
 };
 
 struct RequestState {
@@ -57,16 +63,18 @@
 public:
   Player(const Trace &Load, const ReplayPolicy &Policy)
       : m_load(Load), m_policy(Policy), m_random(7),
-        m_dispatcher(Policy.m_dispatch), m_requests(Load.m_arrivals.size()) {
-    for (std::size_t I = 0; I < Load.m_servers.size(); ++I)
-      m_servers[Load.m_servers[I].m_entry.m_id] = {
-          &Load.m_servers[I], I, 0, {}};
+        m_dispatcher(Policy.m_dispatch),
+        m_granter(Policy.m_grants, "granter", 1),
+        m_requests(Load.m_arrivals.size()) {
+    for (std::size_t I = 0; I < Load.m_servers.size(); ++I) {
+      ServerState &State = m_servers[Load.m_servers[I].m_entry.m_id];
+      State.m_server = &Load.m_servers[I];
+      State.m_index = I;
+    }
     for (const Arrival &Item : Load.m_arrivals)
       m_zones.insert(Item.m_zone);
     const double Last =
-        Load.m_arrivals.empty()
-            ? 0
-            : static_cast<double>(Load.m_arrivals.back().m_at.count());
+        Load.m_arrivals.empty() ? 0 : toMs(Load.m_arrivals.back().m_at);
     m_result.m_windows.resize(static_cast<std::size_t>(Last / 1000) + 1);
   }
 
@@ -76,23 +84,20 @@
       Entries.push_back(Item.m_entry);
     DispatchDecisions Made;
     m_dispatcher.setServers(Entries, time(0), Made);
-    if (!m_load.m_keys.holdings().empty())
-      m_dispatcher.setKeyMap(m_load.m_keys, time(0), Made);
+    if (m_load.m_isKeyed)
+      dealKeys(Entries);
     for (std::size_t I = 0; I < m_load.m_arrivals.size(); ++I)
       at(static_cast<double>(m_load.m_arrivals[I].m_at.count()),
          [this, I] { arrive(I, 0); });
-    const double End = m_load.m_arrivals.empty()
-                           ? 0
-                           : m_load.m_arrivals.back().m_at.count() +
-                                 2.0 * m_load.m_deadline.count();
+    const double End =
+        m_load.m_arrivals.empty()
+            ? 0
+            : toMs(m_load.m_arrivals.back().m_at) + 2 * toMs(m_load.m_deadline);
     for (double Tick = TickMs; Tick < End; Tick += TickMs)
       at(Tick, [this] { tick(); });
-    while (!m_events.empty()) {
-      const Event Next = m_events.top();
-      m_events.pop();
-      m_now = Next.m_at;
-      Next.m_action();
-    }
+    for (double Step = 0; Step < End && m_load.m_isKeyed; Step += GranterStepMs)
+      at(Step, [this] { stepGranter(); });
+    runEventsUpTo(std::numeric_limits<double>::infinity());
     finish();
     return m_result;
   }
@@ -107,12 +112,92 @@
     }
   };
 
+  void runEventsUpTo(double Until) {
+    while (!m_events.empty() && m_events.top().m_at <= Until) {
+      const Event Next = m_events.top();
+      m_events.pop();
+      m_now = Next.m_at;
+      Next.m_action();
+    }
+  }
+
+  /// Deals the keys out before the first request.
+  void dealKeys(const std::vector<ServerEntry> &Servers) {
+    m_granter.takeOver({}, true, false, 0, time(-LeadMs));
+    m_granter.setServers(Servers, time(-LeadMs));
+    for (m_now = -LeadMs; m_now < 0; m_now += GranterStepMs) {
+      runEventsUpTo(m_now);
+      stepGranter();
+    }
+  }
+
+  /// One step of the granter, whose records are always written.
+  void stepGranter() {
+    m_granter.noteValidated(now());
+    if (m_now < 0 || !m_policy.m_isPlacementFixed)
+      m_granter.plan([this] { return m_dispatcher.keyDemand(now()); },
+                     [this](const std::string &Server) {
+                       return m_dispatcher.rateOf(Server);
+                     },
+                     now());
+    GrantActions Wanted = m_granter.step(now());
+    if (Wanted.m_write) {
+      ++m_result.m_writes;
+      at(m_now + WriteMs,
+         [this, AskedAt = now()] { m_granter.noteWritten(AskedAt, now()); });
+    }
+    for (const GrantCall &Call : Wanted.m_calls)
+      at(m_now + m_policy.m_crossZoneMs, [this, Call] { carryOut(Call); });
+    DispatchDecisions Made;
+    m_dispatcher.setKeyMap(m_granter.keyMap(now()), now(), Made);
+    deliver(Made);
+  }
+
+  void carryOut(const GrantCall &Call) {
+    ServerState &State = m_servers.at(Call.m_server.m_id);
+    std::vector<KeyHolding> Held;
+    for (const KeyHolding &Item : State.m_held) {
+      const bool IsApart = Item.m_to < Call.m_from || Call.m_to < Item.m_from;
+      if (IsApart || Item.m_from < Call.m_from)
+        Held.push_back({Item.m_from,
+                        IsApart ? Item.m_to : static_cast<Key>(Call.m_from - 1),
+                        Item.m_server});
+      if (!IsApart && Item.m_to > Call.m_to)
+        Held.push_back(
+            {static_cast<Key>(Call.m_to + 1), Item.m_to, Item.m_server});
+    }
+    State.m_held = std::move(Held);
+    double AnsweredAt = m_now;
+    if (Call.m_isRelease) {
+      m_result.m_keysMoved +=
+          (Call.m_to - Call.m_from + 1.0) / static_cast<double>(KeyCount);
+      for (const auto &[End, Value] : State.m_keysAtWork)
+        if (Value >= Call.m_from && Value <= Call.m_to)
+          AnsweredAt = std::max(AnsweredAt, End);
+    } else {
+      State.m_held.push_back({Call.m_from, Call.m_to, Call.m_server.m_id});
+    }
+    at(AnsweredAt + m_policy.m_crossZoneMs, [this, Call] {
+      m_granter.noteResult(Call.m_number, GrantResult::Done, "handover", now());
+    });
+  }
+
+  static bool holds(const ServerState &State, Key Value) {
+    return std::any_of(State.m_held.begin(), State.m_held.end(),
+                       [Value](const KeyHolding &Item) {
+                         return Item.m_from <= Value && Value <= Item.m_to;
+                       });
+  }
+
   static TimePoint time(double Ms) {
     // An hour after the start of the clock: no time is taken for "never".
     return TimePoint(std::chrono::hours(1)) +
            std::chrono::nanoseconds(static_cast<std::int64_t>(Ms * 1e6));
   }
   TimePoint now() const { return time(m_now); }
+  static double toMs(Millis Value) {
+    return static_cast<double>(Value.count());
+  }
   static Millis millis(double Ms) {
     return Millis(static_cast<std::int64_t>(Ms));
   }
@@ -123,8 +208,7 @@
 
   double deadlineOf(std::size_t Request) const {
     const Arrival &Item = m_load.m_arrivals[Request];
-    double Out = static_cast<double>(Item.m_at.count()) +
-                 static_cast<double>(m_load.m_deadline.count());
+    double Out = toMs(Item.m_at) + toMs(m_load.m_deadline);
     if (Item.m_leavesAfter)
       Out = std::min(Out, static_cast<double>(Item.m_at.count() +
                                               Item.m_leavesAfter->count()));
@@ -143,8 +227,7 @@
     Item.m_host = m_random() % m_policy.m_hostsPerZone;
     Item.m_startedAt = m_now;
     Item.m_endsAt =
-        std::min(deadlineOf(Request),
-                 m_now + static_cast<double>(m_load.m_timeout.count()));
+        std::min(deadlineOf(Request), m_now + toMs(m_load.m_timeout));
     m_tries.push_back(Item);
     at(Item.m_endsAt + 1, [this, Id] { expire(Id); });
     ask(Id);
@@ -201,9 +284,8 @@
     Ask.m_zone = From.m_zone;
     Ask.m_key = From.m_key;
     Ask.m_isRepeat = Item.m_dispatches > 0;
-    Ask.m_objectiveLeft = millis(std::max(
-        0.0, From.m_at.count() +
-                 static_cast<double>(m_load.m_objective.count()) - m_now));
+    Ask.m_objectiveLeft = millis(
+        std::max(0.0, toMs(From.m_at) + toMs(m_load.m_objective) - m_now));
     Ask.m_timeLeft = millis(Item.m_endsAt - m_now);
     Ask.m_tried = Item.m_tried;
     DispatchDecisions Made;
@@ -223,7 +305,7 @@
         m_tries[Id].m_isRunning = true;
       at(m_now + Way, [this, Id, Item] {
         if (Item.m_server.empty())
-          refuse(Id, Item.m_retryAfter.count());
+          refuse(Id, toMs(Item.m_retryAfter));
         else
           send(Id, Item.m_server);
       });
@@ -249,11 +331,8 @@
                                  m_local[{Host, Best->m_entry.m_id}])
         Best = &Other;
     }
-    const std::optional<Key> Wanted = m_load.m_arrivals[Item.m_request].m_key;
-    const std::string Server =
-        Wanted ? m_load.m_keys.holderOf(*Wanted) : Best->m_entry.m_id;
-    ++m_local[{Host, Server}];
-    send(Id, Server);
+    ++m_local[{Host, Best->m_entry.m_id}];
+    send(Id, Best->m_entry.m_id);
   }
 
   void drainFirstCome() {
@@ -296,8 +375,8 @@
 
   std::optional<double> faultAt(const ServerState &State, Fault Kind) const {
     for (const FaultSpan &Item : m_load.m_faults)
-      if (Item.m_fault == Kind && m_now >= Item.m_from.count() &&
-          m_now < Item.m_to.count() &&
+      if (Item.m_fault == Kind && m_now >= toMs(Item.m_from) &&
+          m_now < toMs(Item.m_to) &&
           std::find(Item.m_servers.begin(), Item.m_servers.end(),
                     State.m_index) != Item.m_servers.end())
         return Item.m_factor;
@@ -319,15 +398,21 @@
       return;
     }
     const Try &Item = m_tries[Id];
+    const std::optional<Key> Wanted = m_load.m_arrivals[Item.m_request].m_key;
+    if (Wanted && !holds(State, *Wanted)) {
+      ++m_result.m_notHeld;
+      answer(Id, DispatchResult::NotHeld);
+      return;
+    }
     double Work =
         m_load.m_arrivals[Item.m_request].m_workMs / State.m_server->m_speed;
     Work *= faultAt(State, Fault::Slow).value_or(1);
     if (happens(faultAt(State, Fault::Mute)))
       Work = 1e9;
     if (State.m_running < State.m_server->m_entry.m_slots) {
-      start(State, {Id, Work, Item.m_endsAt});
+      start(State, {Id, Work, Item.m_endsAt, Wanted});
     } else if (State.m_queue.size() < State.m_server->m_queue) {
-      State.m_queue.push_back({Id, Work, Item.m_endsAt});
+      State.m_queue.push_back({Id, Work, Item.m_endsAt, Wanted});
     } else {
       answer(Id, State.m_server->m_resetsWhenFull ? DispatchResult::Broken
                                                   : DispatchResult::Refused);
@@ -341,9 +426,13 @@
     const double Done = End - m_now;
     m_result.m_busyMs += Done;
     const std::string Server = State.m_server->m_entry.m_id;
+    if (Work.m_key)
+      State.m_keysAtWork.emplace(End, *Work.m_key);
     at(End, [this, Work, Done, Server, IsWhole] {
       ServerState &Ended = m_servers.at(Server);
       --Ended.m_running;
+      Ended.m_keysAtWork.erase(Ended.m_keysAtWork.begin(),
+                               Ended.m_keysAtWork.upper_bound(m_now));
       answer(Work.m_try,
              IsWhole ? DispatchResult::Served : DispatchResult::TimedOut);
       if (!IsWhole || m_tries[Work.m_try].m_isOver)
@@ -401,6 +490,7 @@
     if (Outcome != DispatchResult::Unreachable)
       ++Item.m_dispatches;
     const bool IsNotRun = Outcome == DispatchResult::Refused ||
+                          Outcome == DispatchResult::NotHeld ||
                           Outcome == DispatchResult::Unreachable;
     Item.m_wasRun = Item.m_wasRun || !IsNotRun;
     report(Id, Outcome);
@@ -431,8 +521,7 @@
       return;
     State = {true, true};
     const Arrival &From = m_load.m_arrivals[Item.m_request];
-    const bool IsInTime =
-        m_now - From.m_at.count() <= m_load.m_objective.count();
+    const bool IsInTime = m_now - toMs(From.m_at) <= toMs(m_load.m_objective);
     (IsInTime ? m_result.m_inTime : m_result.m_late) += 1;
     ReplayWindow &Window = windowOf(From);
     (IsInTime ? Window.m_inTime : Window.m_late) += 1;
@@ -502,6 +591,7 @@
   const ReplayPolicy &m_policy;
   std::mt19937_64 m_random;
   Dispatcher m_dispatcher;
+  KeyGranter m_granter;
   std::set<std::string> m_zones;
   std::map<std::string, ServerState> m_servers;
   std::deque<Try> m_tries;
@@ -517,35 +607,6 @@
   ReplayResult m_result;
 };
 
-std::vector<std::size_t> everyNth(std::size_t Count, std::size_t Step) {
-  std::vector<std::size_t> Out;
-  for (std::size_t I = 0; I < Count; I += Step)
-    Out.push_back(I);
-  return Out;
-}
-
-/// Adds to the load of a span by repeating what arrives in it.
-void multiply(Trace &Load, Millis From, Millis To, double Factor,
-              std::mt19937_64 &Random) {
-  std::vector<Arrival> Added;
-  for (const Arrival &Item : Load.m_arrivals) {
-    if (Item.m_at < From || Item.m_at >= To)
-      continue;
-    double Copies = Factor - 1;
-    for (; Copies > 0; Copies -= 1) {
-      if (Copies < 1 && std::uniform_real_distribution<>()(Random) > Copies)
-        break;
-      Arrival Copy = Item;
-      Copy.m_at = std::clamp(Item.m_at + Millis(Random() % 100), From, To);
-      Added.push_back(Copy);
-    }
-  }
-  Load.m_arrivals.insert(Load.m_arrivals.end(), Added.begin(), Added.end());
-  std::stable_sort(
-      Load.m_arrivals.begin(), Load.m_arrivals.end(),
-      [](const Arrival &A, const Arrival &B) { return A.m_at < B.m_at; });
-}
-
 } // namespace
 
 const char *toText(Decider Value) noexcept {
@@ -560,128 +621,6 @@
   return "unknown";
 }
 
-Trace makeTrace(const TraceOptions &Options) {
-  constexpr std::array<double, 4> Speeds{0.6, 1.0, 1.0, 1.4};
-  constexpr double WavePeriodMs = 11000;
-  std::mt19937_64 Random(Options.m_seed);
-  Trace Out;
-  Out.m_name = "calm";
-  double Capacity = 0; // Requests a second.
-  for (const std::string &Zone : Options.m_zones)
-    for (std::size_t I = 0; I < Options.m_serversPerZone; ++I) {
-      SimulatedServer Server;
-      Server.m_entry.m_id = Zone + "-" + std::to_string(I);
-      Server.m_entry.m_service = "replayed";
-      Server.m_entry.m_zone = Zone;
-      Server.m_entry.m_slots = Options.m_slots;
-      Server.m_entry.m_bornMs = 1;
-      Server.m_speed = Speeds[I % Speeds.size()];
-      Capacity += Options.m_slots * Server.m_speed * 1000 / Options.m_workMs;
-      Out.m_servers.push_back(std::move(Server));
-    }
-  const double PerZone =
-      Options.m_load * Capacity / static_cast<double>(Options.m_zones.size());
-  std::lognormal_distribution<> Work(
-      std::log(Options.m_workMs) - Options.m_spread * Options.m_spread / 2,
-      Options.m_spread);
-  for (std::size_t Z = 0; Z < Options.m_zones.size(); ++Z) {
-    double At = 0;
-    while (true) {
-      const double Phase =
-          2 * M_PI *
-          (At / WavePeriodMs + static_cast<double>(Z) /
-                                   static_cast<double>(Options.m_zones.size()));
-      const double Rate =
-          PerZone * (1 + Options.m_unevenness * std::sin(Phase));
-      At += std::exponential_distribution<>(Rate / 1000)(Random);
-      if (At >= static_cast<double>(Options.m_length.count()))
-        break;
-      Arrival Item;
-      Item.m_at = Millis(static_cast<std::int64_t>(At));
-      Item.m_zone = Options.m_zones[Z];
-      Item.m_workMs = Work(Random);
-      Out.m_arrivals.push_back(std::move(Item));
-    }
-  }
-  std::stable_sort(
-      Out.m_arrivals.begin(), Out.m_arrivals.end(),
-      [](const Arrival &A, const Arrival &B) { return A.m_at < B.m_at; });
-  return Out;
-}
-
-const std::vector<std::string> &patternNames() {
-  static const std::vector<std::string> Names{
-      "calm", "burst", "abuse", "leavers", "slow",    "shed",
-      "down", "mute",  "shift", "keyed",   "hot-key", "shed-keyed"};
-  return Names;
-}
-
-Trace makePattern(const std::string &Name, const TraceOptions &Options) {
-  Trace Out = makeTrace(Options);
-  Out.m_name = Name;
-  std::mt19937_64 Random(Options.m_seed + 1);
-  const std::size_t Count = Out.m_servers.size();
-  const Millis From(Options.m_length / 3);
-  const Millis To(Options.m_length * 2 / 3);
-  const auto Share = [&Random](double Part) {
-    return std::uniform_real_distribution<>()(Random) < Part;
-  };
-  if (Name == "keyed" || Name == "hot-key" || Name == "shed-keyed") {
-    // Keys are dealt out in proportion to speed, as the granter does.
-    double Total = 0;
-    for (const SimulatedServer &Server : Out.m_servers)
-      Total += Server.m_speed;
-    std::vector<KeyHolding> Holdings;
-    double Sum = 0;
-    std::uint32_t First = 0;
-    for (const SimulatedServer &Server : Out.m_servers) {
-      Sum += Server.m_speed;
-      const std::uint32_t End =
-          static_cast<std::uint32_t>(std::lround(KeyCount * Sum / Total));
-      Holdings.push_back({static_cast<Key>(First), static_cast<Key>(End - 1),
-                          Server.m_entry.m_id});
-      First = End;
-    }
-    Out.m_keys = KeyMap(1, std::move(Holdings));
-    for (Arrival &Item : Out.m_arrivals) {
-      const bool IsHot = Name == "hot-key" && Item.m_at >= From &&
-                         Item.m_at < To && Share(0.2);
-      Item.m_key = static_cast<Key>(IsHot ? 77 : Random() % KeyCount);
-    }
-  }
-  if (Name == "burst")
-    multiply(Out, From, From + (To - From) / 3, 1.7, Random);
-  else if (Name == "abuse")
-    for (Arrival &Item : Out.m_arrivals)
-      Item.m_isAbusive = Item.m_at >= From && Item.m_at < To && Share(0.3);
-  else if (Name == "leavers")
-    for (Arrival &Item : Out.m_arrivals) {
-      if (Item.m_at >= From && Item.m_at < To && Share(0.2))
-        Item.m_leavesAfter = Out.m_objective / 2;
-    }
-  else if (Name == "tight")
-    Out.m_timeout = Millis(static_cast<std::int64_t>(2.5 * Options.m_workMs));
-  else if (Name == "shift")
-    for (Arrival &Item : Out.m_arrivals) {
-      const bool IsMoved = Item.m_at >= From && Item.m_at < To &&
-                           Item.m_zone == Options.m_zones.front() && Share(0.5);
-      if (IsMoved)
-        Item.m_zone = Options.m_zones.back();
-    }
-  else if (Name == "slow")
-    Out.m_faults.push_back({Fault::Slow, From, To, 5, everyNth(Count, 6)});
-  else if (Name == "shed" || Name == "shed-keyed")
-    Out.m_faults.push_back({Fault::Shed, From, To, 0.55, everyNth(Count, 1)});
-  else if (Name == "down")
-    Out.m_faults.push_back({Fault::Down, From, To, 1, everyNth(Count, 6)});
-  else if (Name == "mute")
-    Out.m_faults.push_back({Fault::Mute, From, To, 0.45, everyNth(Count, 6)});
-  else if (std::find(patternNames().begin(), patternNames().end(), Name) ==
-           patternNames().end())
-    throw std::invalid_argument(Name);
-  return Out;
-}
-
 double ReplayResult::inTimeShare() const {
   return m_owed == 0 ? 1 : static_cast<double>(m_inTime) / m_owed;
 }
--- a/standin/dispatch-replay.h
+++ b/standin/dispatch-replay.h
@@ -8,8 +8,9 @@
 #ifndef TAMARACKDRUM_DISPATCH_REPLAY_H
 #define TAMARACKDRUM_DISPATCH_REPLAY_H
 
-#include "tamarackdrum/gateway/configuration.h"
+#include "replay-trace.h"
 #include "tamarackdrum/gateway/dispatcher.h"
+#include "tamarackdrum/gateway/key-granter.h"
 
 #include <functional>
 
@@ -24,83 +25,13 @@
 
 const char *toText(Decider Value) noexcept;
 
-/// What may be wrong with servers during a span of the trace.
-enum class Fault {
-  Slow, ///< Work takes m_factor times as long.
-  Shed, ///< A share of m_factor of the requests is refused as not run.
-  Down, ///< Connections are refused.
-  Mute  ///< A share of m_factor of the requests is never answered.
-};
-
-/// A fault of some servers for some time.
-struct FaultSpan {
-  Fault m_fault = Fault::Slow;
-  Millis m_from{0};
-  Millis m_to{0};
-  double m_factor = 1;
-  std::vector<std::size_t> m_servers; ///< Indices into Trace::m_servers.
-};
-
-struct SimulatedServer {
-  gateway::ServerEntry m_entry;
-  double m_speed = 1;
-  unsigned m_queue = 16;         ///< Requests that wait inside the server.
-  bool m_resetsWhenFull = false; ///< Else it answers that it did not run it.
-};
-
-/// One request of a client, as it first comes.
-struct Arrival {
-  Millis m_at{0};
-  std::string m_zone;
-  double m_workMs = 0; ///< On a server of speed 1.
-  std::optional<gateway::Key> m_key;
-  bool m_isAbusive = false;            ///< Comes back at once, three times.
-  std::optional<Millis> m_leavesAfter; ///< Its client gives up.
-};
-
-/// A load and the servers that it meets.
-struct Trace {
-  std::string m_name;
-  gateway::RequestKind m_kind = gateway::RequestKind::Safe;
-  Millis m_objective{600};
-  Millis m_deadline{2500}; ///< Of the client, from its first try.
-  Millis m_timeout{2000};  ///< Of the route, for each try.
-  unsigned m_attempts = 3;
-  unsigned m_retries = 1; ///< Times that a client comes back.
-  double m_lateWorth = 0.1;
-  std::vector<SimulatedServer> m_servers;
-  std::vector<FaultSpan> m_faults;
-  std::vector<Arrival> m_arrivals; ///< Sorted by time.
-  gateway::KeyMap m_keys;          ///< Empty for an unkeyed service.
-};
-
-/// What a trace is made from.
-struct TraceOptions {
-  std::uint64_t m_seed = 1;
-  double m_load = 0.8; ///< Offered work over capacity.
-  Millis m_length{30000};
-  std::vector<std::string> m_zones{"zone-a", "zone-b", "zone-c", "zone-d"};
-  std::size_t m_serversPerZone = 4;
-  unsigned m_slots = 4;
-  double m_workMs = 200;
-  double m_spread = 0.5;      ///< Of the logarithm of the work.
-  double m_unevenness = 0.15; ///< Swing of each zone's share of the load.
-};
-
-/// Returns a trace with nothing but its load, named "calm".
-Trace makeTrace(const TraceOptions &Options);
-
-/// Names of the load patterns that makePattern() knows.
-const std::vector<std::string> &patternNames();
-
-/// Returns a trace of a pattern, e.g. "burst"; throws std::invalid_argument
-/// for a name that is not known.
-Trace makePattern(const std::string &Name, const TraceOptions &Options);
-
 /// How the replay is played.
 struct ReplayPolicy {
   Decider m_decider = Decider::Dispatcher;
   gateway::DispatchPolicy m_dispatch;
+  gateway::GrantPolicy m_grants;
+  /// Keys stay where they were dealt out first.
+  bool m_isPlacementFixed = false;
   std::size_t m_hostsPerZone = 3;
   /// One way; source: the users' sites.
   double m_inZoneMs = 0.1;
@@ -126,6 +57,9 @@
   unsigned m_messages = 0;  ///< Between hosts.
   double m_busyMs = 0;      ///< Work done by servers.
   double m_wastedMs = 0;    ///< Of that, for answers that nobody got.
+  unsigned m_notHeld = 0;   ///< Dispatches to a server without the key.
+  double m_keysMoved = 0;   ///< Times that all keys changed hands.
+  unsigned m_writes = 0;    ///< Of the ownership record.
   std::vector<ReplayWindow> m_windows;
 
   double inTimeShare() const;
--- a/test/gateway/event-log-test.cc
+++ b/test/gateway/event-log-test.cc
@@ -1,7 +1,8 @@
 #include "tamarackdrum/gateway/event-log.h"
 
-#include <array>
 #include <gtest/gtest.h>
+
+#include <array>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -26,8 +26,8 @@
   }
 
   void plan() {
-    m_subject.plan(
-        m_load, [](const std::string &) { return 10.0; }, m_now);
+    m_subject.plan([this] { return m_load.rates(m_now); },
+                   [](const std::string &) { return 10.0; }, m_now);
   }
 
   /// One step; the store takes its record at once.
--- a/test/gateway/key-placement-test.cc
+++ b/test/gateway/key-placement-test.cc
@@ -53,6 +53,51 @@
   EXPECT_TRUE(plan().empty());
 }
 
+// Load pattern: one key fills a server while another server has too many keys.
+TEST_F(KeyPlacementTest, Plan_BusiestHasOneKey_NextBusiestIsRelieved) {
+  m_capacity = {{"a", 10}, {"b", 10}, {"c", 10}};
+  m_ranges.push_back({{60000, 65535, "c"}, true});
+  m_ranges[1].m_keys.m_to = 59999;
+  m_rates = {{1000, 20}, {40000, 4}, {40010, 4}, {40020, 4}, {60000, 1}};
+  const std::vector<KeyMove> Moves = plan();
+  ASSERT_FALSE(Moves.empty());
+  EXPECT_GE(Moves[0].m_from, 40000);
+  EXPECT_LE(Moves[0].m_to, 40020);
+  EXPECT_EQ(Moves[0].m_target, "c");
+}
+
+TEST_F(KeyPlacementTest, Plan_MostRanges_OnlyWholeRangesMove) {
+  const auto Count = static_cast<std::uint32_t>(m_policy.m_mostRanges);
+  m_ranges.clear();
+  for (std::uint32_t I = 0; I < Count; ++I) {
+    const auto From = static_cast<Key>(KeyCount * I / Count);
+    const auto To = static_cast<Key>(KeyCount * (I + 1) / Count - 1);
+    m_ranges.push_back({{From, To, I < Count / 2 ? "a" : "b"}, true});
+    if (I < 10)
+      m_rates.push_back({From, 1.5});
+  }
+  const std::vector<KeyMove> Moves = plan();
+  EXPECT_FALSE(Moves.empty());
+  for (const KeyMove &Move : Moves)
+    EXPECT_EQ(std::count_if(m_ranges.begin(), m_ranges.end(),
+                            [&Move](const PlacedRange &Range) {
+                              return Range.m_keys.m_from == Move.m_from &&
+                                     Range.m_keys.m_to == Move.m_to;
+                            }),
+              1);
+}
+
+TEST_F(KeyPlacementTest, Plan_MostRangesAndHolderIsGone_RangesAreNotSplit) {
+  const auto Count = static_cast<std::uint32_t>(m_policy.m_mostRanges);
+  m_ranges.clear();
+  for (std::uint32_t I = 0; I < Count; ++I)
+    m_ranges.push_back(
+        {{static_cast<Key>(KeyCount * I / Count),
+          static_cast<Key>(KeyCount * (I + 1) / Count - 1), I < 10 ? "" : "b"},
+         true});
+  EXPECT_EQ(plan().size(), 10U);
+}
+
 TEST_F(KeyPlacementTest, Plan_HolderIsGone_KeysGetNewHolders) {
   m_capacity = {{"b", 10}, {"c", 10}};
   m_ranges[0].m_keys.m_server = "";
--- a/test/gateway/ownership-model-test.cc
+++ b/test/gateway/ownership-model-test.cc
@@ -218,8 +218,8 @@
     if (isEnded(Item.m_before.first, Item.m_before.second))
       Granter.noteOldGone(m_now);
     Granter.setServers(entries(), m_now);
-    Granter.plan(
-        Item.m_load, [](const std::string &) { return 8.0; }, m_now);
+    Granter.plan([&] { return Item.m_load.rates(m_now); },
+                 [](const std::string &) { return 8.0; }, m_now);
     GrantActions Made = Granter.step(m_now);
     for (const GrantCall &Call : Made.m_calls)
       send(Index, Call);
--- /dev/null
+++ b/test/gateway/record-json-test.cc
@@ -0,0 +1,63 @@
+#include "tamarackdrum/gateway/record-json.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+class RecordJsonTest : public testing::Test {
+protected:
+  /// A record of \p Ranges ranges on \p Servers servers; each third range is
+  /// on its way.
+  static OwnershipRecord makeRecord(std::size_t Ranges, std::size_t Servers) {
+    constexpr std::int64_t Born = 1764800000000;
+    OwnershipRecord Out;
+    Out.m_term = 17;
+    Out.m_granter = "host-a-07";
+    Out.m_granterLife = Born;
+    Out.m_unsafeUntilMs = Born + 5000;
+    for (std::size_t I = 0; I < Ranges; ++I) {
+      RangeRecord Item;
+      Item.m_from = static_cast<Key>(KeyCount * I / Ranges);
+      Item.m_to = static_cast<Key>(KeyCount * (I + 1) / Ranges - 1);
+      Item.m_owner = {"server-" + std::to_string(I % Servers),
+                      Born + static_cast<std::int64_t>(I % Servers)};
+      Item.m_fence = 100000 + I;
+      if (I % 3 == 0) {
+        Item.m_previous = {"server-" + std::to_string((I + 1) % Servers), Born};
+        Item.m_previousFence = Item.m_fence - 1;
+      }
+      Out.m_ranges.push_back(std::move(Item));
+    }
+    return Out;
+  }
+};
+
+TEST_F(RecordJsonTest, Ownership_WrittenAndRead_IsTheSame) {
+  const OwnershipRecord Subject = makeRecord(10, 4);
+  const Result<OwnershipRecord> Read = ownershipFromJson(toJson(Subject));
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(Read.value(), Subject);
+}
+
+TEST_F(RecordJsonTest, Ownership_MostRanges_FitsARow) {
+  constexpr std::size_t RowBytes = 65536; // Of the users' store.
+  // Merging is slower than splitting: some room is left.
+  const OwnershipRecord Subject =
+      makeRecord(PlacementPolicy().m_mostRanges * 5 / 4, 300);
+  EXPECT_LT(toJson(Subject).size(), RowBytes);
+}
+
+TEST_F(RecordJsonTest, Ownership_UnknownLife_IsMalformed) {
+  std::string Text = toJson(makeRecord(2, 2));
+  const std::size_t At = Text.find("\"lives\":[");
+  ASSERT_NE(At, std::string::npos);
+  Text = Text.replace(Text.find('[', At),
+                      Text.find("]]", At) + 2 - Text.find('[', At), "[]");
+  EXPECT_FALSE(ownershipFromJson(Text));
+  EXPECT_FALSE(ownershipFromJson("{}"));
+  EXPECT_FALSE(ownershipFromJson("no json"));
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
