Mend four waits for keys that the fault soak found

Found by tamarack-soak; each left keys without a server long after the last fault, with no promise broken.

Two takeovers in a row while keys moved: the record kept one time for all earlier granters, so that the one before the last was waited for (17 s) though it had given way. The record now names each earlier granter with its term, life and the time by which its grants lapse. 2. A takeover was given up since its write went unanswered, and the store did the write seconds later: the row named a live host that granted nothing and was no anchor, and nobody ever replaced it. The host that is named takes over again. The decision is now a function of the roster. 3. After an outage of the store the longest hold (10 s) was waited for, though only a host that stops in an outage gives it. The earlier granter's beat tells whether it runs on. 4. A takeover that was never written had sent its key map to all hosts; its version was above those of the granter that went on, whose maps were then ignored: requests went to servers that no longer held the keys. Maps are sent only once the term stands in the store.

Ruled out: slots that were not freed, late releases, tokens refused (records of every grant and release, which the soak now writes, show none).

Tests, failing first: TakeOver_AllEarlierOnesGaveWay_OneHoldIsWaitedFor and its counterpart, TakeOver_StoreWasAway_LongHoldsOnlyOfHostsThatEnded, StoreNamesThisProcess_ItTakesOverThoughNoAnchor, TakeOver_IsNotWritten_NoMapIsSent.

--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -30,14 +30,30 @@
   bool operator==(const RangeRecord &) const = default;
 };
 
+/// A granter of an earlier term whose grants may still hold.
+struct EarlierGranter {
+  std::uint64_t m_term = 0;
+  std::string m_host;
+  std::int64_t m_life = 0;    ///< Start of the granting process, Unix ms.
+  std::int64_t m_untilMs = 0; ///< Time of the store by which they lapse.
+
+  bool operator==(const EarlierGranter &) const = default;
+};
+
+/// What is known of an earlier granter.
+enum class EarlierState {
+  MayGrant,   ///< It may not know of a newer term yet.
+  HasEnded,   ///< Its process has ended; it may have lengthened its holds.
+  HasGivenWay ///< It runs on and knows of a newer term.
+};
+
 /// The ownership record of one service. Whoever has written the highest term
 /// is the granter.
 struct OwnershipRecord {
   std::uint64_t m_term = 0;
   std::string m_granter;          ///< Host name.
   std::int64_t m_granterLife = 0; ///< Start of the granting process, Unix ms.
-  /// Time of the store until which grants of earlier granters may hold.
-  std::int64_t m_unsafeUntilMs = 0;
+  std::vector<EarlierGranter> m_earlier;
   std::vector<RangeRecord> m_ranges;
 
   bool operator==(const OwnershipRecord &) const = default;
@@ -112,15 +128,19 @@
 public:
   KeyGranter(GrantPolicy Policy, std::string Host, std::int64_t Life);
 
+  /// Tells what is known of an earlier granter.
+  using StateOf = std::function<EarlierState(const EarlierGranter &)>;
+
   /// Becomes the granter after \p Read, which takes effect with the write that
   /// step() asks for. \p StoreMs is the time of the store at \p Now.
-  /// \p IsOldGone: the process that wrote \p Read grants no more.
-  /// \p WasStoreAway: it may have lengthened its holds before.
-  void takeOver(const OwnershipRecord &Read, bool IsOldGone, bool WasStoreAway,
-                std::int64_t StoreMs, TimePoint Now);
-  /// Notes that the granter before grants no more: its process has ended, or
-  /// it knows of this term.
-  void noteOldGone(TimePoint Now);
+  /// \p WasStoreAway: hosts that ended may have lengthened their holds before.
+  void takeOver(const OwnershipRecord &Read, const StateOf &State,
+                bool WasStoreAway, std::int64_t StoreMs, TimePoint Now);
+  /// Waits for the holds only of those earlier granters that grant no more.
+  void noteEarlier(const StateOf &State, TimePoint Now);
+
+  /// Returns how long grants of earlier granters may still hold.
+  Millis inheritedLeft(TimePoint Now) const;
 
   /// Renews all grants with the longest hold at the next step().
   void lengthenHolds();
@@ -136,6 +156,9 @@
   /// Gives the term up at once: another granter exists.
   void stepDown();
   bool isGranter() const { return m_isGranter; }
+  /// Returns whether its term stands in the store: until then nobody may act on
+  /// its map.
+  bool isInForce() const { return m_isGranter && m_isWritten; }
   std::uint64_t term() const { return m_record.m_term; }
 
   /// Notes that the term was still the newest at \p AskedAt.
@@ -204,7 +227,8 @@
   bool isSettled(const Range &Item) const;
   TimePoint lastHoldEnd(const Range &Item) const;
   bool isPreviousFree(const Range &Item, TimePoint Now) const;
-  void setInheritedEnd(TimePoint End);
+  std::int64_t toStoreMs(TimePoint At) const;
+  TimePoint fromStoreMs(std::int64_t Ms) const;
   Millis longestInherited() const;
   void assign(Range &Item, const ServerLife &Owner, TimePoint Now);
   void regrant(Range &Item, const ServerLife &Owner);
@@ -224,7 +248,6 @@
   const std::int64_t m_life;
   bool m_isGranter = false;
   bool m_isWritten = false; ///< The term itself stands in the store.
-  bool m_isOldGone = false;
   bool m_wasStoreAway = false;
   bool m_isLengthening = false;
   bool m_isWriting = false;
@@ -238,7 +261,6 @@
   TimePoint m_validatedAt{};
   TimePoint m_takenAt{};
   std::int64_t m_takenStoreMs = 0;
-  TimePoint m_olderEndsAt{};     ///< The same for those before the last one.
   TimePoint m_inheritedEndsAt{}; ///< Grants of earlier granters lapse by then.
   TimePoint m_wroteAt{};
   TimePoint m_plannedAt{};
--- a/include/tamarackdrum/gateway/ownership-keeper.h
+++ b/include/tamarackdrum/gateway/ownership-keeper.h
@@ -71,7 +71,7 @@
   /// Returns whether the store may have been away for all hosts of late.
   bool wasStoreAway() const;
   /// Returns whether the granter \p Old surely grants no more.
-  bool hasGivenWay(const GranterClaim &Old) const;
+  EarlierState stateOf(const EarlierGranter &Old) const;
   boost::asio::awaitable<void> takeOver();
   boost::asio::awaitable<void> write(OwnershipRecord Record);
   boost::asio::awaitable<void> validate();
@@ -92,7 +92,6 @@
   const KeeperView m_view;
   KeyGranter m_granter;
   GranterClaim m_claim;
-  GranterClaim m_before;       ///< Granter before this host.
   std::uint64_t m_version = 0; ///< Of the row, as last read or written.
   bool m_isStopped = false;    ///< Takes no term any more.
   bool m_isEnded = false;
--- a/include/tamarackdrum/gateway/roster.h
+++ b/include/tamarackdrum/gateway/roster.h
@@ -119,6 +119,12 @@
   std::map<std::string, Peer> m_hosts;
 };
 
+/// Returns whether this host, which grants nothing, should become the granter
+/// after \p Claim. A granter that has not reached the store for \p StaleStore
+/// is replaced by the first host in the common order that reaches it.
+bool isNextGranter(const Roster &Hosts, const GranterClaim &Claim,
+                   Millis StaleStore, TimePoint Now);
+
 } // namespace tamarackdrum::gateway
 
 #endif // TAMARACKDRUM_GATEWAY_ROSTER_H
--- a/soak/soak-history.cc
+++ b/soak/soak-history.cc
@@ -43,7 +43,7 @@
 public:
   Checker(const History &Seen, const PromiseBounds &Bounds)
       : m_seen(Seen), m_bounds(Bounds) {
-    for (const RunRecord &Item : Seen.m_runs)
+    for (const RunRecord &Item : Seen.m_servers.m_runs)
       m_runs[Item.m_request].push_back(&Item);
     for (const TryRecord &Item : Seen.m_tries)
       m_tries[Item.m_id] = &Item;
@@ -113,7 +113,7 @@
 
   void checkOwners() {
     std::map<gateway::Key, std::vector<const RunRecord *>> ByKey;
-    for (const RunRecord &Item : m_seen.m_runs)
+    for (const RunRecord &Item : m_seen.m_servers.m_runs)
       if (Item.m_key)
         ByKey[*Item.m_key].push_back(&Item);
     for (auto &[Value, Runs] : ByKey) {
@@ -152,7 +152,7 @@
 
   void checkLeaves() {
     for (const LeaveRecord &Leave : m_seen.m_leaves)
-      for (const RunRecord &Run : m_seen.m_runs) {
+      for (const RunRecord &Run : m_seen.m_servers.m_runs) {
         if (Run.m_server != Leave.m_server || Run.m_bornMs != Leave.m_bornMs ||
             Run.m_begin <= Leave.m_at + m_bounds.m_leave)
           continue;
--- a/soak/soak-history.h
+++ b/soak/soak-history.h
@@ -55,7 +55,7 @@
 
 struct History {
   std::vector<TryRecord> m_tries;
-  std::vector<platform::standin::RunRecord> m_runs;
+  platform::standin::ServerRecords m_servers;
   std::vector<FaultSpan> m_faults;
   std::vector<LeaveRecord> m_leaves;
   std::vector<VersionRecord> m_versions;
--- a/soak/soak-site.cc
+++ b/soak/soak-site.cc
@@ -162,7 +162,7 @@
   Item.m_isDraining = false;
   Item.m_server = std::make_unique<KeyServer>(
       m_context, endpointOf(addressOf(251, 1 + Index), 0), Options,
-      m_seen.m_runs);
+      m_seen.m_servers);
   Item.m_link->setTarget(Item.m_server->address());
   report(Index);
 }
--- a/soak/tamarack-soak.cc
+++ b/soak/tamarack-soak.cc
@@ -132,7 +132,7 @@
                 {"sent_ms", toMs(Start, Item.m_sentAt)},
                 {"ended_ms", toMs(Start, Item.m_endedAt)}}
         << '\n';
-  for (const platform::standin::RunRecord &Item : Seen.m_runs)
+  for (const platform::standin::RunRecord &Item : Seen.m_servers.m_runs)
     Out << Json{{"run", Item.m_request},
                 {"server", Item.m_server},
                 {"key", Item.m_key.value_or(0)},
@@ -140,6 +140,14 @@
                 {"begin_ms", toMs(Start, Item.m_begin)},
                 {"end_ms", toMs(Start, Item.m_end)}}
         << '\n';
+  for (const platform::standin::GrantRecord &Item : Seen.m_servers.m_grants)
+    Out << Json{{Item.m_isRelease ? "release" : "grant", Item.m_server},
+                {"from", Item.m_from},
+                {"to", Item.m_to},
+                {"fence", Item.m_fence},
+                {"taken", Item.m_isTaken},
+                {"at_ms", toMs(Start, Item.m_at)}}
+        << '\n';
 }
 
 /// Plays one schedule.
@@ -159,7 +167,7 @@
     Out.m_wasReady = m_wasReady;
     Out.m_broken = findBroken(m_seen, PromiseBounds{});
     Out.m_tries = m_seen.m_tries.size();
-    Out.m_runs = m_seen.m_runs.size();
+    Out.m_runs = m_seen.m_servers.m_runs.size();
     Out.m_faults = m_seen.m_faults.size();
     Out.m_served = servedShare(m_seen, m_startedAt);
     Out.m_servedAfter = servedShare(m_seen, m_judgedFrom);
--- a/src/edge/ownership-keeper.cc
+++ b/src/edge/ownership-keeper.cc
@@ -82,15 +82,21 @@
   return Out;
 }
 
-bool OwnershipKeeper::hasGivenWay(const GranterClaim &Old) const {
-  if (Old.m_term == 0 || m_hosts.lifeOf(Old.m_host) > Old.m_life)
-    return true;
+EarlierState OwnershipKeeper::stateOf(const EarlierGranter &Old) const {
+  const HostInfo &Self = m_hosts.self();
+  if (Old.m_host == Self.m_name && Old.m_life == Self.m_life)
+    return EarlierState::HasGivenWay;
+  if (m_hosts.lifeOf(Old.m_host) > Old.m_life)
+    return EarlierState::HasEnded;
   const HostBeat *Beat = m_hosts.lastBeat(Old.m_host);
   if (Beat == nullptr || Beat->m_host.m_life != Old.m_life)
-    return false;
-  // A granter that knows of a newer term has stopped.
+    return EarlierState::MayGrant;
   const auto Claim = Beat->m_claims.find(m_service);
-  return Claim != Beat->m_claims.end() && Claim->second.m_term > Old.m_term;
+  if (Claim == Beat->m_claims.end() || Claim->second.m_term <= Old.m_term)
+    return EarlierState::MayGrant;
+  // A host that stops in an outage lengthens its holds.
+  return Beat->m_isStopping ? EarlierState::HasEnded
+                            : EarlierState::HasGivenWay;
 }
 
 bool OwnershipKeeper::wasStoreAway() const {
@@ -109,27 +115,7 @@
   if (m_isStopped || m_granter.isGranter() || Now < m_nextTakeOver ||
       m_view.m_storeLost() > Millis(0))
     return false;
-  const std::string &Own = m_hosts.self().m_name;
-  if (!m_claim.m_host.empty() && m_claim.m_host != Own &&
-      m_hosts.isAlive(m_claim.m_host, Now)) {
-    const HostBeat *Beat = m_hosts.lastBeat(m_claim.m_host);
-    const bool IsFit = Beat != nullptr && !Beat->m_isStopping &&
-                       Millis(Beat->m_storeLostMs) < m_policy.m_staleStore &&
-                       m_hosts.lifeOf(m_claim.m_host) == m_claim.m_life;
-    if (IsFit)
-      return false;
-  }
-  // The first host in the common order that can reach the store.
-  for (const HostInfo &Item : m_hosts.anchors(Now)) {
-    if (Item.m_name == Own)
-      return true;
-    if (Item.m_name == m_claim.m_host)
-      continue;
-    const HostBeat *Beat = m_hosts.lastBeat(Item.m_name);
-    if (Beat != nullptr && Beat->m_storeLostMs == 0)
-      return false;
-  }
-  return false;
+  return isNextGranter(m_hosts, m_claim, m_policy.m_staleStore, Now);
 }
 
 asio::awaitable<void> OwnershipKeeper::takeOver() {
@@ -154,19 +140,19 @@
       co_return;
   }
   m_version = Read.value().m_version;
-  const bool IsOldGone =
-      hasGivenWay({Old.m_term, Old.m_granter, Old.m_granterLife});
+  const auto State = [this](const EarlierGranter &Item) {
+    return stateOf(Item);
+  };
   // The store's time of the answer is taken as that of the question: what has
   // to be waited for ends later rather than earlier.
-  m_granter.takeOver(Old, IsOldGone, wasStoreAway(), Read.value().m_storeMs,
-                     Now);
-  m_before = {Old.m_term, Old.m_granter, Old.m_granterLife};
+  m_granter.takeOver(Old, State, wasStoreAway(), Read.value().m_storeMs, Now);
   m_granter.setServers(ownServers(), Now);
-  m_log.write("granter-takeover", {{"service", m_service},
-                                   {"term", m_granter.term()},
-                                   {"from", Old.m_granter},
-                                   {"from_ended", IsOldGone},
-                                   {"ranges", Old.m_ranges.size()}});
+  m_log.write("granter-takeover",
+              {{"service", m_service},
+               {"term", m_granter.term()},
+               {"from", Old.m_granter},
+               {"holds_lapse_ms", m_granter.inheritedLeft(Now).count()},
+               {"ranges", Old.m_ranges.size()}});
 }
 
 asio::awaitable<void> OwnershipKeeper::write(OwnershipRecord Record) {
@@ -218,7 +204,8 @@
     // The takeover has not taken effect, and the row may have changed since it
     // was read: it must begin anew from there.
     if (!m_isWriting)
-      m_granter.stepDown();
+      lose("the takeover was not written",
+           {Found.m_term, Found.m_granter, Found.m_granterLife});
     co_return;
   }
   m_validatedAt = AskedAt;
@@ -250,7 +237,7 @@
 }
 
 void OwnershipKeeper::publish() {
-  if (!m_granter.isGranter())
+  if (!m_granter.isInForce())
     return;
   const KeyMap Current = m_granter.keyMap(BootClock::now());
   if (Current.holdings() == m_published.holdings() &&
@@ -267,8 +254,8 @@
     if (shouldTakeOver(Now))
       co_await takeOver();
     if (m_granter.isGranter()) {
-      if (hasGivenWay(m_before))
-        m_granter.noteOldGone(Now);
+      m_granter.noteEarlier(
+          [this](const EarlierGranter &Item) { return stateOf(Item); }, Now);
       m_granter.setServers(ownServers(), Now);
       m_granter.plan(m_view.m_demand, m_view.m_rateOf, Now);
       GrantActions Wanted = m_granter.step(BootClock::now());
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -53,19 +53,36 @@
   return m_wasStoreAway ? m_policy.m_longestHold : m_policy.m_hold;
 }
 
-void KeyGranter::setInheritedEnd(TimePoint End) {
-  m_inheritedEndsAt = std::max(m_olderEndsAt, End);
-  m_record.m_unsafeUntilMs =
-      m_takenStoreMs +
-      std::chrono::duration_cast<Millis>(m_inheritedEndsAt - m_takenAt).count();
+std::int64_t KeyGranter::toStoreMs(TimePoint At) const {
+  return m_takenStoreMs +
+         std::chrono::duration_cast<Millis>(At - m_takenAt).count();
 }
 
-void KeyGranter::noteOldGone(TimePoint Now) {
-  if (!m_isGranter || m_isOldGone)
+TimePoint KeyGranter::fromStoreMs(std::int64_t Ms) const {
+  return m_takenAt + Millis(Ms - m_takenStoreMs);
+}
+
+void KeyGranter::noteEarlier(const StateOf &State, TimePoint Now) {
+  if (!m_isGranter)
     return;
-  m_isOldGone = true;
-  setInheritedEnd(holdEnd(Now, longestInherited()));
-  m_isDirty = true;
+  m_inheritedEndsAt = {};
+  for (EarlierGranter &Item : m_record.m_earlier) {
+    const EarlierState Known = State(Item);
+    if (Known != EarlierState::MayGrant) {
+      const std::int64_t LapsedBy = toStoreMs(
+          holdEnd(Now, Known == EarlierState::HasEnded ? longestInherited()
+                                                       : m_policy.m_hold));
+      m_isDirty = m_isDirty || LapsedBy < Item.m_untilMs;
+      Item.m_untilMs = std::min(Item.m_untilMs, LapsedBy);
+    }
+    m_inheritedEndsAt =
+        std::max(m_inheritedEndsAt, fromStoreMs(Item.m_untilMs));
+  }
+}
+
+Millis KeyGranter::inheritedLeft(TimePoint Now) const {
+  return std::max(Millis(0),
+                  std::chrono::duration_cast<Millis>(m_inheritedEndsAt - Now));
 }
 
 void KeyGranter::markChanged(Range &Item) {
@@ -82,26 +99,29 @@
          Now - m_validatedAt < m_policy.m_unvalidatedLimit;
 }
 
-void KeyGranter::takeOver(const OwnershipRecord &Read, bool IsOldGone,
+void KeyGranter::takeOver(const OwnershipRecord &Read, const StateOf &State,
                           bool WasStoreAway, std::int64_t StoreMs,
                           TimePoint Now) {
   stepDown();
   m_wasStoreAway = WasStoreAway;
   m_takenAt = Now;
   m_takenStoreMs = StoreMs;
-  m_olderEndsAt =
-      Now + Millis(std::max<std::int64_t>(0, Read.m_unsafeUntilMs - StoreMs));
   m_isGranter = true;
-  m_isOldGone = IsOldGone;
   m_record = Read;
   m_record.m_term = Read.m_term + 1;
   m_record.m_granter = m_host;
   m_record.m_granterLife = m_life;
+  std::erase_if(m_record.m_earlier, [StoreMs](const EarlierGranter &Item) {
+    return Item.m_untilMs <= StoreMs;
+  });
   // Up to the write of this term the old granter may find its own the newest.
-  setInheritedEnd(holdEnd(IsOldGone ? Now
-                                    : Now + m_policy.m_takeOverTime +
-                                          m_policy.m_unvalidatedLimit,
-                          longestInherited()));
+  const TimePoint OldEnds =
+      holdEnd(Now + m_policy.m_takeOverTime + m_policy.m_unvalidatedLimit,
+              longestInherited());
+  if (Read.m_term > 0)
+    m_record.m_earlier.push_back(
+        {Read.m_term, Read.m_granter, Read.m_granterLife, toStoreMs(OldEnds)});
+  noteEarlier(State, Now);
   m_fences = 0;
   m_isDirty = true;
   for (const RangeRecord &Old : Read.m_ranges) {
--- a/src/gateway/record-json.cc
+++ b/src/gateway/record-json.cc
@@ -36,8 +36,8 @@
 } // namespace
 
 std::string toJson(const OwnershipRecord &Record) {
-  // A range is [from, to, owner, fence], then [previous, previous fence] if
-  // there is one.
+  // A range is [from, to, owner, fence], and previous and its fence if there
+  // is one; an earlier granter is [term, host, life, until].
   LifeTable Lives;
   Json Ranges = Json::array();
   for (const RangeRecord &Item : Record.m_ranges) {
@@ -49,10 +49,13 @@
     }
     Ranges.push_back(std::move(Range));
   }
+  Json Earlier = Json::array();
+  for (const EarlierGranter &Item : Record.m_earlier)
+    Earlier.push_back({Item.m_term, Item.m_host, Item.m_life, Item.m_untilMs});
   return Json{{"term", Record.m_term},
               {"granter", Record.m_granter},
               {"granter_life", Record.m_granterLife},
-              {"unsafe_until_ms", Record.m_unsafeUntilMs},
+              {"earlier", std::move(Earlier)},
               {"lives", Lives.json()},
               {"ranges", std::move(Ranges)}}
       .dump();
@@ -65,7 +68,10 @@
     Out.m_term = Value.at("term").get<std::uint64_t>();
     Out.m_granter = Value.at("granter").get<std::string>();
     Out.m_granterLife = Value.at("granter_life").get<std::int64_t>();
-    Out.m_unsafeUntilMs = Value.at("unsafe_until_ms").get<std::int64_t>();
+    for (const Json &Item : Value.at("earlier"))
+      Out.m_earlier.push_back(
+          {Item.at(0).get<std::uint64_t>(), Item.at(1).get<std::string>(),
+           Item.at(2).get<std::int64_t>(), Item.at(3).get<std::int64_t>()});
     const Json &Lives = Value.at("lives");
     for (const Json &Item : Value.at("ranges")) {
       RangeRecord Range;
--- a/src/gateway/roster.cc
+++ b/src/gateway/roster.cc
@@ -182,4 +182,31 @@
   return Out;
 }
 
+bool isNextGranter(const Roster &Hosts, const GranterClaim &Claim,
+                   Millis StaleStore, TimePoint Now) {
+  const HostInfo &Self = Hosts.self();
+  // A takeover that was written late: no other host will replace this one.
+  if (Claim.m_host == Self.m_name && Claim.m_life == Self.m_life)
+    return true;
+  if (!Claim.m_host.empty() && Claim.m_host != Self.m_name &&
+      Hosts.isAlive(Claim.m_host, Now)) {
+    const HostBeat *Beat = Hosts.lastBeat(Claim.m_host);
+    const bool IsFit = Beat != nullptr && !Beat->m_isStopping &&
+                       Millis(Beat->m_storeLostMs) < StaleStore &&
+                       Hosts.lifeOf(Claim.m_host) == Claim.m_life;
+    if (IsFit)
+      return false;
+  }
+  for (const HostInfo &Item : Hosts.anchors(Now)) {
+    if (Item.m_name == Self.m_name)
+      return true;
+    if (Item.m_name == Claim.m_host)
+      continue;
+    const HostBeat *Beat = Hosts.lastBeat(Item.m_name);
+    if (Beat != nullptr && Beat->m_storeLostMs == 0)
+      return false;
+  }
+  return false;
+}
+
 } // namespace tamarackdrum::gateway
--- a/standin/dispatch-replay.cc
+++ b/standin/dispatch-replay.cc
@@ -123,7 +123,9 @@
 
   /// Deals the keys out before the first request.
   void dealKeys(const std::vector<ServerEntry> &Servers) {
-    m_granter.takeOver({}, true, false, 0, time(-LeadMs));
+    m_granter.takeOver(
+        {}, [](const EarlierGranter &) { return EarlierState::HasEnded; },
+        false, 0, time(-LeadMs));
     m_granter.setServers(Servers, time(-LeadMs));
     for (m_now = -LeadMs; m_now < 0; m_now += GranterStepMs) {
       runEventsUpTo(m_now);
--- a/test/gateway/fake-platform.h
+++ b/test/gateway/fake-platform.h
@@ -62,7 +62,7 @@
   Task<std::uint64_t> writeOwnership(std::string, OwnershipRecord Record,
                                      std::uint64_t Version) override {
     co_await sleepFor(Millis(1));
-    if (!m_isUp)
+    if (!m_isUp || !m_takesWrites)
       co_return TableErrc::Unavailable;
     if (Version != m_ownership.m_version)
       co_return TableErrc::Conflict;
@@ -77,6 +77,7 @@
   Task<std::vector<HostInfo>> readHosts() override { co_return m_hosts; }
 
   bool m_isUp = true;
+  bool m_takesWrites = true;
   bool m_failsNextWait = false; ///< Of awaitConfiguration().
   std::vector<ServerRow> m_servers;
   Configuration m_configuration;
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -463,7 +463,7 @@
 // the record: its content was written over the newer one.
 TEST_F(GatewayHostTest, Takeover_RecordChangesAfterTheRead_NewerOneCounts) {
   const OwnershipRecord Read{
-      4, "gone", 1, 0, {{0, 65535, {"stock-0", 1}, 70, {}, 0}}};
+      4, "gone", 1, {}, {{0, 65535, {"stock-0", 1}, 70, {}, 0}}};
   m_store.m_ownership = {Read, 9, 0};
   m_store.m_onRead = [this] {
     m_store.m_ownership.m_record.m_ranges[0] = {0,  65535, {"stock-1", 1},
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -56,7 +56,12 @@
   }
 
   void takeOver(const OwnershipRecord &Read, bool IsOldGone = true) {
-    m_subject.takeOver(Read, IsOldGone, false, 0, m_now);
+    m_subject.takeOver(
+        Read,
+        [IsOldGone](const EarlierGranter &) {
+          return IsOldGone ? EarlierState::HasGivenWay : EarlierState::MayGrant;
+        },
+        false, 0, m_now);
   }
 
   std::string holderOf(Key Value) const {
@@ -91,7 +96,7 @@
 }
 
 TEST_F(KeyGranterTest, TakeOver_RecordKnown_OwnersAreFencedInPlace) {
-  OwnershipRecord Read{4, "h0", 5, 0, {makeRange(0, 65535, "a", 77)}};
+  OwnershipRecord Read{4, "h0", 5, {}, {makeRange(0, 65535, "a", 77)}};
   takeOver(Read);
   setServers({makeServer("a")});
   run(Millis(300));
@@ -161,7 +166,7 @@
 }
 
 TEST_F(KeyGranterTest, TakeOver_OldGranterMayLive_SilentOwnerIsWaitedFor) {
-  OwnershipRecord Read{4, "h0", 5, 0, {makeRange(0, 65535, "a", 77)}};
+  OwnershipRecord Read{4, "h0", 5, {}, {makeRange(0, 65535, "a", 77)}};
   takeOver(Read, false);
   setServers({makeServer("b")});
   m_answer = [](const GrantCall &Call) {
@@ -175,6 +180,68 @@
   EXPECT_EQ(holderOf(0), "b");
 }
 
+// Two takeovers in a row while keys were on their way: the keys waited for the
+// granter before the last one, though it had given way.
+TEST_F(KeyGranterTest, TakeOver_AllEarlierOnesGaveWay_OneHoldIsWaitedFor) {
+  constexpr std::int64_t Until = 17000; // The store's time is 0 at takeOver().
+  OwnershipRecord Read{2, "h2", 5, {{1, "h1", 4, Until}}, {}};
+  Read.m_ranges = {makeRange(0, 65535, "a", 77)};
+  Read.m_ranges[0].m_previous = {"b", 1};
+  Read.m_ranges[0].m_previousFence = 70;
+  takeOver(Read, true);
+  setServers({makeServer("a"), makeServer("b")});
+  run(m_policy.m_hold + Millis(1000));
+  EXPECT_EQ(holderOf(0), "a");
+}
+
+TEST_F(KeyGranterTest, TakeOver_OneBeforeTheLastMayLive_ItsHoldsAreWaitedFor) {
+  constexpr std::int64_t Until = 9000;
+  OwnershipRecord Read{2, "h2", 5, {{1, "h1", 4, Until}}, {}};
+  Read.m_ranges = {makeRange(0, 65535, "a", 77)};
+  Read.m_ranges[0].m_previous = {"b", 1};
+  Read.m_ranges[0].m_previousFence = 70;
+  m_subject.takeOver(
+      Read,
+      [](const EarlierGranter &Item) {
+        return Item.m_host == "h2" ? EarlierState::HasGivenWay
+                                   : EarlierState::MayGrant;
+      },
+      false, 0, m_now);
+  setServers({makeServer("a"), makeServer("b")});
+  run(Millis(Until) - Millis(200));
+  EXPECT_EQ(holderOf(0), "");
+  run(Millis(1000));
+  EXPECT_EQ(holderOf(0), "a");
+}
+
+// A host that stops in an outage of the store lengthens its holds; one that
+// runs on does not.
+TEST_F(KeyGranterTest, TakeOver_StoreWasAway_LongHoldsOnlyOfHostsThatEnded) {
+  const OwnershipRecord Read{2, "h2", 5, {}, {}};
+  for (const EarlierState State :
+       {EarlierState::HasEnded, EarlierState::HasGivenWay}) {
+    m_subject.takeOver(
+        Read, [State](const EarlierGranter &) { return State; }, true, 0,
+        m_now);
+    const Millis Left = m_subject.inheritedLeft(m_now);
+    if (State == EarlierState::HasEnded)
+      EXPECT_GT(Left, m_policy.m_longestHold);
+    else
+      EXPECT_LT(Left, m_policy.m_longestHold / 2);
+  }
+}
+
+TEST_F(KeyGranterTest, TakeOver_EarlierOnesAreNotKnown_RecordNamesThemAll) {
+  OwnershipRecord Read{2, "h2", 5, {{1, "h1", 4, 9000}, {0, "h0", 3, -5}}, {}};
+  takeOver(Read, false);
+  const std::optional<OwnershipRecord> Written = m_subject.step(m_now).m_write;
+  ASSERT_TRUE(Written);
+  ASSERT_EQ(Written->m_earlier.size(), 2U);
+  EXPECT_EQ(Written->m_earlier[0], Read.m_earlier[0]);
+  EXPECT_EQ(Written->m_earlier[1].m_host, "h2");
+  EXPECT_GT(Written->m_earlier[1].m_untilMs, 9000);
+}
+
 TEST_F(KeyGranterTest, SetServers_OwnerReborn_IsGrantedAnewWithAHigherToken) {
   takeOver({});
   setServers({makeServer("a")});
@@ -228,7 +295,7 @@
 // A hundred ranges were renewed at once after a takeover, each on a connection
 // of its own.
 TEST_F(KeyGranterTest, Step_ManyRangesAreDue_FewCallsAtATime) {
-  OwnershipRecord Read{4, "h0", 5, 0, {}};
+  OwnershipRecord Read{4, "h0", 5, {}, {}};
   for (Key I = 0; I < 16; ++I) {
     const Key From = static_cast<Key>(I * 4096);
     Read.m_ranges.push_back(
--- /dev/null
+++ b/test/gateway/ownership-keeper-test.cc
@@ -0,0 +1,84 @@
+#include "tamarackdrum/gateway/ownership-keeper.h"
+
+#include "fake-platform.h"
+#include "tamarackdrum/worker-context.h"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+
+namespace tamarackdrum::gateway::test {
+namespace {
+
+/// One keeper and a store in memory.
+class OwnershipKeeperTest : public testing::Test {
+protected:
+  OwnershipKeeperTest()
+      : m_log(LogPolicy{}, "test", ::open("/dev/null", O_WRONLY)),
+        m_subject(m_context.get_executor(), "stock", policy(), GrantPolicy{},
+                  m_store, m_servers, m_hosts, m_log, m_metrics, view()) {
+    ServerEntry Entry;
+    Entry.m_id = "a";
+    Entry.m_service = "stock";
+    Entry.m_address = "127.0.0.1:1";
+    Entry.m_bornMs = 1;
+    m_entries["a"] = Entry;
+    asio::co_spawn(m_context, m_subject.run(), asio::detached);
+  }
+  ~OwnershipKeeperTest() override { m_context.dropPending(); }
+
+  static KeeperPolicy policy() {
+    KeeperPolicy Out;
+    Out.m_startPause = Millis(0);
+    return Out;
+  }
+
+  KeeperView view() {
+    KeeperView Out;
+    Out.m_storeLost = [] { return Millis(0); };
+    Out.m_storeGood = [] { return Millis(60000); };
+    Out.m_servers = [this]() -> const std::map<std::string, ServerEntry> & {
+      return m_entries;
+    };
+    Out.m_rateOf = [](const std::string &) { return 10.0; };
+    Out.m_demand = [] { return std::vector<KeyRate>(); };
+    Out.m_onStore = [](bool, TimePoint) {};
+    Out.m_onKeyMap = [this](const KeyMap &Map) { m_maps.push_back(Map); };
+    return Out;
+  }
+
+  WorkerContext m_context{1};
+  FakeStore m_store;
+  FakeKeyServers m_servers;
+  std::map<std::string, ServerEntry> m_entries;
+  std::vector<KeyMap> m_maps;
+  Roster m_hosts{RosterPolicy{}, {"h1", "10.0.0.1", "zone-a", 100, 20}};
+  EventLog m_log;
+  GatewayMetrics m_metrics;
+  OwnershipKeeper m_subject;
+};
+
+TEST_F(OwnershipKeeperTest, Run_NobodyGrants_KeysGetAHolder) {
+  m_context.run_for(Millis(700));
+  ASSERT_FALSE(m_maps.empty());
+  EXPECT_EQ(m_maps.back().holderOf(5), "a");
+  EXPECT_EQ(m_subject.claim().m_host, "h1");
+}
+
+// A takeover that was never written sent its map to all hosts. Its version was
+// above those of the granter that went on, so that no later map was taken.
+TEST_F(OwnershipKeeperTest, TakeOver_IsNotWritten_NoMapIsSent) {
+  m_store.m_takesWrites = false;
+  m_store.m_ownership = {
+      {4, "gone", 1, {}, {{0, 65535, {"a", 1}, 70, {}, 0}}}, 9, 0};
+  m_context.run_for(Millis(700));
+  EXPECT_TRUE(m_maps.empty());
+  EXPECT_NE(m_subject.claim().m_host, "h1");
+  m_store.m_takesWrites = true;
+  m_context.run_for(Millis(1500));
+  ASSERT_FALSE(m_maps.empty());
+  EXPECT_EQ(m_maps.back().holderOf(5), "a");
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway::test
--- a/test/gateway/ownership-model-test.cc
+++ b/test/gateway/ownership-model-test.cc
@@ -83,7 +83,6 @@
     TimePoint m_validatedAt{};
     TimePoint m_cutUntil{}; ///< From the store.
     bool m_isWriting = false;
-    std::pair<std::string, std::int64_t> m_before;
     KeyLoad m_load;
   };
 
@@ -185,8 +184,14 @@
         Item.m_cutUntil = m_now + delay(500, 9000);
   }
 
-  bool isEnded(const std::string &Host, std::int64_t Life) const {
-    return Host.empty() || m_hosts[Host.back() - '0'].m_life > Life;
+  /// As far as other hosts can tell: a frozen granter finds out later.
+  EarlierState stateOf(const EarlierGranter &Old) const {
+    const Host &Item = m_hosts[Old.m_host.back() - '0'];
+    if (Item.m_life > Old.m_life)
+      return EarlierState::HasEnded;
+    const bool Grants =
+        Item.m_granter->isGranter() && Item.m_granter->term() <= Old.m_term;
+    return Grants ? EarlierState::MayGrant : EarlierState::HasGivenWay;
   }
 
   void turn(int Index) {
@@ -198,16 +203,11 @@
         Item.m_version = m_store.m_version;
         note() << "h" << Index << " takes over from "
                << m_store.m_record.m_granter << " term "
-               << m_store.m_record.m_term + 1 << " ended "
-               << isEnded(m_store.m_record.m_granter,
-                          m_store.m_record.m_granterLife)
-               << '\n';
+               << m_store.m_record.m_term + 1 << '\n';
         Granter.takeOver(
             m_store.m_record,
-            isEnded(m_store.m_record.m_granter, m_store.m_record.m_granterLife),
-            false, storeMs(), m_now);
-        Item.m_before = {m_store.m_record.m_granter,
-                         m_store.m_record.m_granterLife};
+            [this](const EarlierGranter &Old) { return stateOf(Old); }, false,
+            storeMs(), m_now);
         Granter.setServers(entries(), m_now);
       }
       return;
@@ -215,8 +215,8 @@
     for (int I = 0; I < SampledKeys; ++I)
       if (chance(I < 3 ? 0.3 : 0.02))
         Item.m_load.note(sampledKey(I), m_now);
-    if (isEnded(Item.m_before.first, Item.m_before.second))
-      Granter.noteOldGone(m_now);
+    Granter.noteEarlier(
+        [this](const EarlierGranter &Old) { return stateOf(Old); }, m_now);
     Granter.setServers(entries(), m_now);
     Granter.plan([&] { return Item.m_load.rates(m_now); },
                  [](const std::string &) { return 8.0; }, m_now);
--- a/test/gateway/record-json-test.cc
+++ b/test/gateway/record-json-test.cc
@@ -15,7 +15,8 @@
     Out.m_term = 17;
     Out.m_granter = "host-a-07";
     Out.m_granterLife = Born;
-    Out.m_unsafeUntilMs = Born + 5000;
+    Out.m_earlier = {{15, "host-a-02", Born - 9, Born + 5000},
+                     {16, "host-b-01", Born - 7, Born + 7000}};
     for (std::size_t I = 0; I < Ranges; ++I) {
       RangeRecord Item;
       Item.m_from = static_cast<Key>(KeyCount * I / Ranges);
--- a/test/gateway/roster-test.cc
+++ b/test/gateway/roster-test.cc
@@ -108,5 +108,50 @@
   EXPECT_EQ(m_subject.beatsDue(m_now).size(), m_policy.m_anchors);
 }
 
+class NextGranterTest : public RosterTest {
+protected:
+  bool isNext(const GranterClaim &Claim) const {
+    return isNextGranter(m_subject, Claim, Millis(3000), m_now);
+  }
+
+  /// By default the host is so large that the subject is no anchor.
+  void hearLost(const std::string &Name, std::uint32_t LostMs,
+                unsigned Weight = 90) {
+    HostBeat Beat;
+    Beat.m_host = makeHost(Name, Weight);
+    Beat.m_storeLostMs = LostMs;
+    m_subject.noteBeat(Beat, m_now);
+  }
+};
+
+TEST_F(NextGranterTest, NoGranter_OnlyFirstAnchor_TakesOver) {
+  EXPECT_TRUE(isNext({}));
+  hearLost("h2", 0);
+  EXPECT_FALSE(isNext({}));
+}
+
+TEST_F(NextGranterTest, GranterIsFit_Nobody_TakesOver) {
+  hear("h2", 1);
+  EXPECT_FALSE(isNext({3, "h2", 1000}));
+  EXPECT_TRUE(isNext({3, "h2", 900})); // An earlier life.
+}
+
+TEST_F(NextGranterTest, GranterIsCutFromTheStore_NextAnchorTakesOver) {
+  hearLost("h2", 4000, 20);
+  EXPECT_TRUE(isNext({3, "h2", 1000}));
+  hearLost("h3", 0);
+  EXPECT_FALSE(isNext({3, "h2", 1000}));
+}
+
+// A takeover was given up and its write was done seconds later: the row named
+// a host that granted nothing and was no anchor, and nobody replaced it.
+TEST_F(NextGranterTest, StoreNamesThisProcess_ItTakesOverThoughNoAnchor) {
+  for (int I = 2; I <= 7; ++I)
+    hearLost(numbered(I), 0);
+  EXPECT_FALSE(isNext({}));
+  EXPECT_TRUE(isNext({5, "h1", 1000}));
+  EXPECT_FALSE(isNext({5, "h1", 900})); // An earlier life of this host.
+}
+
 } // namespace
 } // namespace tamarackdrum::gateway
--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -24,7 +24,7 @@
 protected:
   KeyServerClientTest()
       : m_server(m_context, {asio::ip::address_v4::loopback(), 0},
-                 makeOptions(), m_runs) {}
+                 makeOptions(), m_records) {}
   ~KeyServerClientTest() override { m_context.dropPending(); }
 
   static KeyServerOptions makeOptions() {
@@ -78,7 +78,7 @@
   }
 
   WorkerContext m_context{1};
-  std::vector<RunRecord> m_runs;
+  ServerRecords m_records;
   KeyServer m_server;
   KeyServerClient m_subject;
 };
@@ -88,8 +88,8 @@
   EXPECT_EQ(call(false, 0, 9, 1).m_result, GrantResult::Done);
   EXPECT_EQ(await(ask(5)), 200U);
   EXPECT_EQ(await(ask(10)), 421U);
-  ASSERT_EQ(m_runs.size(), 1U);
-  EXPECT_EQ(m_runs[0].m_fence, 1U);
+  ASSERT_EQ(m_records.m_runs.size(), 1U);
+  EXPECT_EQ(m_records.m_runs[0].m_fence, 1U);
 }
 
 TEST_F(KeyServerClientTest, Grant_LowerFence_IsRefused) {
@@ -119,8 +119,8 @@
   const GrantReply Reply = call(true, 0, 9, 1);
   EXPECT_EQ(Reply.m_result, GrantResult::Done);
   EXPECT_FALSE(Reply.m_handover.empty());
-  ASSERT_EQ(m_runs.size(), 1U);
-  EXPECT_NE(m_runs[0].m_end, TimePoint{});
+  ASSERT_EQ(m_records.m_runs.size(), 1U);
+  EXPECT_NE(m_records.m_runs[0].m_end, TimePoint{});
   EXPECT_EQ(await(ask(5)), 421U);
 }
 
--- a/test/soak/soak-history-test.cc
+++ b/test/soak/soak-history-test.cc
@@ -35,8 +35,8 @@
     Made.m_server = Server;
     Made.m_begin = at(From);
     Made.m_end = at(To);
-    m_subject.m_runs.push_back(Made);
-    return m_subject.m_runs.back();
+    m_subject.m_servers.m_runs.push_back(Made);
+    return m_subject.m_servers.m_runs.back();
   }
 
   void addKeyRun(const std::string &Id, const std::string &Server,
