Wait for the longest hold only where it was given

Ruled out: telling it from the stop flag of the beat (it is set seconds before the holds are lengthened, if they are at all).

Change: a host that has lengthened its holds names no newer term any more, so that naming one always means to have given way with holds of usual length.

Tests: Leave_HoldsAreLengthened_NoNewerTermIsNamed and its counterpart.

--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -44,7 +44,7 @@
 enum class EarlierState {
   MayGrant,   ///< It may not know of a newer term yet.
   HasEnded,   ///< Its process has ended; it may have lengthened its holds.
-  HasGivenWay ///< It runs on and knows of a newer term.
+  HasGivenWay ///< It knows of a newer term and has not lengthened its holds.
 };
 
 /// The ownership record of one service. Whoever has written the highest term
--- a/include/tamarackdrum/gateway/ownership-keeper.h
+++ b/include/tamarackdrum/gateway/ownership-keeper.h
@@ -70,7 +70,7 @@
   bool shouldTakeOver(TimePoint Now) const;
   /// Returns whether the store may have been away for all hosts of late.
   bool wasStoreAway() const;
-  /// Returns whether the granter \p Old surely grants no more.
+  /// Returns what is known of \p Old by its beats.
   EarlierState stateOf(const EarlierGranter &Old) const;
   boost::asio::awaitable<void> takeOver();
   boost::asio::awaitable<void> write(OwnershipRecord Record);
@@ -95,6 +95,7 @@
   std::uint64_t m_version = 0; ///< Of the row, as last read or written.
   bool m_isStopped = false;    ///< Takes no term any more.
   bool m_isEnded = false;
+  bool m_hasLengthened = false; ///< Its last holds are of the longest kind.
   bool m_isValidating = false;
   bool m_isWriting = false;
   TimePoint m_validatedAt{};
--- a/src/edge/ownership-keeper.cc
+++ b/src/edge/ownership-keeper.cc
@@ -53,14 +53,18 @@
     if (Beat->m_storeLostMs == 0)
       return;
   }
-  if (HearsPeers && m_view.m_storeLost() > Millis(0))
-    m_granter.lengthenHolds();
+  if (!HearsPeers || m_view.m_storeLost() == Millis(0))
+    return;
+  m_granter.lengthenHolds();
+  m_hasLengthened = true;
 }
 
 void OwnershipKeeper::noteClaim(const GranterClaim &Claim) {
   if (Claim.m_term <= m_claim.m_term)
     return;
-  m_claim = Claim;
+  // To name a newer term means to have given way with holds of usual length.
+  if (!m_hasLengthened)
+    m_claim = Claim;
   if (m_granter.isGranter() && Claim.m_term > m_granter.term())
     lose("a peer knows a newer term", Claim);
 }
@@ -92,11 +96,9 @@
   if (Beat == nullptr || Beat->m_host.m_life != Old.m_life)
     return EarlierState::MayGrant;
   const auto Claim = Beat->m_claims.find(m_service);
-  if (Claim == Beat->m_claims.end() || Claim->second.m_term <= Old.m_term)
-    return EarlierState::MayGrant;
-  // A host that stops in an outage lengthens its holds.
-  return Beat->m_isStopping ? EarlierState::HasEnded
-                            : EarlierState::HasGivenWay;
+  const bool KnowsNewer =
+      Claim != Beat->m_claims.end() && Claim->second.m_term > Old.m_term;
+  return KnowsNewer ? EarlierState::HasGivenWay : EarlierState::MayGrant;
 }
 
 bool OwnershipKeeper::wasStoreAway() const {
--- a/test/gateway/ownership-keeper-test.cc
+++ b/test/gateway/ownership-keeper-test.cc
@@ -35,7 +35,7 @@
 
   KeeperView view() {
     KeeperView Out;
-    Out.m_storeLost = [] { return Millis(0); };
+    Out.m_storeLost = [this] { return m_storeLost; };
     Out.m_storeGood = [] { return Millis(60000); };
     Out.m_servers = [this]() -> const std::map<std::string, ServerEntry> & {
       return m_entries;
@@ -47,7 +47,15 @@
     return Out;
   }
 
+  void hearPeer(std::uint32_t StoreLostMs) {
+    HostBeat Beat;
+    Beat.m_host = {"h2", "10.0.0.2", "zone-a", 50, 20};
+    Beat.m_storeLostMs = StoreLostMs;
+    m_hosts.noteBeat(Beat, BootClock::now());
+  }
+
   WorkerContext m_context{1};
+  Millis m_storeLost{0};
   FakeStore m_store;
   FakeKeyServers m_servers;
   std::map<std::string, ServerEntry> m_entries;
@@ -80,5 +88,25 @@
   EXPECT_EQ(m_maps.back().holderOf(5), "a");
 }
 
+// Others wait for the longest hold unless a host that ends has given way
+// before.
+TEST_F(OwnershipKeeperTest, Leave_HoldsAreLengthened_NoNewerTermIsNamed) {
+  m_context.run_for(Millis(700));
+  hearPeer(500);
+  m_storeLost = Millis(500);
+  m_subject.leave();
+  m_subject.noteClaim({9, "h2", 50});
+  EXPECT_FALSE(m_subject.isGranter());
+  EXPECT_EQ(m_subject.claim().m_term, 1U);
+}
+
+TEST_F(OwnershipKeeperTest, Leave_StoreIsThere_NewerTermIsNamed) {
+  m_context.run_for(Millis(700));
+  hearPeer(0);
+  m_subject.leave();
+  m_subject.noteClaim({9, "h2", 50});
+  EXPECT_EQ(m_subject.claim().m_term, 9U);
+}
+
 } // namespace
 } // namespace tamarackdrum::gateway::test
