Check in the soak that no two servers hold a key for long

Why: the checker saw two owners only if both had work on the same key; the rule is about holding it.

Change: grants and releases are recorded as they reach servers, with the end of each hold; the promise one-holder follows them for one key in 331.

--- a/soak/soak-history.cc
+++ b/soak/soak-history.cc
@@ -53,6 +53,7 @@
     checkAnswers();
     checkRuns();
     checkOwners();
+    checkHolders();
     checkLeaves();
     checkReverts();
     checkInForce();
@@ -150,6 +151,57 @@
                       Next.m_server, Longest.m_server));
   }
 
+  /// Follows the holds of a few keys; ranges are far wider than the steps.
+  void checkHolders() {
+    constexpr std::uint32_t Step = 331;
+    for (std::uint32_t Value = 0; Value < gateway::KeyCount; Value += Step)
+      checkHoldersOf(static_cast<gateway::Key>(Value));
+  }
+
+  void checkHoldersOf(gateway::Key Value) {
+    using Life = std::pair<std::string, std::int64_t>;
+    std::map<Life, std::pair<TimePoint, TimePoint>> Holds; // From, until.
+    for (const platform::standin::GrantRecord &Item :
+         m_seen.m_servers.m_grants) {
+      if (Value < Item.m_from || Value > Item.m_to || !Item.m_isTaken)
+        continue;
+      const Life Server{Item.m_server, Item.m_bornMs};
+      const auto Own = Holds.find(Server);
+      if (Item.m_isRelease) {
+        if (Own == Holds.end())
+          continue;
+        Own->second.second = std::min(Own->second.second, Item.m_at);
+        checkOverlaps(Value, Server.first, Own->second, Holds);
+        Holds.erase(Own);
+      } else if (Own != Holds.end() && Own->second.second > Item.m_at) {
+        Own->second.second = Item.m_until;
+      } else {
+        if (Own != Holds.end())
+          checkOverlaps(Value, Server.first, Own->second, Holds);
+        Holds[Server] = {Item.m_at, Item.m_until};
+      }
+    }
+    while (!Holds.empty()) {
+      const auto Left = Holds.extract(Holds.begin());
+      checkOverlaps(Value, Left.key().first, Left.mapped(), Holds);
+    }
+  }
+
+  template <typename Map>
+  void checkOverlaps(gateway::Key Value, const std::string &Server,
+                     const std::pair<TimePoint, TimePoint> &Hold,
+                     const Map &Others) {
+    for (const auto &[Other, Theirs] : Others) {
+      const TimePoint From = std::max(Hold.first, Theirs.first);
+      const TimePoint To = std::min(Hold.second, Theirs.second);
+      if (Other.first != Server && To - From > m_bounds.m_bothHold)
+        add(Promise::OneHolder, "",
+            fmt::format("key {}: {} and {} for {} ms", Value, Server,
+                        Other.first,
+                        std::chrono::duration_cast<Millis>(To - From).count()));
+    }
+  }
+
   void checkLeaves() {
     for (const LeaveRecord &Leave : m_seen.m_leaves)
       for (const RunRecord &Run : m_seen.m_servers.m_runs) {
@@ -252,6 +304,8 @@
     return "run-once";
   case Promise::NotRun:
     return "not-run";
+  case Promise::OneHolder:
+    return "one-holder";
   case Promise::OneOwner:
     return "one-owner";
   case Promise::LeavingOut:
--- a/test/soak/soak-history-test.cc
+++ b/test/soak/soak-history-test.cc
@@ -126,6 +126,19 @@
   EXPECT_EQ(broken(), Promises{Promise::OneOwner});
 }
 
+TEST_F(SoakHistoryTest, Find_TwoHoldersForLong_OneHolder) {
+  m_subject.m_servers.m_grants = {
+      {"s", 1, false, 0, 100, 1, true, at(0), at(2500)},
+      {"t", 1, false, 0, 100, 2, true, at(900), at(3400)},
+      {"s", 1, true, 0, 100, 1, true, at(1500), {}}};
+  EXPECT_EQ(broken(), Promises{Promise::OneHolder});
+  m_subject.m_servers.m_grants[2].m_at = at(1000); // A moment only.
+  EXPECT_EQ(broken(), Promises{});
+  m_subject.m_servers.m_grants[1].m_isTaken = false;
+  m_subject.m_servers.m_grants[2].m_at = at(2000);
+  EXPECT_EQ(broken(), Promises{});
+}
+
 TEST_F(SoakHistoryTest, Find_RunAfterLeave_LeavingOutIfInTouch) {
   addTry("a", 3000, 3050, 200);
   addRun("a", "s", 3010, 3040);
