--- a/test/soak/fault-proxy-test.cc
+++ b/test/soak/fault-proxy-test.cc
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 #include <optional>
 #include <thread>
