Wait for the last grants on their way of granters that gave way

The same was possible before with a granter whose process had ended.

Change: the hold is counted from the time by which a call arrives or has been given up, as for the granter's own calls (two call time-outs).

--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -69,9 +69,11 @@
   for (EarlierGranter &Item : m_record.m_earlier) {
     const EarlierState Known = State(Item);
     if (Known != EarlierState::MayGrant) {
-      const std::int64_t LapsedBy = toStoreMs(
-          holdEnd(Now, Known == EarlierState::HasEnded ? longestInherited()
-                                                       : m_policy.m_hold));
+      // What it sent last may still be on its way.
+      const TimePoint ArrivedBy = Now + 2 * m_policy.m_callTimeout;
+      const Millis Hold = Known == EarlierState::HasEnded ? longestInherited()
+                                                          : m_policy.m_hold;
+      const std::int64_t LapsedBy = toStoreMs(holdEnd(ArrivedBy, Hold));
       m_isDirty = m_isDirty || LapsedBy < Item.m_untilMs;
       Item.m_untilMs = std::min(Item.m_untilMs, LapsedBy);
     }
