Let one piece of code serve where the change had two

Found in a reading of the whole change; behaviour stays as it is.

- KeyGranter::keyMap() joined equal neighbours by hand, and the changes of key maps had a second copy: both call appendHolding().
- "Two call time-outs after it was sent" stood twice in the granter, once for its own calls and once for those of earlier granters: arrivedBy().
- isInForce() is used where its two flags were tested.
- Three loops over the rates of a range of keys, two of them over all keys of the service: ratesIn(), by binary search; no copy of the rates for a window.
- A server's service rate was written out in the wait for a zone again.
- The soak's checker had its own list of the faults that harm a host.

Left: zoneWaitEnd() runs twice for a request that has to wait, once in choose() and once in enqueue().

--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -247,6 +247,8 @@
   std::size_t slotsOf(const Server &Item) const;
   bool hasRoom(const Server &Item, TimePoint Now, bool OthersWait) const;
   double expectedMs(const Server &Item, TimePoint Now) const;
+  /// Returns requests a millisecond that a server serves; 0 while it is paused.
+  double serviceRate(const Server &Item, TimePoint Now) const;
   double serviceRate(TimePoint Now) const;
   Outlook outlookFor(const DispatchAsk &Ask, TimePoint Now) const;
   std::optional<TimePoint> firstBack() const;
--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -215,6 +215,9 @@
   };
 
   TimePoint holdEnd(TimePoint SentAt) const;
+  /// Returns when a call of \p SentAt, which may be on its way, has arrived or
+  /// has been given up.
+  TimePoint arrivedBy(TimePoint SentAt) const;
   TimePoint holdEnd(TimePoint SentAt, Millis Hold) const;
   const ServerEntry *findLife(const ServerLife &Life) const;
   bool isUsable(const ServerLife &Life, TimePoint Now) const;
--- a/include/tamarackdrum/gateway/key-map.h
+++ b/include/tamarackdrum/gateway/key-map.h
@@ -76,6 +76,9 @@
 std::optional<KeyMap> applyChange(const KeyMap &Old,
                                   const KeyMapChange &Change);
 
+/// Appends the keys that follow to a sorted list; equal neighbours become one.
+void appendHolding(std::vector<KeyHolding> &Out, const KeyHolding &Added);
+
 /// Requests a second of one key.
 struct KeyRate {
   Key m_key = 0;
--- a/soak/fault-schedule.cc
+++ b/soak/fault-schedule.cc
@@ -14,13 +14,6 @@
 constexpr Millis StopTime{8000};
 constexpr std::size_t MostSeries = 3;
 
-bool harmsHost(FaultKind Kind) {
-  return Kind == FaultKind::HostKill || Kind == FaultKind::HostStop ||
-         Kind == FaultKind::HostPause || Kind == FaultKind::HostStoreSilent ||
-         Kind == FaultKind::HostStoreReset ||
-         Kind == FaultKind::HostStoreOneWay;
-}
-
 bool harmsServer(FaultKind Kind) {
   return Kind >= FaultKind::ServerKill && Kind <= FaultKind::ServerLinkOneWay;
 }
@@ -99,6 +92,13 @@
   return "unknown";
 }
 
+bool harmsHost(FaultKind Kind) noexcept {
+  return Kind == FaultKind::HostKill || Kind == FaultKind::HostStop ||
+         Kind == FaultKind::HostPause || Kind == FaultKind::HostStoreSilent ||
+         Kind == FaultKind::HostStoreReset ||
+         Kind == FaultKind::HostStoreOneWay;
+}
+
 bool isPlanned(FaultKind Kind) noexcept {
   return Kind == FaultKind::HostStop || Kind == FaultKind::HostReload ||
          Kind == FaultKind::ServerLeave || Kind == FaultKind::ConfigChange;
--- a/soak/fault-schedule.h
+++ b/soak/fault-schedule.h
@@ -35,6 +35,8 @@
 inline constexpr int FaultKinds = static_cast<int>(FaultKind::ConfigChange) + 1;
 
 const char *toText(FaultKind Kind) noexcept;
+/// Returns whether the fault harms the host that is its target.
+bool harmsHost(FaultKind Kind) noexcept;
 /// Returns whether promises of planned work hold during the fault.
 bool isPlanned(FaultKind Kind) noexcept;
 
--- a/soak/soak-clients.cc
+++ b/soak/soak-clients.cc
@@ -195,9 +195,12 @@
   while (!m_isOver) {
     co_await sleepFor(Millis(static_cast<std::int64_t>(
         draw(2 * static_cast<std::uint64_t>(m_options.m_pause.count()) + 1))));
-    if (!Mine.m_stream && !co_await connect(Mine)) {
-      co_await sleepFor(RetryPause);
-      continue;
+    if (!Mine.m_stream) {
+      const bool IsConnected = co_await connect(Mine);
+      if (!IsConnected) {
+        co_await sleepFor(RetryPause);
+        continue;
+      }
     }
     co_await ask(Mine, choose(Index));
   }
--- a/soak/soak-history.cc
+++ b/soak/soak-history.cc
@@ -17,16 +17,8 @@
 }
 
 bool concernsHost(const FaultSpan &Item, std::size_t Host) {
-  switch (Item.m_kind) {
-  case FaultKind::HostKill:
-  case FaultKind::HostPause:
-  case FaultKind::HostStoreSilent:
-  case FaultKind::HostStoreReset:
-  case FaultKind::HostStoreOneWay:
-    return Item.m_target == Host;
-  default:
-    return false;
-  }
+  return harmsHost(Item.m_kind) && !isPlanned(Item.m_kind) &&
+         Item.m_target == Host;
 }
 
 bool concernsStore(const FaultSpan &Item) {
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -75,12 +75,17 @@
   return Own;
 }
 
+double Dispatcher::serviceRate(const Server &Item, TimePoint Now) const {
+  if (Item.m_entry.m_isDraining || Now < Item.m_pausedUntil)
+    return 0;
+  return static_cast<double>(slotsOf(Item)) / expectedMs(Item, Now) *
+         (1 - Item.m_refusedShare);
+}
+
 double Dispatcher::serviceRate(TimePoint Now) const {
   double Rate = 0;
   for (const auto &[Id, Item] : m_servers)
-    if (!Item.m_entry.m_isDraining && Now >= Item.m_pausedUntil)
-      Rate += static_cast<double>(slotsOf(Item)) / expectedMs(Item, Now) *
-              (1 - Item.m_refusedShare);
+    Rate += serviceRate(Item, Now);
   return Rate;
 }
 
@@ -174,8 +179,7 @@
         Now < Item.m_pausedUntil)
       continue;
     const double Service = expectedMs(Item, Now);
-    Rate += static_cast<double>(slotsOf(Item)) / Service *
-            (1 - Item.m_refusedShare);
+    Rate += serviceRate(Item, Now);
     Fastest = Fastest == 0 ? Service : std::min(Fastest, Service);
   }
   if (Rate <= 0)
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -30,6 +30,10 @@
          m_policy.m_margin;
 }
 
+TimePoint KeyGranter::arrivedBy(TimePoint SentAt) const {
+  return SentAt + 2 * m_policy.m_callTimeout;
+}
+
 TimePoint KeyGranter::holdEnd(TimePoint SentAt) const {
   return holdEnd(SentAt, m_policy.m_hold);
 }
@@ -42,9 +46,8 @@
 
 TimePoint KeyGranter::lastHoldEnd(const Range &Item) const {
   TimePoint Last = std::max(Item.m_answeredAt, Item.m_unansweredAt);
-  // A call that is on its way arrives before it is given up.
   if (Item.m_isCalling)
-    Last = std::max(Last, Item.m_callingSince + 2 * m_policy.m_callTimeout);
+    Last = std::max(Last, arrivedBy(Item.m_callingSince));
   return holdEnd(Last,
                  m_isLengthening ? m_policy.m_longestHold : m_policy.m_hold);
 }
@@ -69,11 +72,9 @@
   for (EarlierGranter &Item : m_record.m_earlier) {
     const EarlierState Known = State(Item);
     if (Known != EarlierState::MayGrant) {
-      // What it sent last may still be on its way.
-      const TimePoint ArrivedBy = Now + 2 * m_policy.m_callTimeout;
       const Millis Hold = Known == EarlierState::HasEnded ? longestInherited()
                                                           : m_policy.m_hold;
-      const std::int64_t LapsedBy = toStoreMs(holdEnd(ArrivedBy, Hold));
+      const std::int64_t LapsedBy = toStoreMs(holdEnd(arrivedBy(Now), Hold));
       m_isDirty = m_isDirty || LapsedBy < Item.m_untilMs;
       Item.m_untilMs = std::min(Item.m_untilMs, LapsedBy);
     }
@@ -97,7 +98,7 @@
 }
 
 bool KeyGranter::mayRenew(TimePoint Now) const {
-  return m_isGranter && m_isWritten && !m_needsValidation &&
+  return isInForce() && !m_needsValidation &&
          Now - m_validatedAt < m_policy.m_unvalidatedLimit;
 }
 
@@ -397,8 +398,7 @@
 void KeyGranter::plan(const std::function<std::vector<KeyRate>()> &Demand,
                       const std::function<double(const std::string &)> &RateOf,
                       TimePoint Now) {
-  if (!m_isGranter || !m_isWritten || m_needsValidation ||
-      Now - m_validatedAt > FreshTerm ||
+  if (!isInForce() || m_needsValidation || Now - m_validatedAt > FreshTerm ||
       Now - m_plannedAt < m_policy.m_planEvery)
     return;
   m_plannedAt = Now;
@@ -566,10 +566,7 @@
         (Item.m_isInherited || (Item.m_confirmedAt != TimePoint{} &&
                                 Now < holdEnd(Item.m_confirmedAt)));
     const std::string Server = IsHeld ? Record.m_owner.m_id : std::string();
-    if (!Holdings.empty() && Holdings.back().m_server == Server)
-      Holdings.back().m_to = Record.m_to;
-    else
-      Holdings.push_back({Record.m_from, Record.m_to, Server});
+    appendHolding(Holdings, {Record.m_from, Record.m_to, Server});
   }
   return KeyMap(m_record.m_term, std::move(Holdings));
 }
--- a/src/gateway/key-map.cc
+++ b/src/gateway/key-map.cc
@@ -11,15 +11,6 @@
 /// Shortest span between two decays; bounds the work on each arrival.
 constexpr Millis DecayStep{200};
 
-/// Appends keys to a sorted list; equal neighbours become one.
-void append(std::vector<KeyHolding> &Out, const KeyHolding &Added) {
-  if (!Out.empty() && Out.back().m_to + 1 == Added.m_from &&
-      Out.back().m_server == Added.m_server)
-    Out.back().m_to = Added.m_to;
-  else
-    Out.push_back(Added);
-}
-
 /// Appends the part of \p Holdings from \p From to before \p End.
 void appendPart(std::vector<KeyHolding> &Out,
                 const std::vector<KeyHolding> &Holdings, std::uint32_t From,
@@ -28,13 +19,21 @@
     const std::uint32_t First = std::max<std::uint32_t>(From, Item.m_from);
     const std::uint32_t Next = std::min<std::uint32_t>(End, Item.m_to + 1U);
     if (First < Next)
-      append(Out, {static_cast<Key>(First), static_cast<Key>(Next - 1),
-                   Item.m_server});
+      appendHolding(Out, {static_cast<Key>(First), static_cast<Key>(Next - 1),
+                          Item.m_server});
   }
 }
 
 } // namespace
 
+void appendHolding(std::vector<KeyHolding> &Out, const KeyHolding &Added) {
+  if (!Out.empty() && Out.back().m_to + 1 == Added.m_from &&
+      Out.back().m_server == Added.m_server)
+    Out.back().m_to = Added.m_to;
+  else
+    Out.push_back(Added);
+}
+
 KeyMapChange wholeMap(const KeyMap &Map) {
   return {0, Map.version(), Map.holdings()};
 }
@@ -50,8 +49,9 @@
     for (auto At = Before;
          At != Old.holdings().end() && At->m_from <= Item.m_to; ++At)
       if (At->m_server != Item.m_server)
-        append(Out.m_holdings, {std::max(At->m_from, Item.m_from),
-                                std::min(At->m_to, Item.m_to), Item.m_server});
+        appendHolding(Out.m_holdings,
+                      {std::max(At->m_from, Item.m_from),
+                       std::min(At->m_to, Item.m_to), Item.m_server});
   }
   return Out;
 }
@@ -66,7 +66,7 @@
   std::uint32_t Done = 0;
   for (const KeyHolding &Item : Change.m_holdings) {
     appendPart(Holdings, Old.holdings(), Done, Item.m_from);
-    append(Holdings, Item);
+    appendHolding(Holdings, Item);
     Done = Item.m_to + 1U;
   }
   appendPart(Holdings, Old.holdings(), Done, KeyCount);
--- a/src/gateway/key-placement.cc
+++ b/src/gateway/key-placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <span>
 
 namespace tamarackdrum::gateway {
 namespace {
@@ -25,15 +26,23 @@
   return static_cast<std::uint32_t>(Keys.m_to) - Keys.m_from + 1;
 }
 
-double loadOf(const KeyHolding &Keys, const std::vector<KeyRate> &Rates,
-              double SpreadPerKey) {
-  double Sum = SpreadPerKey * widthOf(Keys);
+/// Returns the rates of \p Keys.
+std::span<const KeyRate> ratesIn(const KeyHolding &Keys,
+                                 const std::vector<KeyRate> &Rates) {
   const auto First = std::lower_bound(
       Rates.begin(), Rates.end(), Keys.m_from,
       [](const KeyRate &Item, Key From) { return Item.m_key < From; });
-  for (auto Item = First; Item != Rates.end() && Item->m_key <= Keys.m_to;
-       ++Item)
-    Sum += Item->m_rate;
+  const auto End = std::upper_bound(
+      First, Rates.end(), Keys.m_to,
+      [](Key To, const KeyRate &Item) { return To < Item.m_key; });
+  return {First, End};
+}
+
+double loadOf(const KeyHolding &Keys, const std::vector<KeyRate> &Rates,
+              double SpreadPerKey) {
+  double Sum = SpreadPerKey * widthOf(Keys);
+  for (const KeyRate &Item : ratesIn(Keys, Rates))
+    Sum += Item.m_rate;
   return Sum;
 }
 
@@ -106,10 +115,7 @@
 std::optional<KeyHolding> findWindow(const KeyHolding &Keys, double Wanted,
                                      const std::vector<KeyRate> &Rates,
                                      double SpreadPerKey) {
-  std::vector<KeyRate> Own;
-  for (const KeyRate &Item : Rates)
-    if (Item.m_key >= Keys.m_from && Item.m_key <= Keys.m_to)
-      Own.push_back(Item);
+  const std::span<const KeyRate> Own = ratesIn(Keys, Rates);
   std::optional<KeyHolding> Best;
   std::size_t First = 0;
   double Sum = 0;
@@ -141,12 +147,10 @@
                                     const std::vector<KeyRate> &Rates) {
   std::optional<KeyRate> Out;
   for (const PlacedRange &Range : Ranges) {
-    const KeyHolding &Keys = Range.m_keys;
-    if (Keys.m_server != Server)
+    if (Range.m_keys.m_server != Server)
       continue;
-    for (const KeyRate &Item : Rates)
-      if (Item.m_key >= Keys.m_from && Item.m_key <= Keys.m_to &&
-          (!Out || Item.m_rate > Out->m_rate))
+    for (const KeyRate &Item : ratesIn(Range.m_keys, Rates))
+      if (!Out || Item.m_rate > Out->m_rate)
         Out = Item;
   }
   return Out;
--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -2,6 +2,7 @@
 
 #include "platform/standin/key-server.h"
 #include "platform/wire-decode.h"
+#include "run-until-done.h"
 #include "tamarackdrum/worker-context.h"
 
 #include <gtest/gtest.h>
@@ -37,16 +38,7 @@
   }
 
   template <typename T> T await(asio::awaitable<T> Task) {
-    std::optional<T> Out;
-    asio::co_spawn(
-        m_context,
-        [&]() -> asio::awaitable<void> {
-          Out.emplace(co_await std::move(Task));
-        },
-        asio::detached);
-    while (!Out)
-      m_context.run_one();
-    return std::move(*Out);
+    return runUntilDone(m_context, std::move(Task));
   }
 
   GrantReply call(bool IsRelease, Key From, Key To, std::uint64_t Fence,
--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -2,6 +2,7 @@
 
 #include "platform/standin/row-store.h"
 #include "platform/standin/wire-encode.h"
+#include "run-until-done.h"
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/worker-context.h"
 
@@ -31,16 +32,7 @@
   ~StoreClientTest() override { m_context.dropPending(); }
 
   template <typename T> Result<T> await(asio::awaitable<Result<T>> Task) {
-    std::optional<Result<T>> Out;
-    asio::co_spawn(
-        m_context,
-        [&]() -> asio::awaitable<void> {
-          Out.emplace(co_await std::move(Task));
-        },
-        asio::detached);
-    while (!Out)
-      m_context.run_one();
-    return std::move(*Out);
+    return runUntilDone(m_context, std::move(Task));
   }
 
   void putConfiguration(std::uint64_t Version) {
