Give heads, endpoints and the store's health a file each

Change: message-head (heads of requests, replies and own answers from plain structs), store-health (lost, back, span of good calls), endpoint (one copy, in the core) and openAcceptor. m_touchTime and m_healthPath are gone: no rule of a host depends on either. m_memoryBytes now bounds the memory of bodies: a quarter of it, 64 MB at most as before. store-back tells how long the store was lost.

Ruled out: moving the session's coroutines to another file. They share the client's connection and the slots, so that the parts would only call each other.

No change of behaviour but for the bound of bodies on hosts of less than 256 MB.

--- a/include/tamarackdrum/gateway/configuration.h
+++ b/include/tamarackdrum/gateway/configuration.h
@@ -42,7 +42,6 @@
 /// What the operator says of a service.
 struct Service {
   std::string m_name;
-  std::string m_healthPath;
   unsigned m_maxConnections = 0; ///< Over all hosts together.
   bool m_isKeyed = false;        ///< Servers hold ranges of keys.
 
--- a/include/tamarackdrum/gateway/connection.h
+++ b/include/tamarackdrum/gateway/connection.h
@@ -4,7 +4,7 @@
 #ifndef TAMARACKDRUM_GATEWAY_CONNECTION_H
 #define TAMARACKDRUM_GATEWAY_CONNECTION_H
 
-#include "tamarackdrum/core.h"
+#include "tamarackdrum/endpoint.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,10 +16,10 @@
 
 namespace tamarackdrum::gateway {
 
-using Endpoint = boost::asio::ip::tcp::endpoint;
-
-/// Parses "10.1.2.3:80". Errors: std::errc::invalid_argument.
-Result<Endpoint> parseEndpoint(std::string_view Text);
+/// Opens a listening socket that a restarted process can open again at once.
+/// Errors: those of the system.
+std::error_code openAcceptor(boost::asio::ip::tcp::acceptor &Acceptor,
+                             const Endpoint &Address);
 
 /// Lets the kernel end a connection whose data is not acknowledged in time:
 /// a host that has no power never answers.
--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -6,6 +6,7 @@
 
 #include "tamarackdrum/gateway/admission.h"
 #include "tamarackdrum/gateway/gateway-metrics.h"
+#include "tamarackdrum/gateway/message-head.h"
 #include "tamarackdrum/gateway/upstream-exchange.h"
 #include "tamarackdrum/poison.h"
 
@@ -102,8 +103,7 @@
   bool route(Exchange &Item) const;
   UpstreamRequest makeRequest(SessionPtr Client, std::shared_ptr<Exchange> Item,
                               const ServerEntry &Server) const;
-  std::string makeHead(const Exchange &Item, const ServerEntry &Server,
-                       Millis Left) const;
+  static Framing requestFraming(const Exchange &Item);
   BodySource makeSource(SessionPtr Client,
                         std::shared_ptr<Exchange> Item) const;
   void watchClient(const SessionPtr &Client);
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -7,6 +7,7 @@
 #include "tamarackdrum/gateway/edge-server.h"
 #include "tamarackdrum/gateway/listing-feed.h"
 #include "tamarackdrum/gateway/ownership-keeper.h"
+#include "tamarackdrum/gateway/store-health.h"
 #include "tamarackdrum/gateway/text-server.h"
 
 namespace tamarackdrum::gateway {
@@ -98,7 +99,6 @@
                  const ListingMessage &Listing);
   void pushTo(std::uint32_t Link, const StateRequest &Needed);
   void sendKeyMap(std::uint32_t Link, const std::string &Service);
-  Millis storeGood() const; ///< Span of good reads up to the last one.
   PeerEvents peerEvents();
   EdgeServer::View edgeView();
   std::string metricsText();
@@ -112,6 +112,7 @@
   GatewayMetrics m_metrics;
   PoisonRegistry m_poison;
   Roster m_hosts;
+  StoreHealth m_storeHealth;
   ServerDirectory m_directory;
   ConnectionPool m_pool;
   UpstreamExchange m_upstreams;
@@ -130,9 +131,6 @@
       m_listingAt{}; ///< When the last listing was asked for, by whom ever.
   TimePoint m_configurationAt{}; ///< The configuration was the newest then.
   std::map<std::string, ListingSink> m_heard; ///< By reader.
-  TimePoint m_storeGoodAt{};
-  TimePoint m_storeGoodSince{}; ///< Begin of the span without a failure.
-  bool m_isStoreLost = false;
   bool m_isStopping = false;
 };
 
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -33,9 +33,8 @@
   std::string m_metricsAddress;       ///< Empty: no metrics are served.
   std::vector<std::string> m_seedIps; ///< Hosts to ask first; may be stale.
   Millis m_stopTimeout{6000};         ///< From the stop signal to the kill.
-  Millis m_touchTime{3000};           ///< Longest outage that excuses a host.
   RetryPolicy m_retries;
-  std::size_t m_memoryBytes = 0;
+  std::size_t m_memoryBytes = 256U << 20U; ///< Of the whole process.
   HeaderNames m_headers;
 
   bool operator==(const GatewaySettings &) const = default;
--- a/include/tamarackdrum/http.h
+++ b/include/tamarackdrum/http.h
@@ -4,7 +4,7 @@
 #ifndef TAMARACKDRUM_HTTP_H
 #define TAMARACKDRUM_HTTP_H
 
-#include "tamarackdrum/core.h"
+#include "tamarackdrum/endpoint.h"
 
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
@@ -27,10 +27,6 @@
     boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
-using Endpoint = boost::asio::ip::tcp::endpoint;
-
-/// Parses "IP:PORT", e.g. `parseEndpoint("127.0.0.1:8080")`.
-Result<Endpoint> parseEndpoint(const std::string &Text);
 
 /// Makes a response with a body and a content type.
 HttpResponse makeResponse(unsigned Status, std::string Body,
--- a/soak/soak-site.cc
+++ b/soak/soak-site.cc
@@ -76,7 +76,6 @@
   for (const char *Name : {PlainService, ResettingService, KeyedService}) {
     Service &Made = m_config.m_services[Name];
     Made.m_name = Name;
-    Made.m_healthPath = "/health";
     Made.m_maxConnections = 64;
     Made.m_isKeyed = Name == std::string(KeyedService);
   }
--- a/src/adapter/http-server.cc
+++ b/src/adapter/http-server.cc
@@ -51,27 +51,6 @@
 
 } // namespace
 
-Result<Endpoint> parseEndpoint(const std::string &Text) {
-  const std::size_t Colon = Text.rfind(':');
-  const std::error_code Invalid =
-      std::make_error_code(std::errc::invalid_argument);
-  if (Colon == std::string::npos)
-    return Invalid;
-  boost::system::error_code Error;
-  const asio::ip::address Address =
-      asio::ip::make_address(Text.substr(0, Colon), Error);
-  const std::string PortText = Text.substr(Colon + 1);
-  constexpr unsigned long MaxPort = 65535;
-  constexpr std::size_t MaxDigits = 5;
-  if (Error || PortText.empty() || PortText.size() > MaxDigits ||
-      PortText.find_first_not_of("0123456789") != std::string::npos)
-    return Invalid;
-  const unsigned long Port = std::stoul(PortText);
-  if (Port > MaxPort)
-    return Invalid;
-  return Endpoint(Address, static_cast<std::uint16_t>(Port));
-}
-
 HttpResponse makeResponse(unsigned Status, std::string Body,
                           const char *ContentType) {
   HttpResponse Response;
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <charconv>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -23,21 +22,17 @@
 
 } // namespace
 
-Result<Endpoint> parseEndpoint(std::string_view Text) {
-  const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos)
-    return std::make_error_code(std::errc::invalid_argument);
+std::error_code openAcceptor(boost::asio::ip::tcp::acceptor &Acceptor,
+                             const Endpoint &Address) {
   boost::system::error_code Error;
-  const boost::asio::ip::address Address =
-      boost::asio::ip::make_address(std::string(Text.substr(0, Colon)), Error);
-  const std::string_view Digits = Text.substr(Colon + 1);
-  std::uint16_t Port = 0;
-  const std::from_chars_result Parsed =
-      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
-  if (Error || Parsed.ec != std::errc() ||
-      Parsed.ptr != Digits.data() + Digits.size())
-    return std::make_error_code(std::errc::invalid_argument);
-  return Endpoint(Address, Port);
+  Acceptor.open(Address.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(boost::asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Address, Error);
+  if (!Error)
+    Acceptor.listen(boost::asio::socket_base::max_listen_connections, Error);
+  return Error;
 }
 
 void limitSilence(boost::asio::ip::tcp::socket &Socket, Millis Time) {
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -3,7 +3,6 @@
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/sleep.h"
 
-#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -55,44 +54,21 @@
   return Value;
 }
 
-/// Returns whether a header concerns one connection only.
-bool isHopByHop(std::string_view Name) {
-  for (std::string_view Other :
-       {"connection", "keep-alive", "proxy-connection", "te", "trailer",
-        "transfer-encoding", "upgrade", "content-length", "expect"})
-    if (boost::algorithm::iequals(Name, Other))
-      return true;
-  return false;
-}
-
-/// Appends the headers that are passed on.
-template <typename Fields>
-void appendHeaders(std::string &Out, const Fields &Head,
-                   std::initializer_list<std::string_view> Dropped) {
-  http::token_list Named(Head[http::field::connection]);
-  for (const auto &Item : Head) {
-    const std::string_view Name(Item.name_string().data(),
-                                Item.name_string().size());
-    const bool IsDropped =
-        isHopByHop(Name) || Named.exists(Item.name_string()) ||
-        std::any_of(Dropped.begin(), Dropped.end(),
-                    [&](std::string_view Other) {
-                      return boost::algorithm::iequals(Name, Other);
-                    });
-    if (IsDropped)
-      continue;
-    Out.append(Name).append(": ");
-    Out.append(Item.value().data(), Item.value().size()).append("\r\n");
-  }
-}
-
 /// Returns whether the server has said that it did not run the request.
 bool isRefusal(DispatchResult Value) {
   return Value == DispatchResult::Refused || Value == DispatchResult::NotHeld;
 }
 
-std::string chunk(const std::string &Piece) {
-  return fmt::format("{:x}\r\n{}\r\n", Piece.size(), Piece);
+/// Returns how the client learns where the body of \p Reply ends.
+Framing replyFraming(const UpstreamReply &Reply, bool IsToHead) {
+  const unsigned Status = Reply.m_head->get().result_int();
+  const boost::optional<std::uint64_t> Length = Reply.m_head->content_length();
+  if (Reply.m_isTooLong)
+    return Length ? Framing{false, *Length} : Framing{true, {}};
+  if (IsToHead)
+    return Length ? Framing{false, *Length} : Framing{};
+  const bool HasNoBody = Status == 204 || Status == 304;
+  return HasNoBody ? Framing{} : Framing{false, Reply.m_body.size()};
 }
 
 } // namespace
@@ -153,9 +129,18 @@
   std::string m_places;
   UpstreamReply m_reply; ///< Last answer of a server; m_head may be null.
 
-  const http::request_header<> &head() const { return m_parser->get(); }
+  const RequestHead &head() const { return m_parser->get(); }
 };
 
+Framing EdgeServer::requestFraming(const Exchange &Item) {
+  const boost::optional<std::uint64_t> Length = Item.m_parser->content_length();
+  if (!Item.m_isBodyWhole)
+    return Length ? Framing{false, *Length} : Framing{true, {}};
+  const bool HasBody =
+      !Item.m_body.empty() || Item.m_parser->chunked() || Length;
+  return HasBody ? Framing{false, Item.m_body.size()} : Framing{};
+}
+
 EdgeServer::EdgeServer(asio::any_io_executor Executor, EdgePolicy Policy,
                        const GatewaySettings &Settings, Admission &Slots,
                        UpstreamExchange &Upstreams, PoisonRegistry &Poison,
@@ -170,14 +155,7 @@
   const Result<Endpoint> Address = parseEndpoint(m_settings.m_clientAddress);
   if (!Address)
     return Address.error();
-  boost::system::error_code Error;
-  m_acceptor.open(Address.value().protocol(), Error);
-  if (!Error)
-    m_acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    m_acceptor.bind(Address.value(), Error);
-  if (!Error)
-    m_acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  const std::error_code Error = openAcceptor(m_acceptor, Address.value());
   if (!Error)
     asio::co_spawn(m_executor, acceptLoop(), asio::detached);
   return Error;
@@ -296,7 +274,7 @@
 }
 
 bool EdgeServer::route(Exchange &Item) const {
-  const http::request_header<> &Head = Item.head();
+  const RequestHead &Head = Item.head();
   if (Item.m_table == nullptr)
     return false;
   Item.m_route = Item.m_table->match(Head[http::field::host], Head.target());
@@ -342,7 +320,7 @@
 
 asio::awaitable<void> EdgeServer::handle(SessionPtr Client,
                                          std::shared_ptr<Exchange> Item) {
-  const http::request_header<> &Head = Item->head();
+  const RequestHead &Head = Item->head();
   Item->m_id = std::string(Head[m_settings.m_headers.m_requestId]);
   if (!Item->m_parser->keep_alive() || m_isDraining)
     Client->m_mustClose = true;
@@ -555,33 +533,6 @@
   co_await answer(Client, Item, 503, Reason, ServerRetryAfter);
 }
 
-std::string EdgeServer::makeHead(const Exchange &Item,
-                                 const ServerEntry &Server, Millis Left) const {
-  const http::request_header<> &Head = Item.head();
-  const HeaderNames &Names = m_settings.m_headers;
-  std::string Out;
-  Out.reserve(512);
-  Out.append(Head.method_string().data(), Head.method_string().size());
-  Out.append(" ");
-  Out.append(Head.target().data(), Head.target().size());
-  Out.append(" HTTP/1.1\r\n");
-  appendHeaders(Out, Head, {Names.m_deadlineMs, Names.m_expectServer});
-  fmt::format_to(std::back_inserter(Out), "{}: {}\r\n{}: {}\r\n",
-                 Names.m_deadlineMs, std::max<std::int64_t>(1, Left.count()),
-                 Names.m_expectServer, Server.m_id);
-  if (!Item.m_isBodyWhole && !Item.m_parser->content_length())
-    Out.append("Transfer-Encoding: chunked\r\n");
-  else if (!Item.m_isBodyWhole)
-    fmt::format_to(std::back_inserter(Out), "Content-Length: {}\r\n",
-                   *Item.m_parser->content_length());
-  else if (!Item.m_body.empty() || Item.m_parser->chunked() ||
-           Item.m_parser->content_length())
-    fmt::format_to(std::back_inserter(Out), "Content-Length: {}\r\n",
-                   Item.m_body.size());
-  Out.append("\r\n");
-  return Out;
-}
-
 BodySource EdgeServer::makeSource(SessionPtr Client,
                                   std::shared_ptr<Exchange> Item) const {
   const bool IsChunked = !Item->m_parser->content_length();
@@ -605,7 +556,7 @@
     if (!IsChunked)
       co_return Piece;
     if (Length > 0)
-      co_return chunk(Piece);
+      co_return makeChunk(Piece);
     if (*IsEnded)
       co_return std::string();
     *IsEnded = true;
@@ -618,13 +569,12 @@
                                         const ServerEntry &Server) const {
   UpstreamRequest Out;
   Out.m_server = Server;
-  Out.m_head = makeHead(*Item, Server, left(Item->m_endsAt));
-  Out.m_body = Item->m_body;
-  if (!Item->m_isBodyWhole) {
-    if (!Item->m_parser->content_length())
-      Out.m_body = chunk(Item->m_body);
+  const Framing Body = requestFraming(*Item);
+  Out.m_head = makeRequestHead(Item->head(), Body, m_settings.m_headers, Server,
+                               left(Item->m_endsAt));
+  Out.m_body = Body.m_isChunked ? makeChunk(Item->m_body) : Item->m_body;
+  if (!Item->m_isBodyWhole)
     Out.m_more = makeSource(std::move(Client), Item);
-  }
   Out.m_requestId = Item->m_id;
   Out.m_isHead = Item->head().method() == http::verb::head;
   Out.m_isSafe = Item->m_route->m_kind == RequestKind::Safe;
@@ -659,7 +609,7 @@
                                         std::shared_ptr<Exchange> Item,
                                         UpstreamReply &Reply) {
   Item->m_isAnswered = true;
-  const http::response_header<> &Head = Reply.m_head->get();
+  const ReplyHead &Head = Reply.m_head->get();
   unsigned Status = Head.result_int();
   // These promise that the request has not run; the server has not said so.
   if (Reply.m_result == DispatchResult::Failed && Status == 503) {
@@ -668,25 +618,10 @@
   }
   if (m_isDraining)
     Client->m_mustClose = true;
-  std::string Out =
-      fmt::format("HTTP/1.1 {} {}\r\n", Status,
-                  std::string_view(Head.reason().data(), Head.reason().size()));
-  appendHeaders(Out, Head, {});
-  const bool IsHead = Item->head().method() == http::verb::head;
-  const bool HasNoBody = Status == 204 || Status == 304;
-  if (Reply.m_isTooLong && !Reply.m_head->content_length())
-    Out.append("Transfer-Encoding: chunked\r\n");
-  else if (IsHead && Reply.m_head->get().has_content_length())
-    Out.append("Content-Length: ")
-        .append(Head[http::field::content_length])
-        .append("\r\n");
-  else if (!HasNoBody && !IsHead)
-    fmt::format_to(std::back_inserter(Out), "Content-Length: {}\r\n",
-                   Reply.m_isTooLong ? *Reply.m_head->content_length()
-                                     : Reply.m_body.size());
-  Out.append(Client->m_mustClose ? "Connection: close\r\n\r\n" : "\r\n");
-  const bool IsChunked = Reply.m_isTooLong && !Reply.m_head->content_length();
-  Out.append(IsChunked ? chunk(Reply.m_body) : Reply.m_body);
+  const Framing Body =
+      replyFraming(Reply, Item->head().method() == http::verb::head);
+  std::string Out = makeReplyHead(Head, Body, Client->m_mustClose);
+  Out.append(Body.m_isChunked ? makeChunk(Reply.m_body) : Reply.m_body);
   bool IsSent = co_await write(Client, std::move(Out));
   while (IsSent && Reply.m_isTooLong) {
     Result<std::string> Piece = co_await m_upstreams.readMore(Reply);
@@ -698,13 +633,14 @@
       co_return;
     }
     const bool IsLast = Piece.value().empty();
-    if (IsLast && IsChunked) {
+    if (IsLast && Body.m_isChunked) {
       std::string End = "0\r\n\r\n";
       IsSent = co_await write(Client, std::move(End));
     }
     if (IsLast)
       break;
-    std::string Bytes = IsChunked ? chunk(Piece.value()) : Piece.value();
+    std::string Bytes =
+        Body.m_isChunked ? makeChunk(Piece.value()) : Piece.value();
     IsSent = co_await write(Client, std::move(Bytes));
   }
   if (!IsSent)
@@ -720,19 +656,9 @@
   Item->m_isAnswered = true;
   if (m_isDraining || !Item->m_parser->is_done())
     Client->m_mustClose = true;
-  const std::string Body = fmt::format("{}\n", Reason);
-  std::string Out = fmt::format(
-      "HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n",
-      Status, std::string(http::obsolete_reason(http::int_to_status(Status))),
-      Body.size());
-  if (!Item->m_id.empty())
-    fmt::format_to(std::back_inserter(Out), "{}: {}\r\n",
-                   m_settings.m_headers.m_requestId, Item->m_id);
-  if (RetryAfter.count() > 0)
-    fmt::format_to(std::back_inserter(Out), "Retry-After: {:.3f}\r\n",
-                   static_cast<double>(RetryAfter.count()) / 1000);
-  Out.append(Client->m_mustClose ? "Connection: close\r\n\r\n" : "\r\n");
-  Out.append(Body);
+  std::string Out =
+      makeAnswer({Status, Reason, RetryAfter, Client->m_mustClose},
+                 m_settings.m_headers, Item->m_id);
   const bool IsSent = co_await write(Client, std::move(Out));
   if (!IsSent)
     Item->m_isClientGone = true;
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <random>
+#include <spdlog/fmt/fmt.h>
 
 namespace tamarackdrum::gateway {
 namespace {
@@ -21,6 +22,9 @@
 constexpr Millis DrainPoll{50};
 /// Changes of more servers than this are logged by their number.
 constexpr std::size_t LongestChange = 20;
+/// Part of the process's memory, as a divisor, that bodies may take. Source:
+/// what a process needs without bodies is below half of it.
+constexpr std::size_t BodyMemoryDivisor = 4;
 /// A process without a configuration asks its peers after this time.
 constexpr Millis AskPeersAfter{600};
 
@@ -36,6 +40,13 @@
   return Out;
 }
 
+EdgePolicy edgePolicy(const GatewaySettings &Settings) {
+  EdgePolicy Out;
+  Out.m_bodyMemory =
+      std::min(Out.m_bodyMemory, Settings.m_memoryBytes / BodyMemoryDivisor);
+  return Out;
+}
+
 std::int64_t steadyMs() {
   return std::chrono::duration_cast<Millis>(BootClock::now().time_since_epoch())
       .count();
@@ -57,14 +68,14 @@
     : m_executor(Executor), m_policy(Policy), m_settings(std::move(Settings)),
       m_store(Store), m_keyServers(Servers), m_log(Log),
       m_poison(poisonPolicy()), m_hosts(RosterPolicy{}, m_settings.m_host),
-      m_directory(Policy.m_directory), m_pool(PoolPolicy{}),
-      m_upstreams(m_pool, m_settings.m_headers),
+      m_storeHealth(Policy.m_goodGap), m_directory(Policy.m_directory),
+      m_pool(PoolPolicy{}), m_upstreams(m_pool, m_settings.m_headers),
       m_admission(Executor, AdmissionPolicy{}, dispatchPolicy(m_settings),
                   m_hosts, Log),
       m_network(Executor, PeerNetworkPolicy{}, m_hosts, m_settings.m_peerPort,
                 Log, m_metrics, peerEvents()),
-      m_edge(Executor, EdgePolicy{}, m_settings, m_admission, m_upstreams,
-             m_poison, Log, m_metrics, m_hosts, edgeView()),
+      m_edge(Executor, edgePolicy(m_settings), m_settings, m_admission,
+             m_upstreams, m_poison, Log, m_metrics, m_hosts, edgeView()),
       m_readiness(Executor,
                   [this](std::string_view) {
                     return isReady() ? TextAnswer{200, "ready\n"}
@@ -152,16 +163,11 @@
 }
 
 Millis GatewayHost::storeLost() const {
-  if (!m_isStoreLost)
-    return Millis(0);
-  if (m_storeGoodAt == TimePoint{})
-    return Millis(INT32_MAX);
-  return std::max(Millis(1), std::chrono::duration_cast<Millis>(
-                                 BootClock::now() - m_storeGoodAt));
+  return m_storeHealth.lostFor(BootClock::now());
 }
 
 bool GatewayHost::isReader() const {
-  if (m_isStoreLost)
+  if (m_storeHealth.isLost())
     return false;
   for (const HostInfo &Item : m_hosts.anchors(BootClock::now())) {
     if (Item.m_name == m_hosts.self().m_name)
@@ -173,33 +179,19 @@
   return false;
 }
 
-Millis GatewayHost::storeGood() const {
-  if (m_storeGoodSince == TimePoint{})
-    return Millis(0);
-  return std::chrono::duration_cast<Millis>(m_storeGoodAt - m_storeGoodSince);
-}
-
 void GatewayHost::noteStore(bool IsGood, TimePoint AskedAt,
                             std::string_view What, std::string_view Reason) {
-  if (IsGood) {
-    if (m_storeGoodSince == TimePoint{} ||
-        AskedAt - m_storeGoodAt > m_policy.m_goodGap)
-      m_storeGoodSince = AskedAt;
-    m_storeGoodAt = std::max(m_storeGoodAt, AskedAt);
-    if (m_isStoreLost)
-      m_log.write("store-back", {{"read", What}});
-    m_isStoreLost = false;
-    return;
-  }
-  if (!m_isStoreLost)
+  const Millis LostFor = m_storeHealth.lostFor(BootClock::now());
+  const bool IsNews = m_storeHealth.note(IsGood, AskedAt);
+  if (!IsGood)
+    m_metrics.count("store_failures", fmt::format("read=\"{}\"", What));
+  if (IsNews && IsGood)
+    m_log.write("store-back", {{"read", What}, {"lost_ms", LostFor}});
+  else if (IsNews)
     m_log.write("store-lost",
                 {{"read", What},
                  {"reason", Reason},
-                 {"last_good_ms", std::chrono::duration_cast<Millis>(
-                                      BootClock::now() - m_storeGoodAt)}});
-  m_isStoreLost = true;
-  m_storeGoodSince = TimePoint{};
-  m_metrics.count("store_failures", "read=\"" + std::string(What) + "\"");
+                 {"last_good_ms", m_storeHealth.lostFor(BootClock::now())}});
 }
 
 asio::awaitable<void> GatewayHost::enter() {
@@ -409,7 +401,7 @@
   View.m_onStore = [this](bool IsGood, TimePoint AskedAt) {
     noteStore(IsGood, AskedAt, "ownership", "not readable");
   };
-  View.m_storeGood = [this] { return storeGood(); };
+  View.m_storeGood = [this] { return m_storeHealth.goodFor(); };
   View.m_servers = [this]() -> const std::map<std::string, ServerEntry> & {
     return m_directory.entries();
   };
@@ -482,7 +474,8 @@
   Out.m_isStopping = m_isStopping;
   Out.m_storeLostMs = static_cast<std::uint32_t>(
       std::min<std::int64_t>(storeLost().count(), INT32_MAX));
-  Out.m_storeGoodMs = static_cast<std::uint32_t>(storeGood().count());
+  Out.m_storeGoodMs =
+      static_cast<std::uint32_t>(m_storeHealth.goodFor().count());
   Out.m_configVersion =
       m_routes == nullptr ? 0 : m_routes->configuration().m_version;
   for (const auto &[Service, Keeper] : m_keepers)
--- /dev/null
+++ b/src/edge/message-head.cc
@@ -0,0 +1,106 @@
+#include "tamarackdrum/gateway/message-head.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <spdlog/fmt/fmt.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+namespace http = boost::beast::http;
+
+std::string_view toView(boost::beast::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+bool isAmong(std::string_view Name,
+             std::initializer_list<std::string_view> Others) {
+  return std::any_of(Others.begin(), Others.end(),
+                     [Name](std::string_view Other) {
+                       return boost::algorithm::iequals(Name, Other);
+                     });
+}
+
+/// Returns whether a header concerns one connection only.
+bool isHopByHop(std::string_view Name) {
+  return isAmong(Name, {"connection", "keep-alive", "proxy-connection", "te",
+                        "trailer", "transfer-encoding", "upgrade",
+                        "content-length", "expect"});
+}
+
+/// Appends the headers that are passed on.
+void appendHeaders(std::string &Out, const http::fields &Head,
+                   std::initializer_list<std::string_view> Dropped) {
+  http::token_list Named(Head[http::field::connection]);
+  for (const http::fields::value_type &Item : Head) {
+    const std::string_view Name = toView(Item.name_string());
+    if (isHopByHop(Name) || isAmong(Name, Dropped) ||
+        Named.exists(Item.name_string()))
+      continue;
+    fmt::format_to(std::back_inserter(Out), "{}: {}\r\n", Name,
+                   toView(Item.value()));
+  }
+}
+
+void appendFraming(std::string &Out, const Framing &Body) {
+  if (Body.m_isChunked)
+    Out.append("Transfer-Encoding: chunked\r\n");
+  else if (Body.m_length)
+    fmt::format_to(std::back_inserter(Out), "Content-Length: {}\r\n",
+                   *Body.m_length);
+}
+
+} // namespace
+
+std::string makeRequestHead(const RequestHead &Head, const Framing &Body,
+                            const HeaderNames &Names, const ServerEntry &Server,
+                            Millis Left) {
+  std::string Out;
+  Out.reserve(512);
+  fmt::format_to(std::back_inserter(Out), "{} {} HTTP/1.1\r\n",
+                 toView(Head.method_string()), toView(Head.target()));
+  appendHeaders(Out, Head, {Names.m_deadlineMs, Names.m_expectServer});
+  fmt::format_to(std::back_inserter(Out), "{}: {}\r\n{}: {}\r\n",
+                 Names.m_deadlineMs, std::max<std::int64_t>(1, Left.count()),
+                 Names.m_expectServer, Server.m_id);
+  appendFraming(Out, Body);
+  Out.append("\r\n");
+  return Out;
+}
+
+std::string makeReplyHead(const ReplyHead &Head, const Framing &Body,
+                          bool IsLast) {
+  std::string Out = fmt::format("HTTP/1.1 {} {}\r\n", Head.result_int(),
+                                toView(Head.reason()));
+  appendHeaders(Out, Head, {});
+  appendFraming(Out, Body);
+  Out.append(IsLast ? "Connection: close\r\n\r\n" : "\r\n");
+  return Out;
+}
+
+std::string makeAnswer(const OwnAnswer &Answer, const HeaderNames &Names,
+                       const std::string &Id) {
+  constexpr double MsPerSecond = 1000;
+  const boost::beast::string_view Phrase =
+      http::obsolete_reason(http::int_to_status(Answer.m_status));
+  const std::string Body = fmt::format("{}\n", Answer.m_reason);
+  std::string Out = fmt::format(
+      "HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n",
+      Answer.m_status, toView(Phrase), Body.size());
+  if (!Id.empty())
+    fmt::format_to(std::back_inserter(Out), "{}: {}\r\n", Names.m_requestId,
+                   Id);
+  if (Answer.m_retryAfter.count() > 0)
+    fmt::format_to(std::back_inserter(Out), "Retry-After: {:.3f}\r\n",
+                   static_cast<double>(Answer.m_retryAfter.count()) /
+                       MsPerSecond);
+  Out.append(Answer.m_isLast ? "Connection: close\r\n\r\n" : "\r\n");
+  Out.append(Body);
+  return Out;
+}
+
+std::string makeChunk(const std::string &Piece) {
+  return fmt::format("{:x}\r\n{}\r\n", Piece.size(), Piece);
+}
+
+} // namespace tamarackdrum::gateway
--- a/src/edge/peer-network.cc
+++ b/src/edge/peer-network.cc
@@ -39,16 +39,11 @@
       asio::ip::make_address(m_hosts.self().m_ip, Error);
   if (Error)
     return Error;
-  const tcp::endpoint Address(Own, m_port);
-  m_acceptor.open(Address.protocol(), Error);
-  if (!Error)
-    m_acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    m_acceptor.bind(Address, Error);
-  if (!Error)
-    m_acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (!Error)
-    m_beats.open(udp::v4(), Error);
+  const std::error_code Failed =
+      openAcceptor(m_acceptor, tcp::endpoint(Own, m_port));
+  if (Failed)
+    return Failed;
+  m_beats.open(udp::v4(), Error);
   if (!Error)
     m_beats.bind(udp::endpoint(Own, m_port), Error);
   if (Error)
--- a/src/edge/text-server.cc
+++ b/src/edge/text-server.cc
@@ -27,14 +27,7 @@
   const Result<Endpoint> Own = parseEndpoint(Address);
   if (!Own)
     return Own.error();
-  boost::system::error_code Error;
-  m_acceptor.open(Own.value().protocol(), Error);
-  if (!Error)
-    m_acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    m_acceptor.bind(Own.value(), Error);
-  if (!Error)
-    m_acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  const std::error_code Error = openAcceptor(m_acceptor, Own.value());
   if (!Error)
     asio::co_spawn(m_executor, acceptLoop(), asio::detached);
   return Error;
--- a/test/gateway/configuration-test.cc
+++ b/test/gateway/configuration-test.cc
@@ -23,7 +23,7 @@
     Out.m_routes = {makeRoute("root", "/", {{"web", 1}}),
                     makeRoute("cart", "/cart/", {{"cart", 1}}),
                     makeRoute("deep", "/cart/old/", {{"a", 90}, {"b", 10}})};
-    Out.m_services["web"] = {"web", "/healthz", 10, false};
+    Out.m_services["web"] = {"web", 10, false};
     return Out;
   }
 
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -27,8 +27,8 @@
         makeRoute("safe", "/web/", RequestKind::Safe, "web"),
         makeRoute("once", "/pay/", RequestKind::Unsafe, "web"),
         makeRoute("keyed", "/stock/", RequestKind::Safe, "stock")};
-    Config.m_services["web"] = {"web", "/", 100, false};
-    Config.m_services["stock"] = {"stock", "/", 100, true};
+    Config.m_services["web"] = {"web", 100, false};
+    Config.m_services["stock"] = {"stock", 100, true};
     Config.m_limits.m_bodyBytes = 16U << 20U;
   }
 
