Serve requests of a higher priority first

Cause: routes carry a priority that the dispatcher did not know. Two routes of one service were served by their objectives alone, so that past capacity the important one was refused as often as the other.

Change: an ask names its route's priority. The queue is kept by priority, then by arrival; a free slot goes to the highest priority that can be in time, late work comes after that, and a request's expected wait counts only what goes before it. Messages between hosts have version 3.

Ruled out: a share of the slots for each priority.

Tests: three of the dispatcher, one replay.

--- a/bench/tamarack-replay.cc
+++ b/bench/tamarack-replay.cc
@@ -71,20 +71,33 @@
   const char *m_name;
   Decider m_decider;
   bool m_isPlacementFixed;
+  bool m_isPriorityIgnored;
 };
 
 constexpr std::array<Variant, 3> Unkeyed{
-    {{"dispatcher", Decider::Dispatcher, false},
-     {"first-come", Decider::FirstCome, false},
-     {"random-two-local", Decider::RandomTwoLocal, false}}};
+    {{"dispatcher", Decider::Dispatcher, false, false},
+     {"first-come", Decider::FirstCome, false, false},
+     {"random-two-local", Decider::RandomTwoLocal, false, false}}};
 constexpr std::array<Variant, 2> Keyed{
-    {{"dispatcher", Decider::Dispatcher, false},
-     {"fixed-keys", Decider::Dispatcher, true}}};
+    {{"dispatcher", Decider::Dispatcher, false, false},
+     {"fixed-keys", Decider::Dispatcher, true, false}}};
+constexpr std::array<Variant, 2> Ranked{
+    {{"dispatcher", Decider::Dispatcher, false, false},
+     {"one-priority", Decider::Dispatcher, false, true}}};
+
+std::span<const Variant> variantsFor(const std::string &Pattern) {
+  if (Pattern == "ranks")
+    return Ranked;
+  if (Pattern.find("key") != std::string::npos)
+    return Keyed;
+  return Unkeyed;
+}
 
 void printRow(const Options &Line, const std::string &Pattern, double Load,
               const Variant &Kind) {
   double Credit = 0;
   double Worst = 0;
+  double First = 0;
   ReplayResult Sum;
   for (unsigned Seed = 1; Seed <= Line.m_seeds; ++Seed) {
     TraceOptions Made = Line.m_trace;
@@ -94,33 +107,23 @@
     ReplayPolicy Policy = Line.m_policy;
     Policy.m_decider = Kind.m_decider;
     Policy.m_isPlacementFixed = Kind.m_isPlacementFixed;
+    Policy.m_isPriorityIgnored = Kind.m_isPriorityIgnored;
     const ReplayResult Result = replay(Played, Policy);
     Credit += Result.credit(Played.m_lateWorth) / Line.m_seeds;
     Worst += Result.worstCredit(Played.m_lateWorth) / Line.m_seeds;
-    Sum.m_owed += Result.m_owed;
-    Sum.m_inTime += Result.m_inTime;
-    Sum.m_late += Result.m_late;
-    Sum.m_refused += Result.m_refused;
-    Sum.m_refusedAgain += Result.m_refusedAgain;
-    Sum.m_failed += Result.m_failed;
-    Sum.m_dispatches += Result.m_dispatches;
-    Sum.m_otherZone += Result.m_otherZone;
-    Sum.m_messages += Result.m_messages;
-    Sum.m_busyMs += Result.m_busyMs;
-    Sum.m_wastedMs += Result.m_wastedMs;
-    Sum.m_notHeld += Result.m_notHeld;
-    Sum.m_keysMoved += Result.m_keysMoved / Line.m_seeds;
-    Sum.m_writes += Result.m_writes;
+    First += Result.firstCredit(Played.m_lateWorth) / Line.m_seeds;
+    Sum += Result;
   }
   const double Owed = Sum.m_owed;
-  fmt::print("{:11} {:4.2f} {:17} {:6.3f} {:6.3f} {:6.3f} {:6.3f} {:6.3f} "
-             "{:6.3f} {:6.3f} {:6.3f} {:6.3f} {:6.2f} {:6.2f} {:6} {:6}\n",
-             Pattern, Load, Kind.m_name, Credit, Worst, Sum.m_inTime / Owed,
-             Sum.m_late / Owed, Sum.m_refused / Owed, Sum.m_refusedAgain / Owed,
-             Sum.m_failed / Owed, Sum.otherZoneShare(),
-             Sum.m_busyMs > 0 ? Sum.m_wastedMs / Sum.m_busyMs : 0,
-             Sum.m_messages / Owed, Sum.m_keysMoved,
-             Sum.m_notHeld / Line.m_seeds, Sum.m_writes / Line.m_seeds);
+  fmt::print(
+      "{:11} {:4.2f} {:17} {:6.3f} {:6.3f} {:6.3f} {:6.3f} {:6.3f} "
+      "{:6.3f} {:6.3f} {:6.3f} {:6.3f} {:6.3f} {:6.2f} {:6.2f} {:6} {:6}\n",
+      Pattern, Load, Kind.m_name, Credit, Worst, First, Sum.m_inTime / Owed,
+      Sum.m_late / Owed, Sum.m_refused / Owed, Sum.m_refusedAgain / Owed,
+      Sum.m_failed / Owed, Sum.otherZoneShare(),
+      Sum.m_busyMs > 0 ? Sum.m_wastedMs / Sum.m_busyMs : 0,
+      Sum.m_messages / Owed, Sum.m_keysMoved / Line.m_seeds,
+      Sum.m_notHeld / Line.m_seeds, Sum.m_writes / Line.m_seeds);
 }
 
 int run(int Argc, char **Argv) {
@@ -128,17 +131,14 @@
   if (Line.m_isHelp)
     return 0;
   fmt::print("{:11} {:4} {:17} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} "
-             "{:>6} {:>6} {:>6} {:>6} {:>6} {:>6}\n",
-             "pattern", "load", "decider", "credit", "worst", "intime", "late",
-             "refus", "again", "fail", "zone", "waste", "msgs", "moved",
+             "{:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6}\n",
+             "pattern", "load", "decider", "credit", "worst", "first", "intime",
+             "late", "refus", "again", "fail", "zone", "waste", "msgs", "moved",
              "unheld", "writes");
   for (const std::string &Pattern : Line.m_patterns)
-    for (double Load : Line.m_loads) {
-      const bool IsKeyed = Pattern.find("key") != std::string::npos;
-      for (const Variant &Kind : IsKeyed ? std::span<const Variant>(Keyed)
-                                         : std::span<const Variant>(Unkeyed))
+    for (double Load : Line.m_loads)
+      for (const Variant &Kind : variantsFor(Pattern))
         printRow(Line, Pattern, Load, Kind);
-    }
   return 0;
 }
 
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -4,8 +4,8 @@
 /// local one with a part of the slots.
 ///
 /// Load pattern: more work than slots, on servers of unlike speed. One queue in
-/// front of all slots lets the most urgent request run next and tells a request
-/// that cannot be served in time at its arrival.
+/// front of all slots lets the most urgent request of the highest priority run
+/// next and tells a request that cannot be served in time at its arrival.
 
 #ifndef TAMARACKDRUM_GATEWAY_DISPATCHER_H
 #define TAMARACKDRUM_GATEWAY_DISPATCHER_H
@@ -36,6 +36,7 @@
   Ticket m_ticket;
   std::string m_zone;               ///< Availability zone of the asking host.
   std::optional<Key> m_key;         ///< Only for keyed services.
+  unsigned m_priority = 0;          ///< 0 goes first.
   bool m_isRepeat = false;          ///< It has been sent to a server before.
   Millis m_objectiveLeft{0};        ///< Until its full credit is lost.
   Millis m_timeLeft{0};             ///< Until nobody waits for it any more.
@@ -219,7 +220,7 @@
   };
   using Queue = std::list<Waiting>;
 
-  /// The most and the least urgent of some requests.
+  /// The most and the least urgent of some requests of one priority.
   struct Span {
     Queue::iterator m_first;
     Queue::iterator m_last;
@@ -264,6 +265,7 @@
   void fill(Server &Target, TimePoint Now, DispatchDecisions &Out);
   void fillAll(TimePoint Now, DispatchDecisions &Out);
   void enqueue(const DispatchAsk &Ask, TimePoint Now, DispatchDecisions &Out);
+  void insert(Waiting Item);
   Queue::iterator nextFor(const Server &Target, TimePoint Now);
   /// Marks a request that can no longer be in time.
   void updateLate(Waiting &Item, double ServiceMs, TimePoint Now) const;
@@ -275,7 +277,7 @@
   DispatchPolicy m_policy;
   std::map<std::string, Server> m_servers;
   std::map<Ticket, Running> m_running;
-  Queue m_waiting;
+  Queue m_waiting; ///< By priority, then by arrival.
   RetryWindow m_retries;
   KeyMap m_keys;
   KeyLoad m_keyLoad;
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -424,6 +424,7 @@
                                           std::shared_ptr<Exchange> Item) {
   DispatchAsk Ask;
   Ask.m_key = Item->m_key;
+  Ask.m_priority = Item->m_route->m_priority;
   Ask.m_isRepeat = Item->m_dispatches > 0;
   Ask.m_objectiveLeft = std::max(Millis(0), left(Item->m_objectiveAt));
   Ask.m_timeLeft = left(Item->m_endsAt);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -186,7 +186,8 @@
     return Now;
   const auto Ahead = std::count_if(
       m_waiting.begin(), m_waiting.end(), [&Ask](const Waiting &Item) {
-        return !Item.m_isLate && Item.m_ask.m_zone == Ask.m_zone;
+        return !Item.m_isLate && Item.m_ask.m_zone == Ask.m_zone &&
+               Item.m_ask.m_priority <= Ask.m_priority;
       });
   const double Objective = toMs(Ask.m_objectiveLeft);
   const double Longest = std::min(Objective * m_policy.m_zoneWaitShare,
@@ -278,10 +279,13 @@
   std::size_t All = 0;
   const std::string &Holder = m_keys.holderOf(Ask.m_key.value_or(0));
   for (const Waiting &Other : m_waiting) {
+    if (Other.m_ask.m_priority > Ask.m_priority)
+      break;
     if (m_isKeyed && m_keys.holderOf(Other.m_ask.m_key.value_or(0)) != Holder)
       continue;
     ++All;
-    if (!Other.m_isLate && Other.m_objectiveAt <= Item.m_objectiveAt)
+    if (!Other.m_isLate && (Other.m_ask.m_priority < Ask.m_priority ||
+                            Other.m_objectiveAt <= Item.m_objectiveAt))
       ++Ahead;
   }
   const double Wait = Expected.waitMs(Ahead);
@@ -294,7 +298,15 @@
       return;
     }
   }
-  m_waiting.push_back(std::move(Item));
+  insert(std::move(Item));
+}
+
+void Dispatcher::insert(Waiting Item) {
+  Queue::iterator Behind = m_waiting.end();
+  while (Behind != m_waiting.begin() &&
+         std::prev(Behind)->m_ask.m_priority > Item.m_ask.m_priority)
+    --Behind;
+  m_waiting.insert(Behind, std::move(Item));
 }
 
 bool Dispatcher::isEligible(const Waiting &Item, const Server &Target) const {
@@ -313,7 +325,12 @@
   Span Urgent{None, None};
   Span OfZone{None, None};
   Queue::iterator Late = None;
+  const auto HasPriorityOf = [](Queue::iterator A, Queue::iterator B) {
+    return A->m_ask.m_priority == B->m_ask.m_priority;
+  };
   for (Queue::iterator Item = m_waiting.begin(); Item != None; ++Item) {
+    if (Urgent.m_first != None && !HasPriorityOf(Item, Urgent.m_first))
+      break;
     if (!isEligible(*Item, Target))
       continue;
     ++Count;
@@ -324,7 +341,8 @@
       continue;
     updateLate(*Item, std::min(Service, m_meanMs), Now);
     if (Item->m_isLate) {
-      if (Late == None || Item->m_endsAt < Late->m_endsAt)
+      if (Late == None ||
+          (HasPriorityOf(Item, Late) && Item->m_endsAt < Late->m_endsAt))
         Late = Item;
       continue;
     }
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// Version of the messages between hosts; others are refused.
-constexpr std::uint32_t ProtocolVersion = 2;
+constexpr std::uint32_t ProtocolVersion = 3;
 /// Largest message, in bytes: a state message with 1,000 servers.
 constexpr std::uint32_t LargestMessage = 4 << 20;
 constexpr std::size_t LengthBytes = 4;
@@ -96,9 +96,9 @@
 Json pack(const AskMessage &Value) {
   const DispatchAsk &Ask = Value.m_ask;
   return packAll(Value.m_service, Ask.m_ticket.m_number,
-                 Ask.m_key ? static_cast<int>(*Ask.m_key) : -1, Ask.m_isRepeat,
-                 Ask.m_objectiveLeft.count(), Ask.m_timeLeft.count(),
-                 Ask.m_tried);
+                 Ask.m_key ? static_cast<int>(*Ask.m_key) : -1, Ask.m_priority,
+                 Ask.m_isRepeat, Ask.m_objectiveLeft.count(),
+                 Ask.m_timeLeft.count(), Ask.m_tried);
 }
 
 void read(Reader In, AskMessage &Out) {
@@ -109,6 +109,7 @@
     throw std::invalid_argument("key out of range");
   if (Wanted >= 0)
     Out.m_ask.m_key = static_cast<Key>(Wanted);
+  Out.m_ask.m_priority = In.take<unsigned>();
   Out.m_ask.m_isRepeat = In.take<bool>();
   Out.m_ask.m_objectiveLeft = In.takeMillis();
   Out.m_ask.m_timeLeft = In.takeMillis();
--- a/standin/dispatch-replay.cc
+++ b/standin/dispatch-replay.cc
@@ -285,6 +285,7 @@
     Ask.m_ticket = {0, Item.m_ticket};
     Ask.m_zone = From.m_zone;
     Ask.m_key = From.m_key;
+    Ask.m_priority = m_policy.m_isPriorityIgnored ? 0 : From.m_priority;
     Ask.m_isRepeat = Item.m_dispatches > 0;
     Ask.m_objectiveLeft = millis(
         std::max(0.0, toMs(From.m_at) + toMs(m_load.m_objective) - m_now));
@@ -525,11 +526,12 @@
     const Arrival &From = m_load.m_arrivals[Item.m_request];
     const bool IsInTime = m_now - toMs(From.m_at) <= toMs(m_load.m_objective);
     (IsInTime ? m_result.m_inTime : m_result.m_late) += 1;
-    ReplayWindow &Window = windowOf(From);
-    (IsInTime ? Window.m_inTime : Window.m_late) += 1;
+    const ReplayPart Served{0, IsInTime ? 1U : 0U, IsInTime ? 0U : 1U};
+    windowOf(From) += Served;
+    m_result.m_byPriority[From.m_priority] += Served;
   }
 
-  ReplayWindow &windowOf(const Arrival &From) {
+  ReplayPart &windowOf(const Arrival &From) {
     return m_result.m_windows[From.m_at.count() / 1000];
   }
 
@@ -579,6 +581,7 @@
         continue;
       ++m_result.m_owed;
       ++windowOf(From).m_owed;
+      ++m_result.m_byPriority[From.m_priority].m_owed;
     }
     m_result.m_failed = m_result.m_owed - m_result.m_inTime - m_result.m_late -
                         m_result.m_refused;
@@ -631,25 +634,61 @@
   return m_owed == 0 ? 1 : static_cast<double>(m_inTime + m_late) / m_owed;
 }
 
-double ReplayResult::credit(double LateWorth) const {
+double ReplayPart::credit(double LateWorth) const {
   return m_owed == 0 ? 1 : (m_inTime + LateWorth * m_late) / m_owed;
 }
 
+ReplayPart &ReplayPart::operator+=(const ReplayPart &Other) {
+  m_owed += Other.m_owed;
+  m_inTime += Other.m_inTime;
+  m_late += Other.m_late;
+  return *this;
+}
+
+double ReplayResult::credit(double LateWorth) const {
+  return ReplayPart{m_owed, m_inTime, m_late}.credit(LateWorth);
+}
+
+double ReplayResult::firstCredit(double LateWorth) const {
+  return m_byPriority.empty() ? 1
+                              : m_byPriority.begin()->second.credit(LateWorth);
+}
+
 double ReplayResult::worstCredit(double LateWorth) const {
   constexpr std::size_t Span = static_cast<std::size_t>(WorstSpanMs / 1000);
   double Worst = 1;
   for (std::size_t I = 0; I + Span <= m_windows.size(); ++I) {
-    ReplayResult Part;
-    for (std::size_t J = I; J < I + Span; ++J) {
-      Part.m_owed += m_windows[J].m_owed;
-      Part.m_inTime += m_windows[J].m_inTime;
-      Part.m_late += m_windows[J].m_late;
-    }
+    ReplayPart Part;
+    for (std::size_t J = I; J < I + Span; ++J)
+      Part += m_windows[J];
     Worst = std::min(Worst, Part.credit(LateWorth));
   }
   return Worst;
 }
 
+ReplayResult &ReplayResult::operator+=(const ReplayResult &Other) {
+  m_owed += Other.m_owed;
+  m_inTime += Other.m_inTime;
+  m_late += Other.m_late;
+  m_refused += Other.m_refused;
+  m_refusedAgain += Other.m_refusedAgain;
+  m_failed += Other.m_failed;
+  m_dispatches += Other.m_dispatches;
+  m_otherZone += Other.m_otherZone;
+  m_messages += Other.m_messages;
+  m_busyMs += Other.m_busyMs;
+  m_wastedMs += Other.m_wastedMs;
+  m_notHeld += Other.m_notHeld;
+  m_keysMoved += Other.m_keysMoved;
+  m_writes += Other.m_writes;
+  m_windows.resize(std::max(m_windows.size(), Other.m_windows.size()));
+  for (std::size_t I = 0; I < Other.m_windows.size(); ++I)
+    m_windows[I] += Other.m_windows[I];
+  for (const auto &[Priority, Part] : Other.m_byPriority)
+    m_byPriority[Priority] += Part;
+  return *this;
+}
+
 double ReplayResult::otherZoneShare() const {
   return m_dispatches == 0 ? 0
                            : static_cast<double>(m_otherZone) / m_dispatches;
--- a/standin/dispatch-replay.h
+++ b/standin/dispatch-replay.h
@@ -32,17 +32,23 @@
   gateway::GrantPolicy m_grants;
   /// Keys stay where they were dealt out first.
   bool m_isPlacementFixed = false;
+  /// All requests have the same priority.
+  bool m_isPriorityIgnored = false;
   std::size_t m_hostsPerZone = 3;
   /// One way; source: the users' sites.
   double m_inZoneMs = 0.1;
   double m_crossZoneMs = 1.4;
 };
 
-/// Figures of one second.
-struct ReplayWindow {
+/// Figures of some of the requests: those of a second, or of a priority.
+struct ReplayPart {
   unsigned m_owed = 0;
   unsigned m_inTime = 0;
   unsigned m_late = 0;
+
+  /// Worth of what was served, of what is owed.
+  double credit(double LateWorth) const;
+  ReplayPart &operator+=(const ReplayPart &Other);
 };
 
 struct ReplayResult {
@@ -60,15 +66,20 @@
   unsigned m_notHeld = 0;   ///< Dispatches to a server without the key.
   double m_keysMoved = 0;   ///< Times that all keys changed hands.
   unsigned m_writes = 0;    ///< Of the ownership record.
-  std::vector<ReplayWindow> m_windows;
+  std::vector<ReplayPart> m_windows; ///< By second.
+  std::map<unsigned, ReplayPart> m_byPriority;
 
   double inTimeShare() const;
   double servedShare() const;
   /// Worth of what was served, of what is owed.
   double credit(double LateWorth) const;
+  /// Credit of the requests that go first.
+  double firstCredit(double LateWorth) const;
   /// Credit of the worst five seconds.
   double worstCredit(double LateWorth) const;
   double otherZoneShare() const;
+  /// Adds the figures of another replay; windows of the same second add up.
+  ReplayResult &operator+=(const ReplayResult &Other);
 };
 
 ReplayResult replay(const Trace &Load, const ReplayPolicy &Policy);
--- a/standin/replay-trace.cc
+++ b/standin/replay-trace.cc
@@ -126,8 +126,8 @@
 
 const std::vector<std::string> &patternNames() {
   static const std::vector<std::string> Names{
-      "calm", "burst", "abuse", "leavers", "slow",     "shed",      "down",
-      "mute", "shift", "keyed", "hot-key", "hot-keys", "shed-keyed"};
+      "calm", "burst", "abuse", "leavers", "slow",    "shed",     "down",
+      "mute", "shift", "ranks", "keyed",   "hot-key", "hot-keys", "shed-keyed"};
   return Names;
 }
 
@@ -160,6 +160,9 @@
       if (Item.m_at >= From && Item.m_at < To && Share(0.2))
         Item.m_leavesAfter = Out.m_objective / 2;
     }
+  else if (Name == "ranks")
+    for (Arrival &Item : Out.m_arrivals)
+      Item.m_priority = Share(0.5) ? 0 : 1;
   else if (Name == "tight")
     Out.m_timeout = Millis(static_cast<std::int64_t>(2.5 * Options.m_workMs));
   else if (Name == "shift")
--- a/standin/replay-trace.h
+++ b/standin/replay-trace.h
@@ -43,6 +43,7 @@
   std::string m_zone;
   double m_workMs = 0; ///< On a server of speed 1.
   std::optional<gateway::Key> m_key;
+  unsigned m_priority = 0;             ///< 0 goes first.
   bool m_isAbusive = false;            ///< Comes back at once, three times.
   std::optional<Millis> m_leavesAfter; ///< Its client gives up.
 };
--- a/test/gateway/dispatch-replay-test.cc
+++ b/test/gateway/dispatch-replay-test.cc
@@ -66,6 +66,15 @@
   }
 }
 
+// Load pattern: two kinds of requests share servers past their capacity. The
+// one that goes first would fit alone and is served as if it were.
+TEST_F(DispatchReplayTest, Ranks_PastCapacity_FirstIsServedWhole) {
+  const ReplayResult Own = play("ranks", 1.5);
+  EXPECT_GT(Own.firstCredit(m_trace.m_lateWorth), 0.95);
+  m_policy.m_isPriorityIgnored = true;
+  EXPECT_GT(credit(Own), credit(play("ranks", 1.5)) - 0.02);
+}
+
 TEST_F(DispatchReplayTest, Shift_ZoneOverCapacity_OtherZonesHelp) {
   const ReplayResult Result = play("shift", 0.8);
   EXPECT_GT(Result.m_otherZone, 0U);
--- a/test/gateway/dispatcher-test.cc
+++ b/test/gateway/dispatcher-test.cc
@@ -33,6 +33,11 @@
     return Out;
   }
 
+  static DispatchAsk withPriority(DispatchAsk Ask, unsigned Priority) {
+    Ask.m_priority = Priority;
+    return Ask;
+  }
+
   /// Asks and returns the decision, or null while the request waits.
   const DispatchDecision *ask(const DispatchAsk &Ask) {
     m_made.clear();
@@ -58,6 +63,7 @@
   Dispatcher m_subject{m_policy};
   DispatchDecisions m_made;
   TimePoint m_now{std::chrono::seconds(100)};
+  std::uint32_t m_last = 1; ///< The request that runs.
 };
 
 TEST_F(DispatcherTest, Ask_NoServers_IsRefusedAtOnce) {
@@ -87,6 +93,40 @@
   EXPECT_EQ(find(2), nullptr);
 }
 
+TEST_F(DispatcherTest, Finish_SeveralPriorities_HighestIsNext) {
+  setServers({makeServer("a")});
+  ask(makeAsk(1));
+  ask(withPriority(makeAsk(2, Millis(400)), 1));
+  ask(withPriority(makeAsk(3, Millis(900)), 0));
+  ask(withPriority(makeAsk(4, Millis(700)), 0));
+  for (std::uint32_t Next : {4, 3, 2}) {
+    finish(m_last);
+    ASSERT_NE(find(Next), nullptr) << Next;
+    m_last = Next;
+  }
+}
+
+TEST_F(DispatcherTest, Finish_HighestPriorityIsLate_OneInTimeIsNext) {
+  setServers({makeServer("a")});
+  ask(makeAsk(1));
+  ask(withPriority(makeAsk(2, Millis(300)), 0));
+  ask(withPriority(makeAsk(3, Millis(1500)), 1));
+  m_now += Millis(290);
+  finish(1);
+  EXPECT_NE(find(3), nullptr);
+}
+
+TEST_F(DispatcherTest, Ask_LowerPrioritiesFillTheQueue_HigherOneWaits) {
+  setServers({makeServer("a")});
+  std::uint32_t Number = 1;
+  const DispatchDecision *Made = ask(withPriority(makeAsk(Number), 1));
+  while (Made == nullptr || !Made->m_server.empty())
+    Made = ask(withPriority(makeAsk(++Number), 1));
+  EXPECT_EQ(ask(withPriority(makeAsk(++Number), 0)), nullptr);
+  finish(1);
+  EXPECT_NE(find(Number), nullptr);
+}
+
 TEST_F(DispatcherTest, Finish_OneIsTooLate_OneInTimeIsNext) {
   setServers({makeServer("a")});
   ask(makeAsk(1));
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -11,6 +11,7 @@
   DispatchAsk Ask;
   Ask.m_ticket = {0, 42};
   Ask.m_key = 65535;
+  Ask.m_priority = 2;
   Ask.m_isRepeat = true;
   Ask.m_objectiveLeft = Millis(600);
   Ask.m_timeLeft = Millis(2500);
