Lengthen the pauses between failed reads of the store

Ruled out: one call a host for all reads (one read that fails for good would hold the others up); asking only at the hosts that read for all (a host that is cut off from them has to find the store itself).

--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -27,8 +27,10 @@
   Millis m_lookEvery{100};
   /// A span of good reads is broken by a pause of this length.
   Millis m_goodGap{1500};
-  /// Pause after a failed read of the store, and the factor of its spread.
+  /// First and longest pause after a failed read of the store. Source: what
+  /// changes is to be known a few seconds after the store is back.
   Millis m_storePause{250};
+  Millis m_longestStorePause{1000};
   Millis m_readHostsEvery{30000};
   Millis m_tickEvery{40};
   Millis m_beatEvery{100}; ///< How often due beats are looked for.
--- a/include/tamarackdrum/gateway/store-health.h
+++ b/include/tamarackdrum/gateway/store-health.h
@@ -8,6 +8,24 @@
 
 namespace tamarackdrum::gateway {
 
+/// Pauses between failed reads of the store: each twice the one before, up to
+/// a longest one, since all hosts read when the store is away for all of them.
+class ReadPauses {
+public:
+  ReadPauses(Millis First, Millis Longest)
+      : m_first(First), m_longest(Longest), m_next(First) {}
+
+  /// Returns the pause after one more failed read.
+  Millis take();
+  /// Notes a read that succeeded.
+  void reset() { m_next = m_first; }
+
+private:
+  const Millis m_first;
+  const Millis m_longest;
+  Millis m_next;
+};
+
 /// Follows the ends of calls to the store.
 ///
 /// Load pattern: a store that is away for all hosts or for some, for seconds.
--- a/src/gateway/store-health.cc
+++ b/src/gateway/store-health.cc
@@ -4,6 +4,12 @@
 
 namespace tamarackdrum::gateway {
 
+Millis ReadPauses::take() {
+  const Millis Out = m_next;
+  m_next = std::min(2 * m_next, m_longest);
+  return Out;
+}
+
 bool StoreHealth::note(bool IsGood, TimePoint AskedAt) {
   const bool WasLost = std::exchange(m_isLost, !IsGood);
   if (!IsGood) {
--- a/test/gateway/store-health-test.cc
+++ b/test/gateway/store-health-test.cc
@@ -65,5 +65,13 @@
   EXPECT_EQ(m_subject.goodFor(), Millis(1000));
 }
 
+TEST(ReadPausesTest, Take_ReadsFailInARow_GrowsUpToTheLongest) {
+  ReadPauses Subject(Millis(250), Millis(800));
+  for (int Expected : {250, 500, 800, 800})
+    EXPECT_EQ(Subject.take(), Millis(Expected));
+  Subject.reset();
+  EXPECT_EQ(Subject.take(), Millis(250));
+}
+
 } // namespace
 } // namespace tamarackdrum::gateway
