Ask the recorded holders of keys until a granter is there

Ruled out: a shorter pause before the takeover.

Change: the coordinator of a keyed service that knows no map reads the ownership record once and sends requests to the holders that it names. The map has version 0, so that any granter's replaces it and no change builds on it. Servers refuse keys that they do not hold; the first refusal of a server ends its use for the time of a move (600 ms). Nothing changes in who may grant.

A test's store that changed the record after the first read now does so after the second one: the first is the new look-up, the second that of the takeover, which it is about.

Tests: keyed request with no granter goes to the recorded holder (timed out before); once-only look-up; a recorded holder without keys is asked once; a whole map follows version 0; moving keys have no holder in a recorded map.

--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -271,6 +271,7 @@
   void updateLate(Waiting &Item, double ServiceMs, TimePoint Now) const;
   /// Refuses what waits but can no longer be served.
   void refuseHopeless(TimePoint Now, DispatchDecisions &Out);
+  Millis notHeldPause() const;
   void learn(Server &Item, DispatchResult Outcome, Millis ServiceTime,
              TimePoint Now);
 
--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -59,6 +59,10 @@
   bool operator==(const OwnershipRecord &) const = default;
 };
 
+/// Returns the holders that \p Record names, with version 0: they held their
+/// keys when it was written and may not any more.
+KeyMap recordedMap(const OwnershipRecord &Record);
+
 struct GrantPolicy {
   /// Hold time of a grant. Source: bounds how long keys are unserved after the
   /// silent loss of a server; 3 s are the aim.
--- a/include/tamarackdrum/gateway/key-map.h
+++ b/include/tamarackdrum/gateway/key-map.h
@@ -45,7 +45,8 @@
   /// Returns the holder of \p Value, or an empty text.
   const std::string &holderOf(Key Value) const;
 
-  /// Grows with each change under one granter; higher under a later one.
+  /// Grows with each change under one granter; higher under a later one. 0: no
+  /// granter has told the holders yet.
   std::uint64_t version() const { return m_version; }
   const std::vector<KeyHolding> &holdings() const { return m_holdings; }
 
--- a/include/tamarackdrum/gateway/ownership-keeper.h
+++ b/include/tamarackdrum/gateway/ownership-keeper.h
@@ -41,6 +41,8 @@
   std::function<void(bool IsGood, TimePoint AskedAt)> m_onStore;
   /// Takes a new map of holders.
   std::function<void(const KeyMap &)> m_onKeyMap;
+  /// Takes the holders of a granter that may be gone.
+  std::function<void(const KeyMap &)> m_onRecordedMap;
 };
 
 class OwnershipKeeper {
@@ -59,6 +61,11 @@
   /// the store is away, lengthens the holds to last for most of the outage.
   void leave();
 
+  /// Looks the holders of the last granter up, once. After the loss of all
+  /// hosts servers hold their keys for a while; whoever is asked in vain says
+  /// that it does not hold the key.
+  void recallHolders();
+
   /// Notes whom another host believes to be the granter.
   void noteClaim(const GranterClaim &Claim);
   const GranterClaim &claim() const { return m_claim; }
@@ -73,6 +80,7 @@
   /// Returns what is known of \p Old by its beats.
   EarlierState stateOf(const EarlierGranter &Old) const;
   boost::asio::awaitable<void> takeOver();
+  boost::asio::awaitable<void> readHolders();
   boost::asio::awaitable<void> write(OwnershipRecord Record);
   boost::asio::awaitable<void> validate();
   boost::asio::awaitable<void> carryOut(GrantCall Call);
@@ -100,6 +108,7 @@
   bool m_isWriting = false;
   TimePoint m_validatedAt{};
   TimePoint m_nextTakeOver;
+  TimePoint m_nextRecall{};
   KeyMap m_published;
   std::uint64_t m_mapChanges = 0;
 };
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -195,6 +195,7 @@
 }
 
 asio::awaitable<void> GatewayHost::enter() {
+  ReadPauses Pauses(m_policy.m_storePause, m_policy.m_longestStorePause);
   while (true) {
     const TimePoint AskedAt = BootClock::now();
     const Result<std::vector<HostInfo>> Hosts =
@@ -209,7 +210,7 @@
     for (const std::string &Ip : m_settings.m_seedIps)
       if (Ip != m_hosts.self().m_ip)
         m_network.sendBeat(Ip, false);
-    co_await sleepFor(jittered(m_policy.m_storePause));
+    co_await sleepFor(jittered(Pauses.take()));
   }
   co_await readHostsLoop();
 }
@@ -228,6 +229,7 @@
 
 asio::awaitable<void> GatewayHost::readConfigurationLoop() {
   const TimePoint StartedAt = BootClock::now();
+  ReadPauses Pauses(m_policy.m_storePause, m_policy.m_longestStorePause);
   while (true) {
     const TimePoint AskedAt = BootClock::now();
     if (!isReader() &&
@@ -244,18 +246,24 @@
       m_configurationAt = BootClock::now();
     if (Read)
       applyConfiguration(Read.value(), "store");
-    if (IsGood)
+    if (IsGood) {
+      Pauses.reset();
       continue;
+    }
+    // Without a configuration no request can be served.
+    if (m_routes == nullptr)
+      Pauses.reset();
     const bool IsNew = BootClock::now() - StartedAt > AskPeersAfter;
     if (m_routes == nullptr && IsNew)
       for (const HostInfo &Peer : m_hosts.anchors(BootClock::now()))
         if (Peer.m_name != m_hosts.self().m_name)
           m_network.send(Peer.m_name, StateRequest{});
-    co_await sleepFor(jittered(m_policy.m_storePause));
+    co_await sleepFor(jittered(Pauses.take()));
   }
 }
 
 asio::awaitable<void> GatewayHost::readServersLoop() {
+  ReadPauses Pauses(m_policy.m_storePause, m_policy.m_longestStorePause);
   while (true) {
     const TimePoint AskedAt = BootClock::now();
     const Millis Limit =
@@ -269,9 +277,10 @@
               Rows ? "" : Rows.error().message());
     if (!Rows) {
       m_directory.noteReadFailed();
-      co_await sleepFor(jittered(m_policy.m_storePause));
+      co_await sleepFor(jittered(Pauses.take()));
       continue;
     }
+    Pauses.reset();
     m_listingAt = AskedAt;
     applyServers(
         m_directory.applyListing(Rows.value(), AskedAt, BootClock::now()),
@@ -419,6 +428,9 @@
     if (m_admission.setKeyMap(Service, Map))
       m_network.broadcast(KeyMapMessage{Service, Change});
   };
+  View.m_onRecordedMap = [this, Service](const KeyMap &Map) {
+    m_admission.setKeyMap(Service, Map);
+  };
   std::unique_ptr<OwnershipKeeper> Made = std::make_unique<OwnershipKeeper>(
       m_executor, Service, KeeperPolicy{}, GrantPolicy{}, m_store, m_keyServers,
       m_hosts, m_log, m_metrics, std::move(View));
@@ -445,6 +457,9 @@
         m_hosts.isAlive(Host, Now) &&
         m_hosts.lifeOf(Host) == Keeper->claim().m_life)
       Chosen[Service] = Host;
+    if (Chosen[Service] == m_hosts.self().m_name &&
+        m_admission.keyMap(Service).version() == 0)
+      Keeper->recallHolders();
   }
   m_admission.setCoordinators(std::move(Chosen));
   // The reader's news come over the links that its peers have opened.
--- a/src/edge/ownership-keeper.cc
+++ b/src/edge/ownership-keeper.cc
@@ -120,6 +120,34 @@
   return isNextGranter(m_hosts, m_claim, m_policy.m_staleStore, Now);
 }
 
+void OwnershipKeeper::recallHolders() {
+  const TimePoint Now = BootClock::now();
+  if (Now < m_nextRecall || m_view.m_storeLost() > Millis(0))
+    return;
+  m_nextRecall = Now + m_policy.m_retryPause;
+  asio::co_spawn(m_executor, readHolders(), asio::detached);
+}
+
+asio::awaitable<void> OwnershipKeeper::readHolders() {
+  const TimePoint AskedAt = BootClock::now();
+  const Result<VersionedOwnership> Read =
+      co_await m_store.readOwnership(m_service);
+  m_view.m_onStore(Read.has_value(), AskedAt);
+  if (!Read) {
+    m_log.write("holders-unknown",
+                {{"service", m_service}, {"reason", Read.error().message()}});
+    co_return;
+  }
+  m_nextRecall = TimePoint::max();
+  const OwnershipRecord &Found = Read.value().m_record;
+  m_log.write("holders-recalled", {{"service", m_service},
+                                   {"term", Found.m_term},
+                                   {"granter", Found.m_granter},
+                                   {"ranges", Found.m_ranges.size()}});
+  if (Found.m_term > 0)
+    m_view.m_onRecordedMap(recordedMap(Found));
+}
+
 asio::awaitable<void> OwnershipKeeper::takeOver() {
   const TimePoint AskedAt = BootClock::now();
   m_nextTakeOver = AskedAt + m_policy.m_retryPause;
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -24,7 +24,7 @@
 /// Stands for all servers of an unkeyed service.
 const std::string Everyone;
 /// Expected time until moving keys have a new holder: a release and a grant.
-constexpr double MoveMs = 600;
+constexpr Millis MoveTime{600};
 
 } // namespace
 
@@ -255,7 +255,7 @@
   const auto Holder = m_servers.find(m_keys.holderOf(Ask.m_key.value_or(0)));
   if (Holder == m_servers.end()) {
     // Ranges that move go to different servers.
-    Out.m_pauseMs = MoveMs;
+    Out.m_pauseMs = toMs(MoveTime);
     Out.m_perMs = serviceRate(Now);
     return Out;
   }
@@ -398,6 +398,11 @@
       [&Id](const Waiting &Item) { return Item.m_ask.m_ticket == Id; });
 }
 
+Millis Dispatcher::notHeldPause() const {
+  // Without a granter nobody renews: the server's other keys lapse, too.
+  return m_keys.version() == 0 ? MoveTime : m_policy.m_notHeldPause;
+}
+
 void Dispatcher::learn(Server &Item, DispatchResult Outcome, Millis ServiceTime,
                        TimePoint Now) {
   const auto Move = [](double &Share, bool Hit) {
@@ -417,7 +422,7 @@
       Outcome == DispatchResult::NotHeld ||
       Item.m_brokenInRow >= m_policy.m_brokenToPause) {
     const Millis First = Outcome == DispatchResult::NotHeld
-                             ? m_policy.m_notHeldPause
+                             ? notHeldPause()
                              : m_policy.m_firstPause;
     Item.m_pause = Item.m_pause.count() == 0
                        ? First
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -18,6 +18,16 @@
 
 } // namespace
 
+KeyMap recordedMap(const OwnershipRecord &Record) {
+  std::vector<KeyHolding> Holdings;
+  for (const RangeRecord &Item : Record.m_ranges) {
+    const bool IsMoving = !Item.m_previous.isNobody();
+    appendHolding(Holdings, {Item.m_from, Item.m_to,
+                             IsMoving ? std::string() : Item.m_owner.m_id});
+  }
+  return KeyMap(0, std::move(Holdings));
+}
+
 KeyGranter::KeyGranter(GrantPolicy Policy, std::string Host, std::int64_t Life)
     : m_policy(Policy), m_host(std::move(Host)), m_life(Life) {}
 
--- a/src/gateway/key-map.cc
+++ b/src/gateway/key-map.cc
@@ -39,7 +39,7 @@
 }
 
 KeyMapChange changeBetween(const KeyMap &Old, const KeyMap &Next) {
-  if (Old.holdings().empty())
+  if (Old.version() == 0 || Old.holdings().empty())
     return wholeMap(Next);
   KeyMapChange Out{Old.version(), Next.version(), {}};
   auto Before = Old.holdings().begin();
--- a/test/gateway/dispatcher-test.cc
+++ b/test/gateway/dispatcher-test.cc
@@ -334,6 +334,23 @@
   EXPECT_EQ(ask(Ask), nullptr);
 }
 
+// Load pattern: all hosts were lost and servers still hold some of their keys.
+TEST_F(DispatcherTest, Finish_RecordedHolderHasNothing_IsAskedOnceOnly) {
+  setServers({makeServer("a", 4)});
+  m_subject.setKeyMap(KeyMap(0, {{0, 65535, "a"}}), m_now, m_made);
+  DispatchAsk Ask = makeAsk(1, Millis(1500));
+  Ask.m_key = 7;
+  EXPECT_NE(ask(Ask), nullptr);
+  finish(1, DispatchResult::NotHeld);
+  m_now += Millis(300);
+  Ask.m_ticket.m_number = 2;
+  EXPECT_EQ(ask(Ask), nullptr);
+  m_made.clear();
+  m_subject.setKeyMap(KeyMap(5, {{0, 99, "a"}, {100, 65535, ""}}), m_now,
+                      m_made);
+  EXPECT_NE(find(2), nullptr);
+}
+
 TEST_F(DispatcherTest, DropLink_HostIsLost_ItsSlotsComeBack) {
   setServers({makeServer("a")});
   DispatchAsk Ask = makeAsk(1);
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -453,6 +453,18 @@
   EXPECT_FALSE(m_stock[1].m_seen.empty());
 }
 
+// Load pattern: all hosts were lost at once; the servers still hold their keys
+// until a host has taken the term over.
+TEST_F(GatewayHostTest, KeyedRequest_NoGranterYet_GoesToTheRecordedHolder) {
+  m_store.m_takesWrites = false;
+  m_store.m_ownership = {
+      {4, "gone", 1, {}, {{0, 65535, {"stock-0", 1}, 70, {}, 0}}}, 9, 0};
+  startAll();
+  EXPECT_EQ(send(get("/stock/", "Test-Key: 7\r\n")).m_status, 200U);
+  EXPECT_EQ(m_stock[0].m_seen.size(), 1U);
+  EXPECT_EQ(m_store.m_ownership.m_record.m_term, 4U);
+}
+
 TEST_F(GatewayHostTest, KeyedRequest_NoKey_IsBad) {
   startAll();
   EXPECT_EQ(send(get("/stock/")).m_status, 400U);
@@ -465,10 +477,13 @@
   const OwnershipRecord Read{
       4, "gone", 1, {}, {{0, 65535, {"stock-0", 1}, 70, {}, 0}}};
   m_store.m_ownership = {Read, 9, 0};
+  // The first read is for the holders alone, the second for the takeover.
   m_store.m_onRead = [this] {
-    m_store.m_ownership.m_record.m_ranges[0] = {0,  65535, {"stock-1", 1},
-                                                71, {},    0};
-    m_store.m_ownership.m_version = 10;
+    m_store.m_onRead = [this] {
+      m_store.m_ownership.m_record.m_ranges[0] = {0,  65535, {"stock-1", 1},
+                                                  71, {},    0};
+      m_store.m_ownership.m_version = 10;
+    };
   };
   startAll();
   ASSERT_TRUE(runUntil([this] { return !m_keys.m_calls.empty(); }));
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -106,6 +106,20 @@
   EXPECT_EQ(m_subject.term(), 5U);
 }
 
+TEST_F(KeyGranterTest, RecordedMap_SomeKeysMove_TheyHaveNoHolder) {
+  OwnershipRecord Record{
+      4,
+      "h0",
+      5,
+      {},
+      {makeRange(0, 99, "a", 77), makeRange(100, 65535, "b", 78)}};
+  Record.m_ranges[1].m_previous = {"a", 1};
+  const KeyMap Result = recordedMap(Record);
+  EXPECT_EQ(Result.version(), 0U);
+  EXPECT_EQ(Result.holderOf(99), "a");
+  EXPECT_EQ(Result.holderOf(100), "");
+}
+
 TEST_F(KeyGranterTest, Move_OwnerAnswers_ReleaseComesBeforeTheGrant) {
   takeOver({});
   setServers({makeServer("a")});
--- a/test/gateway/key-map-test.cc
+++ b/test/gateway/key-map-test.cc
@@ -63,6 +63,13 @@
   EXPECT_EQ(Result, (KeyMapChange{4, 5, {{50, 99, "c"}}}));
 }
 
+// Maps of version 0 differ from host to host, so that nothing builds on them.
+TEST(KeyMapChangeTest, ChangeBetween_NoGranterBefore_NamesAllHolders) {
+  const KeyMap Old(0, {{0, 65535, "a"}});
+  const KeyMap Next(5, {{0, 49, "a"}, {50, 65535, "c"}});
+  EXPECT_EQ(changeBetween(Old, Next), wholeMap(Next));
+}
+
 TEST(KeyMapChangeTest, Apply_OtherBase_LeadsToNothing) {
   const KeyMap Old(3, {{0, 65535, "a"}});
   EXPECT_EQ(applyChange(Old, {4, 5, {{50, 99, "c"}}}), std::nullopt);
--- a/test/gateway/ownership-keeper-test.cc
+++ b/test/gateway/ownership-keeper-test.cc
@@ -44,6 +44,9 @@
     Out.m_demand = [] { return std::vector<KeyRate>(); };
     Out.m_onStore = [](bool, TimePoint) {};
     Out.m_onKeyMap = [this](const KeyMap &Map) { m_maps.push_back(Map); };
+    Out.m_onRecordedMap = [this](const KeyMap &Map) {
+      m_recorded.push_back(Map);
+    };
     return Out;
   }
 
@@ -60,6 +63,7 @@
   FakeKeyServers m_servers;
   std::map<std::string, ServerEntry> m_entries;
   std::vector<KeyMap> m_maps;
+  std::vector<KeyMap> m_recorded;
   Roster m_hosts{RosterPolicy{}, {"h1", "10.0.0.1", "zone-a", 100, 20}};
   EventLog m_log;
   GatewayMetrics m_metrics;
@@ -88,6 +92,25 @@
   EXPECT_EQ(m_maps.back().holderOf(5), "a");
 }
 
+TEST_F(OwnershipKeeperTest, RecallHolders_StoreFailsFirst_IsDoneOnce) {
+  m_store.m_takesWrites = false;
+  m_store.m_ownership = {
+      {4, "gone", 1, {}, {{0, 65535, {"a", 1}, 70, {}, 0}}}, 9, 0};
+  m_store.m_isUp = false;
+  m_subject.recallHolders();
+  m_context.run_for(Millis(100));
+  EXPECT_TRUE(m_recorded.empty());
+  m_store.m_isUp = true;
+  m_context.run_for(Millis(400));
+  for (int I = 0; I < 3; ++I) {
+    m_subject.recallHolders();
+    m_context.run_for(Millis(50));
+  }
+  ASSERT_EQ(m_recorded.size(), 1U);
+  EXPECT_EQ(m_recorded[0].version(), 0U);
+  EXPECT_EQ(m_recorded[0].holderOf(5), "a");
+}
+
 // Others wait for the longest hold unless a host that ends has given way
 // before.
 TEST_F(OwnershipKeeperTest, Leave_HoldsAreLengthened_NoNewerTermIsNamed) {
