Let requests wait for the routes of a process that has just started

Ruled out: a shorter Retry-After. A client that found its first host down has no try left.

Change: up to 500 ms from the start of the process a request waits until routes and servers are known; later it is refused at once as before.

Test: a request that comes before the configuration is served (was refused); the one that never gets a configuration is still refused.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -27,6 +27,11 @@
   /// How long a request of which the server is unknown may wait for keys that
   /// have just moved before it asks again.
   Millis m_notHeldPause{30};
+  /// From the start of the process, requests wait for its routes and servers:
+  /// they are there within some tens of milliseconds. Later ones are refused.
+  Millis m_startTime{500};
+  /// How often a waiting request looks whether they are there.
+  Millis m_startPoll{10};
   /// Memory of bodies held at the same time.
   std::size_t m_bodyMemory = 64U << 20U;
 
@@ -46,6 +51,7 @@
   /// What the server needs of its host.
   struct View {
     std::function<std::shared_ptr<RouteTable>()> m_routes;
+    std::function<bool()> m_hasServers;
     std::function<const ServerEntry *(const std::string &Id)> m_findServer;
     std::function<void(const std::string &Service, Key Value)> m_onNotHeld;
     std::function<void(std::uint64_t Fingerprint, const ServerEntry &)>
@@ -82,6 +88,7 @@
                                            std::shared_ptr<Exchange> Item);
   boost::asio::awaitable<bool> readBody(SessionPtr Client,
                                         std::shared_ptr<Exchange> Item);
+  boost::asio::awaitable<void> awaitStart();
   boost::asio::awaitable<void> handle(SessionPtr Client,
                                       std::shared_ptr<Exchange> Item);
   boost::asio::awaitable<void> dispatch(SessionPtr Client,
@@ -120,6 +127,7 @@
   Roster &m_hosts;
   const View m_view;
   boost::asio::ip::tcp::acceptor m_acceptor;
+  const TimePoint m_createdAt = BootClock::now();
   std::list<SessionPtr> m_sessions;
   std::size_t m_active = 0;
   std::size_t m_heldBytes = 0;
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -49,6 +49,7 @@
   /// For last calls, at the very end.
   Millis m_leaveTime{120};
   DirectoryPolicy m_directory;
+  EdgePolicy m_edge;
 
   bool operator==(const HostPolicy &) const = default;
 };
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -318,8 +318,18 @@
   co_return true;
 }
 
+asio::awaitable<void> EdgeServer::awaitStart() {
+  while ((m_view.m_routes() == nullptr || !m_view.m_hasServers()) &&
+         BootClock::now() - m_createdAt < m_policy.m_startTime)
+    co_await sleepFor(m_policy.m_startPoll);
+}
+
 asio::awaitable<void> EdgeServer::handle(SessionPtr Client,
                                          std::shared_ptr<Exchange> Item) {
+  if (Item->m_table == nullptr || !m_view.m_hasServers()) {
+    co_await awaitStart();
+    Item->m_table = m_view.m_routes();
+  }
   const RequestHead &Head = Item->head();
   Item->m_id = std::string(Head[m_settings.m_headers.m_requestId]);
   if (!Item->m_parser->keep_alive() || m_isDraining)
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -40,8 +40,7 @@
   return Out;
 }
 
-EdgePolicy edgePolicy(const GatewaySettings &Settings) {
-  EdgePolicy Out;
+EdgePolicy edgePolicy(EdgePolicy Out, const GatewaySettings &Settings) {
   Out.m_bodyMemory =
       std::min(Out.m_bodyMemory, Settings.m_memoryBytes / BodyMemoryDivisor);
   return Out;
@@ -74,8 +73,9 @@
                   m_hosts, Log),
       m_network(Executor, PeerNetworkPolicy{}, m_hosts, m_settings.m_peerPort,
                 Log, m_metrics, peerEvents()),
-      m_edge(Executor, edgePolicy(m_settings), m_settings, m_admission,
-             m_upstreams, m_poison, Log, m_metrics, m_hosts, edgeView()),
+      m_edge(Executor, edgePolicy(Policy.m_edge, m_settings), m_settings,
+             m_admission, m_upstreams, m_poison, Log, m_metrics, m_hosts,
+             edgeView()),
       m_readiness(Executor,
                   [this](std::string_view) {
                     return isReady() ? TextAnswer{200, "ready\n"}
@@ -109,6 +109,7 @@
 EdgeServer::View GatewayHost::edgeView() {
   EdgeServer::View Out;
   Out.m_routes = [this] { return m_routes; };
+  Out.m_hasServers = [this] { return !m_directory.entries().empty(); };
   Out.m_findServer = [this](const std::string &Id) -> const ServerEntry * {
     const auto Found = m_directory.entries().find(Id);
     return Found == m_directory.entries().end() ? nullptr : &Found->second;
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -218,6 +218,24 @@
   EXPECT_FALSE(Got.m_head["Retry-After"].empty());
 }
 
+// Load pattern: all hosts were lost at once. The clients that find the first
+// process that is back have no time for a pause.
+TEST_F(GatewayHostTest, Request_ConfigurationComesSoon_IsServed) {
+  m_policy.m_edge.m_startTime = Patience;
+  const std::uint64_t Version =
+      std::exchange(m_store.m_configuration.m_version, 0);
+  addHost(0);
+  const std::shared_ptr<Answer> Out = std::make_shared<Answer>();
+  const std::shared_ptr<bool> IsDone = std::make_shared<bool>(false);
+  asio::co_spawn(m_context, exchange(get("/web/"), 0, Out, IsDone),
+                 asio::detached);
+  m_context.run_for(Millis(100));
+  EXPECT_FALSE(*IsDone);
+  m_store.m_configuration.m_version = Version;
+  ASSERT_TRUE(runUntil([IsDone] { return *IsDone; }));
+  EXPECT_EQ(Out->m_status, 200U);
+}
+
 TEST_F(GatewayHostTest, Request_OneServerRefuses_TheOtherIsAsked) {
   m_web[0].m_script = ScriptedServer::refuse;
   startAll();
