Learn from peers at the start, and coordinate nothing before

Ruled out: leaving such hosts out of the anchors. A process needs its place among them to read the store for the others, also when all have just started.

Change: a process without a configuration sends beats to its seeds and asks the anchors from its start on, each 200 ms; beats with no configuration are passed over when coordinators are chosen; a coordinator without a map of holders asks its peers for theirs, which they send if they have one.

Tests: roster (a host without configuration was chosen before), keeper, two hosts with the store away.

--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -31,6 +31,9 @@
   /// changes is to be known a few seconds after the store is back.
   Millis m_storePause{250};
   Millis m_longestStorePause{1000};
+  /// How often a process without a configuration asks its peers. Source: a
+  /// start with a store that answers takes 50 ms.
+  Millis m_askPeersEvery{200};
   Millis m_readHostsEvery{30000};
   Millis m_tickEvery{40};
   Millis m_beatEvery{100}; ///< How often due beats are looked for.
@@ -73,6 +76,9 @@
 
 private:
   boost::asio::awaitable<void> enter();
+  /// The store may be slow or away when the process starts: hosts that were
+  /// there before know what it cannot tell now.
+  boost::asio::awaitable<void> learnFromPeers();
   boost::asio::awaitable<void> readConfigurationLoop();
   boost::asio::awaitable<void> readServersLoop();
   boost::asio::awaitable<void> readHostsLoop();
@@ -101,6 +107,7 @@
   void onListing(std::uint32_t Link, const std::string &Host,
                  const ListingMessage &Listing);
   void pushTo(std::uint32_t Link, const StateRequest &Needed);
+  void sendToAnchors(const PeerMessage &Message);
   void sendKeyMap(std::uint32_t Link, const std::string &Service);
   PeerEvents peerEvents();
   EdgeServer::View edgeView();
--- a/include/tamarackdrum/gateway/ownership-keeper.h
+++ b/include/tamarackdrum/gateway/ownership-keeper.h
@@ -41,6 +41,8 @@
   std::function<void(bool IsGood, TimePoint AskedAt)> m_onStore;
   /// Takes a new map of holders.
   std::function<void(const KeyMap &)> m_onKeyMap;
+  /// Asks other hosts for the holders that they know.
+  std::function<void()> m_askPeers;
   /// Takes the holders of a granter that may be gone.
   std::function<void(const KeyMap &)> m_onRecordedMap;
 };
@@ -61,9 +63,9 @@
   /// the store is away, lengthens the holds to last for most of the outage.
   void leave();
 
-  /// Looks the holders of the last granter up, once. After the loss of all
-  /// hosts servers hold their keys for a while; whoever is asked in vain says
-  /// that it does not hold the key.
+  /// For a host that knows no holders: asks its peers and looks up, once, those
+  /// of the last granter. After the loss of all hosts servers hold their keys
+  /// for a while; whoever is asked in vain says that it does not hold the key.
   void recallHolders();
 
   /// Notes whom another host believes to be the granter.
@@ -109,6 +111,7 @@
   TimePoint m_validatedAt{};
   TimePoint m_nextTakeOver;
   TimePoint m_nextRecall{};
+  bool m_hasRecord = false; ///< The last granter's holders have been read.
   KeyMap m_published;
   std::uint64_t m_mapChanges = 0;
 };
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -25,8 +25,6 @@
 /// Part of the process's memory, as a divisor, that bodies may take. Source:
 /// what a process needs without bodies is below half of it.
 constexpr std::size_t BodyMemoryDivisor = 4;
-/// A process without a configuration asks its peers after this time.
-constexpr Millis AskPeersAfter{600};
 
 PoisonPolicy poisonPolicy() {
   PoisonPolicy Out;
@@ -151,6 +149,7 @@
       m_log.write("metrics-unavailable", {{"reason", Failed.message()}});
   }
   asio::co_spawn(m_executor, enter(), asio::detached);
+  asio::co_spawn(m_executor, learnFromPeers(), asio::detached);
   asio::co_spawn(m_executor, readConfigurationLoop(), asio::detached);
   asio::co_spawn(m_executor, readServersLoop(), asio::detached);
   asio::co_spawn(m_executor, tickLoop(), asio::detached);
@@ -216,6 +215,23 @@
   co_await readHostsLoop();
 }
 
+asio::awaitable<void> GatewayHost::learnFromPeers() {
+  while (m_routes == nullptr) {
+    for (const std::string &Ip : m_settings.m_seedIps)
+      if (Ip != m_hosts.self().m_ip)
+        m_network.sendBeat(Ip, false);
+    co_await sleepFor(m_policy.m_askPeersEvery);
+    if (m_routes == nullptr)
+      sendToAnchors(StateRequest{});
+  }
+}
+
+void GatewayHost::sendToAnchors(const PeerMessage &Message) {
+  for (const HostInfo &Peer : m_hosts.anchors(BootClock::now()))
+    if (Peer.m_name != m_hosts.self().m_name)
+      m_network.send(Peer.m_name, Message);
+}
+
 asio::awaitable<void> GatewayHost::readHostsLoop() {
   while (true) {
     co_await sleepFor(jittered(m_policy.m_readHostsEvery));
@@ -229,7 +245,6 @@
 }
 
 asio::awaitable<void> GatewayHost::readConfigurationLoop() {
-  const TimePoint StartedAt = BootClock::now();
   ReadPauses Pauses(m_policy.m_storePause, m_policy.m_longestStorePause);
   while (true) {
     const TimePoint AskedAt = BootClock::now();
@@ -254,11 +269,6 @@
     // Without a configuration no request can be served.
     if (m_routes == nullptr)
       Pauses.reset();
-    const bool IsNew = BootClock::now() - StartedAt > AskPeersAfter;
-    if (m_routes == nullptr && IsNew)
-      for (const HostInfo &Peer : m_hosts.anchors(BootClock::now()))
-        if (Peer.m_name != m_hosts.self().m_name)
-          m_network.send(Peer.m_name, StateRequest{});
     co_await sleepFor(jittered(Pauses.take()));
   }
 }
@@ -429,6 +439,7 @@
     if (m_admission.setKeyMap(Service, Map))
       m_network.broadcast(KeyMapMessage{Service, Change});
   };
+  View.m_askPeers = [this, Service] { sendToAnchors(KeyMapRequest{Service}); };
   View.m_onRecordedMap = [this, Service](const KeyMap &Map) {
     m_admission.setKeyMap(Service, Map);
   };
@@ -439,8 +450,9 @@
 }
 
 void GatewayHost::sendKeyMap(std::uint32_t Link, const std::string &Service) {
-  m_network.reply(
-      Link, KeyMapMessage{Service, wholeMap(m_admission.keyMap(Service))});
+  const KeyMap &Known = m_admission.keyMap(Service);
+  if (Known.version() > 0)
+    m_network.reply(Link, KeyMapMessage{Service, wholeMap(Known)});
 }
 
 void GatewayHost::updateCoordinators() {
@@ -508,9 +520,7 @@
   m_poison.noteCrash(Message.m_fingerprint, Message.m_server, steadyMs());
   m_metrics.count("server_crashes_seen");
   if (IsOwn)
-    for (const HostInfo &Peer : m_hosts.anchors(BootClock::now()))
-      if (Peer.m_name != m_hosts.self().m_name)
-        m_network.send(Peer.m_name, Message);
+    sendToAnchors(Message);
   m_network.broadcast(Message);
 }
 
--- a/src/edge/ownership-keeper.cc
+++ b/src/edge/ownership-keeper.cc
@@ -122,10 +122,12 @@
 
 void OwnershipKeeper::recallHolders() {
   const TimePoint Now = BootClock::now();
-  if (Now < m_nextRecall || m_view.m_storeLost() > Millis(0))
+  if (Now < m_nextRecall)
     return;
   m_nextRecall = Now + m_policy.m_retryPause;
-  asio::co_spawn(m_executor, readHolders(), asio::detached);
+  m_view.m_askPeers();
+  if (!m_hasRecord && m_view.m_storeLost() == Millis(0))
+    asio::co_spawn(m_executor, readHolders(), asio::detached);
 }
 
 asio::awaitable<void> OwnershipKeeper::readHolders() {
@@ -138,7 +140,7 @@
                 {{"service", m_service}, {"reason", Read.error().message()}});
     co_return;
   }
-  m_nextRecall = TimePoint::max();
+  m_hasRecord = true;
   const OwnershipRecord &Found = Read.value().m_record;
   m_log.write("holders-recalled", {{"service", m_service},
                                    {"term", Found.m_term},
--- a/src/gateway/roster.cc
+++ b/src/gateway/roster.cc
@@ -163,7 +163,12 @@
 Roster::coordinators(const std::vector<std::string> &Services,
                      TimePoint Now) const {
   std::map<std::string, std::string> Out;
-  const std::vector<HostInfo> Hosts = anchors(Now);
+  std::vector<HostInfo> Hosts = anchors(Now);
+  // A process that has just started knows no servers and no keys yet.
+  std::erase_if(Hosts, [this](const HostInfo &Item) {
+    const HostBeat *Beat = lastBeat(Item.m_name);
+    return Beat != nullptr && Beat->m_configVersion == 0;
+  });
   if (Hosts.empty())
     return Out;
   std::set<std::string> Used;
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -517,6 +517,19 @@
     EXPECT_EQ(send(get("/web/")).m_status, 200U);
 }
 
+// Load pattern: a host restarts while the store is away.
+TEST_F(GatewayHostTest, StoreIsAway_SecondHostStarts_ServesWhatItsPeerKnows) {
+  startAll();
+  ASSERT_TRUE(runUntil([this] {
+    return send(get("/stock/", "Test-Key: 1\r\n")).m_status == 200;
+  }));
+  m_store.m_isUp = false;
+  GatewayHost &Second = addHost(1);
+  ASSERT_TRUE(runUntil([&Second] { return Second.isReady(); }));
+  EXPECT_EQ(send(get("/web/"), 1).m_status, 200U);
+  EXPECT_EQ(send(get("/stock/", "Test-Key: 1\r\n"), 1).m_status, 200U);
+}
+
 TEST(MayDispatchAgainTest, UnsafeRequest_MayHaveRun_Never) {
   for (DispatchResult Result :
        {DispatchResult::Broken, DispatchResult::TimedOut,
--- a/test/gateway/ownership-keeper-test.cc
+++ b/test/gateway/ownership-keeper-test.cc
@@ -44,6 +44,7 @@
     Out.m_demand = [] { return std::vector<KeyRate>(); };
     Out.m_onStore = [](bool, TimePoint) {};
     Out.m_onKeyMap = [this](const KeyMap &Map) { m_maps.push_back(Map); };
+    Out.m_askPeers = [this] { ++m_asked; };
     Out.m_onRecordedMap = [this](const KeyMap &Map) {
       m_recorded.push_back(Map);
     };
@@ -64,6 +65,7 @@
   std::map<std::string, ServerEntry> m_entries;
   std::vector<KeyMap> m_maps;
   std::vector<KeyMap> m_recorded;
+  unsigned m_asked = 0; ///< Times that the peers were.
   Roster m_hosts{RosterPolicy{}, {"h1", "10.0.0.1", "zone-a", 100, 20}};
   EventLog m_log;
   GatewayMetrics m_metrics;
@@ -111,6 +113,17 @@
   EXPECT_EQ(m_recorded[0].holderOf(5), "a");
 }
 
+TEST_F(OwnershipKeeperTest, RecallHolders_StoreIsLost_OnlyPeersAreAsked) {
+  m_storeLost = Millis(500);
+  m_store.m_ownership = {
+      {4, "gone", 1, {}, {{0, 65535, {"a", 1}, 70, {}, 0}}}, 9, 0};
+  m_subject.recallHolders();
+  m_subject.recallHolders();
+  m_context.run_for(Millis(100));
+  EXPECT_EQ(m_asked, 1U);
+  EXPECT_TRUE(m_recorded.empty());
+}
+
 // Others wait for the longest hold unless a host that ends has given way
 // before.
 TEST_F(OwnershipKeeperTest, Leave_HoldsAreLengthened_NoNewerTermIsNamed) {
--- a/test/gateway/roster-test.cc
+++ b/test/gateway/roster-test.cc
@@ -22,10 +22,11 @@
   }
 
   void hear(const std::string &Name, unsigned Weight = 20,
-            bool IsStopping = false) {
+            bool IsStopping = false, std::uint64_t ConfigVersion = 1) {
     HostBeat Beat;
     Beat.m_host = makeHost(Name, Weight);
     Beat.m_isStopping = IsStopping;
+    Beat.m_configVersion = ConfigVersion;
     m_subject.noteBeat(Beat, m_now);
   }
 
@@ -79,6 +80,15 @@
   EXPECT_EQ(Used.size(), 3U);
 }
 
+// Load pattern: hosts restart one after the other while the store is slow.
+TEST_F(RosterTest, Coordinators_HostsWithoutConfiguration_AreNotChosen) {
+  hear("h2", 20, false, 0);
+  hear("h3", 20, false, 0);
+  for (const auto &[Service, Host] :
+       m_subject.coordinators({"a", "b", "c"}, m_now))
+    EXPECT_EQ(Host, "h1") << Service;
+}
+
 TEST_F(RosterTest, Coordinators_FewHosts_ServeSeveralServices) {
   const std::map<std::string, std::string> Chosen =
       m_subject.coordinators({"a", "b", "c"}, m_now);
