Look whether the client has left right before a dispatch

Ruled out: the new wait for a starting process (b-5 had run for 18 s); the time left, which counts from the reading, since nothing else is known of when a request was sent.

Change: one look at the socket after the slot was given and before the request is sent. The same look is what the watch for leaving clients did.

Test: an unsafe request whose client has closed before it is read; it reached a server before.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -113,6 +113,8 @@
   static Framing requestFraming(const Exchange &Item);
   BodySource makeSource(SessionPtr Client,
                         std::shared_ptr<Exchange> Item) const;
+  /// Returns whether the client has closed its connection.
+  static bool hasLeft(Session &Client);
   void watchClient(const SessionPtr &Client);
   void account(const Exchange &Item, unsigned Status, std::string_view Reason);
 
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -396,6 +396,13 @@
   co_await dispatch(Client, Item);
 }
 
+bool EdgeServer::hasLeft(Session &Client) {
+  char Byte = 0;
+  const ssize_t Count = ::recv(Client.m_stream.socket().native_handle(), &Byte,
+                               1, MSG_PEEK | MSG_DONTWAIT);
+  return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void EdgeServer::watchClient(const SessionPtr &Client) {
   if (Client->m_isWatched || Client->m_buffer.size() > 0)
     return;
@@ -406,11 +413,7 @@
         const std::shared_ptr<Exchange> Item = Client->m_current.lock();
         if (Error || Item == nullptr || Item->m_isAnswered)
           return;
-        char Byte = 0;
-        const ssize_t Count = ::recv(Client->m_stream.socket().native_handle(),
-                                     &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (Count > 0 ||
-            (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))
+        if (!hasLeft(*Client))
           return;
         Item->m_isClientGone = true;
         if (Item->m_wait.m_number != 0)
@@ -454,6 +457,8 @@
     Item->m_refusal = Taken.m_decision;
     co_return false;
   }
+  // A host with too little processor time learns late that a client has left.
+  Item->m_isClientGone = Item->m_isClientGone || hasLeft(*Client);
   const ServerEntry *Server = m_view.m_findServer(Taken.m_decision.m_server);
   if (Item->m_isClientGone || Server == nullptr || Server->m_isDraining) {
     m_slots.finish(Item->m_service->m_name, Taken, DispatchResult::Withdrawn,
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -236,6 +236,18 @@
   EXPECT_EQ(Out->m_status, 200U);
 }
 
+// Load pattern: a host stands still or has too little processor time, and reads
+// requests whose clients have left.
+TEST_F(GatewayHostTest, UnsafeRequest_ClientHasLeftWhenItIsRead_IsNotSentOn) {
+  startAll();
+  asio::ip::tcp::socket Client(m_context);
+  Client.connect(m_addresses[0]);
+  asio::write(Client, asio::buffer(post("/pay/", "card")));
+  Client.close();
+  EXPECT_EQ(send(get("/web/")).m_status, 200U);
+  EXPECT_EQ(webRequests(), 1U);
+}
+
 TEST_F(GatewayHostTest, Request_OneServerRefuses_TheOtherIsAsked) {
   m_web[0].m_script = ScriptedServer::refuse;
   startAll();
