Count the silence of the reader from the arrival of its last listing

By reasoning, not by a trace: a read of 60 pages takes some 0.3 to 0.6 s, so that the listing is that old when it arrives, and over 1.1 s old before the next one does; then every host reads the whole registry by itself, which slows each read down.

Ruled out: a longer limit for all. It bounds how long a loss of the reader goes unseen.

Change: the 1.1 s count from the arrival. On the sites of today a listing arrives 10 to 30 ms after it was asked for, so that nothing changes there. The decision is a function of its own.

Test: IsListingDue_ReadTakesLong_OnlyTheReaderReads.

--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -19,8 +19,9 @@
   Millis m_readServersEvery{700};
   /// How long a read of the configuration waits for news.
   Millis m_configurationWait{800};
-  /// Age of what the reader has passed on from which a host reads by itself.
-  /// Source: what the operator changes holds after 2 s.
+  /// Silence of the reader, and age of the configuration that it passes on,
+  /// from which a host reads by itself. Source: what the operator changes holds
+  /// after 2 s.
   Millis m_listingAge{1100};
   Millis m_configurationAge{1500};
   /// How often a host looks whether it has to read.
@@ -137,8 +138,7 @@
   std::set<std::pair<std::uint64_t, std::string>> m_crashes;
   ListingSource m_listings; ///< As last read by this host.
   TimePoint m_rowsAskedAt{};
-  TimePoint
-      m_listingAt{}; ///< When the last listing was asked for, by whom ever.
+  ListingTimes m_listingTimes;   ///< Of the last listing, by whom ever.
   TimePoint m_configurationAt{}; ///< The configuration was the newest then.
   std::map<std::string, ListingSink> m_heard; ///< By reader.
   bool m_isStopping = false;
--- a/include/tamarackdrum/gateway/listing-feed.h
+++ b/include/tamarackdrum/gateway/listing-feed.h
@@ -11,6 +11,23 @@
 
 namespace tamarackdrum::gateway {
 
+/// When a host has last got a listing, from the store or from the reader.
+struct ListingTimes {
+  TimePoint m_askedAt{}; ///< The store was asked for it.
+  TimePoint m_heardAt{}; ///< It came here.
+
+  bool operator==(const ListingTimes &) const = default;
+};
+
+/// Decides whether a host asks the store for a listing.
+///
+/// Load pattern: a long registry on many hosts. Reading it takes the reader a
+/// good part of the pause after which the others stop to rely on it, so that
+/// this pause counts from the arrival of the last listing: counted from its
+/// reading, all hosts would read at once, which makes each read longer still.
+bool isListingDue(const ListingTimes &Last, bool IsReader, Millis ReadEvery,
+                  Millis LongestSilence, TimePoint Now);
+
 /// The reader's side.
 class ListingSource {
 public:
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -277,9 +277,8 @@
   ReadPauses Pauses(m_policy.m_storePause, m_policy.m_longestStorePause);
   while (true) {
     const TimePoint AskedAt = BootClock::now();
-    const Millis Limit =
-        isReader() ? m_policy.m_readServersEvery : m_policy.m_listingAge;
-    if (AskedAt - m_listingAt < Limit) {
+    if (!isListingDue(m_listingTimes, isReader(), m_policy.m_readServersEvery,
+                      m_policy.m_listingAge, AskedAt)) {
       co_await sleepFor(m_policy.m_lookEvery);
       continue;
     }
@@ -292,7 +291,7 @@
       continue;
     }
     Pauses.reset();
-    m_listingAt = AskedAt;
+    m_listingTimes = {AskedAt, BootClock::now()};
     applyServers(
         m_directory.applyListing(Rows.value(), AskedAt, BootClock::now()),
         true);
@@ -336,9 +335,9 @@
     m_configurationAt =
         std::max(m_configurationAt, Now - Millis(Listing.m_configAgeMs));
   const TimePoint AskedAt = Now - Millis(Listing.m_ageMs);
-  if (!Rows || AskedAt < m_listingAt)
+  if (!Rows || AskedAt < m_listingTimes.m_askedAt)
     return;
-  m_listingAt = AskedAt;
+  m_listingTimes = {AskedAt, Now};
   applyServers(m_directory.applyListing(*Rows, AskedAt, Now),
                Listing.m_hasRows);
 }
--- a/src/gateway/listing-feed.cc
+++ b/src/gateway/listing-feed.cc
@@ -24,6 +24,12 @@
 
 } // namespace
 
+bool isListingDue(const ListingTimes &Last, bool IsReader, Millis ReadEvery,
+                  Millis LongestSilence, TimePoint Now) {
+  return IsReader ? Now - Last.m_askedAt >= ReadEvery
+                  : Now - Last.m_heardAt >= LongestSilence;
+}
+
 ListingMessage ListingSource::update(const std::vector<ServerRow> &Rows) {
   ListingMessage Out;
   std::map<std::string, ServerRow> Next;
--- a/test/gateway/listing-feed-test.cc
+++ b/test/gateway/listing-feed-test.cc
@@ -21,6 +21,18 @@
   std::vector<ServerRow> m_rows{makeRow("a"), makeRow("b"), makeRow("c")};
 };
 
+// Load pattern: 3,000 servers on 300 hosts; a read takes over half a second.
+TEST_F(ListingFeedTest, IsListingDue_ReadTakesLong_OnlyTheReaderReads) {
+  const TimePoint Asked(std::chrono::seconds(100));
+  const ListingTimes Last{Asked, Asked + Millis(600)};
+  const auto IsDue = [&Last](bool IsReader, TimePoint Now) {
+    return isListingDue(Last, IsReader, Millis(700), Millis(1100), Now);
+  };
+  EXPECT_TRUE(IsDue(true, Asked + Millis(700)));
+  EXPECT_FALSE(IsDue(false, Asked + Millis(1400)));
+  EXPECT_TRUE(IsDue(false, Asked + Millis(1700)));
+}
+
 TEST_F(ListingFeedTest, Update_FirstRead_IsWhole) {
   const ListingMessage Result = m_source.update(m_rows);
   EXPECT_EQ(Result.m_base, 0U);
