Call the pieces that were there instead of writing them again

Simpler: ReplayResult is a ReplayPart with more figures instead of a copy of its three; a request of the replay is noted at all its figures in one place.

Done twice: the dispatcher computed until when an ask waits for its zone when it chose a server and again when it queued the ask, each time over all servers. choose() returns it.

Wrong: looking the coordinator of a keyed service up by operator[] entered an empty name when no host could coordinate, which was then logged and handed over to as a host.

--- a/include/tamarackdrum/blocking.h
+++ b/include/tamarackdrum/blocking.h
@@ -12,10 +12,11 @@
 
 namespace tamarackdrum {
 
-/// Returns the result of \p Task, e.g. `runBlocking(Client.send(...))`.
+/// Returns the result of \p Task, which runs in \p Context among what else is
+/// there.
 template <typename Value>
-Value runBlocking(boost::asio::awaitable<Value> Task) {
-  boost::asio::io_context Context;
+Value runBlocking(boost::asio::io_context &Context,
+                  boost::asio::awaitable<Value> Task) {
   std::optional<Value> Out;
   boost::asio::co_spawn(
       Context,
@@ -23,10 +24,20 @@
         Out.emplace(co_await std::move(Task));
       },
       boost::asio::detached);
-  Context.run();
+  while (!Out && Context.run_one() > 0)
+    continue;
   return std::move(Out).value();
 }
 
+/// Returns the result of \p Task, e.g. `runBlocking(Client.send(...))`.
+template <typename Value>
+Value runBlocking(boost::asio::awaitable<Value> Task) {
+  boost::asio::io_context Context;
+  Value Out = runBlocking(Context, std::move(Task));
+  Context.run();
+  return Out;
+}
+
 } // namespace tamarackdrum
 
 #endif // TAMARACKDRUM_BLOCKING_H
--- a/include/tamarackdrum/core.h
+++ b/include/tamarackdrum/core.h
@@ -46,6 +46,9 @@
 /// deadline that another host has to compare with its own clock.
 std::int64_t unixMillis() noexcept;
 
+/// Returns the time of the BootClock in milliseconds.
+std::int64_t bootMillis() noexcept;
+
 /// Returns \p Time in milliseconds since the Unix epoch, given the same
 /// instant \p Now on both clocks.
 std::int64_t toUnixMillis(TimePoint Time, TimePoint Now,
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -233,6 +233,12 @@
     }
   };
 
+  /// Where a request goes at its arrival; without a server it waits.
+  struct Choice {
+    Server *m_server = nullptr;
+    TimePoint m_zoneUntil; ///< Servers of other zones leave it until then.
+  };
+
   /// How fast a request's turn comes.
   struct Outlook {
     double m_perMs = 0;     ///< Requests served in a millisecond.
@@ -253,9 +259,9 @@
   double serviceRate(TimePoint Now) const;
   Outlook outlookFor(const DispatchAsk &Ask, TimePoint Now) const;
   std::optional<TimePoint> firstBack() const;
-  Server *choose(const DispatchAsk &Ask, TimePoint Now);
-  /// Returns until when \p Ask waits for a server of its own zone only; \p Now
-  /// if it does not.
+  Choice choose(const DispatchAsk &Ask, TimePoint Now);
+  /// Returns until when \p Ask, of an unkeyed service, waits for a server of
+  /// its own zone only; \p Now if it does not.
   TimePoint zoneWaitEnd(const DispatchAsk &Ask, TimePoint Now) const;
   void place(const DispatchAsk &Ask, Server &Target, TimePoint Now,
              DispatchDecisions &Out);
@@ -264,7 +270,8 @@
   bool isEligible(const Waiting &Item, const Server &Target) const;
   void fill(Server &Target, TimePoint Now, DispatchDecisions &Out);
   void fillAll(TimePoint Now, DispatchDecisions &Out);
-  void enqueue(const DispatchAsk &Ask, TimePoint Now, DispatchDecisions &Out);
+  void enqueue(const DispatchAsk &Ask, TimePoint ZoneUntil, TimePoint Now,
+               DispatchDecisions &Out);
   void insert(Waiting Item);
   Queue::iterator nextFor(const Server &Target, TimePoint Now);
   /// Marks a request that can no longer be in time.
--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -88,6 +88,8 @@
                                            std::shared_ptr<Exchange> Item);
   boost::asio::awaitable<bool> readBody(SessionPtr Client,
                                         std::shared_ptr<Exchange> Item);
+  /// Returns whether routes and servers are known.
+  bool hasStarted() const;
   boost::asio::awaitable<void> awaitStart();
   boost::asio::awaitable<void> handle(SessionPtr Client,
                                       std::shared_ptr<Exchange> Item);
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -108,6 +108,8 @@
   void onListing(std::uint32_t Link, const std::string &Host,
                  const ListingMessage &Listing);
   void pushTo(std::uint32_t Link, const StateRequest &Needed);
+  /// Sends beats to the hosts that the settings name.
+  void sendToSeeds();
   void sendToAnchors(const PeerMessage &Message);
   void sendKeyMap(std::uint32_t Link, const std::string &Service);
   PeerEvents peerEvents();
--- a/include/tamarackdrum/http.h
+++ b/include/tamarackdrum/http.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_HTTP_H
 
 #include "tamarackdrum/endpoint.h"
+#include "tamarackdrum/peek.h"
 
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
@@ -73,13 +74,8 @@
   IdleConnection &operator=(const IdleConnection &) = delete;
   ~IdleConnection();
 
-  /// What can be told of the connection without reading from it.
-  enum class State {
-    Reusable, ///< Open and silent.
-    Closed,   ///< The peer closed it.
-    Dirty,    ///< Bytes have arrived that belong to no request.
-  };
-  State state() const noexcept;
+  /// A silent one can be used again; bytes belong to no request.
+  PeekResult state() const noexcept { return peek(m_handle); }
 
   /// Gives up the file descriptor.
   int release() noexcept { return std::exchange(m_handle, -1); }
--- a/soak/fault-proxy.cc
+++ b/soak/fault-proxy.cc
@@ -151,7 +151,7 @@
     State::drop(m_state, Link);
 }
 
-FaultProxy::Endpoint FaultProxy::address() const {
+Endpoint FaultProxy::address() const {
   return m_state->m_acceptor.local_endpoint();
 }
 
--- a/soak/fault-proxy.h
+++ b/soak/fault-proxy.h
@@ -4,10 +4,9 @@
 #ifndef TAMARACKDRUM_FAULT_PROXY_H
 #define TAMARACKDRUM_FAULT_PROXY_H
 
-#include "tamarackdrum/core.h"
+#include "tamarackdrum/endpoint.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <memory>
 
 namespace tamarackdrum::soak {
@@ -26,8 +25,6 @@
 /// never arrives.
 class FaultProxy {
 public:
-  using Endpoint = boost::asio::ip::tcp::endpoint;
-
   /// Binds at once; throws boost::system::system_error if it cannot.
   FaultProxy(boost::asio::io_context &Context, const Endpoint &Listen,
              const Endpoint &Target);
--- a/soak/soak-site.cc
+++ b/soak/soak-site.cc
@@ -36,11 +36,11 @@
 constexpr Millis LinkDelay{120};
 constexpr Millis RouteTimeout{2000};
 
-FaultProxy::Endpoint endpointOf(const std::string &Ip, std::uint16_t Port) {
+Endpoint endpointOf(const std::string &Ip, std::uint16_t Port) {
   return {asio::ip::make_address(Ip), Port};
 }
 
-std::string toText(const FaultProxy::Endpoint &Address) {
+std::string toText(const Endpoint &Address) {
   return fmt::format("{}:{}", Address.address().to_string(), Address.port());
 }
 
@@ -101,7 +101,6 @@
   Settings.m_clientAddress = fmt::format("{}:{}", Ip, ClientPort);
   Settings.m_readyAddress = fmt::format("{}:{}", Ip, ReadyPort);
   Settings.m_peerPort = PeerPort;
-  Settings.m_memoryBytes = 256UL << 20;
   Settings.m_retries.m_slack = 50;
   if (!m_hosts.empty())
     Settings.m_seedIps = {m_hosts.front().m_settings.m_host.m_ip};
@@ -191,11 +190,11 @@
   m_seen.m_versions.push_back({m_config.m_version, BootClock::now()});
 }
 
-FaultProxy::Endpoint SoakSite::clientEndpoint(std::size_t Host) const {
+Endpoint SoakSite::clientEndpoint(std::size_t Host) const {
   return endpointOf(m_hosts[Host].m_settings.m_host.m_ip, ClientPort);
 }
 
-FaultProxy::Endpoint SoakSite::readyEndpoint(std::size_t Host) const {
+Endpoint SoakSite::readyEndpoint(std::size_t Host) const {
   return endpointOf(m_hosts[Host].m_settings.m_host.m_ip, ReadyPort);
 }
 
--- a/soak/soak-site.h
+++ b/soak/soak-site.h
@@ -47,8 +47,8 @@
 
   std::size_t hostCount() const { return m_hosts.size(); }
   std::size_t serverCount() const { return m_servers.size(); }
-  FaultProxy::Endpoint clientEndpoint(std::size_t Host) const;
-  FaultProxy::Endpoint readyEndpoint(std::size_t Host) const;
+  Endpoint clientEndpoint(std::size_t Host) const;
+  Endpoint readyEndpoint(std::size_t Host) const;
   bool isRunning(std::size_t Host) const;
   unsigned lifeOf(std::size_t Host) const { return m_hosts[Host].m_life; }
   std::uint64_t newestVersion() const { return m_config.m_version; }
--- a/soak/tamarack-soak.cc
+++ b/soak/tamarack-soak.cc
@@ -33,6 +33,7 @@
 constexpr Millis CalmAfter{8000};
 constexpr Millis JudgedTail{2000}; ///< Served again by then.
 constexpr Millis EndLimit{6000};   ///< For requests on their way.
+constexpr Millis LookEvery{50};    ///< Whether all are ready or have ended.
 constexpr double LeastServed = 0.9;
 
 struct Options {
@@ -192,7 +193,7 @@
     m_clients.start();
     const TimePoint Limit = BootClock::now() + ReadyLimit;
     while (!m_clients.allReady() && BootClock::now() < Limit)
-      co_await sleepFor(Millis(50));
+      co_await sleepFor(LookEvery);
     m_wasReady = m_clients.allReady();
     m_startedAt = BootClock::now();
     ScheduleOptions Wanted;
@@ -216,7 +217,7 @@
     m_clients.stop();
     const TimePoint End = BootClock::now() + EndLimit;
     while (m_clients.running() > 0 && BootClock::now() < End)
-      co_await sleepFor(Millis(50));
+      co_await sleepFor(LookEvery);
     m_context.stop();
   }
 
--- a/src/adapter/http-client.cc
+++ b/src/adapter/http-client.cc
@@ -4,9 +4,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cerrno>
 #include <optional>
-#include <sys/socket.h>
 #include <unistd.h>
 
 namespace asio = boost::asio;
@@ -36,15 +34,6 @@
     ::close(m_handle);
 }
 
-IdleConnection::State IdleConnection::state() const noexcept {
-  char Byte = 0;
-  const ssize_t Size = ::recv(m_handle, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (Size > 0)
-    return State::Dirty;
-  const bool IsSilent = Size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-  return IsSilent ? State::Reusable : State::Closed;
-}
-
 } // namespace detail
 
 /// The right to one of the peer's connections.
@@ -71,11 +60,11 @@
     ++Pool.m_open;
     m_isTaken = true;
     while (!Pool.m_idle.empty() && !Idle) {
-      const detail::IdleConnection::State State = Pool.m_idle.back().state();
-      if (State == detail::IdleConnection::State::Reusable)
+      const PeekResult State = Pool.m_idle.back().state();
+      if (State == PeekResult::Silent)
         Idle.emplace(std::move(Pool.m_idle.back()));
       Pool.m_idle.pop_back();
-      if (State == detail::IdleConnection::State::Dirty)
+      if (State == PeekResult::Bytes)
         stopReuse(Pool);
     }
     return true;
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -22,6 +22,11 @@
       .count();
 }
 
+std::int64_t bootMillis() noexcept {
+  return std::chrono::duration_cast<Millis>(BootClock::now().time_since_epoch())
+      .count();
+}
+
 std::int64_t toUnixMillis(TimePoint Time, TimePoint Now,
                           std::int64_t NowUnixMillis) noexcept {
   return NowUnixMillis + std::chrono::duration_cast<Millis>(Time - Now).count();
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -104,9 +104,7 @@
                       {"number", Item->m_ask.m_ticket.m_number},
                       {"reason", Reason}});
   if (Item->m_place == AdmissionPlace::Coordinator && Item->m_link != 0)
-    m_network->reply(
-        Item->m_link,
-        WithdrawMessage{Item->m_service, Item->m_ask.m_ticket.m_number});
+    withdraw(*Item);
   Item->m_place = AdmissionPlace::Fallback;
   Item->m_link = 0;
   Item->m_isTaken = true;
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -1,6 +1,7 @@
 #include "tamarackdrum/gateway/connection.h"
 
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/peek.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -9,19 +10,6 @@
 #include <sys/socket.h>
 
 namespace tamarackdrum::gateway {
-namespace {
-
-/// Returns whether nothing has arrived on an idle connection: neither its end
-/// nor bytes that belong to no request.
-bool isClean(Connection &Item) {
-  char Byte = 0;
-  const ssize_t Count = ::recv(Item.m_stream.socket().native_handle(), &Byte, 1,
-                               MSG_PEEK | MSG_DONTWAIT);
-  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-} // namespace
-
 std::error_code openAcceptor(boost::asio::ip::tcp::acceptor &Acceptor,
                              const Endpoint &Address) {
   boost::system::error_code Error;
@@ -61,7 +49,8 @@
       return nullptr;
     Owned Taken = std::move(Idle.back());
     Idle.pop_back();
-    if (Now - Taken->m_idleSince < idleLimit(*Taken) && isClean(*Taken)) {
+    if (Now - Taken->m_idleSince < idleLimit(*Taken) &&
+        peek(Taken->m_stream.socket().native_handle()) == PeekResult::Silent) {
       Taken->m_isReused = true;
       return Taken;
     }
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -1,6 +1,7 @@
 #include "tamarackdrum/gateway/edge-server.h"
 
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/peek.h"
 #include "tamarackdrum/sleep.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -10,7 +11,6 @@
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <spdlog/fmt/fmt.h>
-#include <sys/socket.h>
 
 namespace tamarackdrum::gateway {
 namespace {
@@ -35,12 +35,6 @@
 /// waits that much longer for its answer.
 constexpr Millis TimeoutGrace{60};
 
-/// Time of the poison registry: the steady clock in milliseconds.
-std::int64_t steadyMs() {
-  return std::chrono::duration_cast<Millis>(BootClock::now().time_since_epoch())
-      .count();
-}
-
 Millis left(TimePoint Until) {
   return std::chrono::duration_cast<Millis>(Until - BootClock::now());
 }
@@ -318,15 +312,18 @@
   co_return true;
 }
 
+bool EdgeServer::hasStarted() const {
+  return m_view.m_routes() != nullptr && m_view.m_hasServers();
+}
+
 asio::awaitable<void> EdgeServer::awaitStart() {
-  while ((m_view.m_routes() == nullptr || !m_view.m_hasServers()) &&
-         BootClock::now() - m_createdAt < m_policy.m_startTime)
+  while (!hasStarted() && BootClock::now() - m_createdAt < m_policy.m_startTime)
     co_await sleepFor(m_policy.m_startPoll);
 }
 
 asio::awaitable<void> EdgeServer::handle(SessionPtr Client,
                                          std::shared_ptr<Exchange> Item) {
-  if (Item->m_table == nullptr || !m_view.m_hasServers()) {
+  if (Item->m_table == nullptr || !hasStarted()) {
     co_await awaitStart();
     Item->m_table = m_view.m_routes();
   }
@@ -388,7 +385,7 @@
   }
   Item->m_fingerprint =
       fingerprintOf(Head.method_string(), Head.target(), Item->m_body);
-  if (m_poison.isPoisoned(Item->m_fingerprint, steadyMs())) {
+  if (m_poison.isPoisoned(Item->m_fingerprint, bootMillis())) {
     co_await answer(Client, Item, 502, "crashes servers", Millis(0));
     co_return;
   }
@@ -397,10 +394,7 @@
 }
 
 bool EdgeServer::hasLeft(Session &Client) {
-  char Byte = 0;
-  const ssize_t Count = ::recv(Client.m_stream.socket().native_handle(), &Byte,
-                               1, MSG_PEEK | MSG_DONTWAIT);
-  return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  return peek(Client.m_stream.socket().native_handle()) == PeekResult::Closed;
 }
 
 void EdgeServer::watchClient(const SessionPtr &Client) {
@@ -492,7 +486,7 @@
     asio::co_spawn(m_executor, checkCrash(Item->m_fingerprint, Chosen),
                    asio::detached);
   if (Reply.m_result == DispatchResult::Served) {
-    m_poison.noteAnswered(Item->m_fingerprint, steadyMs());
+    m_poison.noteAnswered(Item->m_fingerprint, bootMillis());
     co_await relay(Client, Item, Reply);
     co_return false;
   }
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -44,11 +44,6 @@
   return Out;
 }
 
-std::int64_t steadyMs() {
-  return std::chrono::duration_cast<Millis>(BootClock::now().time_since_epoch())
-      .count();
-}
-
 /// Returns \p Time changed by up to a fifth, so that hosts do not stay in step.
 Millis jittered(Millis Time) {
   static std::minstd_rand Engine{std::random_device{}()};
@@ -207,19 +202,21 @@
       break;
     }
     // Hosts that were there before may know what the store cannot tell now.
-    for (const std::string &Ip : m_settings.m_seedIps)
-      if (Ip != m_hosts.self().m_ip)
-        m_network.sendBeat(Ip, false);
+    sendToSeeds();
     co_await sleepFor(jittered(Pauses.take()));
   }
   co_await readHostsLoop();
 }
 
+void GatewayHost::sendToSeeds() {
+  for (const std::string &Ip : m_settings.m_seedIps)
+    if (Ip != m_hosts.self().m_ip)
+      m_network.sendBeat(Ip, false);
+}
+
 asio::awaitable<void> GatewayHost::learnFromPeers() {
   while (m_routes == nullptr) {
-    for (const std::string &Ip : m_settings.m_seedIps)
-      if (Ip != m_hosts.self().m_ip)
-        m_network.sendBeat(Ip, false);
+    sendToSeeds();
     co_await sleepFor(m_policy.m_askPeersEvery);
     if (m_routes == nullptr)
       sendToAnchors(StateRequest{});
@@ -469,7 +466,9 @@
         m_hosts.isAlive(Host, Now) &&
         m_hosts.lifeOf(Host) == Keeper->claim().m_life)
       Chosen[Service] = Host;
-    if (Chosen[Service] == m_hosts.self().m_name &&
+    const auto Coordinator = Chosen.find(Service);
+    if (Coordinator != Chosen.end() &&
+        Coordinator->second == m_hosts.self().m_name &&
         m_admission.keyMap(Service).version() == 0)
       Keeper->recallHolders();
   }
@@ -516,7 +515,7 @@
   // Each host passes a report on once.
   if (!m_crashes.emplace(Message.m_fingerprint, Message.m_server).second)
     return;
-  m_poison.noteCrash(Message.m_fingerprint, Message.m_server, steadyMs());
+  m_poison.noteCrash(Message.m_fingerprint, Message.m_server, bootMillis());
   m_metrics.count("server_crashes_seen");
   if (IsOwn)
     sendToAnchors(Message);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -130,16 +130,16 @@
   fillAll(Now, Out);
 }
 
-Dispatcher::Server *Dispatcher::choose(const DispatchAsk &Ask, TimePoint Now) {
+Dispatcher::Choice Dispatcher::choose(const DispatchAsk &Ask, TimePoint Now) {
   const auto IsTried = [&Ask](const std::string &Id) {
     return std::find(Ask.m_tried.begin(), Ask.m_tried.end(), Id) !=
            Ask.m_tried.end();
   };
   if (m_isKeyed) {
     const auto Found = m_servers.find(m_keys.holderOf(Ask.m_key.value_or(0)));
-    if (Found == m_servers.end() || !hasRoom(Found->second, Now, false))
-      return nullptr;
-    return &Found->second;
+    const bool HasRoom =
+        Found != m_servers.end() && hasRoom(Found->second, Now, false);
+    return {HasRoom ? &Found->second : nullptr, Now};
   }
   Server *Best = nullptr;
   Server *BestInZone = nullptr;
@@ -165,13 +165,12 @@
       BestInZone != nullptr &&
       BestInZoneCost * m_policy.m_zoneSafety <= toMs(Ask.m_objectiveLeft);
   if (IsZoneGood)
-    return BestInZone;
-  return zoneWaitEnd(Ask, Now) > Now ? nullptr : Best;
+    return {BestInZone, Now};
+  const TimePoint ZoneUntil = zoneWaitEnd(Ask, Now);
+  return {ZoneUntil > Now ? nullptr : Best, ZoneUntil};
 }
 
 TimePoint Dispatcher::zoneWaitEnd(const DispatchAsk &Ask, TimePoint Now) const {
-  if (m_isKeyed)
-    return Now;
   double Rate = 0;
   double Fastest = 0;
   for (const auto &[Id, Item] : m_servers) {
@@ -231,11 +230,11 @@
     refuse(Ask, RefusalReason::NoServer, m_policy.m_blindRetryAfter, Out);
     return;
   }
-  if (Server *Target = choose(Ask, Now)) {
-    place(Ask, *Target, Now, Out);
-    return;
-  }
-  enqueue(Ask, Now, Out);
+  const Choice Made = choose(Ask, Now);
+  if (Made.m_server != nullptr)
+    place(Ask, *Made.m_server, Now, Out);
+  else
+    enqueue(Ask, Made.m_zoneUntil, Now, Out);
 }
 
 Dispatcher::Outlook Dispatcher::outlookFor(const DispatchAsk &Ask,
@@ -266,10 +265,10 @@
   return Out;
 }
 
-void Dispatcher::enqueue(const DispatchAsk &Ask, TimePoint Now,
-                         DispatchDecisions &Out) {
+void Dispatcher::enqueue(const DispatchAsk &Ask, TimePoint ZoneUntil,
+                         TimePoint Now, DispatchDecisions &Out) {
   Waiting Item{Ask, Now + std::min(Ask.m_objectiveLeft, Ask.m_timeLeft),
-               Now + Ask.m_timeLeft, zoneWaitEnd(Ask, Now), false};
+               Now + Ask.m_timeLeft, ZoneUntil, false};
   const Outlook Expected = outlookFor(Ask, Now);
   if (Expected.m_perMs <= 0) {
     refuse(Ask, RefusalReason::NoServer, m_policy.m_blindRetryAfter, Out);
--- a/standin/dispatch-replay.cc
+++ b/standin/dispatch-replay.cc
@@ -525,14 +525,14 @@
     State = {true, true};
     const Arrival &From = m_load.m_arrivals[Item.m_request];
     const bool IsInTime = m_now - toMs(From.m_at) <= toMs(m_load.m_objective);
-    (IsInTime ? m_result.m_inTime : m_result.m_late) += 1;
-    const ReplayPart Served{0, IsInTime ? 1U : 0U, IsInTime ? 0U : 1U};
-    windowOf(From) += Served;
-    m_result.m_byPriority[From.m_priority] += Served;
+    note(From, {0, IsInTime ? 1U : 0U, IsInTime ? 0U : 1U});
   }
 
-  ReplayPart &windowOf(const Arrival &From) {
-    return m_result.m_windows[From.m_at.count() / 1000];
+  /// Adds to all figures that \p From belongs to.
+  void note(const Arrival &From, const ReplayPart &Added) {
+    static_cast<ReplayPart &>(m_result) += Added;
+    m_result.m_windows[From.m_at.count() / 1000] += Added;
+    m_result.m_byPriority[From.m_priority] += Added;
   }
 
   bool comesBack(const Try &Item) const {
@@ -579,9 +579,7 @@
       const Arrival &From = m_load.m_arrivals[I];
       if (From.m_leavesAfter && !m_requests[I].m_isServed)
         continue;
-      ++m_result.m_owed;
-      ++windowOf(From).m_owed;
-      ++m_result.m_byPriority[From.m_priority].m_owed;
+      note(From, {1, 0, 0});
     }
     m_result.m_failed = m_result.m_owed - m_result.m_inTime - m_result.m_late -
                         m_result.m_refused;
@@ -645,10 +643,6 @@
   return *this;
 }
 
-double ReplayResult::credit(double LateWorth) const {
-  return ReplayPart{m_owed, m_inTime, m_late}.credit(LateWorth);
-}
-
 double ReplayResult::firstCredit(double LateWorth) const {
   return m_byPriority.empty() ? 1
                               : m_byPriority.begin()->second.credit(LateWorth);
@@ -667,9 +661,7 @@
 }
 
 ReplayResult &ReplayResult::operator+=(const ReplayResult &Other) {
-  m_owed += Other.m_owed;
-  m_inTime += Other.m_inTime;
-  m_late += Other.m_late;
+  ReplayPart::operator+=(Other);
   m_refused += Other.m_refused;
   m_refusedAgain += Other.m_refusedAgain;
   m_failed += Other.m_failed;
--- a/standin/dispatch-replay.h
+++ b/standin/dispatch-replay.h
@@ -51,10 +51,8 @@
   ReplayPart &operator+=(const ReplayPart &Other);
 };
 
-struct ReplayResult {
-  unsigned m_owed = 0; ///< Requests whose client did not leave early.
-  unsigned m_inTime = 0;
-  unsigned m_late = 0;
+/// Figures of all requests; owed are those whose client did not leave early.
+struct ReplayResult : ReplayPart {
   unsigned m_refused = 0;      ///< Refused for good.
   unsigned m_refusedAgain = 0; ///< Of these, after they had come back.
   unsigned m_failed = 0;       ///< Neither served nor refused.
@@ -71,8 +69,6 @@
 
   double inTimeShare() const;
   double servedShare() const;
-  /// Worth of what was served, of what is owed.
-  double credit(double LateWorth) const;
   /// Credit of the requests that go first.
   double firstCredit(double LateWorth) const;
   /// Credit of the worst five seconds.
--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -2,7 +2,7 @@
 
 #include "platform/standin/key-server.h"
 #include "platform/wire-decode.h"
-#include "run-until-done.h"
+#include "tamarackdrum/blocking.h"
 #include "tamarackdrum/worker-context.h"
 
 #include <gtest/gtest.h>
@@ -38,7 +38,7 @@
   }
 
   template <typename T> T await(asio::awaitable<T> Task) {
-    return runUntilDone(m_context, std::move(Task));
+    return runBlocking(m_context, std::move(Task));
   }
 
   GrantReply call(bool IsRelease, Key From, Key To, std::uint64_t Fence,
--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -2,7 +2,7 @@
 
 #include "platform/standin/row-store.h"
 #include "platform/standin/wire-encode.h"
-#include "run-until-done.h"
+#include "tamarackdrum/blocking.h"
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/worker-context.h"
 
@@ -32,7 +32,7 @@
   ~StoreClientTest() override { m_context.dropPending(); }
 
   template <typename T> Result<T> await(asio::awaitable<Result<T>> Task) {
-    return runUntilDone(m_context, std::move(Task));
+    return runBlocking(m_context, std::move(Task));
   }
 
   void putConfiguration(std::uint64_t Version) {
