--- a/include/tamarackdrum/gateway/listing-feed.h
+++ b/include/tamarackdrum/gateway/listing-feed.h
@@ -15,6 +15,9 @@
 struct ListingTimes {
   TimePoint m_askedAt{}; ///< The store was asked for it.
   TimePoint m_heardAt{}; ///< It came here.
+  /// Steady time of the store at the read. It alone orders listings that came
+  /// by different ways: a host that stood still tells old ones as new.
+  std::int64_t m_storeMs = 0;
 
   bool operator==(const ListingTimes &) const = default;
 };
@@ -28,7 +31,13 @@
 bool isListingDue(const ListingTimes &Last, bool IsReader, Millis ReadEvery,
                   Millis LongestSilence, TimePoint Now);
 
-/// The reader's side.
+/// Returns whether a listing that was read at \p StoreMs is not older than the
+/// last one that was taken.
+inline bool isListingNew(const ListingTimes &Last, std::int64_t StoreMs) {
+  return StoreMs >= Last.m_storeMs;
+}
+
+/// The side of a host that others follow.
 class ListingSource {
 public:
   /// \p Life, Unix ms, keeps the versions of different processes apart.
@@ -52,12 +61,15 @@
   bool m_hasRows = false;
 };
 
-/// The side of the other hosts, for one reader.
+/// The side of a follower, for one source.
 class ListingSink {
 public:
-  /// Takes a message and returns the rows that it leads to, or nothing if it
-  /// builds on rows that this host has not got: it must ask for all of them.
-  std::optional<std::vector<ServerRow>> apply(const ListingMessage &News);
+  /// Takes a message. Returns false if it builds on rows that this host has not
+  /// got: it must ask for all of them.
+  bool apply(const ListingMessage &News);
+
+  /// Returns the rows that the messages so far have led to.
+  std::vector<ServerRow> rows() const;
 
 private:
   std::uint64_t m_version = 0;
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -25,6 +25,7 @@
 struct HelloMessage {
   HostInfo m_host;
   std::vector<RunningDispatch> m_running;
+  bool m_isFollowing = false; ///< See FollowMessage.
 
   bool operator==(const HelloMessage &) const = default;
 };
@@ -36,6 +37,22 @@
   bool operator==(const RunningMessage &) const = default;
 };
 
+/// The sender wants, or no longer wants, to be told what the store holds.
+struct FollowMessage {
+  bool m_isFollowing = true;
+
+  bool operator==(const FollowMessage &) const = default;
+};
+
+/// Hosts of the site, as the reader of the store knows them.
+struct HostsMessage {
+  /// Store time of a list of all hosts, in ms; 0: some that are new.
+  std::int64_t m_storeMs = 0;
+  std::vector<HostInfo> m_hosts;
+
+  bool operator==(const HostsMessage &) const = default;
+};
+
 /// A host wants a slot. The ticket's link is set by the receiver.
 struct AskMessage {
   std::string m_service;
@@ -126,6 +143,7 @@
 struct ListingMessage {
   std::uint64_t m_version = 0;     ///< Grows when the rows change.
   std::uint64_t m_base = 0;        ///< Version that the rows change; 0: none.
+  std::int64_t m_storeMs = 0;      ///< Steady time of the store at the read.
   std::uint32_t m_ageMs = 0;       ///< Since the read was asked for.
   std::uint32_t m_configAgeMs = 0; ///< Since the configuration was known.
   std::uint64_t m_configVersion = 0;
@@ -147,7 +165,8 @@
     std::variant<HelloMessage, RunningMessage, AskMessage, QueuedMessage,
                  DecisionMessage, FinishMessage, WithdrawMessage, KeyMapMessage,
                  NotHeldMessage, KeyMapRequest, StateRequest, StateMessage,
-                 CrashMessage, ListingMessage, ConfigurationMessage>;
+                 CrashMessage, ListingMessage, ConfigurationMessage,
+                 FollowMessage, HostsMessage>;
 
 /// Returns the name of the kind of message, for logs and metrics.
 const char *toText(const PeerMessage &Message) noexcept;
--- a/include/tamarackdrum/gateway/peer-network.h
+++ b/include/tamarackdrum/gateway/peer-network.h
@@ -39,8 +39,9 @@
       m_onLinkDown;
   /// Returns the first message of a new outgoing link.
   std::function<HelloMessage(const std::string &Host)> m_hello;
-  /// Returns the beat to send now.
-  std::function<HostBeat()> m_beat;
+  /// Returns the beat to send now; \p Asked is the one that it answers, or
+  /// null.
+  std::function<HostBeat(const HostBeat *Asked)> m_beat;
   std::function<void(const HostBeat &)> m_onBeat;
 };
 
@@ -58,14 +59,22 @@
   std::uint32_t send(const std::string &Host, const PeerMessage &Message);
   /// Opens the link to \p Host if it is down.
   void keepLink(const std::string &Host);
+  /// Returns whether this host has opened a link to \p Host that is up or on
+  /// its way.
+  bool hasLink(const std::string &Host) const {
+    return m_outgoing.count(Host) > 0;
+  }
   /// Sends over a link that either side has opened.
   void reply(std::uint32_t Link, const PeerMessage &Message);
-  /// Sends to all hosts that have opened a link to this one.
-  void broadcast(const PeerMessage &Message);
+  /// Notes whether the host at the other end wants the news of the store.
+  void setFollower(std::uint32_t Link, bool IsFollowing);
+  bool hasFollowers() const;
+  /// Sends to all hosts that follow this one.
+  void sendToFollowers(const PeerMessage &Message);
 
   /// Sends the beats that are due.
   void sendBeats();
-  void sendBeat(const std::string &Ip, bool IsReply);
+  void sendBeat(const std::string &Ip, const HostBeat *Asked = nullptr);
 
 private:
   struct Link {
@@ -80,6 +89,7 @@
     bool m_isClosed = false;
     bool m_isWriting = false;
     bool m_isOtherZone = false; ///< As far as is known of the peer.
+    bool m_isFollower = false;
     std::string m_queue;
   };
   using LinkPtr = std::shared_ptr<Link>;
@@ -91,6 +101,8 @@
   boost::asio::awaitable<void> writeLoop(LinkPtr Item);
   LinkPtr outgoing(const std::string &Host);
   void queue(const LinkPtr &Item, const PeerMessage &Message);
+  /// The same for a message that is encoded already.
+  void queue(const LinkPtr &Item, const char *Kind, std::string_view Bytes);
   void setHost(Link &Item, const HostInfo &Peer) const;
   void close(const LinkPtr &Item, std::string_view Reason);
   void prepare(Link &Item) const;
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -32,7 +32,13 @@
   std::uint16_t m_peerPort = 0;       ///< TCP and UDP, for the other hosts.
   std::string m_metricsAddress;       ///< Empty: no metrics are served.
   std::vector<std::string> m_seedIps; ///< Hosts to ask first; may be stale.
-  Millis m_stopTimeout{6000};         ///< From the stop signal to the kill.
+  /// The whole site starts for the first time: no traffic comes yet.
+  bool m_isFirstStart = false;
+  /// From the store's answer until no request may go to a server that leaves.
+  Millis m_drainBound{2000};
+  /// From the store's answer until a configuration must be in force.
+  Millis m_applyBound{2000};
+  Millis m_stopTimeout{6000}; ///< From the stop signal to the kill.
   RetryPolicy m_retries;
   std::size_t m_memoryBytes = 256U << 20U; ///< Of the whole process.
   HeaderNames m_headers;
@@ -49,6 +55,22 @@
   bool operator==(const VersionedOwnership &) const = default;
 };
 
+/// All rows of the server registry.
+struct ServerListing {
+  std::vector<ServerRow> m_rows;
+  std::int64_t m_storeMs = 0; ///< Steady time of the store before the read.
+
+  bool operator==(const ServerListing &) const = default;
+};
+
+/// The hosts that the store lists.
+struct HostListing {
+  std::vector<HostInfo> m_hosts;
+  std::int64_t m_storeMs = 0; ///< Steady time of the store at the read.
+
+  bool operator==(const HostListing &) const = default;
+};
+
 /// A configuration and its text, as peers pass it on.
 struct ReadConfiguration {
   Configuration m_configuration;
@@ -64,8 +86,7 @@
 
   virtual ~GatewayStore() = default;
 
-  /// Returns all rows of the server registry.
-  virtual Task<std::vector<ServerRow>> readServers() = 0;
+  virtual Task<ServerListing> readServers() = 0;
 
   /// Returns the configuration, or waits up to \p Wait for one that is newer
   /// than the last that this call returned. Without news: TableErrc::Conflict.
@@ -82,9 +103,10 @@
                                              OwnershipRecord Record,
                                              std::uint64_t Version) = 0;
 
-  /// Lists the hosts, and enters \p Self first.
-  virtual Task<std::vector<HostInfo>> enterHost(HostInfo Self) = 0;
-  virtual Task<std::vector<HostInfo>> readHosts() = 0;
+  /// Enters hosts, in one call and as many of them as it takes. Returns their
+  /// number.
+  virtual Task<std::size_t> enterHosts(std::vector<HostInfo> Hosts) = 0;
+  virtual Task<HostListing> readHosts() = 0;
 };
 
 /// Answer to a GrantCall.
--- a/include/tamarackdrum/gateway/roster.h
+++ b/include/tamarackdrum/gateway/roster.h
@@ -47,6 +47,8 @@
   std::uint32_t m_storeGoodMs = 0; ///< How long it has served it since.
   std::uint64_t m_configVersion = 0;
   std::map<std::string, GranterClaim> m_claims; ///< By service.
+  /// In a reply to a process that has just started: whom it should know.
+  std::vector<HostInfo> m_known;
 
   bool operator==(const HostBeat &) const = default;
 };
@@ -60,6 +62,10 @@
   /// Hosts unheard of for this long are forgotten unless the store lists them.
   Millis m_forgetAfter{60000};
   unsigned m_anchors = 4; ///< A coordinator for each service and a spare.
+  unsigned m_relays = 2;  ///< In each zone: one that passes news on, a spare.
+  /// The largest hosts keep their duties for this long after they were last
+  /// heard of, so that a host that is cut off for a while claims none.
+  Millis m_heirAfter{15000};
 
   bool operator==(const RosterPolicy &) const = default;
 };
@@ -68,8 +74,10 @@
 public:
   Roster(RosterPolicy Policy, HostInfo Self);
 
-  /// Adds hosts that the store lists, with the life they had when listed.
-  void addListed(const std::vector<HostInfo> &Hosts, TimePoint Now);
+  /// Adds hosts that the store or a peer lists, with the life they had when
+  /// listed. Returns those that were not known, or only in an earlier life.
+  std::vector<HostInfo> addListed(const std::vector<HostInfo> &Hosts,
+                                  TimePoint Now);
 
   void noteBeat(const HostBeat &Beat, TimePoint Now);
   /// Notes a sign of life other than a beat.
@@ -85,12 +93,26 @@
   std::int64_t lifeOf(const std::string &Host) const;
   std::optional<HostInfo> find(const std::string &Host) const;
   std::size_t knownCount() const { return m_hosts.size() + 1; }
+  /// Returns the known hosts of this host's zone, itself among them.
+  std::size_t countInZone() const;
+  /// Returns all known hosts, and this one.
+  std::vector<HostInfo> all() const;
+  /// Returns the live hosts, this one among them.
+  std::vector<HostInfo> live(TimePoint Now) const;
   /// Returns the last beat of \p Host, or null.
   const HostBeat *lastBeat(const std::string &Host) const;
 
   /// Returns the live hosts that may coordinate, in the common order.
   std::vector<HostInfo> anchors(TimePoint Now) const;
 
+  /// Returns the live hosts of this host's zone that may pass news of the store
+  /// on, in the common order.
+  std::vector<HostInfo> relays(TimePoint Now) const;
+
+  /// Returns whom a host of \p Zone that has just started should know.
+  std::vector<HostInfo> introductions(const std::string &Zone,
+                                      TimePoint Now) const;
+
   /// Returns the coordinator of each of \p Services (sorted): different hosts
   /// while there are enough.
   std::map<std::string, std::string>
@@ -103,13 +125,20 @@
   struct Peer {
     HostInfo m_info;
     HostBeat m_beat;
+    std::uint64_t m_order = 0; ///< Its place in the common order.
     TimePoint m_addedAt{};
+    TimePoint m_listedAt{};
     TimePoint m_heardAt{};
     TimePoint m_sentAt{};
     bool m_isLost = false;
   };
 
-  std::vector<const Peer *> ordered() const;
+  Peer &peer(const std::string &Name, TimePoint Now);
+  /// Returns the other hosts that may have duties, in the common order.
+  std::vector<const Peer *> ordered(TimePoint Now) const;
+  unsigned largestWeight(TimePoint Now) const;
+  /// Returns the live hosts that may have duties, in the common order.
+  std::vector<HostInfo> dutiful(TimePoint Now) const;
   bool isAlive(const Peer &Item, TimePoint Now) const;
 
   const RosterPolicy m_policy;
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -20,8 +20,6 @@
 constexpr std::size_t MostCrashes = 4096;
 /// Pause between two looks whether running requests have ended.
 constexpr Millis DrainPoll{50};
-/// Changes of more servers than this are logged by their number.
-constexpr std::size_t LongestChange = 20;
 /// Part of the process's memory, as a divisor, that bodies may take. Source:
 /// what a process needs without bodies is below half of it.
 constexpr std::size_t BodyMemoryDivisor = 4;
@@ -44,14 +42,6 @@
   return Out;
 }
 
-/// Returns \p Time changed by up to a fifth, so that hosts do not stay in step.
-Millis jittered(Millis Time) {
-  static std::minstd_rand Engine{std::random_device{}()};
-  std::uniform_int_distribution<std::int64_t> Spread(-Time.count() / 5,
-                                                     Time.count() / 5);
-  return Time + Millis(Spread(Engine));
-}
-
 } // namespace
 
 GatewayHost::GatewayHost(asio::any_io_executor Executor, HostPolicy Policy,
@@ -60,7 +50,8 @@
     : m_executor(Executor), m_policy(Policy), m_settings(std::move(Settings)),
       m_store(Store), m_keyServers(Servers), m_log(Log),
       m_poison(poisonPolicy()), m_hosts(RosterPolicy{}, m_settings.m_host),
-      m_storeHealth(Policy.m_goodGap), m_directory(Policy.m_directory),
+      m_feed(Executor, Policy.m_feed, m_settings, Store, m_hosts, Log,
+             m_metrics, feedEvents()),
       m_pool(PoolPolicy{}), m_upstreams(m_pool, m_settings.m_headers),
       m_admission(Executor, AdmissionPolicy{}, dispatchPolicy(m_settings),
                   m_hosts, Log),
@@ -69,13 +60,26 @@
       m_edge(Executor, edgePolicy(Policy.m_edge, m_settings), m_settings,
              m_admission, m_upstreams, m_poison, Log, m_metrics, m_hosts,
              edgeView()),
-      m_readiness(Executor,
-                  [this](std::string_view) {
-                    return isReady() ? TextAnswer{200, "ready\n"}
-                                     : TextAnswer{503, "not ready\n"};
-                  }),
-      m_listings(m_settings.m_host.m_life) {
+      m_readiness(Executor, [this](std::string_view) {
+        return isReady() ? TextAnswer{200, "ready\n"}
+                         : TextAnswer{503, "not ready\n"};
+      }) {
   m_admission.setNetwork(m_network);
+  m_feed.setNetwork(m_network);
+}
+
+FeedEvents GatewayHost::feedEvents() {
+  FeedEvents Out;
+  Out.m_onConfiguration = [this] { onConfiguration(); };
+  Out.m_onServers = [this](const DirectoryChange &Change) {
+    onServers(Change);
+  };
+  Out.m_onFollower = [this](std::uint32_t Link) {
+    for (const auto &[Service, Feed] : m_mapsToFollowers)
+      if (Feed.told().version() > 0)
+        m_network.reply(Link, KeyMapMessage{Service, wholeMap(Feed.told())});
+  };
+  return Out;
 }
 
 PeerEvents GatewayHost::peerEvents() {
@@ -89,23 +93,25 @@
     // Until its next beat: another coordinator is there at once.
     if (IsOutgoing)
       m_hosts.noteLost(Host);
+    m_feed.onLinkDown(Host);
     m_admission.onLinkDown(Link);
   };
   Out.m_hello = [this](const std::string &Host) {
-    return HelloMessage{m_hosts.self(), m_admission.runningFor(Host)};
+    return HelloMessage{m_hosts.self(), m_admission.runningFor(Host),
+                        m_feed.isFollowing(Host)};
   };
-  Out.m_beat = [this] { return makeBeat(); };
+  Out.m_beat = [this](const HostBeat *Asked) { return makeBeat(Asked); };
   Out.m_onBeat = [this](const HostBeat &Beat) { onBeat(Beat); };
   return Out;
 }
 
 EdgeServer::View GatewayHost::edgeView() {
   EdgeServer::View Out;
-  Out.m_routes = [this] { return m_routes; };
-  Out.m_hasServers = [this] { return !m_directory.entries().empty(); };
+  Out.m_routes = [this] { return m_feed.routes(); };
+  Out.m_hasServers = [this] { return !m_feed.servers().empty(); };
   Out.m_findServer = [this](const std::string &Id) -> const ServerEntry * {
-    const auto Found = m_directory.entries().find(Id);
-    return Found == m_directory.entries().end() ? nullptr : &Found->second;
+    const auto Found = m_feed.servers().find(Id);
+    return Found == m_feed.servers().end() ? nullptr : &Found->second;
   };
   Out.m_onNotHeld = [this](const std::string &Service, Key Value) {
     const auto Keeper = m_keepers.find(Service);
@@ -143,10 +149,7 @@
             m_metricsServer->start(m_settings.m_metricsAddress))
       m_log.write("metrics-unavailable", {{"reason", Failed.message()}});
   }
-  asio::co_spawn(m_executor, enter(), asio::detached);
-  asio::co_spawn(m_executor, learnFromPeers(), asio::detached);
-  asio::co_spawn(m_executor, readConfigurationLoop(), asio::detached);
-  asio::co_spawn(m_executor, readServersLoop(), asio::detached);
+  m_feed.start();
   asio::co_spawn(m_executor, tickLoop(), asio::detached);
   asio::co_spawn(m_executor, beatLoop(), asio::detached);
   asio::co_spawn(m_executor, flushLoop(), asio::detached);
@@ -154,73 +157,8 @@
 }
 
 bool GatewayHost::isReady() const {
-  return !m_isStopping && m_routes != nullptr && !m_directory.entries().empty();
-}
-
-Millis GatewayHost::storeLost() const {
-  return m_storeHealth.lostFor(BootClock::now());
-}
-
-bool GatewayHost::isReader() const {
-  if (m_storeHealth.isLost())
-    return false;
-  for (const HostInfo &Item : m_hosts.anchors(BootClock::now())) {
-    if (Item.m_name == m_hosts.self().m_name)
-      return true;
-    const HostBeat *Beat = m_hosts.lastBeat(Item.m_name);
-    if (Beat != nullptr && Beat->m_storeLostMs == 0)
-      return false;
-  }
-  return false;
-}
-
-void GatewayHost::noteStore(bool IsGood, TimePoint AskedAt,
-                            std::string_view What, std::string_view Reason) {
-  const Millis LostFor = m_storeHealth.lostFor(BootClock::now());
-  const bool IsNews = m_storeHealth.note(IsGood, AskedAt);
-  if (!IsGood)
-    m_metrics.count("store_failures", fmt::format("read=\"{}\"", What));
-  if (IsNews && IsGood)
-    m_log.write("store-back", {{"read", What}, {"lost_ms", LostFor}});
-  else if (IsNews)
-    m_log.write("store-lost",
-                {{"read", What},
-                 {"reason", Reason},
-                 {"last_good_ms", m_storeHealth.lostFor(BootClock::now())}});
-}
-
-asio::awaitable<void> GatewayHost::enter() {
-  ReadPauses Pauses(m_policy.m_storePause, m_policy.m_longestStorePause);
-  while (true) {
-    const TimePoint AskedAt = BootClock::now();
-    const Result<std::vector<HostInfo>> Hosts =
-        co_await m_store.enterHost(m_hosts.self());
-    noteStore(Hosts.has_value(), AskedAt, "hosts",
-              Hosts ? "" : Hosts.error().message());
-    if (Hosts) {
-      m_hosts.addListed(Hosts.value(), BootClock::now());
-      break;
-    }
-    // Hosts that were there before may know what the store cannot tell now.
-    sendToSeeds();
-    co_await sleepFor(jittered(Pauses.take()));
-  }
-  co_await readHostsLoop();
-}
-
-void GatewayHost::sendToSeeds() {
-  for (const std::string &Ip : m_settings.m_seedIps)
-    if (Ip != m_hosts.self().m_ip)
-      m_network.sendBeat(Ip, false);
-}
-
-asio::awaitable<void> GatewayHost::learnFromPeers() {
-  while (m_routes == nullptr) {
-    sendToSeeds();
-    co_await sleepFor(m_policy.m_askPeersEvery);
-    if (m_routes == nullptr)
-      sendToAnchors(StateRequest{});
-  }
+  return !m_isStopping && m_feed.routes() != nullptr &&
+         !m_feed.servers().empty();
 }
 
 void GatewayHost::sendToAnchors(const PeerMessage &Message) {
@@ -229,153 +167,9 @@
       m_network.send(Peer.m_name, Message);
 }
 
-asio::awaitable<void> GatewayHost::readHostsLoop() {
-  while (true) {
-    co_await sleepFor(jittered(m_policy.m_readHostsEvery));
-    const TimePoint AskedAt = BootClock::now();
-    const Result<std::vector<HostInfo>> Hosts = co_await m_store.readHosts();
-    noteStore(Hosts.has_value(), AskedAt, "hosts",
-              Hosts ? "" : Hosts.error().message());
-    if (Hosts)
-      m_hosts.addListed(Hosts.value(), BootClock::now());
-  }
-}
-
-asio::awaitable<void> GatewayHost::readConfigurationLoop() {
-  ReadPauses Pauses(m_policy.m_storePause, m_policy.m_longestStorePause);
-  while (true) {
-    const TimePoint AskedAt = BootClock::now();
-    if (!isReader() &&
-        AskedAt - m_configurationAt < m_policy.m_configurationAge) {
-      co_await sleepFor(m_policy.m_lookEvery);
-      continue;
-    }
-    const Result<ReadConfiguration> Read =
-        co_await m_store.awaitConfiguration(m_policy.m_configurationWait);
-    const bool IsGood = Read || Read.error() == TableErrc::Conflict;
-    noteStore(IsGood, AskedAt, "configuration",
-              IsGood ? "" : Read.error().message());
-    if (IsGood)
-      m_configurationAt = BootClock::now();
-    if (Read)
-      applyConfiguration(Read.value(), "store");
-    if (IsGood) {
-      Pauses.reset();
-      continue;
-    }
-    // Without a configuration no request can be served.
-    if (m_routes == nullptr)
-      Pauses.reset();
-    co_await sleepFor(jittered(Pauses.take()));
-  }
-}
-
-asio::awaitable<void> GatewayHost::readServersLoop() {
-  ReadPauses Pauses(m_policy.m_storePause, m_policy.m_longestStorePause);
-  while (true) {
-    const TimePoint AskedAt = BootClock::now();
-    if (!isListingDue(m_listingTimes, isReader(), m_policy.m_readServersEvery,
-                      m_policy.m_listingAge, AskedAt)) {
-      co_await sleepFor(m_policy.m_lookEvery);
-      continue;
-    }
-    const Result<std::vector<ServerRow>> Rows = co_await m_store.readServers();
-    noteStore(Rows.has_value(), AskedAt, "servers",
-              Rows ? "" : Rows.error().message());
-    if (!Rows) {
-      m_directory.noteReadFailed();
-      co_await sleepFor(jittered(Pauses.take()));
-      continue;
-    }
-    Pauses.reset();
-    m_listingTimes = {AskedAt, BootClock::now()};
-    applyServers(
-        m_directory.applyListing(Rows.value(), AskedAt, BootClock::now()),
-        true);
-    shareListing(AskedAt, Rows.value());
-  }
-}
-
-void GatewayHost::shareListing(TimePoint AskedAt,
-                               const std::vector<ServerRow> &Rows) {
-  m_rowsAskedAt = AskedAt;
-  ListingMessage News = m_listings.update(Rows);
-  if (!isReader())
-    return;
-  setAges(News);
-  m_network.broadcast(News);
-}
-
-void GatewayHost::setAges(ListingMessage &News) const {
-  const TimePoint Now = BootClock::now();
-  const auto AgeMs = [Now](TimePoint Since) {
-    return static_cast<std::uint32_t>(std::min<std::int64_t>(
-        std::chrono::duration_cast<Millis>(Now - Since).count(), INT32_MAX));
-  };
-  News.m_ageMs = AgeMs(m_rowsAskedAt);
-  News.m_configAgeMs = AgeMs(m_configurationAt);
-  News.m_configVersion =
-      m_routes == nullptr ? 0 : m_routes->configuration().m_version;
-}
-
-void GatewayHost::onListing(std::uint32_t Link, const std::string &Host,
-                            const ListingMessage &Listing) {
-  const TimePoint Now = BootClock::now();
-  const std::uint64_t Own =
-      m_routes == nullptr ? 0 : m_routes->configuration().m_version;
-  const std::optional<std::vector<ServerRow>> Rows =
-      m_heard[Host].apply(Listing);
-  const StateRequest Needed{Listing.m_configVersion > Own, !Rows};
-  if (Needed.m_needsConfiguration || Needed.m_needsServers)
-    m_network.reply(Link, Needed);
-  if (Listing.m_configVersion == Own && Own > 0)
-    m_configurationAt =
-        std::max(m_configurationAt, Now - Millis(Listing.m_configAgeMs));
-  const TimePoint AskedAt = Now - Millis(Listing.m_ageMs);
-  if (!Rows || AskedAt < m_listingTimes.m_askedAt)
-    return;
-  m_listingTimes = {AskedAt, Now};
-  applyServers(m_directory.applyListing(*Rows, AskedAt, Now),
-               Listing.m_hasRows);
-}
-
-void GatewayHost::pushTo(std::uint32_t Link, const StateRequest &Needed) {
-  if (!isReader() || !m_listings.hasRows()) {
-    StateMessage Known;
-    if (Needed.m_needsConfiguration)
-      Known.m_configuration = m_configurationText;
-    if (Needed.m_needsServers)
-      for (const auto &[Id, Entry] : m_directory.entries())
-        Known.m_servers.push_back(Entry);
-    m_network.reply(Link, Known);
-    return;
-  }
-  if (Needed.m_needsConfiguration && !m_configurationText.empty())
-    m_network.reply(Link, ConfigurationMessage{m_configurationText});
-  if (!Needed.m_needsServers)
-    return;
-  ListingMessage Whole = m_listings.whole();
-  setAges(Whole);
-  m_network.reply(Link, Whole);
-}
-
-void GatewayHost::applyConfiguration(const ReadConfiguration &Read,
-                                     std::string_view Source) {
-  const std::uint64_t Old =
-      m_routes == nullptr ? 0 : m_routes->configuration().m_version;
-  if (Read.m_configuration.m_version <= Old)
-    return;
-  m_routes = std::make_shared<RouteTable>(Read.m_configuration);
-  m_configurationText = Read.m_text;
-  if (isReader())
-    m_network.broadcast(ConfigurationMessage{m_configurationText});
-  m_log.write("configuration",
-              {{"version", Read.m_configuration.m_version},
-               {"was", Old},
-               {"source", Source},
-               {"routes", Read.m_configuration.m_routes.size()}});
+void GatewayHost::onConfiguration() {
   std::vector<std::string> Names;
-  for (const auto &[Name, Item] : Read.m_configuration.m_services) {
+  for (const auto &[Name, Item] : m_feed.routes()->configuration().m_services) {
     Names.push_back(Name);
     if (Item.m_isKeyed && m_keepers.count(Name) == 0) {
       m_admission.setKeyMap(Name, KeyMap(0, {}));
@@ -386,25 +180,10 @@
   updateCoordinators();
 }
 
-void GatewayHost::applyServers(const DirectoryChange &Change, bool IsListing) {
-  const auto Report = [this](const char *What,
-                             const std::vector<std::string> &Ids) {
-    // The first listing names all servers of the site.
-    if (Ids.size() > LongestChange)
-      m_log.write(What, {{"servers", Ids.size()}});
-    else
-      for (const std::string &Id : Ids)
-        m_log.write(What, {{"server", Id}});
-  };
-  Report("server-added", Change.m_added);
-  Report("server-removed", Change.m_removed);
-  Report("server-draining", Change.m_draining);
-  Report("server-reborn", Change.m_reborn);
-  if (Change.isEmpty() && !IsListing)
-    return;
-  m_admission.setServers(m_directory.entries());
+void GatewayHost::onServers(const DirectoryChange &Change) {
+  m_admission.setServers(m_feed.servers());
   std::vector<std::string> Known;
-  for (const auto &[Id, Entry] : m_directory.entries())
+  for (const auto &[Id, Entry] : m_feed.servers())
     if (std::find(Change.m_reborn.begin(), Change.m_reborn.end(), Id) ==
         Change.m_reborn.end())
       Known.push_back(Id);
@@ -413,13 +192,13 @@
 
 OwnershipKeeper &GatewayHost::makeKeeper(const std::string &Service) {
   KeeperView View;
-  View.m_storeLost = [this] { return storeLost(); };
+  View.m_storeLost = [this] { return m_feed.storeLost(); };
   View.m_onStore = [this](bool IsGood, TimePoint AskedAt) {
-    noteStore(IsGood, AskedAt, "ownership", "not readable");
+    m_feed.noteStore(IsGood, AskedAt, "ownership", "not readable");
   };
-  View.m_storeGood = [this] { return m_storeHealth.goodFor(); };
+  View.m_storeGood = [this] { return m_feed.storeGoodFor(); };
   View.m_servers = [this]() -> const std::map<std::string, ServerEntry> & {
-    return m_directory.entries();
+    return m_feed.servers();
   };
   View.m_rateOf = [this, Service](const std::string &Server) {
     return m_admission.hub()
@@ -431,9 +210,7 @@
     return m_admission.hub().dispatcher(Service, Now).keyDemand(Now);
   };
   View.m_onKeyMap = [this, Service](const KeyMap &Map) {
-    const KeyMapChange Change = changeBetween(m_admission.keyMap(Service), Map);
-    if (m_admission.setKeyMap(Service, Map))
-      m_network.broadcast(KeyMapMessage{Service, Change});
+    m_admission.setKeyMap(Service, Map);
   };
   View.m_askPeers = [this, Service] { sendToAnchors(KeyMapRequest{Service}); };
   View.m_onRecordedMap = [this, Service](const KeyMap &Map) {
@@ -451,12 +228,31 @@
     m_network.reply(Link, KeyMapMessage{Service, wholeMap(Known)});
 }
 
+void GatewayHost::spreadKeyMaps() {
+  const TimePoint Now = BootClock::now();
+  for (const auto &[Service, Keeper] : m_keepers) {
+    const KeyMap &Current = m_admission.keyMap(Service);
+    KeyMapFeed &ToAnchors =
+        m_mapsToAnchors.emplace(Service, Millis(0)).first->second;
+    if (Keeper->isGranter())
+      if (const std::optional<KeyMapChange> News = ToAnchors.next(Current, Now))
+        sendToAnchors(KeyMapMessage{Service, *News});
+    KeyMapFeed &ToFollowers =
+        m_mapsToFollowers.emplace(Service, m_policy.m_keyMapsEvery)
+            .first->second;
+    if (m_network.hasFollowers())
+      if (const std::optional<KeyMapChange> News =
+              ToFollowers.next(Current, Now))
+        m_network.sendToFollowers(KeyMapMessage{Service, *News});
+  }
+}
+
 void GatewayHost::updateCoordinators() {
-  if (m_routes == nullptr)
+  if (m_feed.routes() == nullptr)
     return;
   const TimePoint Now = BootClock::now();
   std::vector<std::string> Names;
-  for (const auto &[Name, Item] : m_routes->configuration().m_services)
+  for (const auto &[Name, Item] : m_feed.routes()->configuration().m_services)
     Names.push_back(Name);
   std::map<std::string, std::string> Chosen = m_hosts.coordinators(Names, Now);
   for (const auto &[Service, Keeper] : m_keepers) {
@@ -473,10 +269,6 @@
       Keeper->recallHolders();
   }
   m_admission.setCoordinators(std::move(Chosen));
-  // The reader's news come over the links that its peers have opened.
-  for (const HostInfo &Item : m_hosts.anchors(Now))
-    if (Item.m_name != m_hosts.self().m_name)
-      m_network.keepLink(Item.m_name);
 }
 
 void GatewayHost::onBeat(const HostBeat &Beat) {
@@ -486,7 +278,7 @@
                                {"life", Beat.m_host.m_life},
                                {"config", Beat.m_configVersion}});
   m_hosts.noteBeat(Beat, Now);
-  applyServers(m_directory.noteServedToOthers(Millis(Beat.m_storeGoodMs), Now));
+  m_feed.onBeat(Beat);
   for (const auto &[Service, Claim] : Beat.m_claims) {
     const auto Found = m_keepers.find(Service);
     if (Found != m_keepers.end())
@@ -494,18 +286,18 @@
   }
 }
 
-HostBeat GatewayHost::makeBeat() const {
+HostBeat GatewayHost::makeBeat(const HostBeat *Asked) const {
   HostBeat Out;
   Out.m_host = m_hosts.self();
   Out.m_isStopping = m_isStopping;
   Out.m_storeLostMs = static_cast<std::uint32_t>(
-      std::min<std::int64_t>(storeLost().count(), INT32_MAX));
-  Out.m_storeGoodMs =
-      static_cast<std::uint32_t>(m_storeHealth.goodFor().count());
-  Out.m_configVersion =
-      m_routes == nullptr ? 0 : m_routes->configuration().m_version;
+      std::min<std::int64_t>(m_feed.storeLost().count(), INT32_MAX));
+  Out.m_storeGoodMs = static_cast<std::uint32_t>(m_feed.storeGoodFor().count());
+  Out.m_configVersion = m_feed.configurationVersion();
   for (const auto &[Service, Keeper] : m_keepers)
     Out.m_claims[Service] = Keeper->claim();
+  if (Asked != nullptr && Asked->m_configVersion == 0)
+    Out.m_known = m_hosts.introductions(Asked->m_host.m_zone, BootClock::now());
   return Out;
 }
 
@@ -519,18 +311,16 @@
   m_metrics.count("server_crashes_seen");
   if (IsOwn)
     sendToAnchors(Message);
-  m_network.broadcast(Message);
+  m_network.sendToFollowers(Message);
 }
 
 void GatewayHost::onMessage(std::uint32_t Link, const std::string &Host,
                             PeerMessage &Message) {
   if (const auto *Hello = std::get_if<HelloMessage>(&Message)) {
+    m_hosts.addListed({Hello->m_host}, BootClock::now());
     m_admission.onRunning(Link, Hello->m_running);
-    if (isReader() && m_listings.hasRows())
-      pushTo(Link, StateRequest{});
-    for (const auto &[Service, Keeper] : m_keepers)
-      if (Keeper->isGranter())
-        sendKeyMap(Link, Service);
+    if (Hello->m_isFollowing)
+      m_feed.onFollow(Link, true);
   } else if (const auto *Running = std::get_if<RunningMessage>(&Message)) {
     m_admission.onRunning(Link, Running->m_running);
   } else if (auto *Ask = std::get_if<AskMessage>(&Message)) {
@@ -554,22 +344,17 @@
     if (Keeper != m_keepers.end())
       Keeper->second->noteNotHeld(NotHeld->m_key);
   } else if (const auto *Needed = std::get_if<StateRequest>(&Message)) {
-    pushTo(Link, *Needed);
+    m_feed.onStateRequest(Link, *Needed);
   } else if (const auto *State = std::get_if<StateMessage>(&Message)) {
-    const Result<ReadConfiguration> Read =
-        m_store.decodeConfiguration(State->m_configuration);
-    if (Read)
-      applyConfiguration(Read.value(), "peer " + Host);
-    applyServers(m_directory.adopt(State->m_servers));
+    m_feed.onState(Host, *State);
   } else if (const auto *Listing = std::get_if<ListingMessage>(&Message)) {
-    onListing(Link, Host, *Listing);
+    m_feed.onListing(Link, Host, *Listing);
   } else if (const auto *News = std::get_if<ConfigurationMessage>(&Message)) {
-    const Result<ReadConfiguration> Read =
-        m_store.decodeConfiguration(News->m_text);
-    if (Read)
-      applyConfiguration(Read.value(), "reader " + Host);
-    else
-      m_log.write("configuration-unreadable", {{"peer", Host}});
+    m_feed.onConfiguration(News->m_text, "source " + Host);
+  } else if (const auto *Follow = std::get_if<FollowMessage>(&Message)) {
+    m_feed.onFollow(Link, Follow->m_isFollowing);
+  } else if (const auto *Hosts = std::get_if<HostsMessage>(&Message)) {
+    m_feed.onHosts(*Hosts);
   } else if (const auto *Crash = std::get_if<CrashMessage>(&Message)) {
     spreadCrash(*Crash, false);
   }
@@ -578,8 +363,9 @@
 asio::awaitable<void> GatewayHost::tickLoop() {
   while (true) {
     m_admission.tick();
-    applyServers(m_directory.expire(BootClock::now()));
+    m_feed.tick();
     updateCoordinators();
+    spreadKeyMaps();
     co_await sleepFor(m_policy.m_tickEvery);
   }
 }
@@ -605,15 +391,13 @@
   m_metrics.setGauge("client_connections",
                      static_cast<double>(m_edge.connections()));
   m_metrics.setGauge("known_servers", static_cast<double>(knownServers()));
-  m_metrics.setGauge("store_lost_ms", static_cast<double>(storeLost().count()));
+  m_metrics.setGauge("store_lost_ms",
+                     static_cast<double>(m_feed.storeLost().count()));
   m_metrics.setGauge("upstream_connections_opened",
                      static_cast<double>(m_pool.opened()));
   m_metrics.setGauge("log_lines_dropped", static_cast<double>(m_log.dropped()));
-  m_metrics.setGauge(
-      "configuration_version",
-      m_routes == nullptr
-          ? 0
-          : static_cast<double>(m_routes->configuration().m_version));
+  m_metrics.setGauge("configuration_version",
+                     static_cast<double>(m_feed.configurationVersion()));
   for (const auto &[Service, Item] : m_admission.hub().all())
     m_metrics.setGauge("waiting{service=\"" + Service + "\"}",
                        static_cast<double>(Item->load().m_waiting));
--- a/src/edge/peer-network.cc
+++ b/src/edge/peer-network.cc
@@ -96,13 +96,13 @@
     }
     m_events.m_onBeat(Beat.value());
     if (!Beat.value().m_isReply)
-      sendBeat(Beat.value().m_host.m_ip, true);
+      sendBeat(Beat.value().m_host.m_ip, &Beat.value());
   }
 }
 
-void PeerNetwork::sendBeat(const std::string &Ip, bool IsReply) {
-  HostBeat Beat = m_events.m_beat();
-  Beat.m_isReply = IsReply;
+void PeerNetwork::sendBeat(const std::string &Ip, const HostBeat *Asked) {
+  HostBeat Beat = m_events.m_beat(Asked);
+  Beat.m_isReply = Asked != nullptr;
   const std::string Bytes = encodeBeat(Beat);
   boost::system::error_code Error;
   const asio::ip::address Address = asio::ip::make_address(Ip, Error);
@@ -114,7 +114,7 @@
 
 void PeerNetwork::sendBeats() {
   for (const HostInfo &Peer : m_hosts.beatsDue(BootClock::now()))
-    sendBeat(Peer.m_ip, false);
+    sendBeat(Peer.m_ip);
 }
 
 PeerNetwork::LinkPtr PeerNetwork::outgoing(const std::string &Host) {
@@ -215,12 +215,17 @@
 }
 
 void PeerNetwork::queue(const LinkPtr &Item, const PeerMessage &Message) {
+  std::string Bytes;
+  encode(Message, Bytes);
+  queue(Item, toText(Message), Bytes);
+}
+
+void PeerNetwork::queue(const LinkPtr &Item, const char *Kind,
+                        std::string_view Bytes) {
   if (Item->m_isClosed)
     return;
-  const std::size_t Before = Item->m_queue.size();
-  encode(Message, Item->m_queue);
-  m_metrics.countPeerMessage(toText(Message), Item->m_isOtherZone,
-                             Item->m_queue.size() - Before);
+  Item->m_queue.append(Bytes);
+  m_metrics.countPeerMessage(Kind, Item->m_isOtherZone, Bytes.size());
   if (Item->m_queue.size() > m_policy.m_queueBytes) {
     close(Item, "peer does not read");
     return;
@@ -265,13 +270,29 @@
     queue(LinkPtr(Found->second), Message);
 }
 
-void PeerNetwork::broadcast(const PeerMessage &Message) {
-  std::vector<LinkPtr> Incoming;
+void PeerNetwork::setFollower(std::uint32_t Id, bool IsFollowing) {
+  const auto Found = m_links.find(Id);
+  if (Found != m_links.end())
+    Found->second->m_isFollower = IsFollowing;
+}
+
+bool PeerNetwork::hasFollowers() const {
+  return std::any_of(m_links.begin(), m_links.end(), [](const auto &Item) {
+    return Item.second->m_isFollower;
+  });
+}
+
+void PeerNetwork::sendToFollowers(const PeerMessage &Message) {
+  std::vector<LinkPtr> Followers;
   for (const auto &[Id, Item] : m_links)
-    if (!Item->m_isOutgoing && !Item->m_host.empty())
-      Incoming.push_back(Item);
-  for (const LinkPtr &Item : Incoming)
-    queue(Item, Message);
+    if (Item->m_isFollower)
+      Followers.push_back(Item);
+  if (Followers.empty())
+    return;
+  std::string Bytes;
+  encode(Message, Bytes);
+  for (const LinkPtr &Item : Followers)
+    queue(Item, toText(Message), Bytes);
 }
 
 } // namespace tamarackdrum::gateway
--- /dev/null
+++ b/src/edge/state-feed.cc
@@ -0,0 +1,465 @@
+#include "tamarackdrum/gateway/state-feed.h"
+
+#include "tamarackdrum/error.h"
+#include "tamarackdrum/sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <random>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Changes of more servers than this are logged by their number.
+constexpr std::size_t LongestChange = 20;
+/// What the users grant at least for a change to be in force.
+constexpr Millis LeastBound{2000};
+
+std::minstd_rand &engine() {
+  static std::minstd_rand Engine{std::random_device{}()};
+  return Engine;
+}
+
+/// Returns a time from \p First to \p Last, another one for each call.
+Millis between(Millis First, Millis Last) {
+  std::uniform_int_distribution<std::int64_t> Spread(First.count(),
+                                                     Last.count());
+  return Millis(Spread(engine()));
+}
+
+/// Returns \p Time changed by up to a fifth, so that hosts do not stay in step.
+Millis jittered(Millis Time) {
+  return between(Time - Time / 5, Time + Time / 5);
+}
+
+/// Returns how long a process that starts hears its peers only.
+Millis startWait(const FeedPolicy &Policy, const GatewaySettings &Settings) {
+  bool HasOthers = false;
+  for (const std::string &Ip : Settings.m_seedIps) {
+    if (Ip == Settings.m_host.m_ip)
+      return Millis(0);
+    HasOthers = true;
+  }
+  if (!HasOthers)
+    return Millis(0);
+  const Millis Wait = between(Policy.m_shortestStart, Policy.m_longestStart);
+  return Settings.m_isFirstStart ? Wait + Policy.m_firstStart : Wait;
+}
+
+std::uint32_t ageMs(TimePoint Since, TimePoint Now) {
+  return static_cast<std::uint32_t>(std::min<std::int64_t>(
+      std::chrono::duration_cast<Millis>(Now - Since).count(), INT32_MAX));
+}
+
+} // namespace
+
+StateFeed::StateFeed(asio::any_io_executor Executor, FeedPolicy Policy,
+                     const GatewaySettings &Settings, GatewayStore &Store,
+                     Roster &Hosts, EventLog &Log, GatewayMetrics &Metrics,
+                     FeedEvents Events)
+    : m_executor(std::move(Executor)), m_policy(Policy), m_settings(Settings),
+      m_store(Store), m_hosts(Hosts), m_log(Log), m_metrics(Metrics),
+      m_events(std::move(Events)), m_storeHealth(Policy.m_goodGap),
+      m_directory(Policy.m_directory), m_listings(Settings.m_host.m_life),
+      m_readsFrom(BootClock::now() + startWait(Policy, Settings)) {}
+
+void StateFeed::start() {
+  asio::co_spawn(m_executor, learnFromPeers(), asio::detached);
+  asio::co_spawn(m_executor, readConfigurationLoop(), asio::detached);
+  asio::co_spawn(m_executor, readServersLoop(), asio::detached);
+  asio::co_spawn(m_executor, hostsLoop(), asio::detached);
+}
+
+std::uint64_t StateFeed::configurationVersion() const {
+  return m_routes == nullptr ? 0 : m_routes->configuration().m_version;
+}
+
+bool StateFeed::hasState() const {
+  return m_routes != nullptr && m_directory.isLoaded();
+}
+
+Millis StateFeed::storeLost() const {
+  return m_storeHealth.lostFor(BootClock::now());
+}
+
+void StateFeed::noteStore(bool IsGood, TimePoint AskedAt, std::string_view What,
+                          std::string_view Reason) {
+  const Millis LostFor = m_storeHealth.lostFor(BootClock::now());
+  const bool IsNews = m_storeHealth.note(IsGood, AskedAt);
+  if (!IsGood)
+    m_metrics.count("store_failures",
+                    std::string("read=\"").append(What).append("\""));
+  if (IsNews && IsGood)
+    m_log.write("store-back", {{"read", What}, {"lost_ms", LostFor}});
+  else if (IsNews)
+    m_log.write("store-lost",
+                {{"read", What},
+                 {"reason", Reason},
+                 {"last_good_ms", m_storeHealth.lostFor(BootClock::now())}});
+}
+
+bool StateFeed::isReader() const {
+  const FeedSelf Self{m_storeHealth.isLost(), m_routes != nullptr};
+  return readerOf(m_hosts, Self, BootClock::now()) == m_hosts.self().m_name;
+}
+
+void StateFeed::updateSource() {
+  const TimePoint Now = BootClock::now();
+  const FeedSelf Self{m_storeHealth.isLost(), m_routes != nullptr};
+  const std::string Reader = readerOf(m_hosts, Self, Now);
+  const FeedSource Next = feedSourceOf(m_hosts, Reader, m_policy.m_tree, Now);
+  const FeedSource Old = std::exchange(m_source, Next);
+  if (Old.m_host == Next.m_host) {
+    // A link that was lost is opened again; its first message says the rest.
+    if (!Next.m_host.empty())
+      m_network->keepLink(Next.m_host);
+    return;
+  }
+  m_log.write("feed-source", {{"is", Next.m_host},
+                              {"relay", Next.m_isRelay},
+                              {"reader", Reader},
+                              {"was", Old.m_host}});
+  if (m_network->hasLink(Old.m_host))
+    m_network->send(Old.m_host, FollowMessage{false});
+  if (m_network->hasLink(Next.m_host))
+    m_network->send(Next.m_host, FollowMessage{true});
+  else if (!Next.m_host.empty())
+    m_network->keepLink(Next.m_host);
+}
+
+Millis StateFeed::silenceLimit(Millis OfReader, Millis Bound) const {
+  if (!m_source.m_isRelay || Bound <= LeastBound)
+    return OfReader;
+  const double More =
+      static_cast<double>((Bound - LeastBound).count()) * m_policy.m_relayShare;
+  return OfReader + Millis(static_cast<std::int64_t>(More));
+}
+
+void StateFeed::tick() {
+  updateSource();
+  applyServers(m_directory.expire(BootClock::now()), false);
+}
+
+asio::awaitable<void> StateFeed::awaitPeers() {
+  while (!hasState() && BootClock::now() < m_readsFrom)
+    co_await sleepFor(m_policy.m_startLook);
+}
+
+void StateFeed::sendToSeeds() {
+  for (const std::string &Ip : m_settings.m_seedIps)
+    if (Ip != m_hosts.self().m_ip)
+      m_network->sendBeat(Ip);
+}
+
+asio::awaitable<void> StateFeed::learnFromPeers() {
+  while (!hasState()) {
+    sendToSeeds();
+    co_await sleepFor(m_policy.m_askPeersEvery);
+    // Where nobody reads the store, nobody is followed.
+    if (hasState() || !m_source.m_host.empty())
+      continue;
+    for (const HostInfo &Peer : m_hosts.anchors(BootClock::now()))
+      if (Peer.m_name != m_hosts.self().m_name)
+        m_network->send(Peer.m_name, StateRequest{});
+  }
+}
+
+asio::awaitable<void> StateFeed::readConfigurationLoop() {
+  co_await awaitPeers();
+  ReadPauses Pauses(m_policy.m_storePause, m_policy.m_longestStorePause);
+  while (true) {
+    const TimePoint AskedAt = BootClock::now();
+    const Millis Limit =
+        silenceLimit(m_policy.m_configurationAge, m_settings.m_applyBound);
+    if (!isReader() && AskedAt - m_configurationAt < Limit) {
+      co_await sleepFor(m_policy.m_lookEvery);
+      continue;
+    }
+    const Result<ReadConfiguration> Read =
+        co_await m_store.awaitConfiguration(m_policy.m_configurationWait);
+    const bool IsGood = Read || Read.error() == TableErrc::Conflict;
+    noteStore(IsGood, AskedAt, "configuration",
+              IsGood ? "" : Read.error().message());
+    if (IsGood)
+      m_configurationAt = BootClock::now();
+    if (Read)
+      applyConfiguration(Read.value(), "store");
+    if (IsGood) {
+      Pauses.reset();
+      continue;
+    }
+    // Without a configuration no request can be served.
+    if (m_routes == nullptr)
+      Pauses.reset();
+    co_await sleepFor(jittered(Pauses.take()));
+  }
+}
+
+asio::awaitable<void> StateFeed::readServersLoop() {
+  co_await awaitPeers();
+  ReadPauses Pauses(m_policy.m_storePause, m_policy.m_longestStorePause);
+  while (true) {
+    const TimePoint AskedAt = BootClock::now();
+    const Millis Limit =
+        silenceLimit(m_policy.m_listingAge, m_settings.m_drainBound);
+    if (!isListingDue(m_listingTimes, isReader(), m_policy.m_readServersEvery,
+                      Limit, AskedAt)) {
+      co_await sleepFor(m_policy.m_lookEvery);
+      continue;
+    }
+    Result<ServerListing> Read = co_await m_store.readServers();
+    noteStore(Read.has_value(), AskedAt, "servers",
+              Read ? "" : Read.error().message());
+    if (!Read) {
+      m_directory.noteReadFailed();
+      co_await sleepFor(jittered(Pauses.take()));
+      continue;
+    }
+    Pauses.reset();
+    // The store has answered just now, whatever its clock says.
+    takeListing(std::move(Read.value().m_rows),
+                {AskedAt, BootClock::now(), Read.value().m_storeMs}, true);
+  }
+}
+
+void StateFeed::takeListing(std::vector<ServerRow> Rows,
+                            const ListingTimes &Times, bool HasNews) {
+  m_listingTimes = Times;
+  applyServers(m_directory.applyListing(Rows, Times.m_askedAt, Times.m_heardAt),
+               HasNews);
+  m_rows = std::move(Rows);
+  m_areRowsShared = m_network->hasFollowers();
+  if (!m_areRowsShared)
+    return;
+  ListingMessage News = m_listings.update(m_rows);
+  setAges(News);
+  m_network->sendToFollowers(News);
+}
+
+void StateFeed::setAges(ListingMessage &News) const {
+  const TimePoint Now = BootClock::now();
+  News.m_storeMs = m_listingTimes.m_storeMs;
+  News.m_ageMs = ageMs(m_listingTimes.m_askedAt, Now);
+  News.m_configAgeMs = ageMs(m_configurationAt, Now);
+  News.m_configVersion = configurationVersion();
+}
+
+void StateFeed::onListing(std::uint32_t Link, const std::string &Host,
+                          const ListingMessage &Listing) {
+  const TimePoint Now = BootClock::now();
+  const std::uint64_t Own = configurationVersion();
+  ListingSink &Heard = m_heard[Host];
+  const bool IsWhole = Heard.apply(Listing);
+  const StateRequest Needed{Listing.m_configVersion > Own, !IsWhole};
+  if (Needed.m_needsConfiguration || Needed.m_needsServers)
+    m_network->reply(Link, Needed);
+  if (Listing.m_configVersion == Own && Own > 0)
+    m_configurationAt =
+        std::max(m_configurationAt, Now - Millis(Listing.m_configAgeMs));
+  if (!IsWhole || !isListingNew(m_listingTimes, Listing.m_storeMs))
+    return;
+  takeListing(Heard.rows(),
+              {Now - Millis(Listing.m_ageMs), Now, Listing.m_storeMs},
+              Listing.m_hasRows);
+}
+
+void StateFeed::onConfiguration(const std::string &Text,
+                                std::string_view Source) {
+  const Result<ReadConfiguration> Read = m_store.decodeConfiguration(Text);
+  if (Read)
+    applyConfiguration(Read.value(), Source);
+}
+
+void StateFeed::onState(const std::string &Host, const StateMessage &State) {
+  if (!State.m_configuration.empty())
+    onConfiguration(State.m_configuration, "peer " + Host);
+  applyServers(m_directory.adopt(State.m_servers), false);
+}
+
+void StateFeed::applyConfiguration(const ReadConfiguration &Read,
+                                   std::string_view Source) {
+  const std::uint64_t Old = configurationVersion();
+  if (Read.m_configuration.m_version <= Old)
+    return;
+  m_routes = std::make_shared<RouteTable>(Read.m_configuration);
+  m_configurationText = Read.m_text;
+  m_network->sendToFollowers(ConfigurationMessage{m_configurationText});
+  m_log.write("configuration",
+              {{"version", Read.m_configuration.m_version},
+               {"was", Old},
+               {"source", Source},
+               {"routes", Read.m_configuration.m_routes.size()}});
+  m_events.m_onConfiguration();
+}
+
+void StateFeed::applyServers(const DirectoryChange &Change, bool IsListing) {
+  const auto Report = [this](const char *What,
+                             const std::vector<std::string> &Ids) {
+    // The first listing names all servers of the site.
+    if (Ids.size() > LongestChange)
+      m_log.write(What, {{"servers", Ids.size()}});
+    else
+      for (const std::string &Id : Ids)
+        m_log.write(What, {{"server", Id}});
+  };
+  Report("server-added", Change.m_added);
+  Report("server-removed", Change.m_removed);
+  Report("server-draining", Change.m_draining);
+  Report("server-reborn", Change.m_reborn);
+  if (!Change.isEmpty() || IsListing)
+    m_events.m_onServers(Change);
+}
+
+void StateFeed::onFollow(std::uint32_t Link, bool IsFollowing) {
+  m_network->setFollower(Link, IsFollowing);
+  if (!IsFollowing)
+    return;
+  m_network->reply(Link, HostsMessage{0, m_hosts.all()});
+  sendState(Link, StateRequest{});
+  m_events.m_onFollower(Link);
+}
+
+void StateFeed::sendState(std::uint32_t Link, const StateRequest &Needed) {
+  if (Needed.m_needsConfiguration && !m_configurationText.empty())
+    m_network->reply(Link, ConfigurationMessage{m_configurationText});
+  if (!Needed.m_needsServers || !m_directory.isLoaded())
+    return;
+  if (!std::exchange(m_areRowsShared, true))
+    m_listings.update(m_rows);
+  ListingMessage Whole = m_listings.whole();
+  setAges(Whole);
+  m_network->reply(Link, Whole);
+}
+
+void StateFeed::onStateRequest(std::uint32_t Link, const StateRequest &Needed) {
+  if (m_directory.isLoaded()) {
+    sendState(Link, Needed);
+    return;
+  }
+  StateMessage Known;
+  if (Needed.m_needsConfiguration)
+    Known.m_configuration = m_configurationText;
+  if (Needed.m_needsServers)
+    for (const auto &[Id, Entry] : m_directory.entries())
+      Known.m_servers.push_back(Entry);
+  m_network->reply(Link, Known);
+}
+
+asio::awaitable<bool> StateFeed::readHosts() {
+  const TimePoint AskedAt = BootClock::now();
+  const Result<HostListing> Read = co_await m_store.readHosts();
+  noteStore(Read.has_value(), AskedAt, "hosts",
+            Read ? "" : Read.error().message());
+  if (!Read)
+    co_return false;
+  m_hostsReadAt = AskedAt;
+  m_entered.clear();
+  for (const HostInfo &Item : Read.value().m_hosts)
+    m_entered[Item.m_name] = Item.m_life;
+  m_hosts.addListed(Read.value().m_hosts, BootClock::now());
+  m_hostsStoreMs = Read.value().m_storeMs;
+  co_return true;
+}
+
+asio::awaitable<void> StateFeed::enterHosts() {
+  std::vector<HostInfo> Missing = m_hosts.live(BootClock::now());
+  std::erase_if(Missing, [this](const HostInfo &Item) {
+    const auto Found = m_entered.find(Item.m_name);
+    return Found != m_entered.end() && Found->second == Item.m_life;
+  });
+  while (!Missing.empty()) {
+    const TimePoint AskedAt = BootClock::now();
+    const Result<std::size_t> Entered = co_await m_store.enterHosts(Missing);
+    noteStore(Entered.has_value(), AskedAt, "hosts",
+              Entered ? "" : Entered.error().message());
+    if (!Entered || Entered.value() == 0)
+      co_return;
+    m_log.write("hosts-entered", {{"hosts", Entered.value()}});
+    const auto End =
+        Missing.begin() + static_cast<std::ptrdiff_t>(Entered.value());
+    for (auto Item = Missing.begin(); Item != End; ++Item)
+      m_entered[Item->m_name] = Item->m_life;
+    Missing.erase(Missing.begin(), End);
+  }
+}
+
+void StateFeed::spreadHosts(bool IsWhole) {
+  const std::vector<HostInfo> Live = m_hosts.live(BootClock::now());
+  HostsMessage News;
+  News.m_storeMs = IsWhole ? m_hostsStoreMs : 0;
+  for (const HostInfo &Item : Live)
+    if (std::exchange(m_spread[Item.m_name], Item.m_life) != Item.m_life ||
+        IsWhole)
+      News.m_hosts.push_back(Item);
+  if (!News.m_hosts.empty())
+    m_network->sendToFollowers(News);
+}
+
+asio::awaitable<void> StateFeed::enterSelf() {
+  ReadPauses Pauses(m_policy.m_storePause, m_policy.m_longestStorePause);
+  while (true) {
+    co_await enterHosts();
+    bool IsRead = false;
+    if (!m_storeHealth.isLost())
+      IsRead = co_await readHosts();
+    if (IsRead)
+      co_return;
+    // Hosts that were there before may know what the store cannot tell now.
+    sendToSeeds();
+    co_await sleepFor(jittered(Pauses.take()));
+  }
+}
+
+asio::awaitable<void> StateFeed::hostsLoop() {
+  co_await awaitPeers();
+  if (!hasState())
+    co_await enterSelf();
+  bool WasReader = false;
+  while (true) {
+    co_await sleepFor(jittered(m_policy.m_enterHostsEvery));
+    const TimePoint Now = BootClock::now();
+    const bool IsReading = isReader();
+    const bool IsDue = Now - m_hostsReadAt >= m_policy.m_readHostsEvery;
+    const bool IsFed =
+        Now - m_listingTimes.m_heardAt < m_policy.m_readHostsEvery;
+    // An earlier reader may have entered hosts meanwhile.
+    const bool IsWanted = IsReading ? IsDue || !WasReader : IsDue && !IsFed;
+    bool IsRead = false;
+    if (IsWanted)
+      IsRead = co_await readHosts();
+    WasReader = IsReading && (WasReader || IsRead);
+    if (!WasReader)
+      continue;
+    co_await enterHosts();
+    spreadHosts(IsRead);
+  }
+}
+
+void StateFeed::onHosts(const HostsMessage &News) {
+  if (News.m_storeMs > 0 && News.m_storeMs <= m_hostsStoreMs)
+    return;
+  const std::vector<HostInfo> Unknown =
+      m_hosts.addListed(News.m_hosts, BootClock::now());
+  if (News.m_storeMs > 0) {
+    m_hostsStoreMs = News.m_storeMs;
+    m_network->sendToFollowers(News);
+  } else if (!Unknown.empty()) {
+    m_network->sendToFollowers(HostsMessage{0, Unknown});
+  }
+}
+
+void StateFeed::onBeat(const HostBeat &Beat) {
+  const TimePoint Now = BootClock::now();
+  applyServers(m_directory.noteServedToOthers(Millis(Beat.m_storeGoodMs), Now),
+               false);
+  if (hasState())
+    return;
+  // Whoever has just started makes itself known to those that it should hear.
+  if (!m_hosts.addListed(Beat.m_known, Now).empty())
+    m_network->sendBeats();
+  updateSource();
+}
+
+} // namespace tamarackdrum::gateway
--- a/src/gateway/listing-feed.cc
+++ b/src/gateway/listing-feed.cc
@@ -62,12 +62,11 @@
   return Out;
 }
 
-std::optional<std::vector<ServerRow>>
-ListingSink::apply(const ListingMessage &News) {
+bool ListingSink::apply(const ListingMessage &News) {
   if (!News.m_hasRows && News.m_version != m_version)
-    return std::nullopt;
+    return false;
   if (News.m_hasRows && News.m_base != 0 && News.m_base != m_version)
-    return std::nullopt;
+    return false;
   if (News.m_hasRows && News.m_base == 0)
     m_rows.clear();
   for (const ServerRow &Row : News.m_rows)
@@ -75,7 +74,9 @@
   for (const std::string &Id : News.m_removed)
     m_rows.erase(Id);
   m_version = News.m_version;
-  return valuesOf(m_rows);
+  return true;
 }
 
+std::vector<ServerRow> ListingSink::rows() const { return valuesOf(m_rows); }
+
 } // namespace tamarackdrum::gateway
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// Version of the messages between hosts; others are refused.
-constexpr std::uint32_t ProtocolVersion = 3;
+constexpr std::uint32_t ProtocolVersion = 4;
 /// Largest message, in bytes: a state message with 1,000 servers.
 constexpr std::uint32_t LargestMessage = 4 << 20;
 constexpr std::size_t LengthBytes = 4;
@@ -54,6 +54,20 @@
   return Out;
 }
 
+Json pack(const std::vector<HostInfo> &Hosts) {
+  Json Out = Json::array();
+  for (const HostInfo &Item : Hosts)
+    Out.push_back(pack(Item));
+  return Out;
+}
+
+std::vector<HostInfo> readHosts(const Json &Values) {
+  std::vector<HostInfo> Out;
+  for (const Json &Value : Values)
+    Out.push_back(readHost(Value));
+  return Out;
+}
+
 Json pack(const std::vector<RunningDispatch> &Items) {
   Json Out = Json::array();
   for (const RunningDispatch &Item : Items)
@@ -77,12 +91,14 @@
 }
 
 Json pack(const HelloMessage &Value) {
-  return packAll(pack(Value.m_host), pack(Value.m_running));
+  return packAll(pack(Value.m_host), pack(Value.m_running),
+                 Value.m_isFollowing);
 }
 
 void read(Reader In, HelloMessage &Out) {
   Out.m_host = readHost(In.next());
   Out.m_running = readRunning(In.next());
+  Out.m_isFollowing = In.take<bool>();
 }
 
 Json pack(const RunningMessage &Value) {
@@ -241,7 +257,7 @@
   for (const ServerRow &Row : Value.m_rows)
     Rows.push_back(Row.m_isReadable ? packServer(Row.m_entry)
                                     : packAll(Row.m_id));
-  return packAll(Value.m_version, Value.m_base, Value.m_ageMs,
+  return packAll(Value.m_version, Value.m_base, Value.m_storeMs, Value.m_ageMs,
                  Value.m_configAgeMs, Value.m_configVersion, Value.m_hasRows,
                  Rows, Value.m_removed);
 }
@@ -249,6 +265,7 @@
 void read(Reader In, ListingMessage &Out) {
   Out.m_version = In.take<std::uint64_t>();
   Out.m_base = In.take<std::uint64_t>();
+  Out.m_storeMs = In.take<std::int64_t>();
   Out.m_ageMs = In.take<std::uint32_t>();
   Out.m_configAgeMs = In.take<std::uint32_t>();
   Out.m_configVersion = In.take<std::uint64_t>();
@@ -279,6 +296,21 @@
   Out.m_server = In.take<std::string>();
 }
 
+Json pack(const FollowMessage &Value) { return packAll(Value.m_isFollowing); }
+
+void read(Reader In, FollowMessage &Out) {
+  Out.m_isFollowing = In.take<bool>();
+}
+
+Json pack(const HostsMessage &Value) {
+  return packAll(Value.m_storeMs, pack(Value.m_hosts));
+}
+
+void read(Reader In, HostsMessage &Out) {
+  Out.m_storeMs = In.take<std::int64_t>();
+  Out.m_hosts = readHosts(In.next());
+}
+
 /// Reads the message whose alternative in PeerMessage is \p Index.
 template <std::size_t Index = 0>
 PeerMessage readAlternative(std::size_t Wanted, const Reader &In) {
@@ -304,7 +336,8 @@
 constexpr std::array<const char *, std::variant_size_v<PeerMessage>> KindNames{
     "hello",         "running",  "ask",     "queued",   "decision",
     "finish",        "withdraw", "key-map", "not-held", "key-map-request",
-    "state-request", "state",    "crash",   "listing",  "configuration"};
+    "state-request", "state",    "crash",   "listing",  "configuration",
+    "follow",        "hosts"};
 
 } // namespace
 
@@ -356,9 +389,10 @@
   for (const auto &[Service, Claim] : Beat.m_claims)
     Claims.push_back(
         packAll(Service, Claim.m_term, Claim.m_host, Claim.m_life));
-  const std::vector<std::uint8_t> Body = Json::to_msgpack(packAll(
-      ProtocolVersion, pack(Beat.m_host), Beat.m_isStopping, Beat.m_isReply,
-      Beat.m_storeLostMs, Beat.m_storeGoodMs, Beat.m_configVersion, Claims));
+  const std::vector<std::uint8_t> Body = Json::to_msgpack(
+      packAll(ProtocolVersion, pack(Beat.m_host), Beat.m_isStopping,
+              Beat.m_isReply, Beat.m_storeLostMs, Beat.m_storeGoodMs,
+              Beat.m_configVersion, Claims, pack(Beat.m_known)));
   return {Body.begin(), Body.end()};
 }
 
@@ -384,6 +418,7 @@
       Claim.m_life = Item.take<std::int64_t>();
       Out.m_claims[Service] = Claim;
     }
+    Out.m_known = readHosts(In.next());
     return Out;
   } catch (const std::exception &) {
     // The library throws on bytes that are no message.
--- a/src/gateway/roster.cc
+++ b/src/gateway/roster.cc
@@ -6,8 +6,8 @@
 namespace tamarackdrum::gateway {
 namespace {
 
-/// A host announces itself to all hosts that it knows for this long, so that
-/// each learns its address.
+/// A host announces itself for this long to all hosts that it knows and that
+/// may have duties, so that each learns its address.
 constexpr Millis AnnounceTime{1500};
 /// Hosts of at least this part of the largest processor share may coordinate.
 constexpr double LeastWeightShare = 0.9;
@@ -17,28 +17,40 @@
 Roster::Roster(RosterPolicy Policy, HostInfo Self)
     : m_policy(Policy), m_self(std::move(Self)) {}
 
-void Roster::addListed(const std::vector<HostInfo> &Hosts, TimePoint Now) {
+Roster::Peer &Roster::peer(const std::string &Name, TimePoint Now) {
+  Peer &Out = m_hosts[Name];
+  if (Out.m_addedAt == TimePoint{}) {
+    Out.m_order = hashKey(Name);
+    Out.m_addedAt = Now;
+    Out.m_listedAt = Now;
+  }
+  return Out;
+}
+
+std::vector<HostInfo> Roster::addListed(const std::vector<HostInfo> &Hosts,
+                                        TimePoint Now) {
+  std::vector<HostInfo> News;
   for (const HostInfo &Info : Hosts) {
     if (Info.m_name == m_self.m_name || Info.m_ip == m_self.m_ip)
       continue;
-    Peer &Item = m_hosts[Info.m_name];
-    if (Item.m_addedAt == TimePoint{})
-      Item.m_addedAt = Now;
+    Peer &Item = peer(Info.m_name, Now);
+    Item.m_listedAt = Now;
+    if (Info.m_life > Item.m_info.m_life)
+      News.push_back(Info);
     if (Info.m_life >= Item.m_info.m_life)
       Item.m_info = Info;
   }
+  return News;
 }
 
 void Roster::noteBeat(const HostBeat &Beat, TimePoint Now) {
   if (Beat.m_host.m_name == m_self.m_name)
     return;
-  Peer &Item = m_hosts[Beat.m_host.m_name];
+  Peer &Item = peer(Beat.m_host.m_name, Now);
   // The life of a process comes from a clock that may jump: an earlier one
   // counts once the later one is silent.
   if (Beat.m_host.m_life < Item.m_info.m_life && isAlive(Item, Now))
     return;
-  if (Item.m_addedAt == TimePoint{})
-    Item.m_addedAt = Now;
   Item.m_info = Beat.m_host;
   Item.m_beat = Beat;
   Item.m_heardAt = Now;
@@ -90,17 +102,45 @@
   return Found == m_hosts.end() ? nullptr : &Found->second.m_beat;
 }
 
-std::vector<const Roster::Peer *> Roster::ordered() const {
+std::size_t Roster::countInZone() const {
+  return 1 + std::count_if(m_hosts.begin(), m_hosts.end(),
+                           [this](const auto &Item) {
+                             return Item.second.m_info.m_zone == m_self.m_zone;
+                           });
+}
+
+std::vector<HostInfo> Roster::all() const {
+  std::vector<HostInfo> Out{m_self};
+  for (const auto &[Name, Item] : m_hosts)
+    Out.push_back(Item.m_info);
+  return Out;
+}
+
+std::vector<HostInfo> Roster::live(TimePoint Now) const {
+  std::vector<HostInfo> Out{m_self};
+  for (const auto &[Name, Item] : m_hosts)
+    if (isAlive(Item, Now))
+      Out.push_back(Item.m_info);
+  return Out;
+}
+
+unsigned Roster::largestWeight(TimePoint Now) const {
   unsigned Largest = m_self.m_weight;
   for (const auto &[Name, Item] : m_hosts)
-    Largest = std::max(Largest, Item.m_info.m_weight);
+    if (Now - std::max(Item.m_heardAt, Item.m_addedAt) < m_policy.m_heirAfter)
+      Largest = std::max(Largest, Item.m_info.m_weight);
+  return Largest;
+}
+
+std::vector<const Roster::Peer *> Roster::ordered(TimePoint Now) const {
+  const unsigned Largest = largestWeight(Now);
   std::vector<const Peer *> Out;
   for (const auto &[Name, Item] : m_hosts)
     if (Item.m_info.m_weight >= LeastWeightShare * Largest ||
         Item.m_info.m_weight == 0)
       Out.push_back(&Item);
   std::sort(Out.begin(), Out.end(), [](const Peer *A, const Peer *B) {
-    return hashKey(A->m_info.m_name) < hashKey(B->m_info.m_name);
+    return A->m_order < B->m_order;
   });
   return Out;
 }
@@ -111,27 +151,30 @@
   const bool IsNew = Now - m_startedAt < AnnounceTime;
   for (auto Item = m_hosts.begin(); Item != m_hosts.end();) {
     const TimePoint Last =
-        std::max(Item->second.m_heardAt, Item->second.m_addedAt);
+        std::max(Item->second.m_heardAt, Item->second.m_listedAt);
     Item = Now - Last > m_policy.m_forgetAfter ? m_hosts.erase(Item)
                                                : std::next(Item);
   }
   std::vector<HostInfo> Out;
   unsigned Live = 0;
+  unsigned LiveInZone = 0;
   std::set<std::string> Wanted;
-  for (const Peer *Item : ordered()) {
+  for (const Peer *Item : ordered(Now)) {
     const bool IsLive = isAlive(*Item, Now);
-    if (Live >= m_policy.m_anchors && !IsNew)
-      break;
+    const bool IsInZone = Item->m_info.m_zone == m_self.m_zone;
+    const bool IsAnchor = Live < m_policy.m_anchors;
+    const bool IsRelay = IsInZone && LiveInZone < m_policy.m_relays;
     Live += IsLive ? 1 : 0;
+    LiveInZone += IsLive && IsInZone ? 1 : 0;
+    if (!IsAnchor && !IsRelay && !IsNew)
+      continue;
     const Millis Every =
         IsLive || IsNew ? m_policy.m_beatEvery : m_policy.m_retryEvery;
     if (Now - Item->m_sentAt >= Every)
       Wanted.insert(Item->m_info.m_name);
   }
   for (auto &[Name, Item] : m_hosts) {
-    const bool IsAnnounced =
-        IsNew && Now - Item.m_sentAt >= m_policy.m_beatEvery;
-    if (!IsAnnounced && Wanted.count(Name) == 0)
+    if (Wanted.count(Name) == 0)
       continue;
     Item.m_sentAt = Now;
     Out.push_back(Item.m_info);
@@ -140,13 +183,18 @@
 }
 
 std::vector<HostInfo> Roster::anchors(TimePoint Now) const {
-  unsigned Largest = m_self.m_weight;
+  std::vector<HostInfo> Out = dutiful(Now);
+  if (Out.size() > m_policy.m_anchors)
+    Out.resize(m_policy.m_anchors);
+  return Out;
+}
+
+std::vector<HostInfo> Roster::dutiful(TimePoint Now) const {
+  const unsigned Largest = largestWeight(Now);
   std::vector<HostInfo> Out;
-  for (const Peer *Item : ordered())
-    if (isAlive(*Item, Now) && !Item->m_beat.m_isStopping) {
+  for (const Peer *Item : ordered(Now))
+    if (isAlive(*Item, Now) && !Item->m_beat.m_isStopping)
       Out.push_back(Item->m_info);
-      Largest = std::max(Largest, Item->m_info.m_weight);
-    }
   if (!m_isStopping && m_self.m_weight >= LeastWeightShare * Largest) {
     const auto Place =
         std::find_if(Out.begin(), Out.end(), [this](const HostInfo &Other) {
@@ -154,8 +202,28 @@
         });
     Out.insert(Place, m_self);
   }
-  if (Out.size() > m_policy.m_anchors)
-    Out.resize(m_policy.m_anchors);
+  return Out;
+}
+
+std::vector<HostInfo> Roster::relays(TimePoint Now) const {
+  std::vector<HostInfo> Out = dutiful(Now);
+  std::erase_if(Out, [this](const HostInfo &Item) {
+    return Item.m_zone != m_self.m_zone;
+  });
+  if (Out.size() > m_policy.m_relays)
+    Out.resize(m_policy.m_relays);
+  return Out;
+}
+
+std::vector<HostInfo> Roster::introductions(const std::string &Zone,
+                                            TimePoint Now) const {
+  std::vector<HostInfo> Out = anchors(Now);
+  unsigned InZone = 0;
+  for (const Peer *Item : ordered(Now))
+    if (Item->m_info.m_zone == Zone && InZone < m_policy.m_relays) {
+      ++InZone;
+      Out.push_back(Item->m_info);
+    }
   return Out;
 }
 
--- a/test/gateway/fake-platform.h
+++ b/test/gateway/fake-platform.h
@@ -29,11 +29,12 @@
 /// A store in memory that all hosts of a test share.
 class FakeStore : public GatewayStore {
 public:
-  Task<std::vector<ServerRow>> readServers() override {
+  Task<ServerListing> readServers() override {
+    ++m_listingsRead;
     co_await sleepFor(Millis(1));
     if (!m_isUp)
       co_return TableErrc::Unavailable;
-    co_return m_servers;
+    co_return ServerListing{m_servers, bootMillis()};
   }
   Task<ReadConfiguration> awaitConfiguration(Millis) override {
     co_await sleepFor(Millis(10));
@@ -70,11 +71,14 @@
     ++m_ownership.m_version;
     co_return m_ownership.m_version;
   }
-  Task<std::vector<HostInfo>> enterHost(HostInfo Self) override {
-    m_hosts.push_back(std::move(Self));
-    co_return m_hosts;
+  Task<std::size_t> enterHosts(std::vector<HostInfo> Hosts) override {
+    ++m_hostWrites;
+    m_hosts.insert(m_hosts.end(), Hosts.begin(), Hosts.end());
+    co_return Hosts.size();
+  }
+  Task<HostListing> readHosts() override {
+    co_return HostListing{m_hosts, bootMillis()};
   }
-  Task<std::vector<HostInfo>> readHosts() override { co_return m_hosts; }
 
   bool m_isUp = true;
   bool m_takesWrites = true;
@@ -83,6 +87,8 @@
   Configuration m_configuration;
   VersionedOwnership m_ownership;
   std::vector<HostInfo> m_hosts;
+  std::size_t m_listingsRead = 0;
+  std::size_t m_hostWrites = 0;
   std::function<void()> m_onRead;
 };
 
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -80,8 +80,10 @@
     GatewaySettings Settings;
     std::string Ip("127.0.0.");
     Ip += std::to_string(Number + 1);
-    Settings.m_host = {Number == 0 ? "host-0" : "host-1", Ip, "zone-a",
-                       Number + 1, 20};
+    std::string Name("host-");
+    Name += std::to_string(Number);
+    Settings.m_host = {Name, Ip, "zone-a", Number + 1, 20};
+    Settings.m_seedIps = m_seedIps;
     std::string Client(Ip);
     Client += ":";
     Client += std::to_string(freePort());
@@ -186,6 +188,7 @@
   std::array<ScriptedServer, 2> m_stock{ScriptedServer(m_context),
                                         ScriptedServer(m_context)};
   HostPolicy m_policy;
+  std::vector<std::string> m_seedIps;
   std::uint16_t m_peerPort = 0;
   std::vector<Endpoint> m_addresses;
   std::vector<std::unique_ptr<GatewayHost>> m_hosts;
@@ -450,14 +453,14 @@
 // and kept a server that had left. That the reader had served on did not tell
 // them otherwise once one of its other calls had failed.
 TEST_F(GatewayHostTest, Directory_RowGoesAfterALongCalm_IsDroppedEverywhere) {
-  m_policy.m_directory.m_outageGap = Millis(4000);
-  m_policy.m_directory.m_returnGrace = std::chrono::hours(1);
+  m_policy.m_feed.m_directory.m_outageGap = Millis(4000);
+  m_policy.m_feed.m_directory.m_returnGrace = std::chrono::hours(1);
   startAll(2);
   const auto Wait = [this](Millis Time) {
     const TimePoint End = BootClock::now() + Time;
     return runUntil([End] { return BootClock::now() > End; });
   };
-  ASSERT_TRUE(Wait(m_policy.m_directory.m_outageGap));
+  ASSERT_TRUE(Wait(m_policy.m_feed.m_directory.m_outageGap));
   m_store.m_failsNextWait = true;
   ASSERT_TRUE(Wait(Millis(1500)));
   m_store.m_servers.erase(m_store.m_servers.begin());
@@ -542,6 +545,78 @@
   EXPECT_EQ(send(get("/stock/", "Test-Key: 1\r\n"), 1).m_status, 200U);
 }
 
+/// Hosts enough for a relay, of which only the first reads the store at its
+/// start.
+class ManyHostsTest : public GatewayHostTest {
+protected:
+  static constexpr int Count = 10;
+
+  ManyHostsTest() {
+    m_seedIps = {"127.0.0.1"};
+    m_policy.m_feed.m_shortestStart = Patience;
+    m_policy.m_feed.m_longestStart = Patience;
+    m_policy.m_feed.m_enterHostsEvery = Millis(200);
+  }
+
+  bool allKnow(std::size_t Servers) {
+    return runUntil([this, Servers] {
+      return std::all_of(m_hosts.begin(), m_hosts.end(),
+                         [Servers](const auto &Item) {
+                           return Item->knownServers() == Servers;
+                         });
+    });
+  }
+};
+
+// Load pattern: a whole site starts. Each host read the store by itself.
+TEST_F(ManyHostsTest, Start_OneHostReads_AllAreReadyAndEntered) {
+  startAll(Count);
+  EXPECT_TRUE(runUntil([this] { return m_store.m_hosts.size() >= Count; }));
+  EXPECT_LT(m_store.m_hostWrites, Count);
+  EXPECT_LT(m_store.m_listingsRead, Count);
+  std::set<std::string> Names;
+  for (const HostInfo &Item : m_store.m_hosts)
+    Names.insert(Item.m_name);
+  EXPECT_EQ(Names.size(), Count);
+}
+
+TEST_F(ManyHostsTest, Listing_ServerLeaves_ReachesAllHosts) {
+  startAll(Count);
+  ASSERT_TRUE(allKnow(4));
+  m_store.m_servers.pop_back();
+  EXPECT_TRUE(allKnow(3));
+}
+
+TEST_F(ManyHostsTest, Configuration_Changes_ReachesAllHosts) {
+  startAll(Count);
+  m_store.m_configuration.m_version = 9;
+  m_store.m_configuration.m_routes.push_back(
+      makeRoute("new", "/new/", RequestKind::Safe, "web"));
+  for (int Host = 0; Host < Count; ++Host)
+    EXPECT_TRUE(runUntil([this, Host] {
+      return send(get("/new/"), Host).m_status == 200;
+    })) << Host;
+}
+
+// Hosts that read, relay or coordinate leave one after the other.
+TEST_F(ManyHostsTest, HostsWithDuties_StopInTurn_NewsGoOn) {
+  m_policy.m_stopTaking = Millis(50);
+  m_policy.m_stopListening = Millis(100);
+  startAll(Count);
+  ASSERT_TRUE(allKnow(4));
+  for (int I = 0; I < Count - 3; ++I) {
+    bool IsStopped = false;
+    m_hosts[I]->stop([&IsStopped] { IsStopped = true; });
+    ASSERT_TRUE(runUntil([&IsStopped] { return IsStopped; }));
+  }
+  m_store.m_servers.pop_back();
+  EXPECT_TRUE(runUntil([this] {
+    return std::all_of(m_hosts.end() - 3, m_hosts.end(), [](const auto &Item) {
+      return Item->knownServers() == 3;
+    });
+  }));
+}
+
 TEST(MayDispatchAgainTest, UnsafeRequest_MayHaveRun_Never) {
   for (DispatchResult Result :
        {DispatchResult::Broken, DispatchResult::TimedOut,
--- /dev/null
+++ b/test/gateway/key-map-feed-test.cc
@@ -0,0 +1,46 @@
+#include "tamarackdrum/gateway/key-map-feed.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+class KeyMapFeedTest : public testing::Test {
+protected:
+  static KeyMap makeMap(std::uint64_t Version, Key Middle) {
+    return KeyMap(Version, {{0, Middle, "a"},
+                            {static_cast<Key>(Middle + 1), KeyCount - 1, "b"}});
+  }
+
+  KeyMapFeed m_subject{Millis(1000)};
+  TimePoint m_now{std::chrono::seconds(100)};
+};
+
+TEST_F(KeyMapFeedTest, Next_NoMapYet_IsNothing) {
+  EXPECT_EQ(m_subject.next(KeyMap(), m_now), std::nullopt);
+}
+
+// Load pattern: a hot set of keys moves ranges many times a second.
+TEST_F(KeyMapFeedTest, Next_ManyChangesWithinTheTime_AreOne) {
+  ASSERT_EQ(m_subject.next(makeMap(1, 100), m_now), wholeMap(makeMap(1, 100)));
+  for (std::uint64_t I = 2; I < 10; ++I) {
+    m_now += Millis(100);
+    EXPECT_EQ(m_subject.next(makeMap(I, static_cast<Key>(100 + I)), m_now),
+              std::nullopt);
+  }
+  m_now += Millis(200);
+  const std::optional<KeyMapChange> Result =
+      m_subject.next(makeMap(10, 110), m_now);
+  ASSERT_TRUE(Result);
+  EXPECT_EQ(Result->m_base, 1U);
+  EXPECT_EQ(applyChange(makeMap(1, 100), *Result), makeMap(10, 110));
+}
+
+TEST_F(KeyMapFeedTest, Told_AfterAChange_IsWhatAnOldMemberHas) {
+  m_subject.next(makeMap(1, 100), m_now);
+  m_subject.next(makeMap(2, 101), m_now);
+  EXPECT_EQ(m_subject.told(), makeMap(1, 100));
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
--- a/test/gateway/listing-feed-test.cc
+++ b/test/gateway/listing-feed-test.cc
@@ -24,7 +24,7 @@
 // Load pattern: 3,000 servers on 300 hosts; a read takes over half a second.
 TEST_F(ListingFeedTest, IsListingDue_ReadTakesLong_OnlyTheReaderReads) {
   const TimePoint Asked(std::chrono::seconds(100));
-  const ListingTimes Last{Asked, Asked + Millis(600)};
+  const ListingTimes Last{Asked, Asked + Millis(600), 0};
   const auto IsDue = [&Last](bool IsReader, TimePoint Now) {
     return isListingDue(Last, IsReader, Millis(700), Millis(1100), Now);
   };
@@ -36,7 +36,8 @@
 TEST_F(ListingFeedTest, Update_FirstRead_IsWhole) {
   const ListingMessage Result = m_source.update(m_rows);
   EXPECT_EQ(Result.m_base, 0U);
-  EXPECT_EQ(m_sink.apply(Result), m_rows);
+  EXPECT_TRUE(m_sink.apply(Result));
+  EXPECT_EQ(m_sink.rows(), m_rows);
 }
 
 TEST_F(ListingFeedTest, Update_OneRowChangedOneGone_NamesJustThese) {
@@ -45,7 +46,8 @@
   const ListingMessage Result = m_source.update(Next);
   EXPECT_EQ(Result.m_rows, (std::vector<ServerRow>{makeRow("b", true)}));
   EXPECT_EQ(Result.m_removed, std::vector<std::string>{"c"});
-  EXPECT_EQ(m_sink.apply(Result), Next);
+  EXPECT_TRUE(m_sink.apply(Result));
+  EXPECT_EQ(m_sink.rows(), Next);
 }
 
 TEST_F(ListingFeedTest, Update_OnlyReportNumbersDiffer_IsNoNews) {
@@ -54,21 +56,33 @@
                                     makeRow("c")};
   const ListingMessage Result = m_source.update(Next);
   EXPECT_FALSE(Result.m_hasRows);
-  EXPECT_EQ(m_sink.apply(Result), m_rows);
+  EXPECT_TRUE(m_sink.apply(Result));
+  EXPECT_EQ(m_sink.rows(), m_rows);
 }
 
 TEST_F(ListingFeedTest, Apply_MessageMissed_AsksForAll) {
   m_sink.apply(m_source.update(m_rows));
   m_source.update({makeRow("a")});
   const ListingMessage Result = m_source.update({makeRow("a"), makeRow("d")});
-  EXPECT_EQ(m_sink.apply(Result), std::nullopt);
+  EXPECT_FALSE(m_sink.apply(Result));
   const std::vector<ServerRow> Whole{makeRow("a"), makeRow("d")};
-  EXPECT_EQ(m_sink.apply(m_source.whole()), Whole);
+  EXPECT_TRUE(m_sink.apply(m_source.whole()));
+  EXPECT_EQ(m_sink.rows(), Whole);
 }
 
 TEST_F(ListingFeedTest, Apply_NoNewsOfAnUnknownVersion_AsksForAll) {
   m_source.update(m_rows);
-  EXPECT_EQ(m_sink.apply(m_source.update(m_rows)), std::nullopt);
+  EXPECT_FALSE(m_sink.apply(m_source.update(m_rows)));
+}
+
+// A relay that stood still told a listing from before its stop as if it were
+// new, and servers that had left meanwhile got requests again.
+TEST_F(ListingFeedTest, IsListingNew_ReadBeforeTheLastOne_IsNot) {
+  const TimePoint Now(std::chrono::seconds(100));
+  const ListingTimes Last{Now, Now, 5000};
+  EXPECT_FALSE(isListingNew(Last, 4999));
+  EXPECT_TRUE(isListingNew(Last, 5000));
+  EXPECT_TRUE(isListingNew(Last, 5700));
 }
 
 } // namespace
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -21,7 +21,8 @@
   Server.m_bornMs = 123456789012;
   Server.m_coldLeft = Millis(7);
   return {HelloMessage{{"h1", "10.0.0.1", "zone-a", 5, 20},
-                       {{1, "cart", "s", Millis(9)}}},
+                       {{1, "cart", "s", Millis(9)}},
+                       true},
           RunningMessage{{{2, "cart", "s", Millis(8)}}},
           AskMessage{"cart", Ask},
           QueuedMessage{7},
@@ -35,8 +36,10 @@
           StateMessage{"{}", {Server}},
           CrashMessage{~0ULL, "s-1@5"},
           ListingMessage{
-              3, 2, 4, 5, 6, true, {{"s-1", true, Server}, {"x"}}, {"gone"}},
-          ConfigurationMessage{"{}"}};
+              3, 2, 9, 4, 5, 6, true, {{"s-1", true, Server}, {"x"}}, {"gone"}},
+          ConfigurationMessage{"{}"},
+          FollowMessage{false},
+          HostsMessage{77, {{"h2", "10.0.0.2", "zone-b", 6, 50}}}};
 }
 
 TEST(PeerMessageTest, Decode_EachMessage_IsAsEncoded) {
@@ -77,6 +80,7 @@
   Beat.m_storeGoodMs = 18;
   Beat.m_configVersion = 3;
   Beat.m_claims["cart"] = {4, "h2", 6};
+  Beat.m_known = {{"h3", "10.0.0.3", "zone-b", 7, 50}};
   const Result<HostBeat> Decoded = decodeBeat(encodeBeat(Beat));
   ASSERT_TRUE(Decoded);
   EXPECT_TRUE(Decoded.value() == Beat);
--- a/test/gateway/roster-test.cc
+++ b/test/gateway/roster-test.cc
@@ -118,6 +118,47 @@
   EXPECT_EQ(m_subject.beatsDue(m_now).size(), m_policy.m_anchors);
 }
 
+// Load pattern: hundreds of small hosts. Each beat to each host would make
+// their number grow with the square of the hosts.
+TEST_F(RosterTest, BeatsDue_NewHostAmongSmallOnes_GoToLargeOnesOnly) {
+  hear("h2", 90);
+  hear("h3", 90);
+  for (int I = 4; I < 40; ++I)
+    hear(numbered(I));
+  EXPECT_EQ(m_subject.beatsDue(m_now).size(), 2U);
+}
+
+TEST_F(RosterTest, Anchors_LargeHostsGoneForLong_SmallOnesTakeTheirPlace) {
+  hear("h2", 90);
+  hear("h3", 20);
+  m_now += m_policy.m_deadAfter;
+  hear("h3", 20);
+  EXPECT_THAT(anchorNames(), testing::IsEmpty());
+  m_now += m_policy.m_heirAfter;
+  hear("h3", 20);
+  EXPECT_THAT(anchorNames(), testing::UnorderedElementsAre("h1", "h3"));
+}
+
+TEST_F(RosterTest, Relays_HostsOfOtherZones_AreNone) {
+  HostBeat Beat;
+  Beat.m_host = makeHost("h2");
+  Beat.m_host.m_zone = "zone-b";
+  m_subject.noteBeat(Beat, m_now);
+  hear("h3");
+  std::vector<std::string> Names;
+  for (const HostInfo &Item : m_subject.relays(m_now))
+    Names.push_back(Item.m_name);
+  EXPECT_THAT(Names, testing::UnorderedElementsAre("h1", "h3"));
+}
+
+TEST_F(RosterTest, AddListed_KnownLife_IsNoNews) {
+  EXPECT_EQ(m_subject.addListed({makeHost("h2")}, m_now).size(), 1U);
+  EXPECT_TRUE(m_subject.addListed({makeHost("h2")}, m_now).empty());
+  HostInfo Later = makeHost("h2");
+  Later.m_life = 2000;
+  EXPECT_EQ(m_subject.addListed({Later}, m_now).size(), 1U);
+}
+
 class NextGranterTest : public RosterTest {
 protected:
   bool isNext(const GranterClaim &Claim) const {
--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -65,19 +65,20 @@
   Entry.m_report = 4;
   m_store.put(ServerTable, "a", encodeServer(Entry));
   m_store.put(ServerTable, "b", "not JSON");
-  const Result<std::vector<ServerRow>> Rows = await(m_subject.readServers());
-  ASSERT_TRUE(Rows);
-  ASSERT_EQ(Rows.value().size(), 2U);
-  EXPECT_EQ(Rows.value()[0].m_entry, Entry);
-  EXPECT_FALSE(Rows.value()[1].m_isReadable);
+  const Result<ServerListing> Read = await(m_subject.readServers());
+  ASSERT_TRUE(Read);
+  const std::vector<ServerRow> &Rows = Read.value().m_rows;
+  ASSERT_EQ(Rows.size(), 2U);
+  EXPECT_EQ(Rows[0].m_entry, Entry);
+  EXPECT_FALSE(Rows[1].m_isReadable);
 }
 
 TEST_F(StoreClientTest, ReadServers_ManyPages_AllAreRead) {
   for (int I = 0; I < 1200; ++I)
     m_store.put(ServerTable, "server-" + std::to_string(I), "unreadable");
-  const Result<std::vector<ServerRow>> Rows = await(m_subject.readServers());
-  ASSERT_TRUE(Rows);
-  EXPECT_EQ(Rows.value().size(), 1200U);
+  const Result<ServerListing> Read = await(m_subject.readServers());
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(Read.value().m_rows.size(), 1200U);
 }
 
 TEST_F(StoreClientTest, AwaitConfiguration_NewVersion_ArrivesByFeed) {
@@ -148,6 +149,22 @@
             makeRecord(5));
 }
 
+// Load pattern: hundreds of hosts start together; one of them enters all.
+TEST_F(StoreClientTest, EnterHosts_MoreThanACallTakes_AreEnteredInParts) {
+  std::vector<HostInfo> Hosts;
+  for (int I = 0; I < 130; ++I)
+    Hosts.push_back(
+        {"host-" + std::to_string(1000 + I), "10.0.0.1", "zone-a", 7, 10});
+  const Result<std::size_t> Entered = await(m_subject.enterHosts(Hosts));
+  ASSERT_TRUE(Entered);
+  EXPECT_EQ(Entered.value(), 100U);
+  Hosts.erase(Hosts.begin(), Hosts.begin() + 100);
+  ASSERT_EQ(await(m_subject.enterHosts(Hosts)).value(), 30U);
+  const Result<HostListing> Read = await(m_subject.readHosts());
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(Read.value().m_hosts.size(), 130U);
+}
+
 TEST_F(StoreClientTest, Calls_StoreIsDown_AreUnavailable) {
   m_store.m_faults.m_isDown = true;
   EXPECT_EQ(await(m_subject.readServers()).error(), TableErrc::Unavailable);
