Judge what a request can still make by its route

Cause: routes that share a service had one estimate of the service time.

Ruled out: capacity (60% of the slots' time was served), the coordinator's fall-back (6%).

Change: a factor for each route, learned from its answers against the server's average. tamarack-replay has the pattern "sizes"; its test compares with one estimate for all.

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -103,6 +103,7 @@
   struct RunningHere {
     std::string m_service;
     std::string m_server;
+    std::string m_route;
     AdmissionPlace m_place;
     std::uint32_t m_link;
     TimePoint m_endsAt;
--- a/include/tamarackdrum/gateway/dispatch-hub.h
+++ b/include/tamarackdrum/gateway/dispatch-hub.h
@@ -36,9 +36,11 @@
               DispatchResult Outcome, Millis ServiceTime, TimePoint Now);
   void forgetRunning(const std::string &Service);
   void observe(const std::string &Service, const std::string &Server,
-               DispatchResult Outcome, Millis ServiceTime, TimePoint Now);
+               const std::string &Route, DispatchResult Outcome,
+               Millis ServiceTime, TimePoint Now);
   void adopt(const std::string &Service, const Ticket &Id,
-             const std::string &Server, Millis TimeLeft, TimePoint Now);
+             const std::string &Server, const std::string &Route,
+             Millis TimeLeft, TimePoint Now);
   void dropLink(std::uint32_t Link, TimePoint Now);
   void tick(TimePoint Now);
 
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -6,6 +6,8 @@
 /// Load pattern: more work than slots, on servers of unlike speed. One queue in
 /// front of all slots lets the most urgent request of the highest priority run
 /// next and tells a request that cannot be served in time at its arrival.
+/// Routes that share a service may have work of unlike size: what a request can
+/// still make is judged by its own route.
 
 #ifndef TAMARACKDRUM_GATEWAY_DISPATCHER_H
 #define TAMARACKDRUM_GATEWAY_DISPATCHER_H
@@ -35,6 +37,7 @@
 struct DispatchAsk {
   Ticket m_ticket;
   std::string m_zone;               ///< Availability zone of the asking host.
+  std::string m_route;              ///< Requests of a route are alike.
   std::optional<Key> m_key;         ///< Only for keyed services.
   unsigned m_priority = 0;          ///< 0 goes first.
   bool m_isRepeat = false;          ///< It has been sent to a server before.
@@ -95,6 +98,8 @@
   Millis m_firstEstimate{150};
   /// Weight of a new service time in a server's average.
   double m_sampleWeight = 0.2;
+  /// Weight of a new service time in the factor of its route.
+  double m_routeWeight = 0.05;
   /// First and longest pause of a server that cannot be reached or breaks
   /// connections.
   Millis m_firstPause{300};
@@ -163,16 +168,16 @@
 
   /// Notes a dispatch that another dispatcher has decided and that ends within
   /// \p TimeLeft.
-  void adopt(const Ticket &Id, const std::string &Server, Millis TimeLeft,
-             TimePoint Now);
+  void adopt(const Ticket &Id, const std::string &Server,
+             const std::string &Route, Millis TimeLeft, TimePoint Now);
 
   /// Forgets all dispatches that run: others have decided since, and the hosts
   /// report what they have running.
   void forgetRunning();
 
   /// Learns from a dispatch that another dispatcher has decided.
-  void observe(const std::string &Server, DispatchResult Outcome,
-               Millis ServiceTime, TimePoint Now);
+  void observe(const std::string &Server, const std::string &Route,
+               DispatchResult Outcome, Millis ServiceTime, TimePoint Now);
 
   /// Drops what came by a link that was lost. Running requests keep their slot
   /// for the service time that is expected of them.
@@ -196,6 +201,7 @@
 private:
   struct Running {
     std::string m_server;
+    std::string m_route;
     TimePoint m_startedAt;
     TimePoint m_endsAt; ///< Its slot is free by then, reported or not.
   };
@@ -254,6 +260,9 @@
   std::size_t slotsOf(const Server &Item) const;
   bool hasRoom(const Server &Item, TimePoint Now, bool OthersWait) const;
   double expectedMs(const Server &Item, TimePoint Now) const;
+  /// Returns how much longer requests of \p Route take than the average of the
+  /// service.
+  double routeFactor(const std::string &Route) const;
   /// Returns requests a millisecond that a server serves; 0 while it is paused.
   double serviceRate(const Server &Item, TimePoint Now) const;
   double serviceRate(TimePoint Now) const;
@@ -275,12 +284,13 @@
   void insert(Waiting Item);
   Queue::iterator nextFor(const Server &Target, TimePoint Now);
   /// Marks a request that can no longer be in time.
+  /// \p ServiceMs is that of the request.
   void updateLate(Waiting &Item, double ServiceMs, TimePoint Now) const;
   /// Refuses what waits but can no longer be served.
   void refuseHopeless(TimePoint Now, DispatchDecisions &Out);
   Millis notHeldPause() const;
-  void learn(Server &Item, DispatchResult Outcome, Millis ServiceTime,
-             TimePoint Now);
+  void learn(Server &Item, const std::string &Route, DispatchResult Outcome,
+             Millis ServiceTime, TimePoint Now);
 
   DispatchPolicy m_policy;
   std::map<std::string, Server> m_servers;
@@ -291,6 +301,7 @@
   KeyLoad m_keyLoad;
   bool m_isKeyed = false;
   double m_meanMs;
+  std::map<std::string, double> m_routeFactors;
 };
 
 } // namespace tamarackdrum::gateway
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -16,6 +16,7 @@
   std::uint32_t m_number = 0;
   std::string m_service;
   std::string m_server;
+  std::string m_route;
   Millis m_timeLeft{0}; ///< Until it has ended at the latest.
 
   bool operator==(const RunningDispatch &) const = default;
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -69,9 +69,10 @@
   m_pending.erase(Number);
   Admitted Out{Item->m_decision, Number, Item->m_place};
   if (!Out.m_decision.m_server.empty())
-    m_running[Number] = {Item->m_service, Out.m_decision.m_server,
-                         Item->m_place, Item->m_link,
-                         Item->m_sentAt + Item->m_ask.m_timeLeft};
+    m_running[Number] = {
+        Item->m_service,     Out.m_decision.m_server,
+        Item->m_ask.m_route, Item->m_place,
+        Item->m_link,        Item->m_sentAt + Item->m_ask.m_timeLeft};
   co_return Out;
 }
 
@@ -156,7 +157,8 @@
   m_hub.finish(Service, Id, Outcome, ServiceTime, Now);
   // Whoever coordinates next should not have to learn the servers' speeds.
   if (Item.m_place == AdmissionPlace::Coordinator)
-    m_hub.observe(Service, Item.m_server, Outcome, ServiceTime, Now);
+    m_hub.observe(Service, Item.m_server, Item.m_route, Outcome, ServiceTime,
+                  Now);
   const auto Coordinator = m_coordinators.find(Service);
   if (Coordinator == m_coordinators.end() ||
       Coordinator->second == m_hosts.self().m_name ||
@@ -190,7 +192,7 @@
     m_hub.forgetRunning(Service);
     for (const auto &[Number, Item] : m_running)
       if (Item.m_service == Service)
-        m_hub.adopt(Service, {0, Number}, Item.m_server,
+        m_hub.adopt(Service, {0, Number}, Item.m_server, Item.m_route,
                     std::chrono::duration_cast<Millis>(Item.m_endsAt - Now),
                     Now);
   } else {
@@ -258,7 +260,7 @@
   const TimePoint Now = BootClock::now();
   for (const RunningDispatch &Item : Items)
     m_hub.adopt(Item.m_service, {Link, Item.m_number}, Item.m_server,
-                Item.m_timeLeft, Now);
+                Item.m_route, Item.m_timeLeft, Now);
 }
 
 void Admission::onAsk(std::uint32_t Link, const std::string &Zone,
@@ -329,7 +331,7 @@
   for (const auto &[Number, Item] : m_running) {
     const auto Found = m_coordinators.find(Item.m_service);
     if (Found != m_coordinators.end() && Found->second == Host)
-      Out.push_back({Number, Item.m_service, Item.m_server,
+      Out.push_back({Number, Item.m_service, Item.m_server, Item.m_route,
                      std::chrono::duration_cast<Millis>(Item.m_endsAt - Now)});
   }
   return Out;
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -430,6 +430,7 @@
 asio::awaitable<bool> EdgeServer::tryOnce(SessionPtr Client,
                                           std::shared_ptr<Exchange> Item) {
   DispatchAsk Ask;
+  Ask.m_route = Item->m_route->m_name;
   Ask.m_key = Item->m_key;
   Ask.m_priority = Item->m_route->m_priority;
   Ask.m_isRepeat = Item->m_dispatches > 0;
--- a/src/gateway/dispatch-hub.cc
+++ b/src/gateway/dispatch-hub.cc
@@ -92,15 +92,15 @@
 }
 
 void DispatchHub::observe(const std::string &Service, const std::string &Server,
-                          DispatchResult Outcome, Millis ServiceTime,
-                          TimePoint Now) {
-  dispatcher(Service, Now).observe(Server, Outcome, ServiceTime, Now);
+                          const std::string &Route, DispatchResult Outcome,
+                          Millis ServiceTime, TimePoint Now) {
+  dispatcher(Service, Now).observe(Server, Route, Outcome, ServiceTime, Now);
 }
 
 void DispatchHub::adopt(const std::string &Service, const Ticket &Id,
-                        const std::string &Server, Millis TimeLeft,
-                        TimePoint Now) {
-  dispatcher(Service, Now).adopt(Id, Server, TimeLeft, Now);
+                        const std::string &Server, const std::string &Route,
+                        Millis TimeLeft, TimePoint Now) {
+  dispatcher(Service, Now).adopt(Id, Server, Route, TimeLeft, Now);
 }
 
 void DispatchHub::dropLink(std::uint32_t Link, TimePoint Now) {
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -21,6 +21,10 @@
 /// A running request that takes this many times the average shows that the
 /// server has become slow.
 constexpr double SlowFactor = 1.5;
+/// Bounds of a sample for the factor of a route: one answer may come late for
+/// many reasons.
+constexpr double LeastRouteFactor = 0.05;
+constexpr double MostRouteFactor = 10.0;
 /// Stands for all servers of an unkeyed service.
 const std::string Everyone;
 /// Expected time until moving keys have a new holder: a release and a grant.
@@ -75,6 +79,11 @@
   return Own;
 }
 
+double Dispatcher::routeFactor(const std::string &Route) const {
+  const auto Found = m_routeFactors.find(Route);
+  return Found == m_routeFactors.end() ? 1.0 : Found->second;
+}
+
 double Dispatcher::serviceRate(const Server &Item, TimePoint Now) const {
   if (Item.m_entry.m_isDraining || Now < Item.m_pausedUntil)
     return 0;
@@ -163,7 +172,8 @@
   }
   const bool IsZoneGood =
       BestInZone != nullptr &&
-      BestInZoneCost * m_policy.m_zoneSafety <= toMs(Ask.m_objectiveLeft);
+      BestInZoneCost * routeFactor(Ask.m_route) * m_policy.m_zoneSafety <=
+          toMs(Ask.m_objectiveLeft);
   if (IsZoneGood)
     return {BestInZone, Now};
   const TimePoint ZoneUntil = zoneWaitEnd(Ask, Now);
@@ -189,8 +199,9 @@
                Item.m_ask.m_priority <= Ask.m_priority;
       });
   const double Objective = toMs(Ask.m_objectiveLeft);
-  const double Longest = std::min(Objective * m_policy.m_zoneWaitShare,
-                                  Objective - Fastest * m_policy.m_zoneSafety);
+  const double Longest = std::min(
+      Objective * m_policy.m_zoneWaitShare,
+      Objective - Fastest * routeFactor(Ask.m_route) * m_policy.m_zoneSafety);
   if (static_cast<double>(Ahead + 1) / Rate > Longest)
     return Now;
   return Now + fromMs(Longest);
@@ -199,7 +210,7 @@
 void Dispatcher::place(const DispatchAsk &Ask, Server &Target, TimePoint Now,
                        DispatchDecisions &Out) {
   ++Target.m_running;
-  m_running[Ask.m_ticket] = {Target.m_entry.m_id, Now,
+  m_running[Ask.m_ticket] = {Target.m_entry.m_id, Ask.m_route, Now,
                              Now + Ask.m_timeLeft + m_policy.m_reportGrace};
   Out.push_back({Ask.m_ticket, Target.m_entry.m_id, RefusalReason::None, {}});
 }
@@ -240,7 +251,8 @@
 Dispatcher::Outlook Dispatcher::outlookFor(const DispatchAsk &Ask,
                                            TimePoint Now) const {
   Outlook Out;
-  Out.m_serviceMs = m_meanMs;
+  const double Factor = routeFactor(Ask.m_route);
+  Out.m_serviceMs = m_meanMs * Factor;
   if (!m_isKeyed) {
     Out.m_perMs = serviceRate(Now);
     if (Out.m_perMs > 0)
@@ -258,8 +270,9 @@
     Out.m_perMs = serviceRate(Now);
     return Out;
   }
-  Out.m_serviceMs = expectedMs(Holder->second, Now);
-  Out.m_perMs = static_cast<double>(slotsOf(Holder->second)) / Out.m_serviceMs;
+  const double HolderMs = expectedMs(Holder->second, Now);
+  Out.m_serviceMs = HolderMs * Factor;
+  Out.m_perMs = static_cast<double>(slotsOf(Holder->second)) / HolderMs;
   if (Now < Holder->second.m_pausedUntil)
     Out.m_pauseMs = toMs(Holder->second.m_pausedUntil - Now);
   return Out;
@@ -318,7 +331,7 @@
 
 Dispatcher::Queue::iterator Dispatcher::nextFor(const Server &Target,
                                                 TimePoint Now) {
-  const double Service = expectedMs(Target, Now);
+  const double AnyService = expectedMs(Target, Now);
   const Queue::iterator None = m_waiting.end();
   std::size_t Count = 0;
   Span Urgent{None, None};
@@ -335,10 +348,12 @@
     ++Count;
     const bool IsOfZone = Item->m_ask.m_zone == Target.m_entry.m_zone;
     const bool IsKept = !IsOfZone && Now < Item->m_zoneUntil;
+    const double Factor = routeFactor(Item->m_ask.m_route);
+    const double Service = AnyService * Factor;
     if (IsKept ||
         toMs(Item->m_endsAt - Now) < Service * m_policy.m_leastTimeShare)
       continue;
-    updateLate(*Item, std::min(Service, m_meanMs), Now);
+    updateLate(*Item, std::min(Service, m_meanMs * Factor), Now);
     if (Item->m_isLate) {
       if (Late == None ||
           (HasPriorityOf(Item, Late) && Item->m_endsAt < Late->m_endsAt))
@@ -402,7 +417,8 @@
   return m_keys.version() == 0 ? MoveTime : m_policy.m_notHeldPause;
 }
 
-void Dispatcher::learn(Server &Item, DispatchResult Outcome, Millis ServiceTime,
+void Dispatcher::learn(Server &Item, const std::string &Route,
+                       DispatchResult Outcome, Millis ServiceTime,
                        TimePoint Now) {
   const auto Move = [](double &Share, bool Hit) {
     Share += OutcomeWeight * ((Hit ? 1.0 : 0.0) - Share);
@@ -437,9 +453,13 @@
     return;
   const double Sample = std::max<double>(1, toMs(ServiceTime));
   const double Old = Item.m_meanMs > 0 ? Item.m_meanMs : m_meanMs;
+  double &Factor = m_routeFactors.emplace(Route, 1.0).first->second;
   // Work that was ended early would have taken longer.
-  if (Outcome != DispatchResult::Served && Sample < Old)
+  if (Outcome != DispatchResult::Served && Sample < Old * Factor)
     return;
+  const double Ratio =
+      std::clamp(Sample / Old, LeastRouteFactor, MostRouteFactor);
+  Factor += m_policy.m_routeWeight * (Ratio - Factor);
   Item.m_meanMs = Old + m_policy.m_sampleWeight * (Sample - Old);
   Item.m_lastSample = Now;
   m_meanMs += m_policy.m_sampleWeight / 10 * (Sample - m_meanMs);
@@ -452,12 +472,13 @@
   if (Found == m_running.end())
     return;
   const auto Item = m_servers.find(Found->second.m_server);
+  const std::string Route = std::move(Found->second.m_route);
   m_running.erase(Found);
   if (Item == m_servers.end())
     return;
   if (Item->second.m_running > 0)
     --Item->second.m_running;
-  learn(Item->second, Outcome, ServiceTime, Now);
+  learn(Item->second, Route, Outcome, ServiceTime, Now);
   fill(Item->second, Now, Out);
 }
 
@@ -467,16 +488,19 @@
     Item.m_running = 0;
 }
 
-void Dispatcher::observe(const std::string &Server, DispatchResult Outcome,
-                         Millis ServiceTime, TimePoint Now) {
+void Dispatcher::observe(const std::string &Server, const std::string &Route,
+                         DispatchResult Outcome, Millis ServiceTime,
+                         TimePoint Now) {
   const auto Found = m_servers.find(Server);
   if (Found != m_servers.end())
-    learn(Found->second, Outcome, ServiceTime, Now);
+    learn(Found->second, Route, Outcome, ServiceTime, Now);
 }
 
 void Dispatcher::adopt(const Ticket &Id, const std::string &Server,
-                       Millis TimeLeft, TimePoint Now) {
-  const Running Item{Server, Now, Now + TimeLeft + m_policy.m_reportGrace};
+                       const std::string &Route, Millis TimeLeft,
+                       TimePoint Now) {
+  const Running Item{Server, Route, Now,
+                     Now + TimeLeft + m_policy.m_reportGrace};
   if (!m_running.emplace(Id, Item).second)
     return;
   const auto Owner = m_servers.find(Server);
@@ -503,7 +527,8 @@
       continue;
     }
     // An unanswered request is a lower bound of the server's service time.
-    const double Elapsed = toMs(Now - Item->second.m_startedAt);
+    const double Elapsed = toMs(Now - Item->second.m_startedAt) /
+                           routeFactor(Item->second.m_route);
     if (Owner != m_servers.end() &&
         Elapsed > SlowFactor * std::max(Owner->second.m_meanMs, m_meanMs)) {
       Owner->second.m_meanMs = Elapsed / SlowFactor;
@@ -520,6 +545,7 @@
   // or those of one holder.
   struct Share {
     Outlook m_expected;
+    double m_anyServiceMs = 0; ///< Of an average request.
     std::size_t m_before = 0;
   };
   std::map<std::string, Share> Shares;
@@ -529,18 +555,22 @@
     const auto Found = Shares.find(Holder);
     if (Found != Shares.end())
       return Found->second;
-    return Shares.emplace(Holder, Share{outlookFor(Item.m_ask, Now), 0})
-        .first->second;
+    const Outlook Expected = outlookFor(Item.m_ask, Now);
+    const double AnyMs = Expected.m_serviceMs / routeFactor(Item.m_ask.m_route);
+    return Shares.emplace(Holder, Share{Expected, AnyMs, 0}).first->second;
+  };
+  const auto ServiceOf = [this](const Share &Own, const Waiting &Item) {
+    return Own.m_anyServiceMs * routeFactor(Item.m_ask.m_route);
   };
   for (Waiting &Item : m_waiting) {
     Share &Own = Find(Item);
-    updateLate(Item, Own.m_expected.m_serviceMs, Now);
+    updateLate(Item, ServiceOf(Own, Item), Now);
     Own.m_before += Item.m_isLate ? 0 : 1;
   }
   for (Queue::iterator Item = m_waiting.begin(); Item != m_waiting.end();) {
     Share &Own = Find(*Item);
     const double Left = toMs(Item->m_endsAt - Now);
-    const double Service = Own.m_expected.m_serviceMs;
+    const double Service = ServiceOf(Own, *Item);
     const double Wait = Own.m_expected.m_perMs > 0
                             ? Own.m_expected.waitMs(Own.m_before)
                             : toMs(m_policy.m_blindRetryAfter);
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -72,7 +72,7 @@
   Json Out = Json::array();
   for (const RunningDispatch &Item : Items)
     Out.push_back(packAll(Item.m_number, Item.m_service, Item.m_server,
-                          Item.m_timeLeft.count()));
+                          Item.m_route, Item.m_timeLeft.count()));
   return Out;
 }
 
@@ -84,6 +84,7 @@
     Running.m_number = Item.take<std::uint32_t>();
     Running.m_service = Item.take<std::string>();
     Running.m_server = Item.take<std::string>();
+    Running.m_route = Item.take<std::string>();
     Running.m_timeLeft = Item.takeMillis();
     Out.push_back(std::move(Running));
   }
@@ -111,7 +112,7 @@
 
 Json pack(const AskMessage &Value) {
   const DispatchAsk &Ask = Value.m_ask;
-  return packAll(Value.m_service, Ask.m_ticket.m_number,
+  return packAll(Value.m_service, Ask.m_route, Ask.m_ticket.m_number,
                  Ask.m_key ? static_cast<int>(*Ask.m_key) : -1, Ask.m_priority,
                  Ask.m_isRepeat, Ask.m_objectiveLeft.count(),
                  Ask.m_timeLeft.count(), Ask.m_tried);
@@ -119,6 +120,7 @@
 
 void read(Reader In, AskMessage &Out) {
   Out.m_service = In.take<std::string>();
+  Out.m_ask.m_route = In.take<std::string>();
   Out.m_ask.m_ticket.m_number = In.take<std::uint32_t>();
   const int Wanted = In.take<int>();
   if (Wanted >= static_cast<int>(KeyCount))
--- a/standin/dispatch-replay.cc
+++ b/standin/dispatch-replay.cc
@@ -284,11 +284,12 @@
     m_byTicket[Item.m_ticket] = Id;
     Ask.m_ticket = {0, Item.m_ticket};
     Ask.m_zone = From.m_zone;
+    Ask.m_route = From.m_route;
     Ask.m_key = From.m_key;
     Ask.m_priority = m_policy.m_isPriorityIgnored ? 0 : From.m_priority;
     Ask.m_isRepeat = Item.m_dispatches > 0;
-    Ask.m_objectiveLeft = millis(
-        std::max(0.0, toMs(From.m_at) + toMs(m_load.m_objective) - m_now));
+    Ask.m_objectiveLeft = millis(std::max(
+        0.0, toMs(From.m_at) + toMs(m_load.objectiveOf(From)) - m_now));
     Ask.m_timeLeft = millis(Item.m_endsAt - m_now);
     Ask.m_tried = Item.m_tried;
     DispatchDecisions Made;
@@ -524,7 +525,8 @@
       return;
     State = {true, true};
     const Arrival &From = m_load.m_arrivals[Item.m_request];
-    const bool IsInTime = m_now - toMs(From.m_at) <= toMs(m_load.m_objective);
+    const bool IsInTime =
+        m_now - toMs(From.m_at) <= toMs(m_load.objectiveOf(From));
     note(From, {0, IsInTime ? 1U : 0U, IsInTime ? 0U : 1U});
   }
 
--- a/standin/replay-trace.cc
+++ b/standin/replay-trace.cc
@@ -70,6 +70,22 @@
       Item.m_key = static_cast<Key>(First + Random() % Wanted.m_keys);
 }
 
+/// Makes half of the requests short ones of a route that goes first and has
+/// little time. The work as a whole stays as it is.
+void mixSizes(Trace &Out, std::mt19937_64 &Random) {
+  constexpr double ShortWork = 0.3;
+  constexpr double ShortObjective = 0.4;
+  for (Arrival &Item : Out.m_arrivals) {
+    const bool IsShort = std::bernoulli_distribution(0.5)(Random);
+    Item.m_route = IsShort ? "short" : "long";
+    Item.m_priority = IsShort ? 0 : 1;
+    Item.m_workMs *= IsShort ? ShortWork : 2 - ShortWork;
+    if (IsShort)
+      Item.m_objective = Millis(static_cast<std::int64_t>(
+          ShortObjective * static_cast<double>(Out.m_objective.count())));
+  }
+}
+
 } // namespace
 
 Trace makeTrace(const TraceOptions &Options) {
@@ -126,8 +142,9 @@
 
 const std::vector<std::string> &patternNames() {
   static const std::vector<std::string> Names{
-      "calm", "burst", "abuse", "leavers", "slow",    "shed",     "down",
-      "mute", "shift", "ranks", "keyed",   "hot-key", "hot-keys", "shed-keyed"};
+      "calm",  "burst", "abuse",   "leavers",  "slow",
+      "shed",  "down",  "mute",    "shift",    "ranks",
+      "sizes", "keyed", "hot-key", "hot-keys", "shed-keyed"};
   return Names;
 }
 
@@ -163,6 +180,8 @@
   else if (Name == "ranks")
     for (Arrival &Item : Out.m_arrivals)
       Item.m_priority = Share(0.5) ? 0 : 1;
+  else if (Name == "sizes")
+    mixSizes(Out, Random);
   else if (Name == "tight")
     Out.m_timeout = Millis(static_cast<std::int64_t>(2.5 * Options.m_workMs));
   else if (Name == "shift")
--- a/standin/replay-trace.h
+++ b/standin/replay-trace.h
@@ -43,6 +43,8 @@
   std::string m_zone;
   double m_workMs = 0; ///< On a server of speed 1.
   std::optional<gateway::Key> m_key;
+  std::string m_route;
+  std::optional<Millis> m_objective;   ///< If not that of the trace.
   unsigned m_priority = 0;             ///< 0 goes first.
   bool m_isAbusive = false;            ///< Comes back at once, three times.
   std::optional<Millis> m_leavesAfter; ///< Its client gives up.
@@ -62,6 +64,10 @@
   std::vector<FaultSpan> m_faults;
   std::vector<Arrival> m_arrivals; ///< Sorted by time.
   bool m_isKeyed = false;
+
+  Millis objectiveOf(const Arrival &Item) const {
+    return Item.m_objective.value_or(m_objective);
+  }
 };
 
 /// What a trace is made from.
--- a/test/gateway/dispatch-replay-test.cc
+++ b/test/gateway/dispatch-replay-test.cc
@@ -75,6 +75,16 @@
   EXPECT_GT(credit(Own), credit(play("ranks", 1.5)) - 0.02);
 }
 
+// Load pattern: short requests with little time share servers with long ones,
+// past capacity. Judged by the average of the service they were all late.
+TEST_F(DispatchReplayTest, Sizes_PastCapacity_ShortOnesAreServedWhole) {
+  const ReplayResult Own = play("sizes", 1.5);
+  EXPECT_GT(Own.firstCredit(m_trace.m_lateWorth), 0.95);
+  m_policy.m_dispatch.m_routeWeight = 0;
+  const ReplayResult ByService = play("sizes", 1.5);
+  EXPECT_GT(credit(Own), credit(ByService));
+}
+
 TEST_F(DispatchReplayTest, Shift_ZoneOverCapacity_OtherZonesHelp) {
   const ReplayResult Result = play("shift", 0.8);
   EXPECT_GT(Result.m_otherZone, 0U);
--- a/test/gateway/dispatcher-test.cc
+++ b/test/gateway/dispatcher-test.cc
@@ -241,7 +241,7 @@
   ask(makeAsk(1));
   ask(makeAsk(2));
   m_subject.forgetRunning();
-  m_subject.adopt({9, 1}, "a", Millis(1000), m_now);
+  m_subject.adopt({9, 1}, "a", "", Millis(1000), m_now);
   EXPECT_EQ(ask(makeAsk(3))->m_server, "a");
   EXPECT_EQ(ask(makeAsk(4)), nullptr);
 }
@@ -366,7 +366,7 @@
 
 TEST_F(DispatcherTest, Adopt_DispatchOfAnotherCoordinator_TakesItsSlot) {
   setServers({makeServer("a")});
-  m_subject.adopt({3, 9}, "a", Millis(1000), m_now);
+  m_subject.adopt({3, 9}, "a", "", Millis(1000), m_now);
   EXPECT_EQ(ask(makeAsk(1)), nullptr);
   m_made.clear();
   m_subject.finish({3, 9}, DispatchResult::Served, Millis(10), m_now, m_made);
@@ -381,5 +381,30 @@
     EXPECT_EQ(ask(makeAsk(I))->m_server, "b");
 }
 
+// Load pattern: downloads and short reads with little time share a service.
+TEST_F(DispatcherTest, Route_ShortAmongLong_IsNotTakenForLate) {
+  setServers({makeServer("a")});
+  const auto WithRoute = [this](std::uint32_t Number, const char *Route,
+                                Millis Objective) {
+    DispatchAsk Out = makeAsk(Number, Objective);
+    Out.m_route = Route;
+    return Out;
+  };
+  std::uint32_t Number = 0;
+  for (int I = 0; I < 60; ++I)
+    for (const char *Route : {"short", "long"}) {
+      ask(WithRoute(++Number, Route, Millis(2000)));
+      finish(Number, DispatchResult::Served, Millis(*Route == 's' ? 40 : 400));
+    }
+  // One runs; of those that wait, only the short one can still be in time.
+  ask(WithRoute(1000, "long", Millis(2000)));
+  DispatchAsk Late = WithRoute(1001, "long", Millis(10));
+  Late.m_timeLeft = Millis(1500);
+  ask(Late);
+  ask(WithRoute(1002, "short", Millis(350)));
+  finish(1000, DispatchResult::Served, Millis(40));
+  EXPECT_NE(find(1002), nullptr);
+}
+
 } // namespace
 } // namespace tamarackdrum::gateway
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -10,6 +10,7 @@
 std::vector<PeerMessage> examples() {
   DispatchAsk Ask;
   Ask.m_ticket = {0, 42};
+  Ask.m_route = "buy";
   Ask.m_key = 65535;
   Ask.m_priority = 2;
   Ask.m_isRepeat = true;
@@ -21,9 +22,9 @@
   Server.m_bornMs = 123456789012;
   Server.m_coldLeft = Millis(7);
   return {HelloMessage{{"h1", "10.0.0.1", "zone-a", 5, 20},
-                       {{1, "cart", "s", Millis(9)}},
+                       {{1, "cart", "s", "r", Millis(9)}},
                        true},
-          RunningMessage{{{2, "cart", "s", Millis(8)}}},
+          RunningMessage{{{2, "cart", "s", "r", Millis(8)}}},
           AskMessage{"cart", Ask},
           QueuedMessage{7},
           DecisionMessage{{{0, 7}, "", RefusalReason::Overloaded, Millis(250)}},
