--- a/include/tamarackdrum/gateway/key-map.h
+++ b/include/tamarackdrum/gateway/key-map.h
@@ -92,7 +92,7 @@
 class KeyLoad {
 public:
   /// \p Memory is the time constant of the decay.
-  explicit KeyLoad(Millis Memory = Millis(2500)) : m_memory(Memory) {}
+  explicit KeyLoad(Millis Memory = Millis(1200)) : m_memory(Memory) {}
 
   void note(Key Value, TimePoint Now);
 
