Let large hosts read the store sooner at their start

Change: the wait shrinks with the host's share of a core; requests wait for the routes for 0.9 s; seeds are asked each 50 ms.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -28,8 +28,8 @@
   /// have just moved before it asks again.
   Millis m_notHeldPause{30};
   /// From the start of the process, requests wait for its routes and servers:
-  /// they are there within some tens of milliseconds. Later ones are refused.
-  Millis m_startTime{500};
+  /// peers or the store tell them within that time. Later ones are refused.
+  Millis m_startTime{900};
   /// How often a waiting request looks whether they are there.
   Millis m_startPoll{10};
   /// Memory of bodies held at the same time.
--- a/include/tamarackdrum/gateway/state-feed.h
+++ b/include/tamarackdrum/gateway/state-feed.h
@@ -44,14 +44,16 @@
   Millis m_longestStorePause{1000};
   /// A process that starts waits this long for what its peers know before it
   /// reads the store, unless it is one of those that are asked first. The time
-  /// differs from host to host, so that not all of them read if all start.
+  /// differs from host to host, so that not all of them read if all start, and
+  /// is for a host of a tenth of a core: larger ones, which others will hear,
+  /// wait less by their share.
   Millis m_shortestStart{200};
   Millis m_longestStart{900};
   /// The same where no traffic comes yet, since the whole site starts.
   Millis m_firstStart{800};
   Millis m_startLook{20};
   /// How often a process without a configuration asks its peers.
-  Millis m_askPeersEvery{100};
+  Millis m_askPeersEvery{50};
   /// How often the reader looks for hosts that the store does not list yet.
   Millis m_enterHostsEvery{1000};
   Millis m_readHostsEvery{30000};
--- a/src/edge/state-feed.cc
+++ b/src/edge/state-feed.cc
@@ -14,6 +14,8 @@
 
 /// Changes of more servers than this are logged by their number.
 constexpr std::size_t LongestChange = 20;
+/// Processor share of the hosts that wait longest at their start, in percent.
+constexpr unsigned SmallWeight = 10;
 /// What the users grant at least for a change to be in force.
 constexpr Millis LeastBound{2000};
 
@@ -44,7 +46,9 @@
   }
   if (!HasOthers)
     return Millis(0);
-  const Millis Wait = between(Policy.m_shortestStart, Policy.m_longestStart);
+  const Millis Small = between(Policy.m_shortestStart, Policy.m_longestStart);
+  const Millis Wait =
+      Small * SmallWeight / std::max(SmallWeight, Settings.m_host.m_weight);
   return Settings.m_isFirstStart ? Wait + Policy.m_firstStart : Wait;
 }
 
