--- a/include/tamarackdrum/gateway/upstream-exchange.h
+++ b/include/tamarackdrum/gateway/upstream-exchange.h
@@ -25,7 +25,10 @@
   std::string m_requestId;
   bool m_isHead = false; ///< A HEAD request: the answer has no body.
   bool m_isSafe = true;
-  TimePoint m_endsAt;        ///< No answer is waited for after it.
+  TimePoint m_endsAt; ///< No answer is waited for after it.
+  /// Called when the server begins to answer: its work is done and its slot is
+  /// free, however long the answer is under way.
+  std::function<void(DispatchResult Result, Millis ServiceTime)> m_onHead;
   std::size_t m_maxIdle = 1; ///< Connections to keep to this server.
 };
 
@@ -83,7 +86,8 @@
                                         const UpstreamRequest &Request,
                                         UpstreamReply &Reply);
   boost::asio::awaitable<bool> readBody(Connection &Used, UpstreamReply &Reply);
-  void classify(UpstreamReply &Reply) const;
+  /// Returns what the head of a whole answer says.
+  DispatchResult resultOf(const UpstreamReply &Reply) const;
 
   ConnectionPool &m_pool;
   const HeaderNames m_headers;
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -468,6 +468,10 @@
   const ServerEntry Chosen = *Server;
   Item->m_lastServer = Chosen.m_id;
   UpstreamRequest Request = makeRequest(Client, Item, Chosen);
+  Request.m_onHead = [this, Service = Item->m_service->m_name,
+                      Taken](DispatchResult Result, Millis ServiceTime) {
+    m_slots.finish(Service, Taken, Result, ServiceTime);
+  };
   const std::size_t SentBytes = Request.m_head.size() + Request.m_body.size();
   UpstreamReply Reply =
       co_await m_upstreams.run(std::move(Request), Item->m_control);
--- a/src/edge/upstream-exchange.cc
+++ b/src/edge/upstream-exchange.cc
@@ -142,18 +142,15 @@
   co_return true;
 }
 
-void UpstreamExchange::classify(UpstreamReply &Reply) const {
+DispatchResult UpstreamExchange::resultOf(const UpstreamReply &Reply) const {
   const http::response_header<> &Head = Reply.m_head->get();
   const unsigned Status = Head.result_int();
   const bool IsNotRun = Head.count(m_headers.m_notRun) > 0 || Status == 421;
   if (Status == 421)
-    Reply.m_result = DispatchResult::NotHeld;
-  else if (IsNotRun && (Status == 503 || Status == 429))
-    Reply.m_result = DispatchResult::Refused;
-  else if (Status >= 500)
-    Reply.m_result = DispatchResult::Failed;
-  else
-    Reply.m_result = DispatchResult::Served;
+    return DispatchResult::NotHeld;
+  if (IsNotRun && (Status == 503 || Status == 429))
+    return DispatchResult::Refused;
+  return Status >= 500 ? DispatchResult::Failed : DispatchResult::Served;
 }
 
 asio::awaitable<UpstreamReply> UpstreamExchange::run(UpstreamRequest Request,
@@ -199,10 +196,13 @@
                    asio::detached);
 
   bool IsWhole = co_await readHead(*Used, Request, Reply);
-  if (IsWhole)
+  Reply.m_time = elapsed(StartedAt);
+  if (IsWhole) {
+    if (Request.m_onHead)
+      Request.m_onHead(resultOf(Reply), Reply.m_time);
     IsWhole = co_await readBody(*Used, Reply);
+  }
   Control.m_stream = nullptr;
-  Reply.m_time = elapsed(StartedAt);
   const bool CanKeep = IsWhole && !Reply.m_isTooLong && Work->m_isDone &&
                        Reply.m_head->get().keep_alive() &&
                        !Reply.m_head->need_eof();
@@ -218,7 +218,7 @@
       Reply.m_result = DispatchResult::Withdrawn;
     co_return Reply;
   }
-  classify(Reply);
+  Reply.m_result = resultOf(Reply);
   if (Reply.m_isTooLong && Used != nullptr) {
     Reply.m_connection = std::move(Used);
     co_return Reply;
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -332,6 +332,43 @@
   EXPECT_TRUE(Got.m_isWhole);
 }
 
+// Load pattern: downloads to slow readers. Each slot stayed taken until the
+// answer had come whole, long after the server had done its work.
+TEST_F(GatewayHostTest, Slot_AnswerIsUnderWay_IsFreeForTheNext) {
+  bool MayEnd = false;
+  std::size_t Begun = 0;
+  setWeb([&](ScriptedServer::Stream &To,
+             const SeenRequest &Seen) -> asio::awaitable<bool> {
+    std::string Text = ScriptedServer::okText(Seen.m_id, "hello");
+    const std::string End = Text.substr(Text.size() - 2);
+    Text.resize(Text.size() - 2);
+    co_await ScriptedServer::send(To, std::move(Text));
+    ++Begun;
+    while (!MayEnd)
+      co_await sleepFor(Millis(5));
+    co_return co_await ScriptedServer::send(To, End);
+  });
+  startAll();
+  // Two servers of two slots: a fifth request would have to wait.
+  std::vector<std::shared_ptr<Answer>> Answers;
+  std::vector<std::shared_ptr<bool>> Done;
+  for (int I = 0; I < 6; ++I) {
+    Answers.push_back(std::make_shared<Answer>());
+    Done.push_back(std::make_shared<bool>(false));
+    asio::co_spawn(m_context,
+                   exchange(get("/web/"), 0, Answers.back(), Done.back()),
+                   asio::detached);
+  }
+  EXPECT_TRUE(runUntil([&Begun] { return Begun == 6; }));
+  MayEnd = true;
+  ASSERT_TRUE(runUntil([&Done] {
+    return std::all_of(Done.begin(), Done.end(),
+                       [](const auto &Item) { return *Item; });
+  }));
+  for (const auto &Item : Answers)
+    EXPECT_EQ(Item->m_body, "hello");
+}
+
 // 503 promises that a request has not run; a server's own does not.
 TEST_F(GatewayHostTest,
        UnsafeRequest_ServerFailsWith503_IsNotSaidNotToHaveRun) {
