Bound answers without end in time and memory

Found by tests that play servers which send for ever: interim answers and bodies at full speed never let an operation wait, so that the stream's timer never ended them (the caller had no answer after 30 s); the line of a chunk was kept whole, however long. Change: loops over an answer look at the clock, at most 8 interim answers, and buffers of connections hold 128 KiB, those of clients 512 KiB.

--- a/include/tamarackdrum/gateway/connection.h
+++ b/include/tamarackdrum/gateway/connection.h
@@ -30,8 +30,23 @@
   explicit Connection(boost::asio::any_io_executor Executor)
       : m_stream(std::move(Executor)) {}
 
+  /// Sets the end of all operations from now on.
+  void endAt(TimePoint End) {
+    m_endsAt = End;
+    m_stream.expires_after(End - BootClock::now());
+  }
+
+  /// The timer of the stream ends an operation that waits. A peer that sends
+  /// without a pause never lets one wait.
+  bool hasEnded() const { return BootClock::now() >= m_endsAt; }
+
+  /// Bytes that are received and not parsed yet, at most. Source: the largest
+  /// head, and a piece of a body.
+  static constexpr std::size_t BufferBytes = 128U << 10U;
+
   boost::beast::tcp_stream m_stream;
-  boost::beast::flat_buffer m_buffer;
+  boost::beast::flat_buffer m_buffer{BufferBytes};
+  TimePoint m_endsAt{};
   TimePoint m_idleSince{};
   Millis m_keepAlive{0}; ///< How long the peer keeps it when idle.
   bool m_isReused = false;
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -23,6 +23,9 @@
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t PieceBytes = 16U << 10U;
 constexpr std::size_t ReadBytes = 4U << 10U;
+/// Bytes of a client that are received and not parsed yet, at most. Source:
+/// several times the largest head that configurations allow.
+constexpr std::size_t ClientBufferBytes = 512U << 10U;
 constexpr Millis AcceptPause{20};
 /// Retry-After where a server has refused or could not be reached: others have
 /// room within the time of a request.
@@ -85,7 +88,7 @@
   explicit Session(tcp::socket Socket) : m_stream(std::move(Socket)) {}
 
   beast::tcp_stream m_stream;
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{ClientBufferBytes};
   bool m_isIdle = true;
   bool m_isWatched = false;
   bool m_mustClose = false;
--- a/src/edge/upstream-exchange.cc
+++ b/src/edge/upstream-exchange.cc
@@ -31,6 +31,8 @@
 constexpr Millis UnsafeMaxIdle{2500};
 /// Answers to earlier requests that may come first on a connection.
 constexpr int MostForeignAnswers = 2;
+/// Answers of the kind "100 Continue" that may come before the final one.
+constexpr int MostInterimAnswers = 8;
 /// Added to the time of the server, which ends work by itself in time.
 constexpr Millis AnswerGrace{80};
 constexpr Millis ProbeTimeout{250};
@@ -88,6 +90,7 @@
 asio::awaitable<bool> UpstreamExchange::readHead(Connection &Used,
                                                  const UpstreamRequest &Request,
                                                  UpstreamReply &Reply) {
+  int Interim = 0;
   for (int Foreign = 0; Foreign <= MostForeignAnswers; ++Foreign) {
     std::shared_ptr<ResponseParser> Parser = std::make_shared<ResponseParser>();
     Parser->header_limit(HeaderBytes);
@@ -101,6 +104,8 @@
       co_return false;
     const http::response_header<> &Head = Parser->get();
     if (Head.result_int() / 100 == 1) {
+      if (++Interim > MostInterimAnswers)
+        co_return false;
       --Foreign;
       continue;
     }
@@ -128,6 +133,10 @@
       Reply.m_isTooLong = true;
       co_return true;
     }
+    if (Used.hasEnded()) {
+      Reply.m_result = DispatchResult::TimedOut;
+      co_return false;
+    }
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
     const auto [Error, Count] = co_await http::async_read(
@@ -186,9 +195,7 @@
   Work->m_more = Request.m_more;
   const bool IsShort =
       !Request.m_more && Work->m_bytes.size() < ShortRequestBytes;
-  Used->m_stream.expires_after(
-      std::chrono::duration_cast<Millis>(Request.m_endsAt - BootClock::now()) +
-      AnswerGrace);
+  Used->endAt(Request.m_endsAt + AnswerGrace);
   if (IsShort)
     co_await send(Work);
   else
@@ -240,6 +247,8 @@
   ResponseParser &Parser = *Reply.m_head;
   std::string Piece(PieceBytes, '\0');
   while (!Parser.is_done()) {
+    if (Reply.m_connection->hasEnded())
+      co_return HttpErrc::TimedOut;
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
     const auto [Error, Count] = co_await http::async_read_some(
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -430,6 +430,113 @@
   EXPECT_EQ(send(post("/pay/", "card")).m_status, 504U);
 }
 
+/// Servers that send bytes until the gateway closes the connection.
+class EndlessAnswerTest : public GatewayHostTest {
+protected:
+  EndlessAnswerTest() {
+    for (Route &Item : m_store.m_configuration.m_routes)
+      Item.m_timeout = Millis(400);
+  }
+
+  /// Sends \p Head with the request's id, then \p Piece again and again.
+  void sendForEver(std::string Head, std::string Piece,
+                   Millis Pause = Millis(0)) {
+    setWeb([this, Head, Piece,
+            Pause](ScriptedServer::Stream &To,
+                   const SeenRequest &Seen) -> asio::awaitable<bool> {
+      std::string Text("HTTP/1.1 200 OK\r\nTest-Id: ");
+      Text += Seen.m_id;
+      Text += "\r\n";
+      Text += Head;
+      bool IsOpen = co_await ScriptedServer::send(To, std::move(Text));
+      while (IsOpen) {
+        m_sentBytes += Piece.size();
+        if (Pause > Millis(0))
+          co_await sleepFor(Pause);
+        std::string Copy = Piece;
+        IsOpen = co_await ScriptedServer::send(To, std::move(Copy));
+      }
+      ++m_closed;
+      co_return false;
+    });
+  }
+
+  /// The client gets no whole answer, the server is left, and the host serves
+  /// on.
+  void expectTorn() {
+    startAll();
+    const Answer Got = send(post("/pay/", "card"));
+    EXPECT_FALSE(Got.m_isWhole && Got.m_status == 200);
+    EXPECT_TRUE(runUntil([this] { return m_closed > 0; }));
+    setWeb(ScriptedServer::answerOk);
+    EXPECT_EQ(send(get("/web/")).m_status, 200U);
+  }
+
+  std::size_t m_sentBytes = 0;
+  std::size_t m_closed = 0;
+};
+
+TEST_F(EndlessAnswerTest, Head_FullSpeed_IsCutAtItsLimit) {
+  sendForEver("", "X-More: " + std::string(1000, 'x') + "\r\n");
+  expectTorn();
+  // What the sockets hold comes on top of what the head may have.
+  EXPECT_LT(m_sentBytes, 16U << 20U);
+}
+
+TEST_F(EndlessAnswerTest, Head_Trickle_EndsWithTheTime) {
+  sendForEver("", "X", Millis(20));
+  expectTorn();
+}
+
+TEST_F(EndlessAnswerTest, InterimAnswers_WithoutEnd_EndWithTheTime) {
+  sendForEver("Content-Length: 0\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n");
+  setWeb([this](ScriptedServer::Stream &To,
+                const SeenRequest &) -> asio::awaitable<bool> {
+    bool IsOpen = true;
+    while (IsOpen) {
+      std::string Text("HTTP/1.1 100 Continue\r\n\r\n");
+      IsOpen = co_await ScriptedServer::send(To, std::move(Text));
+    }
+    ++m_closed;
+    co_return false;
+  });
+  expectTorn();
+}
+
+TEST_F(EndlessAnswerTest, Body_FullSpeed_EndsWithTheTime) {
+  sendForEver("\r\n", std::string(16U << 10U, 'x'));
+  expectTorn();
+}
+
+TEST_F(EndlessAnswerTest, Body_Trickle_EndsWithTheTime) {
+  sendForEver("Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", Millis(20));
+  expectTorn();
+}
+
+// The parser wants a whole line before it takes a chunk: the line was kept
+// whole, however long.
+TEST_F(EndlessAnswerTest, ChunkLine_FullSpeed_IsCutAtItsLimit) {
+  for (Route &Item : m_store.m_configuration.m_routes)
+    Item.m_timeout = Millis(20000);
+  sendForEver("Transfer-Encoding: chunked\r\n\r\n5;",
+              std::string(16U << 10U, 'x'));
+  expectTorn();
+  EXPECT_LT(m_sentBytes, 16U << 20U);
+}
+
+TEST_F(EndlessAnswerTest, Body_ClientHasGone_ServerIsLeft) {
+  for (Route &Item : m_store.m_configuration.m_routes)
+    Item.m_timeout = Millis(20000);
+  sendForEver("\r\n", std::string(16U << 10U, 'x'));
+  startAll();
+  asio::ip::tcp::socket Client(m_context);
+  Client.connect(m_addresses[0]);
+  asio::write(Client, asio::buffer(get("/web/")));
+  ASSERT_TRUE(runUntil([this] { return m_sentBytes > (1U << 20U); }));
+  Client.close();
+  EXPECT_TRUE(runUntil([this] { return m_closed > 0; }));
+}
+
 TEST_F(GatewayHostTest, SafeRequest_ClientLeaves_ServerIsLeftToo) {
   bool IsLeft = false;
   setWeb([&IsLeft](ScriptedServer::Stream &To,
