Count the pause before a takeover from the start of the process

Change: the pause counts from the start of the process (and two beats from that of the keeper); the wait for peers shrinks with the square of a host's share of a core.

--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -80,6 +80,7 @@
   std::string metricsText();
 
   boost::asio::any_io_executor m_executor;
+  const TimePoint m_startedAt = BootClock::now();
   const HostPolicy m_policy;
   const GatewaySettings m_settings;
   GatewayStore &m_store;
--- a/include/tamarackdrum/gateway/ownership-keeper.h
+++ b/include/tamarackdrum/gateway/ownership-keeper.h
@@ -22,8 +22,10 @@
   /// host that can.
   Millis m_staleStore{1500};
   /// A process that has just started hears the beats of the others first: the
-  /// granter among them, or that its old process has ended.
+  /// granter among them, or that its old process has ended. From the start of
+  /// the process, and from that of the keeper: two beats.
   Millis m_startPause{1000};
+  Millis m_leastPause{500};
   /// Pause after a failed takeover or write.
   Millis m_retryPause{400};
 
@@ -32,6 +34,7 @@
 
 /// What the keeper needs to know of its host.
 struct KeeperView {
+  TimePoint m_startedAt{};             ///< Start of the process.
   std::function<Millis()> m_storeLost; ///< Since when it fails; 0 if not.
   std::function<Millis()> m_storeGood; ///< Span of good reads up to now.
   std::function<const std::map<std::string, ServerEntry> &()> m_servers;
--- a/include/tamarackdrum/gateway/state-feed.h
+++ b/include/tamarackdrum/gateway/state-feed.h
@@ -45,8 +45,8 @@
   /// A process that starts waits this long for what its peers know before it
   /// reads the store, unless it is one of those that are asked first. The time
   /// differs from host to host, so that not all of them read if all start, and
-  /// is for a host of a tenth of a core: larger ones, which others will hear,
-  /// wait less by their share.
+  /// is for a host of a tenth of a core. Larger ones wait less by the square of
+  /// their share: they read faster, and others will hear them.
   Millis m_shortestStart{200};
   Millis m_longestStart{900};
   /// The same where no traffic comes yet, since the whole site starts.
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -192,6 +192,7 @@
 
 OwnershipKeeper &GatewayHost::makeKeeper(const std::string &Service) {
   KeeperView View;
+  View.m_startedAt = m_startedAt;
   View.m_storeLost = [this] { return m_feed.storeLost(); };
   View.m_onStore = [this](bool IsGood, TimePoint AskedAt) {
     m_feed.noteStore(IsGood, AskedAt, "ownership", "not readable");
--- a/src/edge/ownership-keeper.cc
+++ b/src/edge/ownership-keeper.cc
@@ -40,7 +40,8 @@
       m_policy(Policy), m_grants(Grants), m_store(Store), m_servers(Servers),
       m_hosts(Hosts), m_log(Log), m_metrics(Metrics), m_view(std::move(View)),
       m_granter(Grants, Hosts.self().m_name, Hosts.self().m_life),
-      m_nextTakeOver(BootClock::now() + Policy.m_startPause) {}
+      m_nextTakeOver(std::max(m_view.m_startedAt + Policy.m_startPause,
+                              BootClock::now() + Policy.m_leastPause)) {}
 
 void OwnershipKeeper::leave() {
   const TimePoint Now = BootClock::now();
--- a/src/edge/state-feed.cc
+++ b/src/edge/state-feed.cc
@@ -47,8 +47,8 @@
   if (!HasOthers)
     return Millis(0);
   const Millis Small = between(Policy.m_shortestStart, Policy.m_longestStart);
-  const Millis Wait =
-      Small * SmallWeight / std::max(SmallWeight, Settings.m_host.m_weight);
+  const unsigned Weight = std::max(SmallWeight, Settings.m_host.m_weight);
+  const Millis Wait = Small * SmallWeight * SmallWeight / (Weight * Weight);
   return Settings.m_isFirstStart ? Wait + Policy.m_firstStart : Wait;
 }
 
--- a/test/gateway/ownership-keeper-test.cc
+++ b/test/gateway/ownership-keeper-test.cc
@@ -30,6 +30,7 @@
   static KeeperPolicy policy() {
     KeeperPolicy Out;
     Out.m_startPause = Millis(0);
+    Out.m_leastPause = Millis(0);
     return Out;
   }
 
