--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -112,6 +112,12 @@
   bool route(Exchange &Item) const;
   UpstreamRequest makeRequest(SessionPtr Client, std::shared_ptr<Exchange> Item,
                               const ServerEntry &Server) const;
+  static DispatchAsk makeAsk(const Exchange &Item);
+  /// Notes what an answer, or the want of one, says of a request.
+  void noteReply(Exchange &Item, const ServerEntry &Server,
+                 const UpstreamReply &Reply, std::size_t SentBytes);
+  /// Returns whether a request that failed goes to another server.
+  bool goesOn(Exchange &Item) const;
   static Framing requestFraming(const Exchange &Item);
   BodySource makeSource(SessionPtr Client,
                         std::shared_ptr<Exchange> Item) const;
