--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -33,6 +33,14 @@
   auto operator<=>(const Ticket &) const = default; // NOLINT: generated code
 };
 
+/// A server that wants nothing from the asking host for a while.
+struct RestingServer {
+  std::string m_server;
+  Millis m_left{0};
+
+  bool operator==(const RestingServer &) const = default;
+};
+
 /// A request that wants a slot.
 struct DispatchAsk {
   Ticket m_ticket;
@@ -44,6 +52,7 @@
   Millis m_objectiveLeft{0};        ///< Until its full credit is lost.
   Millis m_timeLeft{0};             ///< Until nobody waits for it any more.
   std::vector<std::string> m_tried; ///< Servers that have failed it.
+  std::vector<RestingServer> m_resting;
 
   bool operator==(const DispatchAsk &) const = default;
 };
@@ -51,9 +60,10 @@
 /// Why a request was refused.
 enum class RefusalReason {
   None,
-  NoServer,     ///< No server of the service can be used.
-  Overloaded,   ///< It would wait longer than it can.
-  NoRetryBudget ///< It may not be sent once more.
+  NoServer,      ///< No server of the service can be used.
+  Overloaded,    ///< It would wait longer than it can.
+  NoRetryBudget, ///< It may not be sent once more.
+  ServerRests    ///< All that could run it want nothing from its host yet.
 };
 
 const char *toText(RefusalReason Value) noexcept;
@@ -268,6 +278,9 @@
   double serviceRate(TimePoint Now) const;
   Outlook outlookFor(const DispatchAsk &Ask, TimePoint Now) const;
   std::optional<TimePoint> firstBack() const;
+  /// Returns the time after which the first server that could run \p Ask may
+  /// be asked by its host; nothing if one may be asked now.
+  std::optional<Millis> restBefore(const DispatchAsk &Ask) const;
   Choice choose(const DispatchAsk &Ask, TimePoint Now);
   /// Returns until when \p Ask, of an unkeyed service, waits for a server of
   /// its own zone only; \p Now if it does not.
--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -7,6 +7,7 @@
 #include "tamarackdrum/gateway/admission.h"
 #include "tamarackdrum/gateway/gateway-metrics.h"
 #include "tamarackdrum/gateway/message-head.h"
+#include "tamarackdrum/gateway/server-rests.h"
 #include "tamarackdrum/gateway/upstream-exchange.h"
 #include "tamarackdrum/poison.h"
 
@@ -56,6 +57,7 @@
     std::function<void(const std::string &Service, Key Value)> m_onNotHeld;
     std::function<void(std::uint64_t Fingerprint, const ServerEntry &)>
         m_onCrash;
+    std::function<void(const ServerEntry &)> m_onLeaving;
   };
 
   EdgeServer(boost::asio::any_io_executor Executor, EdgePolicy Policy,
@@ -112,7 +114,10 @@
   bool route(Exchange &Item) const;
   UpstreamRequest makeRequest(SessionPtr Client, std::shared_ptr<Exchange> Item,
                               const ServerEntry &Server) const;
-  static DispatchAsk makeAsk(const Exchange &Item);
+  DispatchAsk makeAsk(const Exchange &Item) const;
+  /// Returns the server of a decision if it may be sent \p Item now. Otherwise
+  /// notes why, gives the slot back and returns null.
+  const ServerEntry *checkServer(Exchange &Item, const Admitted &Taken);
   /// Notes what an answer, or the want of one, says of a request.
   void noteReply(Exchange &Item, const ServerEntry &Server,
                  const UpstreamReply &Reply, std::size_t SentBytes);
@@ -144,6 +149,7 @@
   bool m_isDraining = false;
   bool m_isRefusing = false;
   std::map<std::string, Millis> m_fullDeadlines; ///< Longest seen, by route.
+  ServerRests m_rests;
 };
 
 } // namespace tamarackdrum::gateway
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -53,7 +53,9 @@
   /// Returns whether clients should be sent here.
   bool isReady() const;
 
-  std::size_t knownServers() const { return m_feed.servers().size(); }
+  const std::map<std::string, ServerEntry> &servers() const {
+    return m_feed.servers();
+  }
 
 private:
   boost::asio::awaitable<void> tickLoop();
@@ -68,6 +70,9 @@
                  PeerMessage &Message);
   void onBeat(const HostBeat &Beat);
   HostBeat makeBeat(const HostBeat *Asked) const;
+  /// Takes a server that has said that it leaves out of use, here and, if that
+  /// is new, at other hosts.
+  void spreadLeaving(const LeavingMessage &Message, bool IsOwn);
   void spreadCrash(const CrashMessage &Message, bool IsOwn);
   OwnershipKeeper &makeKeeper(const std::string &Service);
   void sendKeyMap(std::uint32_t Link, const std::string &Service);
--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -33,7 +33,7 @@
 /// A granter of an earlier term whose grants may still hold.
 struct EarlierGranter {
   std::uint64_t m_term = 0;
-  std::string m_host;
+  std::string m_host;         ///< Empty: any host, by a record that was lost.
   std::int64_t m_life = 0;    ///< Start of the granting process, Unix ms.
   std::int64_t m_untilMs = 0; ///< Time of the store by which they lapse.
 
@@ -47,6 +47,28 @@
   HasGivenWay ///< It knows of a newer term and has not lengthened its holds.
 };
 
+/// State of the store in which a term begins.
+struct TermBasis {
+  std::int64_t m_storeMs = 0; ///< Steady time of the store.
+  /// Hosts that ended may have lengthened their holds before.
+  bool m_wasStoreAway = false;
+  std::uint64_t m_era = 0; ///< See RowVersion.
+  /// The record was written in an earlier era: later ones may be lost, and
+  /// granters that nobody knows may hold keys by them.
+  bool m_isRecordOld = false;
+
+  bool operator==(const TermBasis &) const = default;
+};
+
+/// Returns the term above which those of \p Era lie. Terms and fencing tokens
+/// of an era are above all earlier ones, whether these are still recorded or
+/// not.
+constexpr std::uint64_t termsBefore(std::uint64_t Era) {
+  /// Enough for a takeover each second during 12 days of an era.
+  constexpr unsigned TermBits = 20;
+  return Era << TermBits;
+}
+
 /// The ownership record of one service. Whoever has written the highest term
 /// is the granter.
 struct OwnershipRecord {
@@ -59,6 +81,12 @@
   bool operator==(const OwnershipRecord &) const = default;
 };
 
+/// Returns whether \p Record was written before \p Era: records of later
+/// terms may have been lost with the store's last writes.
+inline bool isOfEarlierEra(const OwnershipRecord &Record, std::uint64_t Era) {
+  return Era > 0 && Record.m_term <= termsBefore(Era);
+}
+
 /// Returns the holders that \p Record names, with version 0: they held their
 /// keys when it was written and may not any more.
 KeyMap recordedMap(const OwnershipRecord &Record);
@@ -136,10 +164,19 @@
   using StateOf = std::function<EarlierState(const EarlierGranter &)>;
 
   /// Becomes the granter after \p Read, which takes effect with the write that
-  /// step() asks for. \p StoreMs is the time of the store at \p Now.
-  /// \p WasStoreAway: hosts that ended may have lengthened their holds before.
+  /// step() asks for. \p Basis holds at \p Now.
   void takeOver(const OwnershipRecord &Read, const StateOf &State,
-                bool WasStoreAway, std::int64_t StoreMs, TimePoint Now);
+                const TermBasis &Basis, TimePoint Now);
+  /// Claims the keys anew, by a term of \p Era, where the store has come back
+  /// at \p Now from a copy that is older than the own record. Returns false if
+  /// the term was not validated of late: another granter may have taken over
+  /// in the time that is lost, and acted on it.
+  ///
+  /// Until the claim is written, confirmed grants are renewed and nothing
+  /// moves. After that a range moves once its owner has taken a renewal: a
+  /// server that had got a higher token would have refused.
+  bool restate(std::uint64_t Era, TimePoint Now);
+  bool isRestating() const { return m_isRestating; }
   /// Waits for the holds only of those earlier granters that grant no more.
   void noteEarlier(const StateOf &State, TimePoint Now);
 
@@ -162,7 +199,9 @@
   bool isGranter() const { return m_isGranter; }
   /// Returns whether its term stands in the store: until then nobody may act on
   /// its map.
-  bool isInForce() const { return m_isGranter && m_isWritten; }
+  bool isInForce() const {
+    return m_isGranter && m_isWritten && !m_isRestating;
+  }
   std::uint64_t term() const { return m_record.m_term; }
 
   /// Notes that the term was still the newest at \p AskedAt.
@@ -196,6 +235,8 @@
     RangeRecord m_record;
     std::uint64_t m_change = 0; ///< Number of the last change of m_record.
     bool m_isInherited = false; ///< An earlier granter may renew the owner.
+    /// A granter that no record names may have moved it.
+    bool m_isUnsure = false;
     bool m_isCalling = false;
     TimePoint m_callingSince{};
     TimePoint m_confirmedAt{};  ///< Sending of the last answered grant.
@@ -237,6 +278,12 @@
   std::int64_t toStoreMs(TimePoint At) const;
   TimePoint fromStoreMs(std::int64_t Ms) const;
   Millis longestInherited() const;
+  /// Returns whether granters that the record does not name may hold keys.
+  bool mayOthersHold(const Range &Item, TimePoint Now) const {
+    return Item.m_isUnsure && Now < m_unknownEndsAt;
+  }
+  /// Names the granters of records that were lost among the earlier ones.
+  void addUnknownGranter(std::uint64_t Era, TimePoint Now);
   void assign(Range &Item, const ServerLife &Owner, TimePoint Now);
   void regrant(Range &Item, const ServerLife &Owner);
   void move(const KeyMove &Wanted, TimePoint Now);
@@ -256,9 +303,12 @@
   bool m_isGranter = false;
   bool m_isWritten = false; ///< The term itself stands in the store.
   bool m_wasStoreAway = false;
+  bool m_isRestating = false; ///< The store has lost records of this term.
+  TimePoint m_restatedAt{};
   bool m_isLengthening = false;
   bool m_isWriting = false;
   bool m_isDirty = false;
+  std::uint64_t m_era = 0; ///< In which the term began.
   bool m_needsValidation = false;
   OwnershipRecord m_record; ///< As last offered to the store.
   std::uint64_t m_fences = 0;
@@ -269,6 +319,7 @@
   TimePoint m_takenAt{};
   std::int64_t m_takenStoreMs = 0;
   TimePoint m_inheritedEndsAt{}; ///< Grants of earlier granters lapse by then.
+  TimePoint m_unknownEndsAt{};   ///< Those that no record names, too.
   TimePoint m_wroteAt{};
   TimePoint m_plannedAt{};
   std::vector<Range> m_ranges;
--- a/include/tamarackdrum/gateway/listing-feed.h
+++ b/include/tamarackdrum/gateway/listing-feed.h
@@ -15,9 +15,9 @@
 struct ListingTimes {
   TimePoint m_askedAt{}; ///< The store was asked for it.
   TimePoint m_heardAt{}; ///< It came here.
-  /// Steady time of the store at the read. It alone orders listings that came
-  /// by different ways: a host that stood still tells old ones as new.
-  std::int64_t m_storeMs = 0;
+  /// Time of the store at the read. It alone orders listings that came by
+  /// different ways: a host that stood still tells old ones as new.
+  StoreTime m_storeAt;
 
   bool operator==(const ListingTimes &) const = default;
 };
@@ -31,10 +31,10 @@
 bool isListingDue(const ListingTimes &Last, bool IsReader, Millis ReadEvery,
                   Millis LongestSilence, TimePoint Now);
 
-/// Returns whether a listing that was read at \p StoreMs is not older than the
-/// last one that was taken.
-inline bool isListingNew(const ListingTimes &Last, std::int64_t StoreMs) {
-  return StoreMs >= Last.m_storeMs;
+/// Returns whether a listing that was read at \p At is not older than the last
+/// one that was taken.
+inline bool isListingNew(const ListingTimes &Last, const StoreTime &At) {
+  return At >= Last.m_storeAt;
 }
 
 /// The side of a host that others follow.
--- a/include/tamarackdrum/gateway/ownership-keeper.h
+++ b/include/tamarackdrum/gateway/ownership-keeper.h
@@ -35,6 +35,7 @@
 /// What the keeper needs to know of its host.
 struct KeeperView {
   TimePoint m_startedAt{};             ///< Start of the process.
+  bool m_isFirstStart = false;         ///< Of the whole site.
   std::function<Millis()> m_storeLost; ///< Since when it fails; 0 if not.
   std::function<Millis()> m_storeGood; ///< Span of good reads up to now.
   std::function<const std::map<std::string, ServerEntry> &()> m_servers;
@@ -82,6 +83,8 @@
   bool shouldTakeOver(TimePoint Now) const;
   /// Returns whether the store may have been away for all hosts of late.
   bool wasStoreAway() const;
+  /// Returns whether records that came after \p Read may have been lost.
+  bool isRecordOld(const VersionedOwnership &Read) const;
   /// Returns what is known of \p Old by its beats.
   EarlierState stateOf(const EarlierGranter &Old) const;
   boost::asio::awaitable<void> takeOver();
@@ -105,8 +108,8 @@
   const KeeperView m_view;
   KeyGranter m_granter;
   GranterClaim m_claim;
-  std::uint64_t m_version = 0; ///< Of the row, as last read or written.
-  bool m_isStopped = false;    ///< Takes no term any more.
+  RowVersion m_version;     ///< Of the row, as last read or written.
+  bool m_isStopped = false; ///< Takes no term any more.
   bool m_isEnded = false;
   bool m_hasLengthened = false; ///< Its last holds are of the longest kind.
   bool m_isValidating = false;
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -6,6 +6,7 @@
 
 #include "tamarackdrum/gateway/dispatcher.h"
 #include "tamarackdrum/gateway/roster.h"
+#include "tamarackdrum/gateway/store-time.h"
 
 #include <variant>
 
@@ -47,8 +48,8 @@
 
 /// Hosts of the site, as the reader of the store knows them.
 struct HostsMessage {
-  /// Store time of a list of all hosts, in ms; 0: some that are new.
-  std::int64_t m_storeMs = 0;
+  /// When all hosts were listed; without it these are some that are new.
+  std::optional<StoreTime> m_listedAt;
   std::vector<HostInfo> m_hosts;
 
   bool operator==(const HostsMessage &) const = default;
@@ -139,12 +140,20 @@
   bool operator==(const CrashMessage &) const = default;
 };
 
+/// A server has said in an answer that it leaves.
+struct LeavingMessage {
+  std::string m_server;
+  std::int64_t m_bornMs = 0; ///< Start of the life that leaves.
+
+  bool operator==(const LeavingMessage &) const = default;
+};
+
 /// What the reader of the store has read last. Sent after each good read, so
 /// that the other hosts need not read, too.
 struct ListingMessage {
   std::uint64_t m_version = 0;     ///< Grows when the rows change.
   std::uint64_t m_base = 0;        ///< Version that the rows change; 0: none.
-  std::int64_t m_storeMs = 0;      ///< Steady time of the store at the read.
+  StoreTime m_storeAt;             ///< Of the read.
   std::uint32_t m_ageMs = 0;       ///< Since the read was asked for.
   std::uint32_t m_configAgeMs = 0; ///< Since the configuration was known.
   std::uint64_t m_configVersion = 0;
@@ -167,7 +176,7 @@
                  DecisionMessage, FinishMessage, WithdrawMessage, KeyMapMessage,
                  NotHeldMessage, KeyMapRequest, StateRequest, StateMessage,
                  CrashMessage, ListingMessage, ConfigurationMessage,
-                 FollowMessage, HostsMessage>;
+                 FollowMessage, HostsMessage, LeavingMessage>;
 
 /// Returns the name of the kind of message, for logs and metrics.
 const char *toText(const PeerMessage &Message) noexcept;
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -8,6 +8,7 @@
 #include "tamarackdrum/gateway/key-granter.h"
 #include "tamarackdrum/gateway/retry-window.h"
 #include "tamarackdrum/gateway/roster.h"
+#include "tamarackdrum/gateway/store-time.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -20,6 +21,7 @@
   std::string m_expectServer; ///< Id of the only server that may run it.
   std::string m_notRun;       ///< Set by servers that did not run a request.
   std::string m_key;          ///< Key of a request to a keyed service.
+  std::string m_leaving;      ///< "1" in all answers of a server that leaves.
 
   bool operator==(const HeaderNames &) const = default;
 };
@@ -49,7 +51,7 @@
 /// A record and the version that a conditional write of it has to name.
 struct VersionedOwnership {
   OwnershipRecord m_record; ///< Term 0 if there is none yet.
-  std::uint64_t m_version = 0;
+  RowVersion m_version;
   std::int64_t m_storeMs = 0; ///< Steady time of the store at the read.
 
   bool operator==(const VersionedOwnership &) const = default;
@@ -58,7 +60,7 @@
 /// All rows of the server registry.
 struct ServerListing {
   std::vector<ServerRow> m_rows;
-  std::int64_t m_storeMs = 0; ///< Steady time of the store before the read.
+  StoreTime m_at; ///< Before the read.
 
   bool operator==(const ServerListing &) const = default;
 };
@@ -66,7 +68,7 @@
 /// The hosts that the store lists.
 struct HostListing {
   std::vector<HostInfo> m_hosts;
-  std::int64_t m_storeMs = 0; ///< Steady time of the store at the read.
+  StoreTime m_at; ///< Of the read.
 
   bool operator==(const HostListing &) const = default;
 };
@@ -86,6 +88,9 @@
 
   virtual ~GatewayStore() = default;
 
+  /// Returns the newest era that an answer of the store has named.
+  virtual std::uint64_t era() const = 0;
+
   virtual Task<ServerListing> readServers() = 0;
 
   /// Returns the configuration, or waits up to \p Wait for one that is newer
@@ -96,12 +101,14 @@
   virtual Result<ReadConfiguration>
   decodeConfiguration(const std::string &Text) const = 0;
 
+  /// Returns the record of this era or, with version 0, the last one before.
   virtual Task<VersionedOwnership> readOwnership(std::string Service) = 0;
   /// Writes \p Record if the row still has \p Version; returns the new one.
-  /// TableErrc::Unsettled: it may stand, or may come to stand later.
-  virtual Task<std::uint64_t> writeOwnership(std::string Service,
-                                             OwnershipRecord Record,
-                                             std::uint64_t Version) = 0;
+  /// TableErrc::Conflict: the row has another version, or a later era has
+  /// begun. TableErrc::Unsettled: it may stand, or may come to stand later.
+  virtual Task<RowVersion> writeOwnership(std::string Service,
+                                          OwnershipRecord Record,
+                                          RowVersion Version) = 0;
 
   /// Enters hosts, in one call and as many of them as it takes. Returns their
   /// number.
--- a/include/tamarackdrum/gateway/server-directory.h
+++ b/include/tamarackdrum/gateway/server-directory.h
@@ -45,6 +45,13 @@
   /// several polling
   /// intervals, since a new reader may have to be found in between.
   Millis m_outageGap{2500};
+  /// A life that has left, and that an older copy of the registry names again,
+  /// is used if it is still listed after this time. Source: an entry lapses
+  /// after three reports of 0.9 s are missing, and the grace.
+  Millis m_copyDoubt{6000};
+  /// Lives that have left are remembered for this long. Source: a copy is some
+  /// seconds old, and a server that leaves serves on for many seconds.
+  Millis m_memory{120000};
 
   bool operator==(const DirectoryPolicy &) const = default;
 };
@@ -67,9 +74,16 @@
   explicit ServerDirectory(DirectoryPolicy Policy = {}) : m_policy(Policy) {}
 
   /// Takes a whole listing that was asked for at \p AskedAt. Older listings
-  /// than the newest one taken are ignored.
+  /// than the newest one taken are ignored. Where \p Era of the store is a new
+  /// one, the registry has come back from an older copy: servers that it
+  /// lacks may register again, and those that it has again may be gone.
   DirectoryChange applyListing(const std::vector<ServerRow> &Rows,
-                               TimePoint AskedAt, TimePoint Now);
+                               TimePoint AskedAt, TimePoint Now,
+                               std::uint64_t Era = 0);
+
+  /// Takes a life of a server out of use for good, since it has said that it
+  /// leaves. Returns whether that is new.
+  bool noteLeaving(const std::string &Id, std::int64_t BornMs, TimePoint Now);
 
   /// Notes that a listing could not be read.
   void noteReadFailed() { m_hasFailed = true; }
@@ -91,8 +105,28 @@
   TimePoint lastListing() const { return m_lastListing; }
 
 private:
+  /// A life that is in the directory no more.
+  struct Past {
+    std::int64_t m_bornMs = 0;
+    std::uint64_t m_era = 0; ///< Of the listing that lacked it.
+    bool m_isLeaving = false;
+    TimePoint m_at{};
+    TimePoint m_listedSince{}; ///< In a later era.
+  };
+
+  /// Notes an outage or an older copy, from which entries have to come back.
+  void beginGrace(TimePoint AskedAt, TimePoint Now, std::uint64_t Era);
+  /// Returns whether a row that is not in the directory names a server to use.
+  bool isCredible(const ServerEntry &Entry, TimePoint Now);
+  void add(const ServerEntry &Entry, DirectoryChange &Out);
+  void update(ServerEntry &Known, const ServerEntry &Next,
+              DirectoryChange &Out) const;
+  void forgetPast(const std::set<std::string> &Present, TimePoint Now);
+
   const DirectoryPolicy m_policy;
   std::map<std::string, ServerEntry> m_entries;
+  std::map<std::string, Past> m_past; ///< By id.
+  std::uint64_t m_era = 0;            ///< Of the last listing.
   TimePoint m_lastListing{};
   TimePoint m_graceUntil{};
   TimePoint m_lostSince{}; ///< Last good listing before the last outage.
--- a/include/tamarackdrum/gateway/state-feed.h
+++ b/include/tamarackdrum/gateway/state-feed.h
@@ -109,6 +109,9 @@
   void onStateRequest(std::uint32_t Link, const StateRequest &Needed);
   void onState(const std::string &Host, const StateMessage &State);
   void onHosts(const HostsMessage &News);
+  /// Takes a life of a server that has said that it leaves out of use.
+  /// Returns whether that is new.
+  bool noteLeaving(const LeavingMessage &News);
 
 private:
   bool hasState() const;
@@ -140,6 +143,9 @@
   /// Takes the rows of a listing, and passes on what is new in them.
   void takeListing(std::vector<ServerRow> Rows, const ListingTimes &Times,
                    bool HasNews);
+  /// Returns whether the store has come back from an older copy since the
+  /// hosts were read: some that were entered may be missing.
+  bool mayMissHosts() const { return m_store.era() > m_hostsAt.m_era; }
   void setAges(ListingMessage &News) const;
   void sendState(std::uint32_t Link, const StateRequest &Needed);
   /// Sends beats to the hosts that the settings name.
@@ -168,7 +174,7 @@
   const TimePoint m_readsFrom; ///< Peers alone are asked before.
   std::map<std::string, std::int64_t> m_entered; ///< Lives in the store.
   std::map<std::string, std::int64_t> m_spread;  ///< Lives told to followers.
-  std::int64_t m_hostsStoreMs = 0; ///< Of the last list of all hosts.
+  StoreTime m_hostsAt; ///< Of the last list of all hosts.
   TimePoint m_hostsReadAt{};
 };
 
--- a/include/tamarackdrum/gateway/upstream-exchange.h
+++ b/include/tamarackdrum/gateway/upstream-exchange.h
@@ -40,6 +40,8 @@
   bool m_isSent = false;    ///< The request may have reached the server.
   bool m_isTooLong = false; ///< m_body is not whole: read on with readMore().
   Millis m_time{0};
+  bool m_isLeaving = false; ///< The server has said that it leaves.
+  Millis m_rest{0};         ///< It wants nothing from this host for so long.
   std::shared_ptr<ResponseParser> m_head; ///< Status and headers; may be null.
   std::string m_body;
   ConnectionPool::Owned m_connection; ///< Only if m_isTooLong.
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -22,6 +22,9 @@
 /// Retry-After where a server has refused or could not be reached: others have
 /// room within the time of a request.
 constexpr Millis ServerRetryAfter{200};
+/// Retry-After where the chosen server is no longer to be used: the next
+/// decision is made without it.
+constexpr Millis GoneRetryAfter{500};
 /// Least time that is worth another dispatch.
 constexpr Millis LeastTime{20};
 /// The server ends work by itself at the deadline that it is told; this host
@@ -77,7 +80,7 @@
     co_await settle(Client, Item);
 }
 
-DispatchAsk EdgeServer::makeAsk(const Exchange &Item) {
+DispatchAsk EdgeServer::makeAsk(const Exchange &Item) const {
   DispatchAsk Out;
   Out.m_route = Item.m_route->m_name;
   Out.m_key = Item.m_key;
@@ -86,9 +89,30 @@
   Out.m_objectiveLeft = std::max(Millis(0), left(Item.m_objectiveAt));
   Out.m_timeLeft = left(Item.m_endsAt);
   Out.m_tried = Item.m_tried;
+  Out.m_resting = m_rests.of(Item.m_service->m_name, BootClock::now());
   return Out;
 }
 
+const ServerEntry *EdgeServer::checkServer(Exchange &Item,
+                                           const Admitted &Taken) {
+  const std::string &Id = Taken.m_decision.m_server;
+  const ServerEntry *Server = m_view.m_findServer(Id);
+  // Whoever decided may not know yet what this host has been told.
+  const bool IsGone = Server == nullptr || Server->m_isDraining;
+  const Millis Rest =
+      IsGone ? Millis(0) : m_rests.left(*Server, BootClock::now());
+  if (!Item.m_isClientGone && !IsGone && Rest == Millis(0))
+    return Server;
+  m_slots.finish(Item.m_service->m_name, Taken, DispatchResult::Withdrawn,
+                 Millis(0));
+  if (IsGone)
+    Item.m_tried.push_back(Id);
+  Item.m_refusal.m_reason =
+      IsGone ? RefusalReason::NoServer : RefusalReason::ServerRests;
+  Item.m_refusal.m_retryAfter = IsGone ? GoneRetryAfter : Rest;
+  return nullptr;
+}
+
 /// One slot and one server. Returns whether to go on with another.
 asio::awaitable<bool> EdgeServer::tryOnce(SessionPtr Client,
                                           std::shared_ptr<Exchange> Item) {
@@ -110,17 +134,10 @@
   }
   // A host with too little processor time learns late that a client has left.
   Item->m_isClientGone = Item->m_isClientGone || hasLeft(*Client);
-  const ServerEntry *Server = m_view.m_findServer(Taken.m_decision.m_server);
-  if (Item->m_isClientGone || Server == nullptr || Server->m_isDraining) {
-    m_slots.finish(Item->m_service->m_name, Taken, DispatchResult::Withdrawn,
-                   Millis(0));
-    if (Server == nullptr)
-      Item->m_tried.push_back(Taken.m_decision.m_server);
-    Item->m_refusal.m_reason = RefusalReason::NoServer;
-    Item->m_refusal.m_retryAfter = Millis(500);
+  const ServerEntry *Server = checkServer(*Item, Taken);
+  if (Server == nullptr)
     co_return !Item->m_isClientGone &&
         ++Item->m_unreachable < m_policy.m_unreachableTries;
-  }
   const ServerEntry Chosen = *Server;
   UpstreamRequest Request = makeRequest(Client, Item, Chosen);
   Request.m_onHead = [this, Service = Item->m_service->m_name,
@@ -164,6 +181,15 @@
   if (Reply.m_result == DispatchResult::Broken)
     asio::co_spawn(m_executor, checkCrash(Item.m_fingerprint, Server),
                    asio::detached);
+  if (Reply.m_isLeaving)
+    m_view.m_onLeaving(Server);
+  if (Reply.m_rest > Millis(0)) {
+    m_rests.note(Server, Reply.m_rest, BootClock::now());
+    m_log.writeRequest("server-rests", {{"request", Item.m_id},
+                                        {"server", Server.m_id},
+                                        {"service", Service},
+                                        {"for_ms", Reply.m_rest}});
+  }
   if (Reply.m_result == DispatchResult::Served)
     m_poison.noteAnswered(Item.m_fingerprint, bootMillis());
   else
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -123,6 +123,9 @@
       m_network.send(Keeper->second->claim().m_host,
                      NotHeldMessage{Service, Value});
   };
+  Out.m_onLeaving = [this](const ServerEntry &Server) {
+    spreadLeaving({Server.m_id, Server.m_bornMs}, true);
+  };
   Out.m_onCrash = [this](std::uint64_t Fingerprint, const ServerEntry &Server) {
     spreadCrash(
         {Fingerprint, Server.m_id + "@" + std::to_string(Server.m_bornMs)},
@@ -187,6 +190,7 @@
 OwnershipKeeper &GatewayHost::makeKeeper(const std::string &Service) {
   KeeperView View;
   View.m_startedAt = m_startedAt;
+  View.m_isFirstStart = m_settings.m_isFirstStart;
   View.m_storeLost = [this] { return m_feed.storeLost(); };
   View.m_onStore = [this](bool IsGood, TimePoint AskedAt) {
     m_feed.noteStore(IsGood, AskedAt, "ownership", "not readable");
@@ -298,6 +302,14 @@
   return Out;
 }
 
+void GatewayHost::spreadLeaving(const LeavingMessage &Message, bool IsOwn) {
+  if (!m_feed.noteLeaving(Message))
+    return;
+  if (IsOwn)
+    m_network.sendToAnchors(Message);
+  m_network.sendToFollowers(Message);
+}
+
 void GatewayHost::spreadCrash(const CrashMessage &Message, bool IsOwn) {
   if (m_crashes.size() >= MostCrashes)
     m_crashes.clear();
@@ -354,6 +366,8 @@
     m_feed.onHosts(*Hosts);
   } else if (const auto *Crash = std::get_if<CrashMessage>(&Message)) {
     spreadCrash(*Crash, false);
+  } else if (const auto *Leaving = std::get_if<LeavingMessage>(&Message)) {
+    spreadLeaving(*Leaving, false);
   }
 }
 
@@ -387,7 +401,7 @@
                      static_cast<double>(m_edge.activeRequests()));
   m_metrics.setGauge("client_connections",
                      static_cast<double>(m_edge.connections()));
-  m_metrics.setGauge("known_servers", static_cast<double>(knownServers()));
+  m_metrics.setGauge("known_servers", static_cast<double>(servers().size()));
   m_metrics.setGauge("store_lost_ms",
                      static_cast<double>(m_feed.storeLost().count()));
   m_metrics.setGauge("upstream_connections_opened",
--- a/src/edge/ownership-keeper.cc
+++ b/src/edge/ownership-keeper.cc
@@ -114,6 +114,15 @@
   return true;
 }
 
+bool OwnershipKeeper::isRecordOld(const VersionedOwnership &Read) const {
+  if (!isOfEarlierEra(Read.m_record, Read.m_version.m_era))
+    return false;
+  // The first granter of a new site has nobody before it.
+  const bool IsNewSite =
+      m_view.m_isFirstStart && Read.m_record.m_term == 0 && m_claim.m_term == 0;
+  return !IsNewSite;
+}
+
 bool OwnershipKeeper::shouldTakeOver(TimePoint Now) const {
   if (m_isStopped || m_granter.isGranter() || Now < m_nextTakeOver ||
       m_view.m_storeLost() > Millis(0))
@@ -178,12 +187,16 @@
   };
   // The store's time of the answer is taken as that of the question: what has
   // to be waited for ends later rather than earlier.
-  m_granter.takeOver(Old, State, wasStoreAway(), Read.value().m_storeMs, Now);
+  const TermBasis Basis{Read.value().m_storeMs, wasStoreAway(), m_version.m_era,
+                        isRecordOld(Read.value())};
+  m_granter.takeOver(Old, State, Basis, Now);
   m_granter.setServers(ownServers(), Now);
   m_log.write("granter-takeover",
               {{"service", m_service},
                {"term", m_granter.term()},
                {"from", Old.m_granter},
+               {"era", Basis.m_era},
+               {"record_old", Basis.m_isRecordOld},
                {"holds_lapse_ms", m_granter.inheritedLeft(Now).count()},
                {"ranges", Old.m_ranges.size()}});
 }
@@ -191,7 +204,7 @@
 asio::awaitable<void> OwnershipKeeper::write(OwnershipRecord Record) {
   m_isWriting = true;
   const TimePoint AskedAt = BootClock::now();
-  const Result<std::uint64_t> Written =
+  const Result<RowVersion> Written =
       co_await m_store.writeOwnership(m_service, Record, m_version);
   m_isWriting = false;
   if (!m_granter.isGranter() || m_granter.term() != Record.m_term)
@@ -202,7 +215,8 @@
     m_claim = {Record.m_term, Record.m_granter, Record.m_granterLife};
     m_log.write("ownership-written", {{"service", m_service},
                                       {"term", Record.m_term},
-                                      {"version", m_version},
+                                      {"version", m_version.m_number},
+                                      {"era", m_version.m_era},
                                       {"ranges", Record.m_ranges.size()}});
     co_return;
   }
@@ -217,6 +231,7 @@
 
 asio::awaitable<void> OwnershipKeeper::validate() {
   m_isValidating = true;
+  const RowVersion Before = m_version;
   const TimePoint AskedAt = BootClock::now();
   const Result<VersionedOwnership> Read =
       co_await m_store.readOwnership(m_service);
@@ -233,6 +248,24 @@
     lose("the store names another", m_claim);
     co_return;
   }
+  if (isOfEarlierEra(Found, Read.value().m_version.m_era) &&
+      (m_granter.isInForce() || m_granter.isRestating())) {
+    // What this process knows is newer than the copy.
+    if (m_isWriting || m_version != Before)
+      co_return;
+    m_version = Read.value().m_version;
+    if (!m_granter.restate(m_version.m_era, BootClock::now())) {
+      lose("the store has lost records, and the last look is too long ago",
+           {Found.m_term, Found.m_granter, Found.m_granterLife});
+      co_return;
+    }
+    m_log.write("ownership-restated", {{"service", m_service},
+                                       {"era", m_version.m_era},
+                                       {"term", m_granter.term()},
+                                       {"found_term", Found.m_term},
+                                       {"found_granter", Found.m_granter}});
+    co_return;
+  }
   if (Found.m_term < m_granter.term()) {
     // The takeover has not taken effect, and the row may have changed since it
     // was read: it must begin anew from there.
@@ -298,6 +331,7 @@
         asio::co_spawn(m_executor, write(std::move(*Wanted.m_write)),
                        asio::detached);
       const bool IsDue = Now - m_validatedAt > m_policy.m_validateEvery ||
+                         m_store.era() > m_version.m_era ||
                          m_granter.needsValidation();
       if (IsDue && !m_isValidating && !m_isWriting)
         asio::co_spawn(m_executor, validate(), asio::detached);
--- a/src/edge/state-feed.cc
+++ b/src/edge/state-feed.cc
@@ -225,14 +225,15 @@
     Pauses.reset();
     // The store has answered just now, whatever its clock says.
     takeListing(std::move(Read.value().m_rows),
-                {AskedAt, BootClock::now(), Read.value().m_storeMs}, true);
+                {AskedAt, BootClock::now(), Read.value().m_at}, true);
   }
 }
 
 void StateFeed::takeListing(std::vector<ServerRow> Rows,
                             const ListingTimes &Times, bool HasNews) {
   m_listingTimes = Times;
-  applyServers(m_directory.applyListing(Rows, Times.m_askedAt, Times.m_heardAt),
+  applyServers(m_directory.applyListing(Rows, Times.m_askedAt, Times.m_heardAt,
+                                        Times.m_storeAt.m_era),
                HasNews);
   m_rows = std::move(Rows);
   m_areRowsShared = m_network->hasFollowers();
@@ -245,7 +246,7 @@
 
 void StateFeed::setAges(ListingMessage &News) const {
   const TimePoint Now = BootClock::now();
-  News.m_storeMs = m_listingTimes.m_storeMs;
+  News.m_storeAt = m_listingTimes.m_storeAt;
   News.m_ageMs = ageMs(m_listingTimes.m_askedAt, Now);
   News.m_configAgeMs = ageMs(m_configurationAt, Now);
   News.m_configVersion = configurationVersion();
@@ -263,10 +264,10 @@
   if (Listing.m_configVersion == Own && Own > 0)
     m_configurationAt =
         std::max(m_configurationAt, Now - Millis(Listing.m_configAgeMs));
-  if (!IsWhole || !isListingNew(m_listingTimes, Listing.m_storeMs))
+  if (!IsWhole || !isListingNew(m_listingTimes, Listing.m_storeAt))
     return;
   takeListing(Heard.rows(),
-              {Now - Millis(Listing.m_ageMs), Now, Listing.m_storeMs},
+              {Now - Millis(Listing.m_ageMs), Now, Listing.m_storeAt},
               Listing.m_hasRows);
 }
 
@@ -321,7 +322,7 @@
   m_network->setFollower(Link, IsFollowing);
   if (!IsFollowing)
     return;
-  m_network->reply(Link, HostsMessage{0, m_hosts.all()});
+  m_network->reply(Link, HostsMessage{std::nullopt, m_hosts.all()});
   sendState(Link, StateRequest{});
   m_events.m_onFollower(Link);
 }
@@ -364,7 +365,7 @@
   for (const HostInfo &Item : Read.value().m_hosts)
     m_entered[Item.m_name] = Item.m_life;
   m_hosts.addListed(Read.value().m_hosts, BootClock::now());
-  m_hostsStoreMs = Read.value().m_storeMs;
+  m_hostsAt = Read.value().m_at;
   co_return true;
 }
 
@@ -393,7 +394,8 @@
 void StateFeed::spreadHosts(bool IsWhole) {
   const std::vector<HostInfo> Live = m_hosts.live(BootClock::now());
   HostsMessage News;
-  News.m_storeMs = IsWhole ? m_hostsStoreMs : 0;
+  if (IsWhole)
+    News.m_listedAt = m_hostsAt;
   for (const HostInfo &Item : Live)
     if (std::exchange(m_spread[Item.m_name], Item.m_life) != Item.m_life ||
         IsWhole)
@@ -426,7 +428,8 @@
     co_await sleepFor(jittered(m_policy.m_enterHostsEvery));
     const TimePoint Now = BootClock::now();
     const bool IsReading = isReader();
-    const bool IsDue = Now - m_hostsReadAt >= m_policy.m_readHostsEvery;
+    const bool IsDue =
+        Now - m_hostsReadAt >= m_policy.m_readHostsEvery || mayMissHosts();
     const bool IsFed =
         Now - m_listingTimes.m_heardAt < m_policy.m_readHostsEvery;
     // An earlier reader may have entered hosts meanwhile.
@@ -443,18 +446,26 @@
 }
 
 void StateFeed::onHosts(const HostsMessage &News) {
-  if (News.m_storeMs > 0 && News.m_storeMs <= m_hostsStoreMs)
+  if (News.m_listedAt && *News.m_listedAt <= m_hostsAt)
     return;
   const std::vector<HostInfo> Unknown =
       m_hosts.addListed(News.m_hosts, BootClock::now());
-  if (News.m_storeMs > 0) {
-    m_hostsStoreMs = News.m_storeMs;
+  if (News.m_listedAt) {
+    m_hostsAt = *News.m_listedAt;
     m_network->sendToFollowers(News);
   } else if (!Unknown.empty()) {
-    m_network->sendToFollowers(HostsMessage{0, Unknown});
+    m_network->sendToFollowers(HostsMessage{std::nullopt, Unknown});
   }
 }
 
+bool StateFeed::noteLeaving(const LeavingMessage &News) {
+  const bool IsNew =
+      m_directory.noteLeaving(News.m_server, News.m_bornMs, BootClock::now());
+  if (IsNew)
+    applyServers({{}, {}, {News.m_server}, {}}, false);
+  return IsNew;
+}
+
 void StateFeed::onBeat(const HostBeat &Beat) {
   const TimePoint Now = BootClock::now();
   applyServers(m_directory.noteServedToOthers(Millis(Beat.m_storeGoodMs), Now),
--- a/src/edge/upstream-exchange.cc
+++ b/src/edge/upstream-exchange.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <cstdlib>
 
 namespace tamarackdrum::gateway {
 namespace {
@@ -36,6 +37,8 @@
 /// Added to the time of the server, which ends work by itself in time.
 constexpr Millis AnswerGrace{80};
 constexpr Millis ProbeTimeout{250};
+/// Longest time that a server may ask to be left alone, against nonsense.
+constexpr std::chrono::hours LongestRest{1};
 constexpr std::uint32_t HeaderBytes = 64U << 10U;
 
 Millis elapsed(TimePoint Since) {
@@ -54,6 +57,22 @@
   return std::chrono::seconds(Seconds);
 }
 
+/// Returns for how long a server that answered with \p Head wants nothing.
+Millis restTime(const http::response_header<> &Head) {
+  if (Head.result() != http::status::service_unavailable)
+    return Millis(0);
+  const std::string Text(Head[http::field::retry_after]);
+  // A date is not read: servers name seconds.
+  char *End = nullptr;
+  const double Seconds = std::strtod(Text.c_str(), &End);
+  if (Text.empty() || *End != '\0' || !(Seconds > 0))
+    return Millis(0);
+  const double Longest =
+      static_cast<double>(std::chrono::seconds(LongestRest).count());
+  return Millis(
+      static_cast<std::int64_t>(std::min(Seconds, Longest) * 1000 + 0.5));
+}
+
 } // namespace
 
 /// A request on its way, shared by the writer and the reader.
@@ -205,6 +224,9 @@
   bool IsWhole = co_await readHead(*Used, Request, Reply);
   Reply.m_time = elapsed(StartedAt);
   if (IsWhole) {
+    const http::response_header<> &Head = Reply.m_head->get();
+    Reply.m_isLeaving = Head[m_headers.m_leaving] == "1";
+    Reply.m_rest = restTime(Head);
     if (Request.m_onHead)
       Request.m_onHead(resultOf(Reply), Reply.m_time);
     IsWhole = co_await readBody(*Used, Reply);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -30,6 +30,17 @@
 /// Expected time until moving keys have a new holder: a release and a grant.
 constexpr Millis MoveTime{600};
 
+/// Returns whether \p Server is to be left out for one request of an unkeyed
+/// service.
+bool isExcluded(const DispatchAsk &Ask, const std::string &Server) {
+  const bool IsTried = std::find(Ask.m_tried.begin(), Ask.m_tried.end(),
+                                 Server) != Ask.m_tried.end();
+  return IsTried || std::any_of(Ask.m_resting.begin(), Ask.m_resting.end(),
+                                [&Server](const RestingServer &Item) {
+                                  return Item.m_server == Server;
+                                });
+}
+
 } // namespace
 
 const char *toText(RefusalReason Value) noexcept {
@@ -42,6 +53,8 @@
     return "overloaded";
   case RefusalReason::NoRetryBudget:
     return "no-retry-budget";
+  case RefusalReason::ServerRests:
+    return "server-rests";
   }
   return "unknown";
 }
@@ -140,10 +153,6 @@
 }
 
 Dispatcher::Choice Dispatcher::choose(const DispatchAsk &Ask, TimePoint Now) {
-  const auto IsTried = [&Ask](const std::string &Id) {
-    return std::find(Ask.m_tried.begin(), Ask.m_tried.end(), Id) !=
-           Ask.m_tried.end();
-  };
   if (m_isKeyed) {
     const auto Found = m_servers.find(m_keys.holderOf(Ask.m_key.value_or(0)));
     const bool HasRoom =
@@ -155,7 +164,7 @@
   double BestCost = 0;
   double BestInZoneCost = 0;
   for (auto &[Id, Item] : m_servers) {
-    if (!hasRoom(Item, Now, false) || IsTried(Id))
+    if (!hasRoom(Item, Now, false) || isExcluded(Ask, Id))
       continue;
     const double Sound =
         std::max(0.05, (1 - Item.m_refusedShare) * (1 - Item.m_failedShare));
@@ -185,7 +194,7 @@
   double Fastest = 0;
   for (const auto &[Id, Item] : m_servers) {
     if (Item.m_entry.m_zone != Ask.m_zone || Item.m_entry.m_isDraining ||
-        Now < Item.m_pausedUntil)
+        Now < Item.m_pausedUntil || isExcluded(Ask, Id))
       continue;
     const double Service = expectedMs(Item, Now);
     Rate += serviceRate(Item, Now);
@@ -221,10 +230,29 @@
                  std::max(RetryAfter, m_policy.m_leastRetryAfter)});
 }
 
+std::optional<Millis> Dispatcher::restBefore(const DispatchAsk &Ask) const {
+  std::optional<Millis> Out;
+  for (const RestingServer &Item : Ask.m_resting)
+    if (!m_isKeyed || m_keys.holderOf(Ask.m_key.value_or(0)) == Item.m_server)
+      Out = Out ? std::min(*Out, Item.m_left) : Item.m_left;
+  if (m_isKeyed || !Out)
+    return Out;
+  const bool HasOther =
+      std::any_of(m_servers.begin(), m_servers.end(), [&Ask](const auto &Item) {
+        return !Item.second.m_entry.m_isDraining &&
+               !isExcluded(Ask, Item.first);
+      });
+  return HasOther ? std::nullopt : Out;
+}
+
 void Dispatcher::ask(const DispatchAsk &Ask, TimePoint Now,
                      DispatchDecisions &Out) {
   if (Ask.m_key)
     m_keyLoad.note(*Ask.m_key, Now);
+  if (const std::optional<Millis> Rest = restBefore(Ask)) {
+    refuse(Ask, RefusalReason::ServerRests, *Rest, Out);
+    return;
+  }
   if (!Ask.m_isRepeat) {
     m_retries.noteRequest(Now);
   } else if (!m_retries.take(Now)) {
@@ -325,8 +353,7 @@
   const std::string &Id = Target.m_entry.m_id;
   if (m_isKeyed)
     return m_keys.holderOf(Item.m_ask.m_key.value_or(0)) == Id;
-  const std::vector<std::string> &Tried = Item.m_ask.m_tried;
-  return std::find(Tried.begin(), Tried.end(), Id) == Tried.end();
+  return !isExcluded(Item.m_ask, Id);
 }
 
 Dispatcher::Queue::iterator Dispatcher::nextFor(const Server &Target,
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -79,8 +79,12 @@
   if (!m_isGranter)
     return;
   m_inheritedEndsAt = {};
+  m_unknownEndsAt = {};
   for (EarlierGranter &Item : m_record.m_earlier) {
-    const EarlierState Known = State(Item);
+    if (Item.m_host.empty())
+      m_unknownEndsAt = std::max(m_unknownEndsAt, fromStoreMs(Item.m_untilMs));
+    const EarlierState Known =
+        Item.m_host.empty() ? EarlierState::MayGrant : State(Item);
     if (Known != EarlierState::MayGrant) {
       const Millis Hold = Known == EarlierState::HasEnded ? longestInherited()
                                                           : m_policy.m_hold;
@@ -108,24 +112,24 @@
 }
 
 bool KeyGranter::mayRenew(TimePoint Now) const {
-  return isInForce() && !m_needsValidation &&
+  return m_isGranter && m_isWritten && !m_needsValidation &&
          Now - m_validatedAt < m_policy.m_unvalidatedLimit;
 }
 
 void KeyGranter::takeOver(const OwnershipRecord &Read, const StateOf &State,
-                          bool WasStoreAway, std::int64_t StoreMs,
-                          TimePoint Now) {
+                          const TermBasis &Basis, TimePoint Now) {
   stepDown();
-  m_wasStoreAway = WasStoreAway;
+  m_wasStoreAway = Basis.m_wasStoreAway;
   m_takenAt = Now;
-  m_takenStoreMs = StoreMs;
+  m_takenStoreMs = Basis.m_storeMs;
   m_isGranter = true;
+  m_era = Basis.m_era;
   m_record = Read;
-  m_record.m_term = Read.m_term + 1;
+  m_record.m_term = std::max(Read.m_term, termsBefore(Basis.m_era)) + 1;
   m_record.m_granter = m_host;
   m_record.m_granterLife = m_life;
-  std::erase_if(m_record.m_earlier, [StoreMs](const EarlierGranter &Item) {
-    return Item.m_untilMs <= StoreMs;
+  std::erase_if(m_record.m_earlier, [&Basis](const EarlierGranter &Item) {
+    return Item.m_untilMs <= Basis.m_storeMs;
   });
   // Up to the write of this term the old granter may find its own the newest.
   const TimePoint OldEnds =
@@ -134,6 +138,8 @@
   if (Read.m_term > 0)
     m_record.m_earlier.push_back(
         {Read.m_term, Read.m_granter, Read.m_granterLife, toStoreMs(OldEnds)});
+  if (Basis.m_isRecordOld)
+    addUnknownGranter(Basis.m_era, Now);
   noteEarlier(State, Now);
   m_fences = 0;
   m_isDirty = true;
@@ -141,6 +147,7 @@
     Range Item;
     Item.m_record = Old;
     Item.m_isInherited = true;
+    Item.m_isUnsure = true;
     Item.m_isPreviousInherited = true;
     Item.m_movedAt = Now;
     if (!Old.m_owner.isNobody())
@@ -151,14 +158,47 @@
   if (m_ranges.empty()) {
     Range All;
     All.m_record = {0, KeyCount - 1, {}, 0, {}, 0};
+    All.m_isUnsure = true;
     markChanged(All);
     m_ranges.push_back(All);
   }
 }
 
+void KeyGranter::addUnknownGranter(std::uint64_t Era, TimePoint Now) {
+  const TimePoint LongestEnd =
+      holdEnd(Now + m_policy.m_takeOverTime + m_policy.m_unvalidatedLimit,
+              m_policy.m_longestHold);
+  m_record.m_earlier.push_back(
+      {termsBefore(Era), "", 0, toStoreMs(LongestEnd)});
+  m_unknownEndsAt = LongestEnd;
+}
+
+bool KeyGranter::restate(std::uint64_t Era, TimePoint Now) {
+  m_isWriting = false;
+  m_isDirty = true;
+  if (m_isRestating && Era == m_era)
+    return true;
+  // Whoever took over after the last validation waits for this granter's holds
+  // where an owner has not got its token, and ends its own work before that
+  // wait is over.
+  if (Now - m_validatedAt > m_policy.m_takeOverTime + m_policy.m_hold)
+    return false;
+  m_era = Era;
+  m_record.m_term = termsBefore(Era) + 1;
+  m_fences = 0;
+  m_isRestating = true;
+  m_restatedAt = Now;
+  addUnknownGranter(Era, Now);
+  for (Range &Item : m_ranges)
+    Item.m_isUnsure = true;
+  return true;
+}
+
 void KeyGranter::stepDown() {
   m_isGranter = false;
   m_isWritten = false;
+  m_isRestating = false;
+  m_restatedAt = {};
   m_isWriting = false;
   m_isDirty = false;
   m_isLengthening = false;
@@ -180,6 +220,7 @@
     return;
   }
   m_isWritten = true;
+  m_isRestating = false;
 }
 
 void KeyGranter::noteValidated(TimePoint AskedAt) {
@@ -295,6 +336,8 @@
     }
     Item->m_isCalling = false;
     if (Outcome == GrantResult::Done) {
+      if (Made.m_sentAt >= m_restatedAt)
+        Item->m_isUnsure = false;
       Item->m_confirmedAt = Made.m_sentAt;
       Item->m_answeredAt = Now;
       Item->m_isInherited = false;
@@ -381,7 +424,7 @@
     return;
   const auto IsCalm = [this](const Range &Item) {
     return isSettled(Item) && Item.m_record.m_previous.isNobody() &&
-           !Item.m_isInherited && !Item.m_isCalling &&
+           !Item.m_isInherited && !Item.m_isUnsure && !Item.m_isCalling &&
            Item.m_confirmedAt != TimePoint{} &&
            Item.m_unansweredAt == TimePoint{};
   };
@@ -420,8 +463,8 @@
   for (const Range &Item : m_ranges) {
     const RangeRecord &Record = Item.m_record;
     const bool HasOwner = isUsable(Record.m_owner, Now);
-    const bool CanMove = HasOwner && Record.m_previous.isNobody() &&
-                         isSettled(Item) &&
+    const bool CanMove = HasOwner && !mayOthersHold(Item, Now) &&
+                         Record.m_previous.isNobody() && isSettled(Item) &&
                          Now - Item.m_movedAt > m_policy.m_settleTime;
     Placed.push_back({{Record.m_from, Record.m_to,
                        HasOwner ? Record.m_owner.m_id : std::string()},
@@ -445,7 +488,8 @@
 void KeyGranter::settlePrevious(TimePoint Now) {
   for (Range &Item : m_ranges) {
     RangeRecord &Record = Item.m_record;
-    if (Record.m_previous.isNobody() || !isSettled(Item))
+    if (Record.m_previous.isNobody() || !isSettled(Item) ||
+        mayOthersHold(Item, Now))
       continue;
     if (!isPreviousFree(Item, Now))
       continue;
@@ -458,8 +502,12 @@
 }
 
 void KeyGranter::addGrants(TimePoint Now, GrantActions &Out) {
-  const auto IsReady = [this](const Range &Item) {
-    return !Item.m_isCalling && isSettled(Item) &&
+  const auto IsReady = [this, Now](const Range &Item) {
+    // A renewal gives the owner nothing that it has not got.
+    const bool IsRenewal = Item.m_confirmedAt != TimePoint{};
+    const bool IsSafe =
+        IsRenewal || (!m_isRestating && !mayOthersHold(Item, Now));
+    return IsSafe && !Item.m_isCalling && isSettled(Item) &&
            Item.m_record.m_previous.isNobody() &&
            findLife(Item.m_record.m_owner) != nullptr;
   };
@@ -509,7 +557,8 @@
   for (Range &Item : m_ranges) {
     const RangeRecord &Record = Item.m_record;
     if (Record.m_previous.isNobody() || !isSettled(Item) ||
-        Item.m_isReleasing || Item.m_isReleased || Now < Item.m_nextReleaseAt)
+        mayOthersHold(Item, Now) || Item.m_isReleasing || Item.m_isReleased ||
+        Now < Item.m_nextReleaseAt)
       continue;
     const auto Known = m_known.find(Record.m_previous.m_id);
     if (Known == m_known.end() ||
@@ -559,8 +608,10 @@
       noteResult(Number, GrantResult::NoAnswer, "", Now);
   }
   if (mayRenew(Now)) {
-    settlePrevious(Now);
-    addReleases(Now, Out);
+    if (!m_isRestating) {
+      settlePrevious(Now);
+      addReleases(Now, Out);
+    }
     addGrants(Now, Out);
   }
   addWrite(Now, Out);
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// Version of the messages between hosts; others are refused.
-constexpr std::uint32_t ProtocolVersion = 4;
+constexpr std::uint32_t ProtocolVersion = 5;
 /// Largest message, in bytes: a state message with 1,000 servers.
 constexpr std::uint32_t LargestMessage = 4 << 20;
 constexpr std::size_t LengthBytes = 4;
@@ -43,6 +43,13 @@
                  Info.m_weight);
 }
 
+StoreTime readStoreTime(Reader &In) {
+  StoreTime Out;
+  Out.m_era = In.take<std::uint64_t>();
+  Out.m_ms = In.take<std::int64_t>();
+  return Out;
+}
+
 HostInfo readHost(const Json &Value) {
   Reader In(Value);
   HostInfo Out;
@@ -112,10 +119,13 @@
 
 Json pack(const AskMessage &Value) {
   const DispatchAsk &Ask = Value.m_ask;
+  Json Resting = Json::array();
+  for (const RestingServer &Item : Ask.m_resting)
+    Resting.push_back(packAll(Item.m_server, Item.m_left.count()));
   return packAll(Value.m_service, Ask.m_route, Ask.m_ticket.m_number,
                  Ask.m_key ? static_cast<int>(*Ask.m_key) : -1, Ask.m_priority,
                  Ask.m_isRepeat, Ask.m_objectiveLeft.count(),
-                 Ask.m_timeLeft.count(), Ask.m_tried);
+                 Ask.m_timeLeft.count(), Ask.m_tried, Resting);
 }
 
 void read(Reader In, AskMessage &Out) {
@@ -132,6 +142,13 @@
   Out.m_ask.m_objectiveLeft = In.takeMillis();
   Out.m_ask.m_timeLeft = In.takeMillis();
   Out.m_ask.m_tried = In.take<std::vector<std::string>>();
+  for (const Json &Value : In.next()) {
+    Reader Item(Value);
+    RestingServer Resting;
+    Resting.m_server = Item.take<std::string>();
+    Resting.m_left = Item.takeMillis();
+    Out.m_ask.m_resting.push_back(std::move(Resting));
+  }
 }
 
 Json pack(const QueuedMessage &Value) { return packAll(Value.m_number); }
@@ -259,15 +276,15 @@
   for (const ServerRow &Row : Value.m_rows)
     Rows.push_back(Row.m_isReadable ? packServer(Row.m_entry)
                                     : packAll(Row.m_id));
-  return packAll(Value.m_version, Value.m_base, Value.m_storeMs, Value.m_ageMs,
-                 Value.m_configAgeMs, Value.m_configVersion, Value.m_hasRows,
-                 Rows, Value.m_removed);
+  return packAll(Value.m_version, Value.m_base, Value.m_storeAt.m_era,
+                 Value.m_storeAt.m_ms, Value.m_ageMs, Value.m_configAgeMs,
+                 Value.m_configVersion, Value.m_hasRows, Rows, Value.m_removed);
 }
 
 void read(Reader In, ListingMessage &Out) {
   Out.m_version = In.take<std::uint64_t>();
   Out.m_base = In.take<std::uint64_t>();
-  Out.m_storeMs = In.take<std::int64_t>();
+  Out.m_storeAt = readStoreTime(In);
   Out.m_ageMs = In.take<std::uint32_t>();
   Out.m_configAgeMs = In.take<std::uint32_t>();
   Out.m_configVersion = In.take<std::uint64_t>();
@@ -305,14 +322,28 @@
 }
 
 Json pack(const HostsMessage &Value) {
-  return packAll(Value.m_storeMs, pack(Value.m_hosts));
+  const StoreTime At = Value.m_listedAt.value_or(StoreTime{});
+  return packAll(Value.m_listedAt.has_value(), At.m_era, At.m_ms,
+                 pack(Value.m_hosts));
 }
 
 void read(Reader In, HostsMessage &Out) {
-  Out.m_storeMs = In.take<std::int64_t>();
+  const bool IsWhole = In.take<bool>();
+  const StoreTime At = readStoreTime(In);
+  if (IsWhole)
+    Out.m_listedAt = At;
   Out.m_hosts = readHosts(In.next());
 }
 
+Json pack(const LeavingMessage &Value) {
+  return packAll(Value.m_server, Value.m_bornMs);
+}
+
+void read(Reader In, LeavingMessage &Out) {
+  Out.m_server = In.take<std::string>();
+  Out.m_bornMs = In.take<std::int64_t>();
+}
+
 /// Reads the message whose alternative in PeerMessage is \p Index.
 template <std::size_t Index = 0>
 PeerMessage readAlternative(std::size_t Wanted, const Reader &In) {
@@ -339,7 +370,7 @@
     "hello",         "running",  "ask",     "queued",   "decision",
     "finish",        "withdraw", "key-map", "not-held", "key-map-request",
     "state-request", "state",    "crash",   "listing",  "configuration",
-    "follow",        "hosts"};
+    "follow",        "hosts",    "leaving"};
 
 } // namespace
 
--- a/standin/dispatch-replay.cc
+++ b/standin/dispatch-replay.cc
@@ -125,7 +125,7 @@
   void dealKeys(const std::vector<ServerEntry> &Servers) {
     m_granter.takeOver(
         {}, [](const EarlierGranter &) { return EarlierState::HasEnded; },
-        false, 0, time(-LeadMs));
+        TermBasis{}, time(-LeadMs));
     m_granter.setServers(Servers, time(-LeadMs));
     for (m_now = -LeadMs; m_now < 0; m_now += GranterStepMs) {
       runEventsUpTo(m_now);
--- a/test/gateway/dispatcher-test.cc
+++ b/test/gateway/dispatcher-test.cc
@@ -190,6 +190,50 @@
   EXPECT_EQ(ask(makeAsk(++Number))->m_server, "b");
 }
 
+// Load pattern: one of two servers is overloaded and wants nothing from a host
+// for a while.
+TEST_F(DispatcherTest, Ask_ServerRestsForTheHost_AnotherIsChosen) {
+  setServers({makeServer("a"), makeServer("b")});
+  DispatchAsk Ask = makeAsk(1);
+  Ask.m_resting = {{"a", Millis(2000)}};
+  EXPECT_EQ(ask(Ask)->m_server, "b");
+  // It waits for the other one, though the resting one has room.
+  Ask.m_ticket.m_number = 3;
+  EXPECT_EQ(ask(Ask), nullptr);
+  m_subject.tick(m_now, m_made);
+  EXPECT_EQ(find(3), nullptr);
+  // It rests for that host only.
+  EXPECT_EQ(ask(makeAsk(4))->m_server, "a");
+  finish(1);
+  EXPECT_EQ(find(3)->m_server, "b");
+}
+
+TEST_F(DispatcherTest, Ask_AllServersRest_IsRefusedUntilTheFirstIsBack) {
+  setServers({makeServer("a"), makeServer("b")});
+  DispatchAsk Ask = makeAsk(1);
+  Ask.m_resting = {{"a", Millis(2000)}, {"b", Millis(700)}};
+  const DispatchDecision *Made = ask(Ask);
+  ASSERT_NE(Made, nullptr);
+  EXPECT_EQ(Made->m_reason, RefusalReason::ServerRests);
+  EXPECT_EQ(Made->m_retryAfter, Millis(700));
+}
+
+TEST_F(DispatcherTest, Ask_HolderOfTheKeyRests_IsRefusedAtOnce) {
+  setServers({makeServer("a"), makeServer("b")});
+  m_subject.setKeyMap(KeyMap(1, {{0, 99, "a"}, {100, 65535, "b"}}), m_now,
+                      m_made);
+  DispatchAsk Ask = makeAsk(1);
+  Ask.m_resting = {{"a", Millis(2000)}};
+  Ask.m_key = 100;
+  EXPECT_EQ(ask(Ask)->m_server, "b");
+  Ask.m_ticket.m_number = 2;
+  Ask.m_key = 7;
+  const DispatchDecision *Made = ask(Ask);
+  ASSERT_NE(Made, nullptr);
+  EXPECT_EQ(Made->m_reason, RefusalReason::ServerRests);
+  EXPECT_EQ(Made->m_retryAfter, Millis(2000));
+}
+
 TEST_F(DispatcherTest, Finish_ServerUnreachable_IsPausedAndTriedOnceLater) {
   setServers({makeServer("a", 2)});
   ask(makeAsk(1));
--- a/test/gateway/fake-platform.h
+++ b/test/gateway/fake-platform.h
@@ -23,18 +23,20 @@
 
 inline constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-inline const HeaderNames Headers{"Test-Id", "Test-Deadline", "Test-Server",
-                                 "Test-Not-Run", "Test-Key"};
+inline const HeaderNames Headers{"Test-Id",     "Test-Deadline",
+                                 "Test-Server", "Test-Not-Run",
+                                 "Test-Key",    "Test-Leaving"};
 
 /// A store in memory that all hosts of a test share.
 class FakeStore : public GatewayStore {
 public:
+  std::uint64_t era() const override { return m_ownership.m_version.m_era; }
   Task<ServerListing> readServers() override {
     ++m_listingsRead;
     co_await sleepFor(Millis(1));
     if (!m_isUp)
       co_return TableErrc::Unavailable;
-    co_return ServerListing{m_servers, bootMillis()};
+    co_return ServerListing{m_servers, {era(), bootMillis()}};
   }
   Task<ReadConfiguration> awaitConfiguration(Millis) override {
     co_await sleepFor(Millis(10));
@@ -60,15 +62,15 @@
       std::exchange(m_onRead, nullptr)();
     co_return Out;
   }
-  Task<std::uint64_t> writeOwnership(std::string, OwnershipRecord Record,
-                                     std::uint64_t Version) override {
+  Task<RowVersion> writeOwnership(std::string, OwnershipRecord Record,
+                                  RowVersion Version) override {
     co_await sleepFor(Millis(1));
     if (!m_isUp || !m_takesWrites)
       co_return TableErrc::Unavailable;
     if (Version != m_ownership.m_version)
       co_return TableErrc::Conflict;
     m_ownership.m_record = std::move(Record);
-    ++m_ownership.m_version;
+    ++m_ownership.m_version.m_number;
     co_return m_ownership.m_version;
   }
   Task<std::size_t> enterHosts(std::vector<HostInfo> Hosts) override {
@@ -77,7 +79,13 @@
     co_return Hosts.size();
   }
   Task<HostListing> readHosts() override {
-    co_return HostListing{m_hosts, bootMillis()};
+    co_return HostListing{m_hosts, {era(), bootMillis()}};
+  }
+
+  /// Comes back from a copy in which \p Record stood.
+  void returnToCopy(OwnershipRecord Record) {
+    m_ownership.m_record = std::move(Record);
+    m_ownership.m_version = {era() + 1, 0};
   }
 
   bool m_isUp = true;
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -258,6 +258,87 @@
     EXPECT_EQ(send(get("/web/")).m_status, 200U);
 }
 
+/// Answers with a further header.
+ScriptedServer::Script answerWith(std::string Header) {
+  return [Header](ScriptedServer::Stream &To,
+                  const SeenRequest &Seen) -> asio::awaitable<bool> {
+    std::string Text = ScriptedServer::okText(Seen.m_id, "hello");
+    Text.insert(Text.find("\r\n") + 2, Header + "\r\n");
+    co_return co_await ScriptedServer::send(To, std::move(Text));
+  };
+}
+
+/// Turns requests away and asks for rest.
+ScriptedServer::Script restFor(std::string Seconds) {
+  return [Seconds](ScriptedServer::Stream &To,
+                   const SeenRequest &Seen) -> asio::awaitable<bool> {
+    std::string Text("HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nTest-Id: ");
+    Text += Seen.m_id + "\r\nRetry-After: " + Seconds +
+            "\r\nContent-Length: 0\r\n\r\n";
+    co_return co_await ScriptedServer::send(To, std::move(Text));
+  };
+}
+
+// The store goes on listing it as ready: the host is not in touch with it.
+TEST_F(GatewayHostTest, Answer_ServerSaysThatItLeaves_GetsNothingMore) {
+  m_web[0].m_script = answerWith("Test-Leaving: 1");
+  m_web[1].m_script = answerWith("Test-Leaving: 0");
+  startAll();
+  while (m_web[0].m_seen.empty())
+    EXPECT_EQ(send(get("/web/")).m_status, 200U);
+  for (int I = 0; I < 10; ++I)
+    EXPECT_EQ(send(get("/web/")).m_status, 200U);
+  EXPECT_EQ(m_web[0].m_seen.size(), 1U);
+}
+
+TEST_F(GatewayHostTest, Answer_ServerSaysThatItLeaves_OtherHostsKnow) {
+  m_web[0].m_script = answerWith("Test-Leaving: 1");
+  startAll(2);
+  while (m_web[0].m_seen.empty())
+    EXPECT_EQ(send(get("/web/"), 0).m_status, 200U);
+  EXPECT_TRUE(runUntil(
+      [this] { return m_hosts[1]->servers().at("web-0").m_isDraining; }));
+}
+
+TEST_F(GatewayHostTest, Refusal_ServerAsksForRest_GetsNothingMeanwhile) {
+  m_web[0].m_script = restFor("30");
+  startAll();
+  while (m_web[0].m_seen.empty())
+    EXPECT_EQ(send(get("/web/")).m_status, 200U);
+  for (int I = 0; I < 10; ++I)
+    EXPECT_EQ(send(get("/web/")).m_status, 200U);
+  EXPECT_EQ(m_web[0].m_seen.size(), 1U);
+}
+
+TEST_F(GatewayHostTest, Refusal_TimeOfRestIsOver_IsAskedAgain) {
+  m_web[0].m_script = restFor("0.2");
+  m_web[1].m_script = restFor("30");
+  startAll();
+  EXPECT_EQ(send(get("/web/")).m_status, 503U);
+  m_web[0].m_script = ScriptedServer::answerOk;
+  EXPECT_TRUE(runUntil([this] { return send(get("/web/")).m_status == 200U; }));
+  EXPECT_EQ(m_web[1].m_seen.size(), 1U);
+}
+
+TEST_F(GatewayHostTest, KeyedRequest_HolderAsksForRest_MayComeBackAfterIt) {
+  startAll();
+  EXPECT_TRUE(runUntil([this] {
+    return send(get("/stock/", "Test-Key: 7\r\n")).m_status == 200U;
+  }));
+  const std::size_t Holder = m_stock[0].m_seen.empty() ? 1 : 0;
+  const std::size_t Before = m_stock[Holder].m_seen.size();
+  m_stock[Holder].m_script = restFor("3");
+  const Answer Refused = send(get("/stock/", "Test-Key: 7\r\n"));
+  EXPECT_EQ(Refused.m_status, 503U);
+  const double After =
+      std::stod(std::string(Refused.m_head[http::field::retry_after]));
+  EXPECT_GT(After, 2.0);
+  EXPECT_LE(After, 3.0);
+  for (int I = 0; I < 5; ++I)
+    EXPECT_EQ(send(get("/stock/", "Test-Key: 7\r\n")).m_status, 503U);
+  EXPECT_EQ(m_stock[Holder].m_seen.size(), Before + 1);
+}
+
 TEST_F(GatewayHostTest, UnsafeRequest_AllServersRefuse_IsSaidNotToHaveRun) {
   setWeb(ScriptedServer::refuse);
   startAll();
@@ -609,7 +690,7 @@
   m_store.m_servers.erase(m_store.m_servers.begin());
   EXPECT_TRUE(runUntil([this] {
     return std::all_of(m_hosts.begin(), m_hosts.end(), [](const auto &Item) {
-      return Item->knownServers() == 3;
+      return Item->servers().size() == 3;
     });
   }));
 }
@@ -634,7 +715,7 @@
 TEST_F(GatewayHostTest, KeyedRequest_NoGranterYet_GoesToTheRecordedHolder) {
   m_store.m_takesWrites = false;
   m_store.m_ownership = {
-      {4, "gone", 1, {}, {{0, 65535, {"stock-0", 1}, 70, {}, 0}}}, 9, 0};
+      {4, "gone", 1, {}, {{0, 65535, {"stock-0", 1}, 70, {}, 0}}}, {0, 9}, 0};
   startAll();
   EXPECT_EQ(send(get("/stock/", "Test-Key: 7\r\n")).m_status, 200U);
   EXPECT_EQ(m_stock[0].m_seen.size(), 1U);
@@ -652,13 +733,13 @@
 TEST_F(GatewayHostTest, Takeover_RecordChangesAfterTheRead_NewerOneCounts) {
   const OwnershipRecord Read{
       4, "gone", 1, {}, {{0, 65535, {"stock-0", 1}, 70, {}, 0}}};
-  m_store.m_ownership = {Read, 9, 0};
+  m_store.m_ownership = {Read, {0, 9}, 0};
   // The first read is for the holders alone, the second for the takeover.
   m_store.m_onRead = [this] {
     m_store.m_onRead = [this] {
       m_store.m_ownership.m_record.m_ranges[0] = {0,  65535, {"stock-1", 1},
                                                   71, {},    0};
-      m_store.m_ownership.m_version = 10;
+      m_store.m_ownership.m_version = {0, 10};
     };
   };
   startAll();
@@ -705,7 +786,7 @@
     return runUntil([this, Servers] {
       return std::all_of(m_hosts.begin(), m_hosts.end(),
                          [Servers](const auto &Item) {
-                           return Item->knownServers() == Servers;
+                           return Item->servers().size() == Servers;
                          });
     });
   }
@@ -755,7 +836,7 @@
   m_store.m_servers.pop_back();
   EXPECT_TRUE(runUntil([this] {
     return std::all_of(m_hosts.end() - 3, m_hosts.end(), [](const auto &Item) {
-      return Item->knownServers() == 3;
+      return Item->servers().size() == 3;
     });
   }));
 }
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -61,7 +61,7 @@
         [IsOldGone](const EarlierGranter &) {
           return IsOldGone ? EarlierState::HasGivenWay : EarlierState::MayGrant;
         },
-        false, 0, m_now);
+        TermBasis{}, m_now);
   }
 
   std::string holderOf(Key Value) const {
@@ -220,7 +220,7 @@
         return Item.m_host == "h2" ? EarlierState::HasGivenWay
                                    : EarlierState::MayGrant;
       },
-      false, 0, m_now);
+      TermBasis{}, m_now);
   setServers({makeServer("a"), makeServer("b")});
   run(Millis(Until) - Millis(200));
   EXPECT_EQ(holderOf(0), "");
@@ -235,8 +235,8 @@
   for (const EarlierState State :
        {EarlierState::HasEnded, EarlierState::HasGivenWay}) {
     m_subject.takeOver(
-        Read, [State](const EarlierGranter &) { return State; }, true, 0,
-        m_now);
+        Read, [State](const EarlierGranter &) { return State; },
+        TermBasis{.m_wasStoreAway = true}, m_now);
     const Millis Left = m_subject.inheritedLeft(m_now);
     if (State == EarlierState::HasEnded)
       EXPECT_GT(Left, m_policy.m_longestHold);
@@ -257,6 +257,101 @@
   EXPECT_GT(Written->m_earlier[1].m_untilMs, 9000);
 }
 
+// The store came back from a copy: the record that named the last granter and
+// the last owners is lost.
+TEST_F(KeyGranterTest, TakeOver_RecordIsOfAnEarlierEra_NobodyIsGrantedAtOnce) {
+  const OwnershipRecord Read{4, "h0", 5, {}, {makeRange(0, 65535, "a", 77)}};
+  m_subject.takeOver(
+      Read, [](const EarlierGranter &) { return EarlierState::HasGivenWay; },
+      {0, false, 2, true}, m_now);
+  setServers({makeServer("a"), makeServer("b")});
+  run(m_policy.m_unvalidatedLimit + m_policy.m_longestHold);
+  EXPECT_TRUE(m_calls.empty());
+  m_subject.noteValidated(m_now);
+  run(m_policy.m_takeOverTime + Millis(1000));
+  ASSERT_FALSE(m_calls.empty());
+  EXPECT_EQ(holderOf(0), "a");
+  EXPECT_GT(m_subject.term(), termsBefore(2));
+}
+
+TEST_F(KeyGranterTest, TakeOver_AnEarlierOneWaitedForUnknown_GoesOnWaiting) {
+  constexpr std::int64_t Until = 9000;
+  const OwnershipRecord Read{termsBefore(2) + 1,
+                             "h0",
+                             5,
+                             {{termsBefore(2), "", 0, Until}},
+                             {makeRange(0, 65535, "a", 77)}};
+  takeOver(Read);
+  setServers({makeServer("a")});
+  run(Millis(Until) - Millis(200));
+  EXPECT_TRUE(m_calls.empty());
+  run(Millis(1000));
+  EXPECT_EQ(holderOf(0), "a");
+}
+
+TEST_F(KeyGranterTest, Restate_KeysAreHeld_AreRenewedAndNothingMoves) {
+  takeOver({});
+  setServers({makeServer("a"), makeServer("b")});
+  run(Millis(1000));
+  const std::uint64_t Term = m_subject.term();
+  ASSERT_TRUE(m_subject.restate(2, m_now));
+  EXPECT_FALSE(m_subject.isInForce());
+  m_calls.clear();
+  m_load.note(0, m_now);
+  const TimePoint End = m_now + Millis(1000);
+  for (; m_now < End; m_now += Millis(50)) {
+    plan();
+    for (const GrantCall &Call : step(false)) {
+      m_calls.push_back(Call);
+      m_subject.noteResult(Call.m_number, GrantResult::Done, "", m_now);
+    }
+  }
+  ASSERT_FALSE(m_calls.empty());
+  for (const GrantCall &Call : m_calls) {
+    EXPECT_FALSE(Call.m_isRelease);
+    EXPECT_EQ(Call.m_fence >> 24U, Term);
+  }
+  // With a record that stands and a renewal that was taken, keys move again.
+  run(m_policy.m_renewEvery + Millis(200));
+  setServers({makeServer("a")});
+  run(m_policy.m_hold + Millis(2000));
+  EXPECT_TRUE(m_subject.isInForce());
+  EXPECT_GT(m_subject.term(), termsBefore(2));
+  EXPECT_EQ(holderOf(65535), "a");
+  const auto Moved =
+      std::find_if(m_calls.rbegin(), m_calls.rend(),
+                   [](const GrantCall &Call) { return Call.m_to == 65535; });
+  EXPECT_GT(Moved->m_fence >> 24U, termsBefore(2));
+}
+
+// Another granter may have taken over, and moved keys, in the time of which the
+// store has lost all records.
+TEST_F(KeyGranterTest, Restate_LastLookIsLongAgo_IsNotAllowed) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(1000));
+  m_now += m_policy.m_unvalidatedLimit / 2;
+  EXPECT_FALSE(m_subject.restate(2, m_now));
+}
+
+TEST_F(KeyGranterTest, Restate_OwnerHasAHigherToken_ItsKeysWait) {
+  takeOver({});
+  setServers({makeServer("a"), makeServer("b")});
+  run(Millis(1000));
+  ASSERT_TRUE(m_subject.restate(2, m_now));
+  m_answer = [](const GrantCall &Call) {
+    return Call.m_server.m_id == "b" ? GrantResult::HigherFence
+                                     : GrantResult::Done;
+  };
+  run(Millis(1000));
+  m_subject.noteValidated(m_now);
+  m_calls.clear();
+  run(m_policy.m_unvalidatedLimit - Millis(1000));
+  for (const GrantCall &Call : m_calls)
+    EXPECT_EQ(Call.m_server.m_id, "a");
+  EXPECT_EQ(holderOf(65535), "");
+}
+
 TEST_F(KeyGranterTest, SetServers_OwnerReborn_IsGrantedAnewWithAHigherToken) {
   takeOver({});
   setServers({makeServer("a")});
--- a/test/gateway/listing-feed-test.cc
+++ b/test/gateway/listing-feed-test.cc
@@ -79,10 +79,17 @@
 // new, and servers that had left meanwhile got requests again.
 TEST_F(ListingFeedTest, IsListingNew_ReadBeforeTheLastOne_IsNot) {
   const TimePoint Now(std::chrono::seconds(100));
-  const ListingTimes Last{Now, Now, 5000};
-  EXPECT_FALSE(isListingNew(Last, 4999));
-  EXPECT_TRUE(isListingNew(Last, 5000));
-  EXPECT_TRUE(isListingNew(Last, 5700));
+  const ListingTimes Last{Now, Now, {1, 5000}};
+  EXPECT_FALSE(isListingNew(Last, {1, 4999}));
+  EXPECT_TRUE(isListingNew(Last, {1, 5000}));
+  EXPECT_TRUE(isListingNew(Last, {1, 5700}));
+}
+
+TEST_F(ListingFeedTest, IsListingNew_OfAnotherEra_TheLaterEraCounts) {
+  const TimePoint Now(std::chrono::seconds(100));
+  const ListingTimes Last{Now, Now, {2, 5000}};
+  EXPECT_FALSE(isListingNew(Last, {1, 6000}));
+  EXPECT_TRUE(isListingNew(Last, {3, 100}));
 }
 
 } // namespace
--- a/test/gateway/ownership-keeper-test.cc
+++ b/test/gateway/ownership-keeper-test.cc
@@ -85,7 +85,7 @@
 TEST_F(OwnershipKeeperTest, TakeOver_IsNotWritten_NoMapIsSent) {
   m_store.m_takesWrites = false;
   m_store.m_ownership = {
-      {4, "gone", 1, {}, {{0, 65535, {"a", 1}, 70, {}, 0}}}, 9, 0};
+      {4, "gone", 1, {}, {{0, 65535, {"a", 1}, 70, {}, 0}}}, {0, 9}, 0};
   m_context.run_for(Millis(700));
   EXPECT_TRUE(m_maps.empty());
   EXPECT_NE(m_subject.claim().m_host, "h1");
@@ -98,7 +98,7 @@
 TEST_F(OwnershipKeeperTest, RecallHolders_StoreFailsFirst_IsDoneOnce) {
   m_store.m_takesWrites = false;
   m_store.m_ownership = {
-      {4, "gone", 1, {}, {{0, 65535, {"a", 1}, 70, {}, 0}}}, 9, 0};
+      {4, "gone", 1, {}, {{0, 65535, {"a", 1}, 70, {}, 0}}}, {0, 9}, 0};
   m_store.m_isUp = false;
   m_subject.recallHolders();
   m_context.run_for(Millis(100));
@@ -117,7 +117,7 @@
 TEST_F(OwnershipKeeperTest, RecallHolders_StoreIsLost_OnlyPeersAreAsked) {
   m_storeLost = Millis(500);
   m_store.m_ownership = {
-      {4, "gone", 1, {}, {{0, 65535, {"a", 1}, 70, {}, 0}}}, 9, 0};
+      {4, "gone", 1, {}, {{0, 65535, {"a", 1}, 70, {}, 0}}}, {0, 9}, 0};
   m_subject.recallHolders();
   m_subject.recallHolders();
   m_context.run_for(Millis(100));
@@ -125,6 +125,31 @@
   EXPECT_TRUE(m_recorded.empty());
 }
 
+// The copy is older than the first record: the granter in office knows better.
+TEST_F(OwnershipKeeperTest, StoreIsBackFromCopy_GranterRestatesWhatItKnows) {
+  m_context.run_for(Millis(700));
+  ASSERT_EQ(m_maps.back().holderOf(5), "a");
+  m_store.returnToCopy({});
+  m_context.run_for(Millis(1000));
+  EXPECT_TRUE(m_subject.isGranter());
+  EXPECT_GT(m_subject.claim().m_term, termsBefore(1));
+  EXPECT_EQ(m_store.m_ownership.m_record.m_granter, "h1");
+  EXPECT_EQ(m_store.m_ownership.m_record.m_ranges[0].m_owner.m_id, "a");
+  EXPECT_EQ(m_maps.back().holderOf(5), "a");
+  for (const GrantCall &Call : m_servers.m_calls)
+    EXPECT_EQ(Call.m_server.m_id, "a");
+}
+
+TEST_F(OwnershipKeeperTest, StoreIsBackFromCopy_AnotherTookOver_GivesWay) {
+  m_context.run_for(Millis(700));
+  ASSERT_TRUE(m_subject.isGranter());
+  hearPeer(0);
+  m_store.returnToCopy({termsBefore(1) + 1, "h2", 50, {}, {}});
+  m_context.run_for(Millis(700));
+  EXPECT_FALSE(m_subject.isGranter());
+  EXPECT_EQ(m_subject.claim().m_host, "h2");
+}
+
 // Others wait for the longest hold unless a host that ends has given way
 // before.
 TEST_F(OwnershipKeeperTest, Leave_HoldsAreLengthened_NoNewerTermIsNamed) {
--- a/test/gateway/ownership-model-test.cc
+++ b/test/gateway/ownership-model-test.cc
@@ -3,8 +3,9 @@
 /// key ever has two holders, and tokens of a key only grow when it changes
 /// hands.
 
-#include "tamarackdrum/gateway/key-granter.h"
+#include "tamarackdrum/gateway/ports.h"
 
+#include <deque>
 #include <gtest/gtest.h>
 #include <random>
 #include <rapidcheck/gtest.h>
@@ -29,9 +30,22 @@
   return {Kind, static_cast<char>('0' + Index)};
 }
 
+/// A row of each era, as the adapter keeps them.
 struct ModelStore {
-  OwnershipRecord m_record;
-  std::uint64_t m_version = 0;
+  struct Row {
+    OwnershipRecord m_record;
+    std::uint64_t m_version = 0;
+  };
+  std::map<std::uint64_t, Row> m_rows;
+  std::uint64_t m_era = 1;
+
+  /// Returns what a read finds: the row of this era or the last one before.
+  VersionedOwnership read() const {
+    if (m_rows.empty())
+      return {{}, {m_era, 0}, 0};
+    const auto &[Era, Last] = *m_rows.rbegin();
+    return {Last.m_record, {m_era, Era == m_era ? Last.m_version : 0}, 0};
+  }
 };
 
 struct ModelServer {
@@ -78,7 +92,8 @@
   struct Host {
     std::unique_ptr<KeyGranter> m_granter;
     std::int64_t m_life = 0;
-    std::uint64_t m_version = 0;
+    RowVersion m_version;
+    bool m_isFirst = true; ///< The site has started with it.
     TimePoint m_frozenUntil{};
     TimePoint m_validatedAt{};
     TimePoint m_cutUntil{}; ///< From the store.
@@ -134,6 +149,7 @@
     Item.m_granter = std::make_unique<KeyGranter>(
         GrantPolicy{}, nameOf('h', Index), Item.m_life);
     Item.m_isWriting = false;
+    Item.m_isFirst = Item.m_life <= Hosts;
   }
 
   std::vector<ServerEntry> entries() const {
@@ -182,6 +198,19 @@
     if (chance(0.001))
       for (Host &Item : m_hosts)
         Item.m_cutUntil = m_now + delay(500, 9000);
+    if (m_now - m_copiedAt > Millis(400)) {
+      m_copiedAt = m_now;
+      m_copies.push_back(m_store);
+      if (m_copies.size() > 20)
+        m_copies.pop_front();
+    }
+    if (chance(0.0006)) {
+      const std::uint64_t Era = m_store.m_era + 1;
+      m_store = m_copies[static_cast<std::size_t>(
+          pick(static_cast<int>(m_copies.size())))];
+      m_store.m_era = Era;
+      note() << "the store is back from a copy, era " << Era << '\n';
+    }
   }
 
   /// As far as other hosts can tell: a frozen granter finds out later.
@@ -199,15 +228,20 @@
     KeyGranter &Granter = *Item.m_granter;
     const bool HasStore = m_now >= Item.m_cutUntil;
     if (!Granter.isGranter()) {
-      if (HasStore && chance(m_store.m_version == 0 ? 0.2 : 0.01)) {
-        Item.m_version = m_store.m_version;
-        note() << "h" << Index << " takes over from "
-               << m_store.m_record.m_granter << " term "
-               << m_store.m_record.m_term + 1 << '\n';
+      if (HasStore && chance(m_store.m_rows.empty() ? 0.2 : 0.01)) {
+        const VersionedOwnership Read = m_store.read();
+        Item.m_version = Read.m_version;
+        const bool IsNewSite =
+            Read.m_record.m_term == 0 && Item.m_isFirst && m_store.m_era == 1;
+        const bool IsOld =
+            isOfEarlierEra(Read.m_record, Read.m_version.m_era) && !IsNewSite;
         Granter.takeOver(
-            m_store.m_record,
-            [this](const EarlierGranter &Old) { return stateOf(Old); }, false,
-            storeMs(), m_now);
+            Read.m_record,
+            [this](const EarlierGranter &Old) { return stateOf(Old); },
+            {storeMs(), false, Read.m_version.m_era, IsOld}, m_now);
+        note() << "h" << Index << " takes over from " << Read.m_record.m_granter
+               << " term " << Granter.term() << (IsOld ? " of a copy" : "")
+               << '\n';
         Granter.setServers(entries(), m_now);
       }
       return;
@@ -234,23 +268,37 @@
   void validate(int Index) {
     Host &Item = m_hosts[Index];
     KeyGranter &Granter = *Item.m_granter;
-    const OwnershipRecord &Found = m_store.m_record;
+    const VersionedOwnership Read = m_store.read();
+    const OwnershipRecord &Found = Read.m_record;
     Item.m_validatedAt = m_now;
+    if (isOfEarlierEra(Found, Read.m_version.m_era) &&
+        (Granter.isInForce() || Granter.isRestating())) {
+      if (Item.m_isWriting)
+        return;
+      Item.m_version = Read.m_version;
+      if (!Granter.restate(Read.m_version.m_era, m_now))
+        Granter.stepDown();
+      note() << "h" << Index << " restates, term " << Granter.term() << '\n';
+      return;
+    }
     if (Found.m_term < Granter.term() || Found.m_term > Granter.term() ||
         Found.m_granterLife != Item.m_life) {
       Granter.stepDown();
       return;
     }
-    Item.m_version = m_store.m_version;
+    Item.m_version = Read.m_version;
     Granter.noteValidated(m_now);
   }
 
-  bool apply(const OwnershipRecord &Record, std::uint64_t Version) {
-    if (m_store.m_version != Version)
+  bool apply(const OwnershipRecord &Record, const RowVersion &Version) {
+    const auto Row = m_store.m_rows.find(Version.m_era);
+    const std::uint64_t Current =
+        Row == m_store.m_rows.end() ? 0 : Row->second.m_version;
+    if (Current != Version.m_number)
       return false;
-    m_store.m_record = Record;
-    ++m_store.m_version;
-    note() << Record.m_granter << " has written version " << m_store.m_version;
+    m_store.m_rows[Version.m_era] = {Record, Current + 1};
+    note() << Record.m_granter << " has written version " << Current + 1
+           << " of era " << Version.m_era;
     for (const RangeRecord &Item : Record.m_ranges)
       m_trace << " [" << Item.m_from << ".." << Item.m_to << " "
               << Item.m_owner.m_id << " " << Item.m_fence << " "
@@ -262,7 +310,7 @@
   void write(int Index, const OwnershipRecord &Record) {
     Host &Item = m_hosts[Index];
     Item.m_isWriting = true;
-    const std::uint64_t Version = Item.m_version;
+    const RowVersion Version = Item.m_version;
     const std::int64_t Life = Item.m_life;
     const TimePoint AskedAt = m_now;
     const bool IsCut = m_now < Item.m_cutUntil;
@@ -271,7 +319,8 @@
       after(chance(0.5) ? delay(1000, 6000) : Millis(0),
             [this, Record, Version] { apply(Record, Version); });
     after(delay(5, 200), [=, this] {
-      const bool IsDone = !IsCut && !IsLost && apply(Record, Version);
+      const bool IsDone = !IsCut && !IsLost && apply(Record, Version) &&
+                          m_store.m_era == Version.m_era;
       after(delay(1, 50), [=, this] {
         Host &Writer = m_hosts[Index];
         if (Writer.m_life != Life)
@@ -281,7 +330,7 @@
         if (!Granter.isGranter() || Granter.term() != Record.m_term)
           return;
         if (IsDone) {
-          Writer.m_version = Version + 1;
+          Writer.m_version = {Version.m_era, Version.m_number + 1};
           Granter.noteWritten(AskedAt, m_now);
           return;
         }
@@ -384,6 +433,8 @@
   std::int64_t m_lives = 0;
   std::int64_t m_births = 1;
   ModelStore m_store;
+  std::deque<ModelStore> m_copies; ///< Of the last seconds.
+  TimePoint m_copiedAt{};
   std::vector<ModelServer> m_servers = std::vector<ModelServer>(Servers);
   std::vector<bool> m_listed = std::vector<bool>(Servers, true);
   std::array<Host, Hosts> m_hosts;
@@ -408,8 +459,11 @@
 // 525716: a late answer to an earlier release counted for a later one.
 // 74335: a grant of a granter that had given way was still on its way.
 // 265817260: of two merged ranges the hold that ended first counted.
+// 71301: a granter that had been superseded in the time that the store lost
+// claimed its keys anew.
 TEST(OwnershipModelTest, History_SeedsThatFailed_OneHolderAKey) {
-  for (std::uint32_t Seed : {31676U, 15838U, 525716U, 74335U, 265817260U})
+  for (std::uint32_t Seed :
+       {31676U, 15838U, 525716U, 74335U, 265817260U, 71301U})
     EXPECT_EQ(play(Seed), "");
 }
 
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -17,6 +17,7 @@
   Ask.m_objectiveLeft = Millis(600);
   Ask.m_timeLeft = Millis(2500);
   Ask.m_tried = {"s-1", "s-2"};
+  Ask.m_resting = {{"s-3", Millis(900)}};
   ServerEntry Server;
   Server.m_id = "s-1";
   Server.m_bornMs = 123456789012;
@@ -36,11 +37,20 @@
           StateRequest{false, true},
           StateMessage{"{}", {Server}},
           CrashMessage{~0ULL, "s-1@5"},
-          ListingMessage{
-              3, 2, 9, 4, 5, 6, true, {{"s-1", true, Server}, {"x"}}, {"gone"}},
+          ListingMessage{3,
+                         2,
+                         {1, 9},
+                         4,
+                         5,
+                         6,
+                         true,
+                         {{"s-1", true, Server}, {"x"}},
+                         {"gone"}},
           ConfigurationMessage{"{}"},
           FollowMessage{false},
-          HostsMessage{77, {{"h2", "10.0.0.2", "zone-b", 6, 50}}}};
+          HostsMessage{StoreTime{2, 77}, {{"h2", "10.0.0.2", "zone-b", 6, 50}}},
+          HostsMessage{std::nullopt, {}},
+          LeavingMessage{"s-1", 5}};
 }
 
 TEST(PeerMessageTest, Decode_EachMessage_IsAsEncoded) {
--- a/test/gateway/server-directory-test.cc
+++ b/test/gateway/server-directory-test.cc
@@ -22,8 +22,9 @@
     return Out;
   }
 
-  DirectoryChange list(const std::vector<ServerRow> &Rows) {
-    return m_subject.applyListing(Rows, m_now, m_now);
+  DirectoryChange list(const std::vector<ServerRow> &Rows,
+                       std::uint64_t Era = 0) {
+    return m_subject.applyListing(Rows, m_now, m_now, Era);
   }
 
   bool has(const std::string &Id) const {
@@ -110,6 +111,83 @@
               ElementsAre("b"));
 }
 
+// A server had left when the store came back from a copy that names it; its
+// address may be another server's by then.
+TEST_F(ServerDirectoryTest, Listing_OlderCopyNamesOneThatLeft_IsNotUsedAgain) {
+  list({makeRow("a"), makeRow("b", 1000, 7)}, 1);
+  m_now += Millis(700);
+  list({makeRow("a")}, 1);
+  for (int I = 0; I < 5; ++I) {
+    m_now += Millis(700);
+    EXPECT_TRUE(list({makeRow("a"), makeRow("b", 1000, 6)}, 2).isEmpty());
+  }
+  m_now += Millis(700);
+  list({makeRow("a")}, 2);
+  EXPECT_FALSE(has("b"));
+}
+
+TEST_F(ServerDirectoryTest, Listing_OneThatLapsedStaysInTheNewEra_IsUsed) {
+  list({makeRow("a"), makeRow("b")}, 1);
+  m_now += Millis(700);
+  list({makeRow("a")}, 1);
+  const TimePoint Back = m_now + Millis(700);
+  while (m_now < Back + DirectoryPolicy{}.m_copyDoubt) {
+    m_now += Millis(700);
+    list({makeRow("a"), makeRow("b")}, 2);
+  }
+  EXPECT_TRUE(has("b"));
+}
+
+TEST_F(ServerDirectoryTest, Listing_OlderCopyLacksANewServer_HasAGrace) {
+  list({makeRow("a"), makeRow("b")}, 1);
+  m_now += Millis(700);
+  EXPECT_TRUE(list({makeRow("a")}, 2).isEmpty());
+  EXPECT_TRUE(m_subject.noteServedToOthers(Millis(60000), m_now).isEmpty());
+  m_now += Millis(1400);
+  list({makeRow("a"), makeRow("b")}, 2);
+  m_now += Millis(2000);
+  EXPECT_TRUE(m_subject.expire(m_now).isEmpty());
+  EXPECT_TRUE(has("b"));
+}
+
+TEST_F(ServerDirectoryTest, Listing_OfAnEarlierEra_IsIgnored) {
+  list({makeRow("a")}, 2);
+  m_now += Millis(100);
+  EXPECT_TRUE(list({}, 1).isEmpty());
+  EXPECT_TRUE(has("a"));
+}
+
+TEST_F(ServerDirectoryTest, Listing_DrainingLifeIsReadyAgain_StaysDraining) {
+  ServerRow Draining = makeRow("a", 1000, 5);
+  Draining.m_entry.m_isDraining = true;
+  list({Draining});
+  list({makeRow("a", 1000, 9)});
+  EXPECT_TRUE(m_subject.entries().at("a").m_isDraining);
+  list({makeRow("a", 2000, 1)});
+  EXPECT_FALSE(m_subject.entries().at("a").m_isDraining);
+}
+
+TEST_F(ServerDirectoryTest, NoteLeaving_LifeIsListedAsReady_StaysDraining) {
+  list({makeRow("a")});
+  EXPECT_TRUE(m_subject.noteLeaving("a", 1000, m_now));
+  EXPECT_FALSE(m_subject.noteLeaving("a", 1000, m_now));
+  EXPECT_TRUE(list({makeRow("a", 1000, 8)}).isEmpty());
+  EXPECT_TRUE(m_subject.entries().at("a").m_isDraining);
+}
+
+TEST_F(ServerDirectoryTest, NoteLeaving_EarlierLife_LaterOneIsUsed) {
+  list({makeRow("a", 2000)});
+  EXPECT_FALSE(m_subject.noteLeaving("a", 1000, m_now));
+  EXPECT_FALSE(m_subject.entries().at("a").m_isDraining);
+}
+
+TEST_F(ServerDirectoryTest, NoteLeaving_NotListedYet_IsDrainingWhenListed) {
+  list({});
+  EXPECT_TRUE(m_subject.noteLeaving("a", 1000, m_now));
+  list({makeRow("a")});
+  EXPECT_TRUE(m_subject.entries().at("a").m_isDraining);
+}
+
 TEST_F(ServerDirectoryTest, Adopt_OwnListingKnown_TakesNothing) {
   list({makeRow("a")});
   EXPECT_TRUE(m_subject.adopt({makeRow("b").m_entry}).isEmpty());
--- /dev/null
+++ b/test/gateway/server-rests-test.cc
@@ -0,0 +1,51 @@
+#include "tamarackdrum/gateway/server-rests.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+class ServerRestsTest : public testing::Test {
+protected:
+  static ServerEntry makeServer(const char *Id, std::int64_t Born = 1) {
+    ServerEntry Out;
+    Out.m_id = Id;
+    Out.m_service = "shop";
+    Out.m_bornMs = Born;
+    return Out;
+  }
+
+  ServerRests m_subject;
+  TimePoint m_now{std::chrono::seconds(100)};
+};
+
+TEST_F(ServerRestsTest, Left_TimeIsOver_IsNothing) {
+  m_subject.note(makeServer("a"), Millis(1000), m_now);
+  EXPECT_EQ(m_subject.left(makeServer("a"), m_now + Millis(400)), Millis(600));
+  EXPECT_EQ(m_subject.left(makeServer("a"), m_now + Millis(1000)), Millis(0));
+  EXPECT_EQ(m_subject.left(makeServer("b"), m_now), Millis(0));
+}
+
+TEST_F(ServerRestsTest, Note_ShorterTime_LongerOneStands) {
+  m_subject.note(makeServer("a"), Millis(1000), m_now);
+  m_subject.note(makeServer("a"), Millis(100), m_now);
+  EXPECT_EQ(m_subject.left(makeServer("a"), m_now), Millis(1000));
+}
+
+TEST_F(ServerRestsTest, Left_LaterLifeOfTheServer_HasSaidNothing) {
+  m_subject.note(makeServer("a", 1), Millis(1000), m_now);
+  EXPECT_EQ(m_subject.left(makeServer("a", 2), m_now), Millis(0));
+}
+
+TEST_F(ServerRestsTest, Of_SeveralServices_OnlyTheOneAskedFor) {
+  m_subject.note(makeServer("a"), Millis(1000), m_now);
+  ServerEntry Other = makeServer("b");
+  Other.m_service = "stock";
+  m_subject.note(Other, Millis(1000), m_now);
+  EXPECT_EQ(m_subject.of("shop", m_now),
+            (std::vector<RestingServer>{{"a", Millis(1000)}}));
+  EXPECT_TRUE(m_subject.of("shop", m_now + Millis(1000)).empty());
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -116,10 +116,10 @@
 }
 
 TEST_F(StoreClientTest, WriteOwnership_WrongVersion_IsConflict) {
-  const Result<std::uint64_t> First =
-      await(m_subject.writeOwnership("shop", makeRecord(1), 0));
+  const Result<RowVersion> First =
+      await(m_subject.writeOwnership("shop", makeRecord(1), {}));
   ASSERT_TRUE(First);
-  EXPECT_EQ(await(m_subject.writeOwnership("shop", makeRecord(2), 0)).error(),
+  EXPECT_EQ(await(m_subject.writeOwnership("shop", makeRecord(2), {})).error(),
             TableErrc::Conflict);
   EXPECT_TRUE(
       await(m_subject.writeOwnership("shop", makeRecord(2), First.value())));
@@ -131,7 +131,7 @@
 
 TEST_F(StoreClientTest, WriteOwnership_AnswerIsLost_IsUnsettledAndDone) {
   m_store.m_faults.m_losesAnswers = true;
-  EXPECT_EQ(await(m_subject.writeOwnership("shop", makeRecord(1), 0)).error(),
+  EXPECT_EQ(await(m_subject.writeOwnership("shop", makeRecord(1), {})).error(),
             TableErrc::Unsettled);
   m_store.m_faults.m_losesAnswers = false;
   EXPECT_EQ(await(m_subject.readOwnership("shop")).value().m_record,
@@ -140,15 +140,88 @@
 
 TEST_F(StoreClientTest, WriteOwnership_IsDoneLate_ConditionStillDecides) {
   m_store.m_faults.m_lateBy = Millis(2000);
-  EXPECT_EQ(await(m_subject.writeOwnership("shop", makeRecord(1), 0)).error(),
+  EXPECT_EQ(await(m_subject.writeOwnership("shop", makeRecord(1), {})).error(),
             TableErrc::Unsettled);
   m_store.m_faults.m_lateBy = Millis(0);
-  ASSERT_TRUE(await(m_subject.writeOwnership("shop", makeRecord(5), 0)));
+  ASSERT_TRUE(await(m_subject.writeOwnership("shop", makeRecord(5), {})));
   m_context.run_for(Millis(700)); // The late one is due.
   EXPECT_EQ(await(m_subject.readOwnership("shop")).value().m_record,
             makeRecord(5));
 }
 
+// Between the last look and the next one the store comes back from a copy and
+// gives the versions of the changes that were missed out again.
+TEST_F(StoreClientTest,
+       AwaitConfiguration_StoreIsBackFromCopy_NothingIsMissed) {
+  putConfiguration(3);
+  m_store.takeCopy();
+  ASSERT_TRUE(await(m_subject.awaitConfiguration(Millis(50))));
+  for (int I = 0; I < 20; ++I)
+    m_store.put(ServerTable, "a", "lost with the rest");
+  EXPECT_EQ(await(m_subject.awaitConfiguration(Millis(50))).error(),
+            TableErrc::Conflict);
+  m_store.returnToCopy();
+  putConfiguration(5);
+  for (int I = 0; I < 30; ++I)
+    m_store.put(ServerTable, "a", "written again");
+  EXPECT_EQ(await(m_subject.awaitConfiguration(Millis(50)))
+                .value()
+                .m_configuration.m_version,
+            5U);
+  EXPECT_EQ(m_subject.era(), 2U);
+}
+
+TEST_F(StoreClientTest, AwaitConfiguration_VersionIsAheadOfCopy_IsReadAnew) {
+  m_store.takeCopy();
+  putConfiguration(3);
+  ASSERT_TRUE(await(m_subject.awaitConfiguration(Millis(50))));
+  m_store.returnToCopy();
+  EXPECT_FALSE(await(m_subject.awaitConfiguration(Millis(50))));
+  putConfiguration(4);
+  EXPECT_EQ(await(m_subject.awaitConfiguration(Millis(50)))
+                .value()
+                .m_configuration.m_version,
+            4U);
+}
+
+// The row of the copy may get the version that a writer of before expects.
+TEST_F(StoreClientTest, WriteOwnership_VersionOfAnEarlierEra_IsConflict) {
+  m_store.takeCopy();
+  ASSERT_TRUE(await(m_subject.readOwnership("shop")));
+  const Result<RowVersion> Lost =
+      await(m_subject.writeOwnership("shop", makeRecord(1), {1, 0}));
+  ASSERT_TRUE(Lost);
+  m_store.returnToCopy();
+  EXPECT_EQ(await(m_subject.writeOwnership("shop", makeRecord(2), Lost.value()))
+                .error(),
+            TableErrc::Conflict);
+  EXPECT_EQ(m_subject.era(), 2U);
+  EXPECT_EQ(await(m_subject.writeOwnership("shop", makeRecord(2), Lost.value()))
+                .error(),
+            TableErrc::Conflict);
+  const Result<VersionedOwnership> Read =
+      await(m_subject.readOwnership("shop"));
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(Read.value().m_version, (RowVersion{2, 0}));
+  EXPECT_TRUE(await(
+      m_subject.writeOwnership("shop", makeRecord(3), Read.value().m_version)));
+  EXPECT_EQ(await(m_subject.readOwnership("shop")).value().m_record,
+            makeRecord(3));
+}
+
+TEST_F(StoreClientTest, ReadOwnership_RecordIsOfAnEarlierEra_IsTheLastOne) {
+  m_store.takeCopy();
+  ASSERT_TRUE(await(m_subject.readOwnership("shop")));
+  ASSERT_TRUE(await(m_subject.writeOwnership("shop", makeRecord(1), {1, 0})));
+  ASSERT_TRUE(await(m_subject.writeOwnership("shop-2", makeRecord(9), {1, 0})));
+  m_store.takeCopy();
+  m_store.returnToCopy();
+  const VersionedOwnership Read =
+      await(m_subject.readOwnership("shop")).value();
+  EXPECT_EQ(Read.m_record, makeRecord(1));
+  EXPECT_EQ(Read.m_version, (RowVersion{2, 0}));
+}
+
 // Load pattern: hundreds of hosts start together; one of them enters all.
 TEST_F(StoreClientTest, EnterHosts_MoreThanACallTakes_AreEnteredInParts) {
   std::vector<HostInfo> Hosts;
@@ -168,7 +241,7 @@
 TEST_F(StoreClientTest, Calls_StoreIsDown_AreUnavailable) {
   m_store.m_faults.m_isDown = true;
   EXPECT_EQ(await(m_subject.readServers()).error(), TableErrc::Unavailable);
-  EXPECT_EQ(await(m_subject.writeOwnership("shop", makeRecord(1), 0)).error(),
+  EXPECT_EQ(await(m_subject.writeOwnership("shop", makeRecord(1), {})).error(),
             TableErrc::Unavailable);
 }
 
