Play older copies of the store in the soak, and end the wait for unknown granters early

Hypothesis: none; the soak played the new drill and found two faults. (1) Hosts that the soak starts for the first time did not say so: the first granter took its empty record for an old one and waited 25 s (fault of the soak: it now writes the setting). Change: once every owner has taken a renewal that was sent after the copy, nobody else can hold a key, and the record no longer names unknown granters. Ruled out: that keys were lost by the copy (each was renewed within 0.7 s). Servers of the soak say in all answers that they leave.

--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -93,10 +93,11 @@
 struct DispatchPolicy {
   /// Part of each server's slots that this dispatcher may use.
   double m_slotShare = 1.0;
-  /// Requests beyond the slots that a server may be given while others wait:
-  /// they start without a round trip. Source: a round trip of 5 ms against
-  /// work of 90 ms or more.
-  unsigned m_ahead = 0;
+  /// Part of its slots by which a server may at most be given more requests
+  /// than it has slots, while others wait. See aheadOf().
+  double m_mostAhead = 0.5;
+  /// Weight of a new sample in the average time that slots lie idle.
+  double m_idleWeight = 0.02;
   /// A server of the asking host's zone is chosen while its expected service
   /// time, times this, is within the objective: bytes between zones are
   /// dear, and a faster answer within the objective is worth no more.
@@ -269,6 +270,12 @@
 
   std::size_t slotsOf(const Server &Item) const;
   bool hasRoom(const Server &Item, TimePoint Now, bool OthersWait) const;
+  /// Returns the requests that a server may have beyond its slots.
+  ///
+  /// Load pattern: hosts with slow links. A slot counts as taken from the
+  /// decision to the report of the end; while either is on its way, the server
+  /// has nothing to do. What waits at the server then makes up for it.
+  std::size_t aheadOf(const Server &Item) const;
   double expectedMs(const Server &Item, TimePoint Now) const;
   /// Returns how much longer requests of \p Route take than the average of the
   /// service.
@@ -314,6 +321,7 @@
   KeyLoad m_keyLoad;
   bool m_isKeyed = false;
   double m_meanMs;
+  double m_idleMs = 0; ///< Average time of a taken slot without work.
   std::map<std::string, double> m_routeFactors;
 };
 
--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -284,6 +284,8 @@
   }
   /// Names the granters of records that were lost among the earlier ones.
   void addUnknownGranter(std::uint64_t Era, TimePoint Now);
+  /// Ends the wait for them once every owner has taken a renewal.
+  void dropUnknownGranters();
   void assign(Range &Item, const ServerLife &Owner, TimePoint Now);
   void regrant(Range &Item, const ServerLife &Owner);
   void move(const KeyMove &Wanted, TimePoint Now);
--- a/soak/fault-schedule.cc
+++ b/soak/fault-schedule.cc
@@ -39,7 +39,7 @@
          (harmsServer(Item.m_kind) && harmsServer(Wanted.m_kind)));
     if (IsSame ||
         (Item.m_kind == Wanted.m_kind && Item.m_kind >= FaultKind::StoreDown &&
-         Item.m_kind <= FaultKind::StoreLateWrites))
+         Item.m_kind <= FaultKind::StoreOlderCopy))
       return false;
     Harmed += harmsHost(Item.m_kind) ? 1 : 0;
   }
@@ -80,6 +80,8 @@
     return "store-late-writes";
   case FaultKind::StoreHistoryGone:
     return "store-history-gone";
+  case FaultKind::StoreOlderCopy:
+    return "store-older-copy";
   case FaultKind::HostStoreSilent:
     return "host-store-silent";
   case FaultKind::HostStoreReset:
--- a/soak/fault-schedule.h
+++ b/soak/fault-schedule.h
@@ -26,6 +26,7 @@
   StoreLosesAnswers, ///< Does what it is asked, answers nothing.
   StoreLateWrites,   ///< Writes are done later and not answered.
   StoreHistoryGone,  ///< Feeds have to begin anew.
+  StoreOlderCopy,    ///< Away at the end, and back as it was at the begin.
   HostStoreSilent,   ///< One host's link to the store.
   HostStoreReset,    ///< One host's connections to the store are reset.
   HostStoreOneWay,   ///< Calls of one host arrive, answers don't.
--- a/soak/soak-history.cc
+++ b/soak/soak-history.cc
@@ -23,7 +23,7 @@
 
 bool concernsStore(const FaultSpan &Item) {
   return Item.m_kind >= FaultKind::StoreDown &&
-         Item.m_kind <= FaultKind::StoreHistoryGone;
+         Item.m_kind <= FaultKind::StoreOlderCopy;
 }
 
 bool overlaps(const FaultSpan &Item, TimePoint From, TimePoint To) {
--- a/soak/soak-site.cc
+++ b/soak/soak-site.cc
@@ -33,6 +33,9 @@
 /// Every second server's clock runs slow. Source: the platform allows 2%.
 constexpr double SlowClock = 1.02;
 constexpr Millis StoreDelay{250};
+constexpr Millis StoreAway{300}; ///< Before it comes back from a copy.
+/// Until the operator has written again what was lost.
+constexpr Millis RewriteTime{400};
 constexpr Millis LinkDelay{120};
 constexpr Millis RouteTimeout{2000};
 
@@ -121,6 +124,7 @@
 }
 
 void SoakSite::start() {
+  m_store.takeCopy();
   writeConfiguration();
   for (std::size_t I = 0; I < m_servers.size(); ++I)
     startServer(I, false);
@@ -133,6 +137,7 @@
   Host &Item = m_hosts[Index];
   const std::string &Name = Item.m_settings.m_host.m_name;
   const std::filesystem::path File = m_options.m_directory / (Name + ".json");
+  Item.m_settings.m_isFirstStart = Item.m_life == 0;
   std::ofstream(File) << encodeSettings(Item.m_settings,
                                         toText(Item.m_storeLink->address()));
   ++Item.m_life;
@@ -162,6 +167,7 @@
       m_context, endpointOf(addressOf(251, 1 + Index), 0), Options,
       m_seen.m_servers);
   Item.m_link->setTarget(Item.m_server->address());
+  m_gone.erase(Entry.m_id);
   report(Index);
 }
 
@@ -213,7 +219,7 @@
     co_await playHost(Event);
   else if (Event.m_kind <= FaultKind::ServerLinkOneWay)
     co_await playServer(Event);
-  else if (Event.m_kind <= FaultKind::StoreHistoryGone)
+  else if (Event.m_kind <= FaultKind::StoreOlderCopy)
     co_await playStore(Event);
   else
     co_await playLink(*m_hosts[Event.m_target].m_storeLink, Event);
@@ -267,7 +273,7 @@
     Item.m_link->resetAll();
     co_await sleepFor(std::min(Event.m_length, LapseTime));
     if (!KeepsId || Event.m_length > LapseTime)
-      m_store.remove(ServerTable, Id);
+      removeRow(Id);
     co_await sleepFor(std::max(Millis(0), Event.m_length - LapseTime));
     Item.m_link->setFault(LinkFault::None);
     startServer(Event.m_target, KeepsId);
@@ -280,11 +286,12 @@
   Place &Item = m_servers[Index];
   const ServerEntry Entry = Item.m_server->entry();
   const bool SaysSo = m_random() % 3 != 0;
+  Item.m_server->setLeaving();
   if (SaysSo) {
     Item.m_isDraining = true;
     report(Index);
   } else {
-    m_store.remove(ServerTable, Entry.m_id);
+    removeRow(Entry.m_id);
   }
   m_seen.m_leaves.push_back({Entry.m_id, Entry.m_bornMs, BootClock::now()});
   // A server without a row goes on serving, and does not report any more.
@@ -294,7 +301,7 @@
   co_await sleepFor(ServeAfterLeave);
   Leaving.reset();
   Item.m_server.reset();
-  m_store.remove(ServerTable, Entry.m_id);
+  removeRow(Entry.m_id);
   Item.m_link->resetAll();
   startServer(Index, false);
 }
@@ -317,6 +324,9 @@
     co_await sleepFor(Event.m_length);
     Faults.m_losesAnswers = false;
     break;
+  case FaultKind::StoreOlderCopy:
+    co_await loseWrites(Event.m_length);
+    break;
   case FaultKind::StoreLateWrites:
     Faults.m_lateBy = Event.m_length;
     co_await sleepFor(Event.m_length);
@@ -327,6 +337,26 @@
   }
 }
 
+asio::awaitable<void> SoakSite::loseWrites(Millis Length) {
+  m_store.takeCopy();
+  co_await sleepFor(Length);
+  m_store.m_faults.m_isDown = true;
+  co_await sleepFor(StoreAway);
+  m_store.returnToCopy();
+  m_store.m_faults.m_isDown = false;
+  // Servers report again by themselves; what has gone lapses once more.
+  co_await sleepFor(RewriteTime);
+  m_store.put(OperatorTable, ConfigurationKey, encodeConfiguration(m_config));
+  co_await sleepFor(LapseTime - RewriteTime);
+  for (const std::string &Id : m_gone)
+    m_store.remove(ServerTable, Id);
+}
+
+void SoakSite::removeRow(const std::string &Id) {
+  m_store.remove(ServerTable, Id);
+  m_gone.insert(Id);
+}
+
 asio::awaitable<void> SoakSite::playLink(FaultProxy &Link, FaultEvent Event) {
   switch (Event.m_kind) {
   case FaultKind::ServerLinkReset:
--- a/soak/soak-site.h
+++ b/soak/soak-site.h
@@ -13,6 +13,7 @@
 
 #include <filesystem>
 #include <random>
+#include <set>
 
 namespace tamarackdrum::soak {
 
@@ -82,6 +83,10 @@
   boost::asio::awaitable<void> playHost(FaultEvent Event);
   boost::asio::awaitable<void> playServer(FaultEvent Event);
   boost::asio::awaitable<void> playStore(FaultEvent Event);
+  /// Lets the store come back without what is written in \p Length from now.
+  boost::asio::awaitable<void> loseWrites(Millis Length);
+  /// Takes a server out of the registry.
+  void removeRow(const std::string &Id);
   boost::asio::awaitable<void> playLink(FaultProxy &Link, FaultEvent Event);
   boost::asio::awaitable<void> stopHost(std::size_t Index);
   boost::asio::awaitable<void> leave(std::size_t Index);
@@ -95,6 +100,7 @@
   gateway::Configuration m_config;
   std::vector<Host> m_hosts;
   std::vector<Place> m_servers;
+  std::set<std::string> m_gone; ///< Ids of servers that have no row.
 };
 
 } // namespace tamarackdrum::soak
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -46,7 +46,6 @@
   DispatchPolicy Out = m_shared;
   const double Share = 1.0 / static_cast<double>(m_hosts.knownCount());
   Out.m_slotShare = Share;
-  Out.m_ahead = 0;
   Out.m_retries.m_slack *= Share * LocalRetryShare;
   return Out;
 }
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -72,13 +72,19 @@
                          bool OthersWait) const {
   if (Item.m_entry.m_isDraining || Now < Item.m_pausedUntil)
     return false;
-  const std::size_t Limit = slotsOf(Item) + (OthersWait ? m_policy.m_ahead : 0);
+  const std::size_t Limit = slotsOf(Item) + (OthersWait ? aheadOf(Item) : 0);
   // After a pause one request at a time shows whether the server is back.
   if (Item.m_pause.count() > 0)
     return Item.m_running == 0;
   return Item.m_running < Limit;
 }
 
+std::size_t Dispatcher::aheadOf(const Server &Item) const {
+  const double Slots = static_cast<double>(slotsOf(Item));
+  const double IdleShare = std::min(m_idleMs / m_meanMs, m_policy.m_mostAhead);
+  return static_cast<std::size_t>(std::lround(Slots * IdleShare));
+}
+
 double Dispatcher::expectedMs(const Server &Item, TimePoint Now) const {
   double Own = m_meanMs;
   if (Item.m_meanMs > 0) {
@@ -500,6 +506,10 @@
     return;
   const auto Item = m_servers.find(Found->second.m_server);
   const std::string Route = std::move(Found->second.m_route);
+  if (Outcome == DispatchResult::Served) {
+    const double Idle = toMs(Now - Found->second.m_startedAt - ServiceTime);
+    m_idleMs += m_policy.m_idleWeight * (std::max(0.0, Idle) - m_idleMs);
+  }
   m_running.erase(Found);
   if (Item == m_servers.end())
     return;
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -173,6 +173,19 @@
   m_unknownEndsAt = LongestEnd;
 }
 
+void KeyGranter::dropUnknownGranters() {
+  const auto IsUnknown = [](const EarlierGranter &Item) {
+    return Item.m_host.empty();
+  };
+  const bool IsSure =
+      std::none_of(m_ranges.begin(), m_ranges.end(),
+                   [](const Range &Item) { return Item.m_isUnsure; });
+  if (!IsSure || std::erase_if(m_record.m_earlier, IsUnknown) == 0)
+    return;
+  m_unknownEndsAt = {};
+  m_isDirty = true;
+}
+
 bool KeyGranter::restate(std::uint64_t Era, TimePoint Now) {
   m_isWriting = false;
   m_isDirty = true;
@@ -356,6 +369,7 @@
       m_needsValidation = true;
     }
   }
+  dropUnknownGranters();
 }
 
 void KeyGranter::split(Key At) {
--- a/test/gateway/dispatcher-test.cc
+++ b/test/gateway/dispatcher-test.cc
@@ -93,6 +93,37 @@
   EXPECT_EQ(find(2), nullptr);
 }
 
+// Load pattern: the links of the hosts are busy, so that a server with 6 slots
+// has one idle on average while decisions and reports are on their way.
+TEST_F(DispatcherTest, Finish_ReportsComeLate_ServerIsGivenMoreThanItsSlots) {
+  setServers({makeServer("a", 6)});
+  std::uint32_t Number = 0;
+  for (; Number < 400; ++Number) {
+    ask(makeAsk(Number));
+    m_now += Millis(120);
+    finish(Number, DispatchResult::Served, Millis(100));
+  }
+  for (int I = 0; I < 9; ++I)
+    ask(makeAsk(Number++));
+  m_subject.tick(m_now, m_made);
+  EXPECT_EQ(m_subject.load().m_running, 7U);
+  EXPECT_EQ(m_subject.load().m_waiting, 2U);
+}
+
+TEST_F(DispatcherTest, Finish_ReportsComeAtOnce_SlotsAreNotExceeded) {
+  setServers({makeServer("a", 6)});
+  std::uint32_t Number = 0;
+  for (; Number < 400; ++Number) {
+    ask(makeAsk(Number));
+    m_now += Millis(103);
+    finish(Number, DispatchResult::Served, Millis(100));
+  }
+  for (int I = 0; I < 9; ++I)
+    ask(makeAsk(Number++));
+  m_subject.tick(m_now, m_made);
+  EXPECT_EQ(m_subject.load().m_running, 6U);
+}
+
 TEST_F(DispatcherTest, Finish_SeveralPriorities_HighestIsNext) {
   setServers({makeServer("a")});
   ask(makeAsk(1));
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -324,6 +324,20 @@
   EXPECT_GT(Moved->m_fence >> 24U, termsBefore(2));
 }
 
+TEST_F(KeyGranterTest, Restate_EveryOwnerHasRenewed_NextGranterNeedNotWait) {
+  takeOver({});
+  setServers({makeServer("a"), makeServer("b")});
+  run(Millis(1000));
+  ASSERT_TRUE(m_subject.restate(2, m_now));
+  std::optional<OwnershipRecord> First = m_subject.step(m_now).m_write;
+  ASSERT_TRUE(First);
+  ASSERT_EQ(First->m_earlier.size(), 1U);
+  EXPECT_EQ(First->m_earlier[0].m_host, "");
+  m_subject.noteWritten(m_now, m_now);
+  run(m_policy.m_renewEvery + Millis(200));
+  EXPECT_TRUE(m_subject.record().m_earlier.empty());
+}
+
 // Another granter may have taken over, and moved keys, in the time of which the
 // store has lost all records.
 TEST_F(KeyGranterTest, Restate_LastLookIsLongAgo_IsNotAllowed) {
