Move whole ranges off overloaded servers where another is nearly idle

The planner looks for a part of one range that carries half of the excess; there was none, since each hot key had left short ranges and refused clients ask again, which makes the excess larger; and the round ends at that server. Ruled out: the granter's wait for earlier holds (over by 10 s), the retry budget. Change: such a server gives its busiest whole range that fits to a server below 0.3 of its use, one in a round.

--- a/include/tamarackdrum/gateway/key-placement.h
+++ b/include/tamarackdrum/gateway/key-placement.h
@@ -43,6 +43,12 @@
   double m_dominantShare = 1.0;
   /// Part of a server's capacity from which a whole range is worth its move.
   double m_leastRelief = 0.1;
+  /// Utilization from which a server gives whole ranges away where no part of
+  /// one carries its excess, that of the servers which get them, and the number
+  /// of such moves in a round.
+  double m_overloadedShare = 1.0;
+  double m_idleShare = 0.3;
+  std::size_t m_wholeMovesPerRound = 1;
   /// Ranges are split only while there are fewer: each one has to be renewed
   /// by a call of its own and lies in one row of the store.
   std::size_t m_mostRanges = 800;
--- a/src/gateway/key-placement.cc
+++ b/src/gateway/key-placement.cc
@@ -141,19 +141,18 @@
   return KeyHolding{static_cast<Key>(Keys.m_to - Width + 1), Keys.m_to, ""};
 }
 
-/// Returns the busiest key that \p Server holds, or nothing.
-std::optional<KeyRate> busiestKeyOf(const std::string &Server,
-                                    const std::vector<PlacedRange> &Ranges,
-                                    const std::vector<KeyRate> &Rates) {
-  std::optional<KeyRate> Out;
-  for (const PlacedRange &Range : Ranges) {
-    if (Range.m_keys.m_server != Server)
-      continue;
-    for (const KeyRate &Item : ratesIn(Range.m_keys, Rates))
-      if (!Out || Item.m_rate > Out->m_rate)
-        Out = Item;
-  }
-  return Out;
+/// Returns whether one key alone keeps \p Server busy.
+bool hasDominantKey(const std::string &Server, double Least,
+                    const std::vector<PlacedRange> &Ranges,
+                    const std::vector<KeyRate> &Rates) {
+  return std::any_of(
+      Ranges.begin(), Ranges.end(), [&](const PlacedRange &Range) {
+        const std::span<const KeyRate> Own = ratesIn(Range.m_keys, Rates);
+        return Range.m_keys.m_server == Server &&
+               std::any_of(Own.begin(), Own.end(), [Least](const KeyRate &Key) {
+                 return Key.m_rate >= Least;
+               });
+      });
 }
 
 /// Returns the narrowest part of what \p Hot holds whose load is about
@@ -195,13 +194,25 @@
   return Best;
 }
 
-/// Returns one move from the busiest server to the one with most room. A server
-/// that a single key keeps busy can't be relieved, so the next one is taken.
-std::optional<KeyMove> planRelief(const std::vector<PlacedRange> &Ranges,
-                                  const Loads &Current,
-                                  const std::map<std::string, double> &Capacity,
-                                  const std::vector<KeyRate> &Rates,
-                                  const PlacementPolicy &Policy) {
+/// A move that relieves a server.
+struct Relief {
+  KeyMove m_move;
+  bool m_isWhole = false; ///< A whole range, though it may carry little.
+};
+
+/// Returns one move from the busiest server that can be relieved to the one
+/// with most room. One that a single key keeps busy can't: moving its other
+/// keys gains little.
+///
+/// Load pattern: the busy keys of an overloaded server lie in many short
+/// ranges, none of which carries half of the excess. Whole ranges are moved
+/// then; without that, nothing moved for the rest of the day.
+std::optional<Relief> planRelief(const std::vector<PlacedRange> &Ranges,
+                                 const Loads &Current,
+                                 const std::map<std::string, double> &Capacity,
+                                 const std::vector<KeyRate> &Rates,
+                                 bool MayMoveWhole,
+                                 const PlacementPolicy &Policy) {
   std::vector<std::pair<double, std::string>> ByUse;
   for (const auto &[Server, Rate] : Capacity)
     ByUse.emplace_back(utilization(Server, Current, Capacity), Server);
@@ -216,16 +227,26 @@
       return std::nullopt;
     const double CapHot = std::max(0.1, Capacity.at(Hot));
     const double Excess = (High - Low) * CapHot * CapCold / (CapHot + CapCold);
+    const bool CanSplit = Ranges.size() < Policy.m_mostRanges;
+    const auto FindWhole = [&] {
+      return findWhole(Hot, Policy.m_leastRelief * CapHot, Excess, Ranges,
+                       Rates, Current.m_spreadPerKey);
+    };
     const std::optional<KeyHolding> Found =
-        Ranges.size() < Policy.m_mostRanges
-            ? findPart(Hot, Excess, Ranges, Rates, Current.m_spreadPerKey)
-            : findWhole(Hot, Policy.m_leastRelief * CapHot, Excess, Ranges,
-                        Rates, Current.m_spreadPerKey);
+        CanSplit ? findPart(Hot, Excess, Ranges, Rates, Current.m_spreadPerKey)
+                 : FindWhole();
     if (Found)
-      return KeyMove{Found->m_from, Found->m_to, Cold};
-    const std::optional<KeyRate> Top = busiestKeyOf(Hot, Ranges, Rates);
-    if (!Top || Top->m_rate < Policy.m_dominantShare * CapHot)
-      return std::nullopt;
+      return Relief{{Found->m_from, Found->m_to, Cold}, false};
+    if (hasDominantKey(Hot, Policy.m_dominantShare * CapHot, Ranges, Rates))
+      continue;
+    const bool CanUnload = CanSplit && MayMoveWhole &&
+                           High >= Policy.m_overloadedShare &&
+                           Low < Policy.m_idleShare;
+    const std::optional<KeyHolding> Whole =
+        CanUnload ? FindWhole() : std::nullopt;
+    if (Whole)
+      return Relief{{Whole->m_from, Whole->m_to, Cold}, true};
+    return std::nullopt;
   }
   return std::nullopt;
 }
@@ -288,11 +309,15 @@
              Capacity, Rates, Current, Out);
 
   std::vector<PlacedRange> After = Ranges;
+  std::size_t WholeMoves = 0;
   for (std::size_t I = 0; I < Policy.m_movesPerRound; ++I) {
-    const std::optional<KeyMove> Move =
-        planRelief(After, Current, Capacity, Rates, Policy);
-    if (!Move)
+    const std::optional<Relief> Found =
+        planRelief(After, Current, Capacity, Rates,
+                   WholeMoves < Policy.m_wholeMovesPerRound, Policy);
+    if (!Found)
       break;
+    WholeMoves += Found->m_isWhole ? 1 : 0;
+    const KeyMove *Move = &Found->m_move;
     for (const PlacedRange &Range : After)
       if (Range.m_keys.m_from <= Move->m_from &&
           Move->m_to <= Range.m_keys.m_to) {
--- a/test/gateway/key-placement-test.cc
+++ b/test/gateway/key-placement-test.cc
@@ -66,6 +66,40 @@
   EXPECT_EQ(Moves[0].m_target, "c");
 }
 
+/// A server that is overloaded by many short ranges, and one with other load.
+class FragmentedRangesTest : public KeyPlacementTest {
+protected:
+  FragmentedRangesTest() {
+    m_capacity["b"] = 30;
+    m_ranges.clear();
+    for (Key I = 0; I < 20; ++I) {
+      const Key From = static_cast<Key>(1000 * I);
+      m_ranges.push_back({{From, static_cast<Key>(From + 999), "a"}, true});
+      m_rates.push_back({From, 1.5});
+    }
+    m_ranges.push_back({{20000, 65535, "b"}, true});
+  }
+
+  void setOtherLoad(double Rate) { m_rates.push_back({60000, Rate}); }
+};
+
+// Load pattern: hot keys have come and gone, each has left a short range, and
+// clients that were refused ask again. No part of a range carries half of the
+// excess: the other server stayed idle for the rest of the day.
+TEST_F(FragmentedRangesTest, Plan_OtherServerIsNearlyIdle_OneWholeRangeMoves) {
+  setOtherLoad(1);
+  const std::vector<KeyMove> Moves = plan();
+  ASSERT_EQ(Moves.size(), 1U);
+  EXPECT_EQ(Moves[0].m_target, "b");
+  EXPECT_EQ(Moves[0].m_to - Moves[0].m_from, 999);
+}
+
+// Each move stops its keys for a moment: it has to be worth that.
+TEST_F(FragmentedRangesTest, Plan_OtherServerHasWork_NothingMoves) {
+  setOtherLoad(12);
+  EXPECT_TRUE(plan().empty());
+}
+
 TEST_F(KeyPlacementTest, Plan_MostRanges_OnlyWholeRangesMove) {
   const auto Count = static_cast<std::uint32_t>(m_policy.m_mostRanges);
   m_ranges.clear();
