--- a/src/edge/upstream-exchange.cc
+++ b/src/edge/upstream-exchange.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 
 namespace tamarackdrum::gateway {
@@ -69,8 +70,7 @@
     return Millis(0);
   const double Longest =
       static_cast<double>(std::chrono::seconds(LongestRest).count());
-  return Millis(
-      static_cast<std::int64_t>(std::min(Seconds, Longest) * 1000 + 0.5));
+  return Millis(std::lround(std::min(Seconds, Longest) * 1000));
 }
 
 } // namespace
--- a/src/gateway/key-placement.cc
+++ b/src/gateway/key-placement.cc
@@ -220,7 +220,8 @@
   const auto &[Low, Cold] = ByUse.front();
   const double CapCold = std::max(0.1, Capacity.at(Cold));
   for (std::size_t I = ByUse.size() - 1; I > 0; --I) {
-    const auto &[High, Hot] = ByUse[I];
+    const double High = ByUse[I].first;
+    const std::string &Hot = ByUse[I].second;
     const bool IsUnequal =
         High > Policy.m_busyShare && High - Low > Policy.m_gap;
     if (Low > 0 && !IsUnequal)
--- a/test/gateway/ownership-model-test.cc
+++ b/test/gateway/ownership-model-test.cc
@@ -5,8 +5,9 @@
 
 #include "tamarackdrum/gateway/ports.h"
 
-#include <deque>
 #include <gtest/gtest.h>
+
+#include <deque>
 #include <random>
 #include <rapidcheck/gtest.h>
 #include <sstream>
