--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -174,6 +174,8 @@
 }
 
 void KeyGranter::dropUnknownGranters() {
+  if (m_unknownEndsAt == TimePoint{})
+    return;
   const auto IsUnknown = [](const EarlierGranter &Item) {
     return Item.m_host.empty();
   };
--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -209,6 +209,18 @@
             makeRecord(3));
 }
 
+TEST_F(StoreClientTest, Calls_EraIsDamaged_LaterAnswersStillCount) {
+  m_store.takeCopy();
+  ASSERT_TRUE(await(m_subject.readServers()));
+  m_store.m_faults.m_damagedEra = "18446744073709551615";
+  EXPECT_TRUE(await(m_subject.readServers()));
+  m_store.m_faults.m_damagedEra = "2x";
+  EXPECT_TRUE(await(m_subject.readServers()));
+  m_store.m_faults.m_damagedEra.clear();
+  EXPECT_TRUE(await(m_subject.readServers()));
+  EXPECT_EQ(m_subject.era(), 1U);
+}
+
 TEST_F(StoreClientTest, ReadOwnership_RecordIsOfAnEarlierEra_IsTheLastOne) {
   m_store.takeCopy();
   ASSERT_TRUE(await(m_subject.readOwnership("shop")));
