--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -174,6 +174,15 @@
     return m_web[0].m_seen.size() + m_web[1].m_seen.size();
   }
 
+  /// Sends requests until \p Server has got one, and more that it must not get.
+  void expectOneRequestOnly(const ScriptedServer &Server) {
+    while (Server.m_seen.empty())
+      EXPECT_EQ(send(get("/web/")).m_status, 200U);
+    for (int I = 0; I < 10; ++I)
+      EXPECT_EQ(send(get("/web/")).m_status, 200U);
+    EXPECT_EQ(Server.m_seen.size(), 1U);
+  }
+
   void setWeb(const ScriptedServer::Script &Script) {
     for (ScriptedServer &Server : m_web)
       Server.m_script = Script;
@@ -284,11 +293,7 @@
   m_web[0].m_script = answerWith("Test-Leaving: 1");
   m_web[1].m_script = answerWith("Test-Leaving: 0");
   startAll();
-  while (m_web[0].m_seen.empty())
-    EXPECT_EQ(send(get("/web/")).m_status, 200U);
-  for (int I = 0; I < 10; ++I)
-    EXPECT_EQ(send(get("/web/")).m_status, 200U);
-  EXPECT_EQ(m_web[0].m_seen.size(), 1U);
+  expectOneRequestOnly(m_web[0]);
 }
 
 TEST_F(GatewayHostTest, Answer_ServerSaysThatItLeaves_OtherHostsKnow) {
@@ -303,11 +308,7 @@
 TEST_F(GatewayHostTest, Refusal_ServerAsksForRest_GetsNothingMeanwhile) {
   m_web[0].m_script = restFor("30");
   startAll();
-  while (m_web[0].m_seen.empty())
-    EXPECT_EQ(send(get("/web/")).m_status, 200U);
-  for (int I = 0; I < 10; ++I)
-    EXPECT_EQ(send(get("/web/")).m_status, 200U);
-  EXPECT_EQ(m_web[0].m_seen.size(), 1U);
+  expectOneRequestOnly(m_web[0]);
 }
 
 TEST_F(GatewayHostTest, Refusal_TimeOfRestIsOver_IsAskedAgain) {
