Log and measure the rate limits that servers name

Neither logs nor metrics could tell the three hypotheses apart: whether a host had read a limit, how old its word was, and whether the coordinator knew it. Each change is now one line, server-limit, with its source, and /metrics has limit and age by server. The report of a dispatch's end carries what the answer says; older processes leave it out and ignore it. No decision uses it yet.

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -56,9 +56,11 @@
   void cancel(AdmissionHandle &Handle);
 
   /// Releases the slot of a dispatch that has ended and, unless the fallback
-  /// decided on it, reports the result to the coordinator.
+  /// decided on it, reports the result to the coordinator. \p Limit is what the
+  /// answer says about the rate limit of its server.
   void finish(const std::string &Service, const AdmissionResult &Taken,
-              DispatchResult Outcome, Millis ServiceTime);
+              DispatchResult Outcome, Millis ServiceTime,
+              const std::optional<NamedLimit> &Limit = std::nullopt);
 
   /// Sets the coordinator of each service. Running and waiting requests of a
   /// service move to its new coordinator.
@@ -124,6 +126,7 @@
     std::string m_route;
     AdmissionPlace m_place;
     std::uint32_t m_link;
+    TimePoint m_startedAt;
     TimePoint m_deadline;
   };
 
@@ -137,6 +140,12 @@
   void moveToCoordinator(const std::string &Host, const std::string &Service);
   /// Lets the fallback decide on a request. \p Reason is logged.
   void submitToFallback(const PendingRequestPtr &Item, std::string_view Reason);
+  /// Records what an answer to a request of this host says about the rate limit
+  /// of its server.
+  void noteLimit(const StartedDispatch &Item, const NamedLimit &Named);
+  void logLimit(const std::string &Service,
+                const std::optional<LimitChange> &Change,
+                std::string_view Source);
   /// Stores the decision on a pending request and resumes its acquire().
   void resolve(std::uint32_t Number, const DispatchDecision &Made);
   /// Returns the policy of the fallback: this host's share of slots and of the
--- a/include/tamarackdrum/gateway/dispatcher-registry.h
+++ b/include/tamarackdrum/gateway/dispatcher-registry.h
@@ -43,6 +43,13 @@
   void recordOutcome(const std::string &Service, const std::string &Server,
                      const std::string &Route, DispatchResult Outcome,
                      Millis ServiceTime, TimePoint Now);
+  std::optional<LimitChange> noteLimit(const std::string &Service,
+                                       const std::string &Server,
+                                       const NamedLimit &Named,
+                                       TimePoint SentAt, TimePoint Now);
+  std::optional<LimitChange> noteLimit(const std::string &Service,
+                                       const DispatchId &Id,
+                                       const NamedLimit &Named, TimePoint Now);
   void addRunning(const std::string &Service, const DispatchId &Id,
                   const std::string &Server, const std::string &Route,
                   Millis TimeLeft, TimePoint Now);
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -14,6 +14,7 @@
 #define TAMARACKDRUM_GATEWAY_DISPATCHER_H
 
 #include "tamarackdrum/gateway/key-map.h"
+#include "tamarackdrum/gateway/rate-limit.h"
 #include "tamarackdrum/gateway/retry-window.h"
 #include "tamarackdrum/gateway/server-directory.h"
 
@@ -156,6 +157,24 @@
   bool operator==(const DispatchPolicy &) const = default;
 };
 
+/// A change of what a dispatcher knows about the rate limit of a server.
+struct LimitChange {
+  std::string m_server;
+  double m_perSecond = 0;    ///< 0: no limit.
+  double m_wasPerSecond = 0; ///< 0: no limit.
+
+  bool operator==(const LimitChange &) const = default;
+};
+
+/// The rate limit of a server, for metrics.
+struct ServerLimit {
+  std::string m_server;
+  double m_perSecond = 0;
+  Millis m_age{0}; ///< Since the server last named it.
+
+  bool operator==(const ServerLimit &) const = default;
+};
+
 /// Counts of one dispatcher, for logs and metrics.
 struct DispatchLoad {
   std::size_t m_waiting = 0;
@@ -203,6 +222,18 @@
   void recordOutcome(const std::string &Server, const std::string &Route,
                      DispatchResult Outcome, Millis ServiceTime, TimePoint Now);
 
+  /// Records what an answer of \p Server to a request that was sent at
+  /// \p SentAt or later says about its rate limit. Returns the change, if any.
+  std::optional<LimitChange> noteLimit(const std::string &Server,
+                                       const NamedLimit &Named,
+                                       TimePoint SentAt, TimePoint Now);
+  /// As above, for the answer to a running dispatch.
+  std::optional<LimitChange> noteLimit(const DispatchId &Id,
+                                       const NamedLimit &Named, TimePoint Now);
+
+  /// Returns the known rate limits.
+  std::vector<ServerLimit> limits(TimePoint Now) const;
+
   /// Removes the waiting requests of a lost link. Its running requests keep
   /// their slots for twice the mean service time at most.
   void dropLink(std::uint32_t Link, TimePoint Now);
@@ -231,6 +262,8 @@
     std::string m_route;
     TimePoint m_startedAt;
     TimePoint m_expiresAt; ///< The slot is freed then even without a report.
+    /// Another dispatcher has decided it, before m_startedAt.
+    bool m_isAdopted = false;
   };
   struct Server {
     ServerEntry m_entry;
@@ -243,6 +276,7 @@
     Millis m_pause{0};       ///< Last pause; 0 after an answer without error.
     TimePoint m_pausedUntil{};
     TimePoint m_lastSampleAt{};
+    RateLimit m_rateLimit;
   };
   struct Waiting {
     DispatchRequest m_request;
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -90,6 +90,8 @@
   FeedEvents feedEvents();
   EdgeServer::Callbacks edgeView();
   std::string metricsText();
+  /// Sets the metrics of the rate limits that this host knows.
+  void setLimitGauges();
 
   boost::asio::any_io_executor m_executor;
   const TimePoint m_startedAt = BootClock::now();
--- a/include/tamarackdrum/gateway/gateway-metrics.h
+++ b/include/tamarackdrum/gateway/gateway-metrics.h
@@ -24,6 +24,9 @@
   void count(const std::string &Name, const std::string &Labels = "",
              std::uint64_t Added = 1);
   void setGauge(const std::string &Name, double Value);
+  /// Replaces all values of a gauge that has one for each of a set of labels.
+  void setGauges(const std::string &Name,
+                 std::map<std::string, double> ByLabels);
 
   /// Records the time from the arrival of a request to its answer.
   void recordLatency(const std::string &Service, Millis Time);
@@ -66,6 +69,7 @@
 
   std::map<std::string, std::map<std::string, std::uint64_t>> m_counters;
   std::map<std::string, double> m_gauges;
+  std::map<std::string, std::map<std::string, double>> m_labelledGauges;
   TrafficByZone<std::string_view> m_peerMessages;
   TrafficByZone<std::string> m_serverExchanges;
   HistogramByService m_latency;
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -85,6 +85,7 @@
   std::uint32_t m_number = 0;
   DispatchResult m_result = DispatchResult::Served;
   Millis m_serviceTime{0};
+  std::optional<NamedLimit> m_limit; ///< Empty if no answer has told.
 
   bool operator==(const FinishMessage &) const = default;
 };
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -22,6 +22,7 @@
   std::string m_notRun;       ///< Set by a server that did not run a request.
   std::string m_key;          ///< Key of a request to a keyed service.
   std::string m_leaving;      ///< "1" in all answers of a leaving server.
+  std::string m_rateLimit;    ///< Requests per second that a server takes.
 
   bool operator==(const HeaderNames &) const = default;
 };
--- a/include/tamarackdrum/gateway/upstream-client.h
+++ b/include/tamarackdrum/gateway/upstream-client.h
@@ -29,7 +29,9 @@
   TimePoint m_deadline; ///< End of the wait for the answer.
   /// Called when the head of the answer arrives: the server has finished its
   /// work and the slot is free, even if the body takes long to transfer.
-  std::function<void(DispatchResult Result, Millis ServiceTime)> m_onHead;
+  std::function<void(DispatchResult Result, Millis ServiceTime,
+                     const std::optional<NamedLimit> &Limit)>
+      m_onHead;
   /// Limit for idle connections to this server.
   std::size_t m_maxIdleConnections = 1;
 };
@@ -45,6 +47,8 @@
   Millis m_serviceTime{0};
   bool m_isLeaving = false; ///< The server announced that it leaves.
   Millis m_restTime{0};     ///< Time without requests that the server asks for.
+  /// Text of a rate limit that cannot be read; empty if there is none.
+  std::string m_unreadableLimit;
   /// Status and headers; null if none have arrived.
   std::shared_ptr<ResponseParser> m_parser;
   std::string m_body;
@@ -96,6 +100,9 @@
   boost::asio::awaitable<bool> readBody(Connection &Used, UpstreamReply &Reply);
   /// Returns the result that the status and headers of an answer stand for.
   DispatchResult resultOf(const UpstreamReply &Reply) const;
+  /// Returns what an answer says about the rate limit of its server; nothing if
+  /// it says nothing that can be read.
+  std::optional<NamedLimit> limitOf(const UpstreamReply &Reply) const;
 
   ConnectionPool &m_pool;
   const HeaderNames m_headers;
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -72,10 +72,13 @@
   m_pending.erase(Number);
   AdmissionResult Out{Item->m_decision, Number, Item->m_place};
   if (!Out.m_decision.m_server.empty())
-    m_running[Number] = {
-        Item->m_service,     Out.m_decision.m_server,
-        Item->m_ask.m_route, Item->m_place,
-        Item->m_link,        Item->m_sentAt + Item->m_ask.m_timeLeft};
+    m_running[Number] = {Item->m_service,
+                         Out.m_decision.m_server,
+                         Item->m_ask.m_route,
+                         Item->m_place,
+                         Item->m_link,
+                         BootClock::now(),
+                         Item->m_sentAt + Item->m_ask.m_timeLeft};
   co_return Out;
 }
 
@@ -147,7 +150,8 @@
 }
 
 void Admission::finish(const std::string &Service, const AdmissionResult &Taken,
-                       DispatchResult Outcome, Millis ServiceTime) {
+                       DispatchResult Outcome, Millis ServiceTime,
+                       const std::optional<NamedLimit> &Limit) {
   const auto Found = m_running.find(Taken.m_number);
   if (Found == m_running.end())
     return;
@@ -155,6 +159,8 @@
   m_running.erase(Found);
   const TimePoint Now = BootClock::now();
   const DispatchId Id{0, Taken.m_number};
+  if (Limit)
+    noteLimit(Item, *Limit);
   if (Item.m_place == AdmissionPlace::Fallback)
     m_fallbackDispatchers.finish(Service, Id, Outcome, ServiceTime, Now);
   // The dispatchers here may have adopted a dispatch of another coordinator.
@@ -168,8 +174,28 @@
       Coordinator->second == m_hosts.self().m_name ||
       Item.m_place == AdmissionPlace::Fallback)
     return;
-  m_network->send(Coordinator->second,
-                  FinishMessage{Service, Taken.m_number, Outcome, ServiceTime});
+  m_network->send(
+      Coordinator->second,
+      FinishMessage{Service, Taken.m_number, Outcome, ServiceTime, Limit});
+}
+
+void Admission::noteLimit(const StartedDispatch &Item,
+                          const NamedLimit &Named) {
+  logLimit(Item.m_service,
+           m_dispatchers.noteLimit(Item.m_service, Item.m_server, Named,
+                                   Item.m_startedAt, BootClock::now()),
+           "answer");
+}
+
+void Admission::logLimit(const std::string &Service,
+                         const std::optional<LimitChange> &Change,
+                         std::string_view Source) {
+  if (Change)
+    m_log.write("server-limit", {{"service", Service},
+                                 {"server", Change->m_server},
+                                 {"per_second", Change->m_perSecond},
+                                 {"was", Change->m_wasPerSecond},
+                                 {"source", Source}});
 }
 
 void Admission::setCoordinators(
@@ -299,8 +325,9 @@
       (Running == m_running.end() || Running->second.m_link != Link)) {
     const std::string Service =
         Found == m_pending.end() ? std::string() : Found->second->m_service;
-    m_network->reply(Link, FinishMessage{Service, Number,
-                                         DispatchResult::Withdrawn, Millis(0)});
+    m_network->reply(Link,
+                     FinishMessage{Service, Number, DispatchResult::Withdrawn,
+                                   Millis(0), std::nullopt});
   }
 }
 
@@ -308,6 +335,11 @@
   const TimePoint Now = BootClock::now();
   const DispatchId Id{Link, Message.m_number};
   if (!Message.m_service.empty()) {
+    if (Message.m_limit)
+      logLimit(
+          Message.m_service,
+          m_dispatchers.noteLimit(Message.m_service, Id, *Message.m_limit, Now),
+          "report");
     m_dispatchers.finish(Message.m_service, Id, Message.m_result,
                          Message.m_serviceTime, Now);
     return;
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -148,8 +148,9 @@
   const ServerEntry Chosen = *Server;
   UpstreamRequest Upstream = makeRequest(Client, Request, Chosen);
   Upstream.m_onHead = [this, Service = Request->m_service->m_name,
-                       Taken](DispatchResult Result, Millis ServiceTime) {
-    m_admission.finish(Service, Taken, Result, ServiceTime);
+                       Taken](DispatchResult Result, Millis ServiceTime,
+                              const std::optional<NamedLimit> &Limit) {
+    m_admission.finish(Service, Taken, Result, ServiceTime, Limit);
   };
   const std::size_t SentBytes = Upstream.m_head.size() + Upstream.m_body.size();
   UpstreamReply Reply = co_await m_upstreamClient.execute(
@@ -199,6 +200,12 @@
                                         {"service", Service},
                                         {"for_ms", Reply.m_restTime}});
   }
+  if (!Reply.m_unreadableLimit.empty())
+    m_log.writeRequest("server-limit-unreadable",
+                       {{"request", Request.m_id},
+                        {"server", Server.m_id},
+                        {"service", Service},
+                        {"text", Reply.m_unreadableLimit}});
   if (Reply.m_result == DispatchResult::Served)
     m_poison.noteAnswered(Request.m_fingerprint, bootMillis());
   else
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -406,6 +406,20 @@
   }
 }
 
+void GatewayHost::setLimitGauges() {
+  std::map<std::string, double> Limits;
+  std::map<std::string, double> Ages;
+  for (const auto &[Service, Item] : m_admission.dispatchers().all())
+    for (const ServerLimit &Known : Item->limits(BootClock::now())) {
+      const std::string Labels =
+          fmt::format("service=\"{}\",server=\"{}\"", Service, Known.m_server);
+      Limits[Labels] = Known.m_perSecond;
+      Ages[Labels] = static_cast<double>(Known.m_age.count());
+    }
+  m_metrics.setGauges("server_limit_per_second", std::move(Limits));
+  m_metrics.setGauges("server_limit_age_ms", std::move(Ages));
+}
+
 std::string GatewayHost::metricsText() {
   m_metrics.setGauge("active_requests",
                      static_cast<double>(m_edge.activeRequests()));
@@ -423,6 +437,7 @@
   for (const auto &[Service, Item] : m_admission.dispatchers().all())
     m_metrics.setGauge("waiting{service=\"" + Service + "\"}",
                        static_cast<double>(Item->load().m_waiting));
+  setLimitGauges();
   return m_metrics.toText();
 }
 
--- a/src/edge/gateway-metrics.cc
+++ b/src/edge/gateway-metrics.cc
@@ -26,6 +26,11 @@
   m_gauges[Name] = Value;
 }
 
+void GatewayMetrics::setGauges(const std::string &Name,
+                               std::map<std::string, double> ByLabels) {
+  m_labelledGauges[Name] = std::move(ByLabels);
+}
+
 GatewayMetrics::TimeHistogram &
 GatewayMetrics::histogramOf(HistogramByService &Histograms,
                             const std::string &Service) const {
@@ -91,6 +96,11 @@
   for (const auto &[Name, Value] : m_gauges)
     fmt::format_to(Add, "# TYPE {0}{1} gauge\n{0}{1} {2}\n", Prefix, Name,
                    Value);
+  for (const auto &[Name, ByLabels] : m_labelledGauges) {
+    fmt::format_to(Add, "# TYPE {}{} gauge\n", Prefix, Name);
+    for (const auto &[Labels, Value] : ByLabels)
+      fmt::format_to(Add, "{}{}{{{}}} {}\n", Prefix, Name, Labels, Value);
+  }
   const auto AddHistograms = [&](const char *Name,
                                  const HistogramByService &Items) {
     fmt::format_to(Add, "# TYPE {}{} histogram\n", Prefix, Name);
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -43,6 +43,8 @@
 /// against invalid values.
 constexpr std::chrono::hours MaxRestTime{1};
 constexpr std::uint32_t HeaderBytes = 64U << 10U;
+/// Part of an unreadable header value that is logged.
+constexpr std::size_t MaxLoggedHeaderBytes = 64;
 
 Millis elapsed(TimePoint Since) {
   return std::chrono::duration_cast<Millis>(BootClock::now() - Since);
@@ -185,6 +187,20 @@
   return Status >= 500 ? DispatchResult::Failed : DispatchResult::Served;
 }
 
+std::optional<NamedLimit>
+UpstreamClient::limitOf(const UpstreamReply &Reply) const {
+  const http::response_header<> &Head = Reply.m_parser->get();
+  const auto Found = Head.find(m_headers.m_rateLimit);
+  if (Found != Head.end())
+    return parseRateLimit(Found->value());
+  // Only an answer of a server that ran the request withdraws a limit: one that
+  // rejects requests may do so before it adds its headers.
+  const DispatchResult Result = resultOf(Reply);
+  const bool HasRun =
+      Result == DispatchResult::Served || Result == DispatchResult::Failed;
+  return HasRun ? std::optional<NamedLimit>(NamedLimit{}) : std::nullopt;
+}
+
 asio::awaitable<UpstreamReply> UpstreamClient::execute(UpstreamRequest Request,
                                                        CancelToken &Token) {
   UpstreamReply Reply;
@@ -231,8 +247,12 @@
     const http::response_header<> &Head = Reply.m_parser->get();
     Reply.m_isLeaving = Head[m_headers.m_leaving] == "1";
     Reply.m_restTime = restTime(Head);
+    const std::optional<NamedLimit> Limit = limitOf(Reply);
+    if (!Limit)
+      Reply.m_unreadableLimit =
+          Head[m_headers.m_rateLimit].substr(0, MaxLoggedHeaderBytes);
     if (Request.m_onHead)
-      Request.m_onHead(resultOf(Reply), Reply.m_serviceTime);
+      Request.m_onHead(resultOf(Reply), Reply.m_serviceTime, Limit);
     IsWhole = co_await readBody(*Used, Reply);
   }
   Token.m_stream = nullptr;
--- a/src/gateway/dispatcher-registry.cc
+++ b/src/gateway/dispatcher-registry.cc
@@ -102,6 +102,21 @@
       .recordOutcome(Server, Route, Outcome, ServiceTime, Now);
 }
 
+std::optional<LimitChange> DispatcherRegistry::noteLimit(
+    const std::string &Service, const std::string &Server,
+    const NamedLimit &Named, TimePoint SentAt, TimePoint Now) {
+  return dispatcher(Service, Now).noteLimit(Server, Named, SentAt, Now);
+}
+
+std::optional<LimitChange>
+DispatcherRegistry::noteLimit(const std::string &Service, const DispatchId &Id,
+                              const NamedLimit &Named, TimePoint Now) {
+  const auto Found = m_dispatchers.find(Service);
+  if (Found == m_dispatchers.end())
+    return std::nullopt;
+  return Found->second->noteLimit(Id, Named, Now);
+}
+
 void DispatcherRegistry::addRunning(const std::string &Service,
                                     const DispatchId &Id,
                                     const std::string &Server,
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -238,7 +238,8 @@
                         TimePoint Now, DispatchDecisions &Out) {
   ++Target.m_runningCount;
   m_running[Request.m_id] = {Target.m_entry.m_id, Request.m_route, Now,
-                             Now + Request.m_timeLeft + m_policy.m_reportGrace};
+                             Now + Request.m_timeLeft + m_policy.m_reportGrace,
+                             false};
   Out.push_back({Request.m_id, Target.m_entry.m_id, RefusalReason::None, {}});
 }
 
@@ -561,11 +562,45 @@
     updateStatistics(Found->second, Route, Outcome, ServiceTime, Now);
 }
 
+std::optional<LimitChange> Dispatcher::noteLimit(const std::string &Server,
+                                                 const NamedLimit &Named,
+                                                 TimePoint SentAt,
+                                                 TimePoint Now) {
+  const auto Found = m_servers.find(Server);
+  if (Found == m_servers.end())
+    return std::nullopt;
+  RateLimit &Known = Found->second.m_rateLimit;
+  const double Before = Known.perSecond();
+  if (!Known.observe(Named, SentAt, Now))
+    return std::nullopt;
+  return LimitChange{Server, Known.perSecond(), Before};
+}
+
+std::optional<LimitChange> Dispatcher::noteLimit(const DispatchId &Id,
+                                                 const NamedLimit &Named,
+                                                 TimePoint Now) {
+  const auto Found = m_running.find(Id);
+  if (Found == m_running.end())
+    return std::nullopt;
+  const Running &Item = Found->second;
+  return noteLimit(Item.m_server, Named,
+                   Item.m_isAdopted ? TimePoint{} : Item.m_startedAt, Now);
+}
+
+std::vector<ServerLimit> Dispatcher::limits(TimePoint Now) const {
+  std::vector<ServerLimit> Out;
+  for (const auto &[Id, Item] : m_servers)
+    if (Item.m_rateLimit.isLimited())
+      Out.push_back(
+          {Id, Item.m_rateLimit.perSecond(), Item.m_rateLimit.age(Now)});
+  return Out;
+}
+
 void Dispatcher::addRunning(const DispatchId &Id, const std::string &Server,
                             const std::string &Route, Millis TimeLeft,
                             TimePoint Now) {
   const Running Item{Server, Route, Now,
-                     Now + TimeLeft + m_policy.m_reportGrace};
+                     Now + TimeLeft + m_policy.m_reportGrace, true};
   if (!m_running.emplace(Id, Item).second)
     return;
   const auto Target = m_servers.find(Server);
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -28,6 +28,9 @@
 
   template <typename T> T take() { return next().get<T>(); }
   const Json &next() { return m_array.at(m_next++); }
+  /// Returns whether there is another element. Elements that were added to a
+  /// message later are missing in those of older processes.
+  bool hasNext() const { return m_next < m_array.size(); }
   Millis takeMillis() { return Millis(take<std::int64_t>()); }
 
 private:
@@ -173,10 +176,24 @@
   Out.m_decision.m_retryAfter = In.takeMillis();
 }
 
+/// Checks a limit of 0 or between MinRateLimit and MaxRateLimit.
+NamedLimit readLimit(double PerSecond) {
+  const NamedLimit Out{PerSecond};
+  if (!Out.isNone() &&
+      !(PerSecond >= MinRateLimit && PerSecond <= MaxRateLimit))
+    throw std::invalid_argument("limit out of range");
+  return Out;
+}
+
 Json pack(const FinishMessage &Value) {
-  return packArray(Value.m_service, Value.m_number,
-                   static_cast<int>(Value.m_result),
-                   Value.m_serviceTime.count());
+  Json Out =
+      packArray(Value.m_service, Value.m_number,
+                static_cast<int>(Value.m_result), Value.m_serviceTime.count());
+  if (Value.m_limit && Value.m_limit->isNone())
+    Out.push_back(0);
+  else if (Value.m_limit)
+    Out.push_back(Value.m_limit->m_perSecond);
+  return Out;
 }
 
 void read(ArrayReader In, FinishMessage &Out) {
@@ -184,6 +201,8 @@
   Out.m_number = In.take<std::uint32_t>();
   Out.m_result = static_cast<DispatchResult>(In.take<int>());
   Out.m_serviceTime = In.takeMillis();
+  if (In.hasNext())
+    Out.m_limit = readLimit(In.take<double>());
 }
 
 Json pack(const WithdrawMessage &Value) {
--- a/test/gateway/fake-platform.h
+++ b/test/gateway/fake-platform.h
@@ -23,9 +23,9 @@
 
 inline constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-inline const HeaderNames Headers{"Test-Id",     "Test-Deadline",
-                                 "Test-Server", "Test-Not-Run",
-                                 "Test-Key",    "Test-Leaving"};
+inline const HeaderNames Headers{
+    "Test-Id",  "Test-Deadline", "Test-Server", "Test-Not-Run",
+    "Test-Key", "Test-Leaving",  "Test-Limit"};
 
 /// An in-memory store that all hosts of a test share.
 class FakeStore : public GatewayStore {
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -30,6 +30,10 @@
           QueuedMessage{7},
           DecisionMessage{{{0, 7}, "", RefusalReason::Overloaded, Millis(250)}},
           FinishMessage{"cart", 7, DispatchResult::ConnectionLost, Millis(12)},
+          FinishMessage{"cart", 8, DispatchResult::Served, Millis(12),
+                        NamedLimit{}},
+          FinishMessage{"cart", 9, DispatchResult::Refused, Millis(12),
+                        NamedLimit{2.9}},
           WithdrawMessage{"cart", 7},
           KeyMapMessage{"cart", {8, 9, {{0, 65535, "s-1"}}}},
           NotHeldMessage{"cart", 65535},
@@ -78,6 +82,28 @@
   EXPECT_EQ(Count, examples().size());
 }
 
+// A site with processes of both versions while it is upgraded.
+TEST(PeerMessageTest, Decode_FinishWithoutLimit_IsAsFromAnOlderProcess) {
+  std::string WithLimit;
+  std::string Without;
+  encode(FinishMessage{"cart", 7, DispatchResult::Served, Millis(12),
+                       NamedLimit{}},
+         WithLimit);
+  encode(FinishMessage{"cart", 7, DispatchResult::Served, Millis(12)}, Without);
+  EXPECT_EQ(WithLimit.size(), Without.size() + 1);
+  const Result<std::vector<PeerMessage>> Decoded = decode(Without);
+  ASSERT_TRUE(Decoded);
+  EXPECT_FALSE(std::get<FinishMessage>(Decoded.value()[0]).m_limit.has_value());
+}
+
+TEST(PeerMessageTest, Decode_LimitOutOfRange_IsMalformed) {
+  std::string Buffer;
+  encode(FinishMessage{"cart", 7, DispatchResult::Served, Millis(12),
+                       NamedLimit{-1}},
+         Buffer);
+  EXPECT_FALSE(decode(Buffer));
+}
+
 TEST(PeerMessageTest, Decode_LengthTooLarge_IsMalformed) {
   std::string Buffer = "\xff\xff\xff\xff";
   EXPECT_FALSE(decode(Buffer));
