Keep the rate limits that servers name

Callers: requests went to a server in need as before, and were slow or failed there while others had room.

More generally, the gateway took what a server accepts from its slots alone; a bound on the sum over all hosts had no place where it was counted.

Change: the dispatcher counts. It decides for all hosts, so one set of permits a server, due at the rate of the limit, bounds their sum; slots and permits both have to be free. Permits that are not used are kept for 250 ms, at least one. Requests that another server may run go there; those that wait are estimated by the lower of both rates, so that what cannot be in time is refused at once as server-limit, with the time of its permit. Capacity for the placement of keys is bounded the same way. A host that decides by itself, as fallback or since others take it for the coordinator, has its share of the rate, and its permits lapse after 1 s, so that many idle hosts do not hold one each.

Ruled out: each host keeping the whole limit (the sum is up to as many times the limit as there are hosts); a budget dealt to hosts in advance (most of it idle where load is uneven).

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -143,6 +143,10 @@
   /// Records what an answer to a request of this host says about the rate limit
   /// of its server.
   void noteLimit(const StartedDispatch &Item, const NamedLimit &Named);
+  /// Lets the dispatchers use the whole rate limits of servers where this host
+  /// is the coordinator, and its share elsewhere: hosts that take it for the
+  /// coordinator may ask it meanwhile.
+  void updateRateShares();
   void logLimit(const std::string &Service,
                 const std::optional<LimitChange> &Change,
                 std::string_view Source);
--- a/include/tamarackdrum/gateway/dispatcher-registry.h
+++ b/include/tamarackdrum/gateway/dispatcher-registry.h
@@ -50,6 +50,9 @@
   std::optional<LimitChange> noteLimit(const std::string &Service,
                                        const DispatchId &Id,
                                        const NamedLimit &Named, TimePoint Now);
+  /// Sets the part of servers' rate limits that the dispatcher of a service may
+  /// use. Does nothing if there is none yet.
+  void setRateShare(const std::string &Service, double Share, TimePoint Now);
   void addRunning(const std::string &Service, const DispatchId &Id,
                   const std::string &Server, const std::string &Route,
                   Millis TimeLeft, TimePoint Now);
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -68,7 +68,8 @@
   NoServer,      ///< The service has no usable server.
   Overloaded,    ///< It would wait longer than its time allows.
   NoRetryBudget, ///< The service's retry budget is used up.
-  ServerBackoff  ///< Its host must not send to any server that could run it.
+  ServerBackoff, ///< Its host must not send to any server that could run it.
+  ServerLimit    ///< The limits of the servers that could run it are used up.
 };
 
 /// Returns the name of \p Value for answers and logs.
@@ -99,6 +100,11 @@
 struct DispatchPolicy {
   /// Share of each server's slots that this dispatcher may use.
   double m_slotShare = 1.0;
+  /// Share of each server's rate limit that this dispatcher may use; 1 if it
+  /// decides for all hosts.
+  double m_rateShare = 1.0;
+  /// Differs between hosts; see RateShare::m_phase.
+  std::uint64_t m_rateSeed = 0;
   /// Most requests that a server may get beyond its slots while others wait, as
   /// a share of its slots. See overcommitOf().
   double m_maxOvercommitShare = 0.25;
@@ -166,13 +172,15 @@
   bool operator==(const LimitChange &) const = default;
 };
 
-/// The rate limit of a server, for metrics.
-struct ServerLimit {
+/// The rate limit of a server.
+struct KnownLimit {
   std::string m_server;
   double m_perSecond = 0;
   Millis m_age{0}; ///< Since the server last named it.
+  /// Requests that got no free slot of the server because of the limit.
+  std::uint64_t m_heldBack = 0;
 
-  bool operator==(const ServerLimit &) const = default;
+  bool operator==(const KnownLimit &) const = default;
 };
 
 /// Counts of one dispatcher, for logs and metrics.
@@ -232,7 +240,11 @@
                                        const NamedLimit &Named, TimePoint Now);
 
   /// Returns the known rate limits.
-  std::vector<ServerLimit> limits(TimePoint Now) const;
+  std::vector<KnownLimit> limits(TimePoint Now) const;
+
+  /// Sets the part of all servers' limits that this dispatcher may use, as
+  /// DispatchPolicy::m_rateShare.
+  void setRateShare(double Share, TimePoint Now);
 
   /// Removes the waiting requests of a lost link. Its running requests keep
   /// their slots for twice the mean service time at most.
@@ -277,6 +289,7 @@
     TimePoint m_pausedUntil{};
     TimePoint m_lastSampleAt{};
     RateLimit m_rateLimit;
+    std::uint64_t m_heldBack = 0; ///< See KnownLimit.
   };
   struct Waiting {
     DispatchRequest m_request;
@@ -311,15 +324,27 @@
     double m_ratePerMs = 0; ///< Requests served per millisecond.
     double m_serviceMs = 0; ///< Service time of the request itself.
     double m_pauseMs = 0;   ///< Time until the first request is served.
+    /// The rate is that of limits that servers have named.
+    bool m_isLimited = false;
 
     /// Returns the expected wait behind \p Ahead other requests.
     double waitMs(std::size_t Ahead) const {
       return m_pauseMs + static_cast<double>(Ahead + 1) / m_ratePerMs;
     }
+    /// Returns why a request that would wait too long is refused.
+    RefusalReason refusalReason() const {
+      return m_isLimited ? RefusalReason::ServerLimit
+                         : RefusalReason::Overloaded;
+    }
   };
 
   std::size_t slotsOf(const Server &Item) const;
+  /// Returns whether a server has a free slot and its rate limit permits
+  /// another request.
+  bool mayAssign(const Server &Item, TimePoint Now, bool OthersWait) const;
   bool hasFreeSlot(const Server &Item, TimePoint Now, bool OthersWait) const;
+  /// Counts a request that gets no slot of \p Item because of its rate limit.
+  void countIfHeldBack(Server &Item, TimePoint Now) const;
   /// Returns how many requests a server may get beyond its slots.
   ///
   /// Load pattern: hosts with slow links. A slot counts as taken from the
@@ -333,6 +358,11 @@
   /// Returns the requests per millisecond that a server, or all servers
   /// together, can serve; a paused or draining server counts as 0.
   double serviceRate(const Server &Item, TimePoint Now) const;
+  /// As above, if the server had no rate limit.
+  double slotRate(const Server &Item, TimePoint Now) const;
+  /// Returns whether the rate limit of each server that is in use permits less
+  /// than its slots do.
+  bool areAllLimited(TimePoint Now) const;
   double serviceRate(TimePoint Now) const;
   WaitEstimate estimateWait(const DispatchRequest &Request,
                             TimePoint Now) const;
@@ -354,6 +384,10 @@
   /// Assigns waiting requests to the free slots of \p Target.
   void fillSlots(Server &Target, TimePoint Now, DispatchDecisions &Out);
   void fillAllSlots(TimePoint Now, DispatchDecisions &Out);
+  /// Assigns waiting requests to servers whose rate limit permits another one
+  /// by now, so that a new request does not overtake them.
+  void usePermits(TimePoint Now, DispatchDecisions &Out);
+  RateShare rateShareFor(const std::string &Server) const;
   /// Queues a request, or refuses it if it cannot be served in time.
   void enqueue(const DispatchRequest &Request, TimePoint OwnZoneUntil,
                TimePoint Now, DispatchDecisions &Out);
--- a/include/tamarackdrum/gateway/rate-limit.h
+++ b/include/tamarackdrum/gateway/rate-limit.h
@@ -31,7 +31,27 @@
 /// a finite number or is negative.
 std::optional<NamedLimit> parseRateLimit(std::string_view Text);
 
-/// The limit that one server is known to have.
+/// The part of a server's limit that one dispatcher may use.
+struct RateShare {
+  /// 1 if the dispatcher decides for all hosts, else the share of one host.
+  double m_share = 1;
+  /// Between 0 and 1. Hosts with shares have different phases, so that their
+  /// permits do not fall due at the same time.
+  double m_phase = 0;
+
+  bool isWhole() const { return m_share >= 1; }
+  bool operator==(const RateShare &) const = default;
+};
+
+/// The limit that one server is known to have, and the permits to send it
+/// requests.
+///
+/// Load pattern: a server in need takes far fewer requests than its slots could
+/// run, from all hosts together. Permits fall due at the rate of the limit. A
+/// dispatcher that decides for all hosts keeps permits that it does not use for
+/// MaxBurstTime, at least one. A host that decides by itself has its share of
+/// them, and drops a permit that it does not use for SharePermitTime: otherwise
+/// each of many hosts could hold one, and they would be used at the same time.
 ///
 /// Answers arrive in another order than they were sent: a host may have been
 /// paused, or a link slow. An answer to a request that was sent after the last
@@ -43,6 +63,21 @@
   /// says. Returns whether the known limit has changed.
   bool observe(const NamedLimit &Named, TimePoint SentAt, TimePoint Now);
 
+  /// Sets the share of the limit from \p Now on. Nothing is left over when the
+  /// share becomes the whole limit or ceases to be: another dispatcher decided
+  /// before.
+  void setShare(const RateShare &Share, TimePoint Now);
+
+  /// Returns whether a request may be sent.
+  bool hasPermit(TimePoint Now) const;
+  /// Uses a permit. Does nothing if the server has no limit.
+  void takePermit(TimePoint Now);
+  /// Returns the time until a request may be sent, in milliseconds.
+  double msUntilPermit(TimePoint Now) const;
+  /// Returns the requests per millisecond that may be sent; infinity if the
+  /// server has no limit.
+  double ratePerMs() const;
+
   /// Returns whether the server is known to have a limit.
   bool isLimited() const { return !m_limit.isNone(); }
   /// Returns the limit in requests per second, or 0.
@@ -51,8 +86,17 @@
   Millis age(TimePoint Now) const;
 
 private:
+  /// Returns the permits that are due at \p Now, and the part of the next one.
+  double permitsAt(TimePoint Now) const;
+  double initialPermits() const {
+    return m_share.isWhole() ? 0 : m_share.m_phase;
+  }
+
+  RateShare m_share;
   NamedLimit m_limit;
   TimePoint m_heardAt{}; ///< Arrival of the last answer that was recorded.
+  double m_permits = 0;  ///< At m_countedAt.
+  TimePoint m_countedAt{};
 };
 
 } // namespace tamarackdrum::gateway
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -48,6 +48,7 @@
   DispatchPolicy Out = m_dispatchPolicy;
   const double Share = 1.0 / static_cast<double>(m_hosts.hostCount());
   Out.m_slotShare = Share;
+  Out.m_rateShare = Share;
   Out.m_retries.m_baseRetries *= Share * FallbackRetryShare;
   return Out;
 }
@@ -181,10 +182,28 @@
 
 void Admission::noteLimit(const StartedDispatch &Item,
                           const NamedLimit &Named) {
+  const TimePoint Now = BootClock::now();
   logLimit(Item.m_service,
            m_dispatchers.noteLimit(Item.m_service, Item.m_server, Named,
-                                   Item.m_startedAt, BootClock::now()),
+                                   Item.m_startedAt, Now),
            "answer");
+  // The fallback is needed rarely, and its dispatchers are created late.
+  if (Named.isNone() && m_fallbackDispatchers.all().count(Item.m_service) == 0)
+    return;
+  m_fallbackDispatchers.setPolicy(fallbackPolicy());
+  m_fallbackDispatchers.noteLimit(Item.m_service, Item.m_server, Named,
+                                  Item.m_startedAt, Now);
+}
+
+void Admission::updateRateShares() {
+  const TimePoint Now = BootClock::now();
+  const double OwnShare = 1.0 / static_cast<double>(m_hosts.hostCount());
+  for (const auto &[Service, Item] : m_dispatchers.all()) {
+    const auto Found = m_coordinators.find(Service);
+    const bool IsCoordinator =
+        Found != m_coordinators.end() && Found->second == m_hosts.self().m_name;
+    m_dispatchers.setRateShare(Service, IsCoordinator ? 1 : OwnShare, Now);
+  }
 }
 
 void Admission::logLimit(const std::string &Service,
@@ -392,6 +411,7 @@
   }
   for (const PendingRequestPtr &Item : Silent)
     submitToFallback(Item, "coordinator silent");
+  updateRateShares();
   m_dispatchers.tick(Now);
   m_fallbackDispatchers.tick(Now);
 }
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -33,6 +33,7 @@
 DispatchPolicy dispatchPolicy(const GatewaySettings &Settings) {
   DispatchPolicy Out;
   Out.m_retries = Settings.m_retries;
+  Out.m_rateSeed = hashKey(Settings.m_host.m_name);
   return Out;
 }
 
@@ -409,15 +410,18 @@
 void GatewayHost::setLimitGauges() {
   std::map<std::string, double> Limits;
   std::map<std::string, double> Ages;
+  std::map<std::string, double> HeldBack;
   for (const auto &[Service, Item] : m_admission.dispatchers().all())
-    for (const ServerLimit &Known : Item->limits(BootClock::now())) {
+    for (const KnownLimit &Known : Item->limits(BootClock::now())) {
       const std::string Labels =
           fmt::format("service=\"{}\",server=\"{}\"", Service, Known.m_server);
       Limits[Labels] = Known.m_perSecond;
       Ages[Labels] = static_cast<double>(Known.m_age.count());
+      HeldBack[Labels] = static_cast<double>(Known.m_heldBack);
     }
   m_metrics.setGauges("server_limit_per_second", std::move(Limits));
   m_metrics.setGauges("server_limit_age_ms", std::move(Ages));
+  m_metrics.setGauges("server_limit_held_back", std::move(HeldBack));
 }
 
 std::string GatewayHost::metricsText() {
--- a/src/gateway/dispatcher-registry.cc
+++ b/src/gateway/dispatcher-registry.cc
@@ -117,6 +117,13 @@
   return Found->second->noteLimit(Id, Named, Now);
 }
 
+void DispatcherRegistry::setRateShare(const std::string &Service, double Share,
+                                      TimePoint Now) {
+  const auto Found = m_dispatchers.find(Service);
+  if (Found != m_dispatchers.end())
+    Found->second->setRateShare(Share, Now);
+}
+
 void DispatcherRegistry::addRunning(const std::string &Service,
                                     const DispatchId &Id,
                                     const std::string &Server,
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -59,6 +59,8 @@
     return "no-retry-budget";
   case RefusalReason::ServerBackoff:
     return "server-rests";
+  case RefusalReason::ServerLimit:
+    return "server-limit";
   }
   return "unknown";
 }
@@ -85,6 +87,16 @@
   return Item.m_runningCount < Limit;
 }
 
+bool Dispatcher::mayAssign(const Server &Item, TimePoint Now,
+                           bool OthersWait) const {
+  return hasFreeSlot(Item, Now, OthersWait) && Item.m_rateLimit.hasPermit(Now);
+}
+
+void Dispatcher::countIfHeldBack(Server &Item, TimePoint Now) const {
+  if (!Item.m_rateLimit.hasPermit(Now) && hasFreeSlot(Item, Now, false))
+    ++Item.m_heldBack;
+}
+
 std::size_t Dispatcher::overcommitOf(const Server &Item) const {
   const double Slots = static_cast<double>(slotsOf(Item));
   const double IdleShare =
@@ -110,13 +122,17 @@
   return Found == m_routeFactors.end() ? 1.0 : Found->second;
 }
 
-double Dispatcher::serviceRate(const Server &Item, TimePoint Now) const {
+double Dispatcher::slotRate(const Server &Item, TimePoint Now) const {
   if (Item.m_entry.m_isDraining || Now < Item.m_pausedUntil)
     return 0;
   return static_cast<double>(slotsOf(Item)) / expectedServiceMs(Item, Now) *
          (1 - Item.m_refusedShare);
 }
 
+double Dispatcher::serviceRate(const Server &Item, TimePoint Now) const {
+  return std::min(slotRate(Item, Now), Item.m_rateLimit.ratePerMs());
+}
+
 double Dispatcher::serviceRate(TimePoint Now) const {
   double Rate = 0;
   for (const auto &[Id, Item] : m_servers)
@@ -137,11 +153,13 @@
   std::set<std::string> Known;
   for (const ServerEntry &Entry : Servers) {
     Known.insert(Entry.m_id);
-    Server &Item = m_servers[Entry.m_id];
-    if (Item.m_entry.m_startMs != Entry.m_startMs) {
+    const auto [Found, IsNew] = m_servers.try_emplace(Entry.m_id);
+    Server &Item = Found->second;
+    if (IsNew || Item.m_entry.m_startMs != Entry.m_startMs) {
       const std::size_t Count = Item.m_runningCount;
       Item = Server{};
       Item.m_runningCount = Count;
+      Item.m_rateLimit.setShare(rateShareFor(Entry.m_id), Now);
     }
     Item.m_entry = Entry;
   }
@@ -170,16 +188,21 @@
   if (m_isKeyed) {
     const auto Found =
         m_servers.find(m_keys.holderOf(Request.m_key.value_or(0)));
-    const bool HasFreeSlot =
-        Found != m_servers.end() && hasFreeSlot(Found->second, Now, false);
-    return {HasFreeSlot ? &Found->second : nullptr, Now};
+    if (Found == m_servers.end())
+      return {nullptr, Now};
+    countIfHeldBack(Found->second, Now);
+    const bool MayAssign = mayAssign(Found->second, Now, false);
+    return {MayAssign ? &Found->second : nullptr, Now};
   }
   Server *Best = nullptr;
   Server *BestInZone = nullptr;
   double BestCost = 0;
   double BestInZoneCost = 0;
   for (auto &[Id, Item] : m_servers) {
-    if (!hasFreeSlot(Item, Now, false) || isExcluded(Request, Id))
+    if (isExcluded(Request, Id))
+      continue;
+    countIfHeldBack(Item, Now);
+    if (!mayAssign(Item, Now, false))
       continue;
     const double SuccessShare =
         std::max(0.05, (1 - Item.m_refusedShare) * (1 - Item.m_failedShare));
@@ -237,6 +260,7 @@
 void Dispatcher::assign(const DispatchRequest &Request, Server &Target,
                         TimePoint Now, DispatchDecisions &Out) {
   ++Target.m_runningCount;
+  Target.m_rateLimit.takePermit(Now);
   m_running[Request.m_id] = {Target.m_entry.m_id, Request.m_route, Now,
                              Now + Request.m_timeLeft + m_policy.m_reportGrace,
                              false};
@@ -245,6 +269,10 @@
 
 void Dispatcher::refuse(const DispatchRequest &Request, RefusalReason Reason,
                         Millis RetryAfter, DispatchDecisions &Out) const {
+  // A host that decides by itself has little of a limit, but only until a
+  // coordinator decides again.
+  if (Reason == RefusalReason::ServerLimit && m_policy.m_rateShare < 1)
+    RetryAfter = std::min(RetryAfter, m_policy.m_defaultRetryAfter);
   Out.push_back({Request.m_id, "", Reason,
                  std::max(RetryAfter, m_policy.m_minRetryAfter)});
 }
@@ -290,6 +318,7 @@
     refuse(Request, RefusalReason::NoServer, m_policy.m_defaultRetryAfter, Out);
     return;
   }
+  usePermits(Now, Out);
   const Choice Chosen = chooseServer(Request, Now);
   if (Chosen.m_server != nullptr)
     assign(Request, *Chosen.m_server, Now, Out);
@@ -304,6 +333,7 @@
   Out.m_serviceMs = m_meanServiceMs * Factor;
   if (!m_isKeyed) {
     Out.m_ratePerMs = serviceRate(Now);
+    Out.m_isLimited = areAllLimited(Now);
     if (Out.m_ratePerMs > 0)
       return Out;
     // All servers are paused: wait for the first pause to end.
@@ -326,6 +356,14 @@
   Out.m_ratePerMs = static_cast<double>(slotsOf(Holder->second)) / HolderMs;
   if (Now < Holder->second.m_pausedUntil)
     Out.m_pauseMs = toMs(Holder->second.m_pausedUntil - Now);
+  const RateLimit &Limit = Holder->second.m_rateLimit;
+  if (Limit.ratePerMs() < Out.m_ratePerMs) {
+    Out.m_isLimited = true;
+    Out.m_ratePerMs = Limit.ratePerMs();
+    // waitMs() adds the time of one permit for the first request.
+    Out.m_pauseMs =
+        std::max(Out.m_pauseMs, Limit.msUntilPermit(Now) - 1 / Out.m_ratePerMs);
+  }
   return Out;
 }
 
@@ -359,7 +397,7 @@
     const double LateWait = Expected.waitMs(All);
     if (LateWait + Expected.m_serviceMs >
         toMs(Request.m_timeLeft) * m_policy.m_maxLateTimeShare) {
-      refuse(Request, RefusalReason::Overloaded, fromMs(LateWait), Out);
+      refuse(Request, Expected.refusalReason(), fromMs(LateWait), Out);
       return;
     }
   }
@@ -448,7 +486,7 @@
 
 void Dispatcher::fillSlots(Server &Target, TimePoint Now,
                            DispatchDecisions &Out) {
-  while (!m_waiting.empty() && hasFreeSlot(Target, Now, true)) {
+  while (!m_waiting.empty() && mayAssign(Target, Now, true)) {
     const Queue::iterator Next = nextRequestFor(Target, Now);
     if (Next == m_waiting.end())
       return;
@@ -562,40 +600,6 @@
     updateStatistics(Found->second, Route, Outcome, ServiceTime, Now);
 }
 
-std::optional<LimitChange> Dispatcher::noteLimit(const std::string &Server,
-                                                 const NamedLimit &Named,
-                                                 TimePoint SentAt,
-                                                 TimePoint Now) {
-  const auto Found = m_servers.find(Server);
-  if (Found == m_servers.end())
-    return std::nullopt;
-  RateLimit &Known = Found->second.m_rateLimit;
-  const double Before = Known.perSecond();
-  if (!Known.observe(Named, SentAt, Now))
-    return std::nullopt;
-  return LimitChange{Server, Known.perSecond(), Before};
-}
-
-std::optional<LimitChange> Dispatcher::noteLimit(const DispatchId &Id,
-                                                 const NamedLimit &Named,
-                                                 TimePoint Now) {
-  const auto Found = m_running.find(Id);
-  if (Found == m_running.end())
-    return std::nullopt;
-  const Running &Item = Found->second;
-  return noteLimit(Item.m_server, Named,
-                   Item.m_isAdopted ? TimePoint{} : Item.m_startedAt, Now);
-}
-
-std::vector<ServerLimit> Dispatcher::limits(TimePoint Now) const {
-  std::vector<ServerLimit> Out;
-  for (const auto &[Id, Item] : m_servers)
-    if (Item.m_rateLimit.isLimited())
-      Out.push_back(
-          {Id, Item.m_rateLimit.perSecond(), Item.m_rateLimit.age(Now)});
-  return Out;
-}
-
 void Dispatcher::addRunning(const DispatchId &Id, const std::string &Server,
                             const std::string &Route, Millis TimeLeft,
                             TimePoint Now) {
@@ -688,7 +692,7 @@
       ++Item;
       continue;
     }
-    refuse(Item->m_request, RefusalReason::Overloaded, fromMs(Wait), Out);
+    refuse(Item->m_request, Estimate.m_wait.refusalReason(), fromMs(Wait), Out);
     Item = m_waiting.erase(Item);
   }
 }
@@ -700,7 +704,9 @@
   const double Mean = Found->second.m_meanServiceMs > 0
                           ? Found->second.m_meanServiceMs
                           : m_meanServiceMs;
-  return static_cast<double>(slotsOf(Found->second)) * 1000.0 / Mean;
+  const double Rate = static_cast<double>(slotsOf(Found->second)) * 1000 / Mean;
+  const RateLimit &Limit = Found->second.m_rateLimit;
+  return Limit.isLimited() ? std::min(Rate, Limit.perSecond()) : Rate;
 }
 
 std::vector<KeyRate> Dispatcher::keyDemand(TimePoint Now) {
--- a/src/gateway/rate-limit.cc
+++ b/src/gateway/rate-limit.cc
@@ -3,10 +3,22 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <limits>
 
 namespace tamarackdrum::gateway {
 namespace {
 
+/// Time for which a dispatcher that decides for all hosts keeps permits.
+constexpr Millis MaxBurstTime{250};
+/// Time for which a host that decides by itself keeps a permit.
+constexpr Millis SharePermitTime{1000};
+/// Sums of shares are inexact.
+constexpr double PermitTolerance = 1e-9;
+
+double toMs(BootClock::duration Span) {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
+
 /// Returns whether \p Next permits fewer requests than \p Known.
 bool isStricter(const NamedLimit &Next, const NamedLimit &Known) {
   return !Next.isNone() &&
@@ -36,10 +48,54 @@
   const bool IsNewer = SentAt >= m_heardAt;
   if (!IsNewer && !isStricter(Named, m_limit) && Named != m_limit)
     return false;
-  const bool HasChanged = Named != m_limit;
-  m_limit = Named;
   m_heardAt = Now;
-  return HasChanged;
+  if (Named == m_limit)
+    return false;
+  m_permits = isLimited() ? permitsAt(Now) : initialPermits();
+  m_countedAt = Now;
+  m_limit = Named;
+  return true;
+}
+
+void RateLimit::setShare(const RateShare &Share, TimePoint Now) {
+  if (Share == m_share)
+    return;
+  const bool IsSameKind = Share.isWhole() == m_share.isWhole();
+  m_permits = permitsAt(Now);
+  m_countedAt = Now;
+  m_share = Share;
+  if (!IsSameKind)
+    m_permits = initialPermits();
+}
+
+double RateLimit::permitsAt(TimePoint Now) const {
+  if (!isLimited())
+    return 0;
+  const double Due = m_permits + ratePerMs() * toMs(Now - m_countedAt);
+  if (m_share.isWhole())
+    return std::min(Due, std::max(1.0, ratePerMs() * toMs(MaxBurstTime)));
+  const double Most = 1 + ratePerMs() * toMs(SharePermitTime);
+  return Due <= Most ? Due : Due - std::ceil(Due - Most);
+}
+
+bool RateLimit::hasPermit(TimePoint Now) const {
+  return !isLimited() || permitsAt(Now) >= 1 - PermitTolerance;
+}
+
+void RateLimit::takePermit(TimePoint Now) {
+  if (!isLimited())
+    return;
+  m_permits = permitsAt(Now) - 1;
+  m_countedAt = Now;
+}
+
+double RateLimit::msUntilPermit(TimePoint Now) const {
+  return hasPermit(Now) ? 0 : (1 - permitsAt(Now)) / ratePerMs();
+}
+
+double RateLimit::ratePerMs() const {
+  return isLimited() ? m_share.m_share * m_limit.m_perSecond / 1000
+                     : std::numeric_limits<double>::infinity();
 }
 
 Millis RateLimit::age(TimePoint Now) const {
