Give the fallback's dispatchers their current share

Callers: after a start, a host whose coordinator did not answer could give each server as many requests as it has slots, and spend the whole retry budget, while the other hosts did the same.

Cause: the share of the fallback (slots, retries, and now limits) was that of the moment at which its dispatcher was created. A process knows only itself when it starts.

Change: setPolicy() applies to existing dispatchers, too; what they have counted stays.

--- a/include/tamarackdrum/gateway/dispatcher-registry.h
+++ b/include/tamarackdrum/gateway/dispatcher-registry.h
@@ -23,8 +23,8 @@
   DispatcherRegistry(DispatchPolicy Policy, DecisionHandler OnDecision)
       : m_policy(Policy), m_onDecision(std::move(OnDecision)) {}
 
-  /// Sets the policy of dispatchers that are created from now on.
-  void setPolicy(DispatchPolicy Policy) { m_policy = Policy; }
+  /// Sets the policy of all dispatchers.
+  void setPolicy(const DispatchPolicy &Policy, TimePoint Now);
 
   /// Replaces the servers of all services. \p Servers is keyed by server id.
   void setServers(const std::map<std::string, ServerEntry> &Servers,
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -242,6 +242,8 @@
   /// Returns the known rate limits.
   std::vector<KnownLimit> limits(TimePoint Now) const;
 
+  /// Sets the policy from now on.
+  void setPolicy(const DispatchPolicy &Policy, TimePoint Now);
   /// Sets the part of all servers' limits that this dispatcher may use, as
   /// DispatchPolicy::m_rateShare.
   void setRateShare(double Share, TimePoint Now);
--- a/include/tamarackdrum/gateway/retry-window.h
+++ b/include/tamarackdrum/gateway/retry-window.h
@@ -34,6 +34,9 @@
 public:
   explicit RetryWindow(RetryPolicy Policy) : m_policy(Policy) {}
 
+  /// Sets the policy from now on; what has been counted stays.
+  void setPolicy(const RetryPolicy &Policy) { m_policy = Policy; }
+
   /// Counts the first dispatch of a request.
   void recordRequest(TimePoint Now);
 
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -117,8 +117,9 @@
   Item->m_place = AdmissionPlace::Fallback;
   Item->m_link = 0;
   Item->m_isAcknowledged = true;
-  m_fallbackDispatchers.setPolicy(fallbackPolicy());
-  m_fallbackDispatchers.submit(Item->m_service, Item->m_ask, BootClock::now());
+  const TimePoint Now = BootClock::now();
+  m_fallbackDispatchers.setPolicy(fallbackPolicy(), Now);
+  m_fallbackDispatchers.submit(Item->m_service, Item->m_ask, Now);
 }
 
 void Admission::resolve(std::uint32_t Number, const DispatchDecision &Made) {
@@ -190,7 +191,7 @@
   // The fallback is needed rarely, and its dispatchers are created late.
   if (Named.isNone() && m_fallbackDispatchers.all().count(Item.m_service) == 0)
     return;
-  m_fallbackDispatchers.setPolicy(fallbackPolicy());
+  m_fallbackDispatchers.setPolicy(fallbackPolicy(), Now);
   m_fallbackDispatchers.noteLimit(Item.m_service, Item.m_server, Named,
                                   Item.m_startedAt, Now);
 }
--- a/src/gateway/dispatcher-registry.cc
+++ b/src/gateway/dispatcher-registry.cc
@@ -26,6 +26,15 @@
   return *m_dispatchers.emplace(Service, std::move(Created)).first->second;
 }
 
+void DispatcherRegistry::setPolicy(const DispatchPolicy &Policy,
+                                   TimePoint Now) {
+  if (Policy == m_policy)
+    return;
+  m_policy = Policy;
+  for (auto &[Service, Item] : m_dispatchers)
+    Item->setPolicy(Policy, Now);
+}
+
 void DispatcherRegistry::setServers(
     const std::map<std::string, ServerEntry> &Servers, TimePoint Now) {
   m_servers.clear();
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -70,6 +70,12 @@
       m_meanServiceMs(
           static_cast<double>(Policy.m_initialServiceTime.count())) {}
 
+void Dispatcher::setPolicy(const DispatchPolicy &Policy, TimePoint Now) {
+  setRateShare(Policy.m_rateShare, Now);
+  m_policy = Policy;
+  m_retries.setPolicy(Policy.m_retries);
+}
+
 std::size_t Dispatcher::slotsOf(const Server &Item) const {
   const double Slots = std::ceil(m_policy.m_slotShare * Item.m_entry.m_slots);
   return std::max<std::size_t>(1, static_cast<std::size_t>(Slots));
