Tell a new coordinator the limits that hosts have heard

Servers: after a change of the coordinator, one that had named a limit could get as many requests as it has slots, until the new coordinator had its first answer: it knew only what its own host had heard.

Change: Hello and RunningMessage, which hosts send to a new coordinator before their requests, carry the limits of its services with their ages. A told limit never raises a known one, since the message may have been under way for long, and the first answer corrects it. Processes of the version before ignore the new elements, and leave them out.

DispatcherLimitTest.AdoptLimit_*, PeerMessageTest.*: pass.

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -81,7 +81,8 @@
   void setServices(const std::vector<std::string> &Names);
 
   // Handlers of messages from other hosts. Link identifies the connection.
-  void onRunning(std::uint32_t Link, const std::vector<RunningDispatch> &Items);
+  void onRunning(std::uint32_t Link, const std::vector<RunningDispatch> &Items,
+                 const std::vector<ToldLimit> &Limits);
   void onAsk(std::uint32_t Link, const std::string &Zone,
              DispatchRequestMessage &Message);
   void onQueued(std::uint32_t Link, std::uint32_t Number);
@@ -95,6 +96,10 @@
   std::vector<RunningDispatch>
   dispatchesCoordinatedBy(const std::string &Host) const;
 
+  /// Returns the rate limits that this host has heard of lately, of servers of
+  /// the services that \p Host coordinates.
+  std::vector<ToldLimit> limitsFor(const std::string &Host) const;
+
   /// Moves requests whose coordinator is dead or has not acknowledged them in
   /// time to the fallback, and advances the timers of all dispatchers.
   void tick();
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -239,6 +239,12 @@
   std::optional<LimitChange> noteLimit(const DispatchId &Id,
                                        const NamedLimit &Named, TimePoint Now);
 
+  /// Records a limit that another host knows; see RateLimit::adopt(). Returns
+  /// the change, if any.
+  std::optional<LimitChange> adoptLimit(const std::string &Server,
+                                        double PerSecond, Millis Age,
+                                        TimePoint Now);
+
   /// Returns the known rate limits.
   std::vector<KnownLimit> limits(TimePoint Now) const;
 
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -23,11 +23,22 @@
   bool operator==(const RunningDispatch &) const = default;
 };
 
+/// Rate limit of a server that the sender has heard of.
+struct ToldLimit {
+  std::string m_service;
+  std::string m_server;
+  double m_perSecond = 0;
+  Millis m_age{0}; ///< Since the server last named it.
+
+  bool operator==(const ToldLimit &) const = default;
+};
+
 /// First message on a link: identifies the sender and its running dispatches.
 struct HelloMessage {
   HostInfo m_host;
   std::vector<RunningDispatch> m_running;
   bool m_isFollowing = false; ///< See FollowMessage.
+  std::vector<ToldLimit> m_limits;
 
   bool operator==(const HelloMessage &) const = default;
 };
@@ -36,6 +47,7 @@
 /// exists.
 struct RunningMessage {
   std::vector<RunningDispatch> m_running;
+  std::vector<ToldLimit> m_limits;
 
   bool operator==(const RunningMessage &) const = default;
 };
--- a/include/tamarackdrum/gateway/rate-limit.h
+++ b/include/tamarackdrum/gateway/rate-limit.h
@@ -63,6 +63,11 @@
   /// says. Returns whether the known limit has changed.
   bool observe(const NamedLimit &Named, TimePoint SentAt, TimePoint Now);
 
+  /// Records a limit that another host was told by the server \p Age ago or
+  /// later. It never raises a known limit, since it may have been under way for
+  /// long. Returns whether the known limit has changed.
+  bool adopt(double PerSecond, Millis Age, TimePoint Now);
+
   /// Sets the share of the limit from \p Now on. Nothing is left over when the
   /// share becomes the whole limit or ceases to be: another dispatcher decided
   /// before.
@@ -86,6 +91,8 @@
   Millis age(TimePoint Now) const;
 
 private:
+  /// Sets the limit, and counts permits by it from \p Now on.
+  void set(const NamedLimit &Next, TimePoint Now);
   /// Returns the permits that are due at \p Now, and the part of the next one.
   double permitsAt(TimePoint Now) const;
   double initialPermits() const {
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -12,6 +12,9 @@
 /// than 1 because load differs between hosts and the coordinator has used some
 /// of the budget.
 constexpr double FallbackRetryShare = 0.5;
+/// A limit that a server has not named for longer is not told to a coordinator:
+/// hosts learn of its end only from answers to their own requests.
+constexpr Millis MaxToldAge{60000};
 
 } // namespace
 
@@ -247,7 +250,8 @@
             Service, {0, Number}, Item.m_server, Item.m_route,
             std::chrono::duration_cast<Millis>(Item.m_deadline - Now), Now);
   } else {
-    m_network->send(Host, RunningMessage{dispatchesCoordinatedBy(Host)});
+    m_network->send(
+        Host, RunningMessage{dispatchesCoordinatedBy(Host), limitsFor(Host)});
   }
   std::vector<PendingRequestPtr> Waiting;
   for (const auto &[Number, Item] : m_pending)
@@ -307,8 +311,14 @@
 }
 
 void Admission::onRunning(std::uint32_t Link,
-                          const std::vector<RunningDispatch> &Items) {
+                          const std::vector<RunningDispatch> &Items,
+                          const std::vector<ToldLimit> &Limits) {
   const TimePoint Now = BootClock::now();
+  for (const ToldLimit &Item : Limits)
+    logLimit(Item.m_service,
+             m_dispatchers.dispatcher(Item.m_service, Now)
+                 .adoptLimit(Item.m_server, Item.m_perSecond, Item.m_age, Now),
+             "hand-over");
   for (const RunningDispatch &Item : Items)
     m_dispatchers.addRunning(Item.m_service, {Link, Item.m_number},
                              Item.m_server, Item.m_route, Item.m_timeLeft, Now);
@@ -397,6 +407,20 @@
   return Out;
 }
 
+std::vector<ToldLimit> Admission::limitsFor(const std::string &Host) const {
+  std::vector<ToldLimit> Out;
+  for (const auto &[Service, Item] : m_dispatchers.all()) {
+    const auto Found = m_coordinators.find(Service);
+    if (Found == m_coordinators.end() || Found->second != Host)
+      continue;
+    for (const KnownLimit &Known : Item->limits(BootClock::now()))
+      if (Known.m_age <= MaxToldAge)
+        Out.push_back(
+            {Service, Known.m_server, Known.m_perSecond, Known.m_age});
+  }
+  return Out;
+}
+
 void Admission::tick() {
   const TimePoint Now = BootClock::now();
   std::vector<PendingRequestPtr> Silent;
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -102,7 +102,7 @@
   Out.m_makeHello = [this](const std::string &Host) {
     return HelloMessage{m_hosts.self(),
                         m_admission.dispatchesCoordinatedBy(Host),
-                        m_feed.isFollowing(Host)};
+                        m_feed.isFollowing(Host), m_admission.limitsFor(Host)};
   };
   Out.m_makeHeartbeat = [this](const Heartbeat *Received) {
     return makeHeartbeat(Received);
@@ -338,11 +338,11 @@
                             PeerMessage &Message) {
   if (const auto *Hello = std::get_if<HelloMessage>(&Message)) {
     m_hosts.addHosts({Hello->m_host}, BootClock::now());
-    m_admission.onRunning(Link, Hello->m_running);
+    m_admission.onRunning(Link, Hello->m_running, Hello->m_limits);
     if (Hello->m_isFollowing)
       m_feed.onFollow(Link, true);
   } else if (const auto *Running = std::get_if<RunningMessage>(&Message)) {
-    m_admission.onRunning(Link, Running->m_running);
+    m_admission.onRunning(Link, Running->m_running, Running->m_limits);
   } else if (auto *Request = std::get_if<DispatchRequestMessage>(&Message)) {
     const std::optional<HostInfo> Peer = m_hosts.find(Host);
     m_admission.onAsk(Link, Peer ? Peer->m_zone : "", *Request);
--- a/src/gateway/dispatcher-limits.cc
+++ b/src/gateway/dispatcher-limits.cc
@@ -32,6 +32,19 @@
                    Item.m_isAdopted ? TimePoint{} : Item.m_startedAt, Now);
 }
 
+std::optional<LimitChange> Dispatcher::adoptLimit(const std::string &Server,
+                                                  double PerSecond, Millis Age,
+                                                  TimePoint Now) {
+  const auto Found = m_servers.find(Server);
+  if (Found == m_servers.end())
+    return std::nullopt;
+  RateLimit &Known = Found->second.m_rateLimit;
+  const double Before = Known.perSecond();
+  if (!Known.adopt(PerSecond, Age, Now))
+    return std::nullopt;
+  return LimitChange{Server, PerSecond, Before};
+}
+
 std::vector<KnownLimit> Dispatcher::limits(TimePoint Now) const {
   std::vector<KnownLimit> Out;
   for (const auto &[Id, Item] : m_servers)
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -102,23 +102,58 @@
   return Out;
 }
 
+/// Checks a limit of 0 or between MinRateLimit and MaxRateLimit.
+NamedLimit readLimit(double PerSecond) {
+  const NamedLimit Out{PerSecond};
+  if (!Out.isNone() &&
+      !(PerSecond >= MinRateLimit && PerSecond <= MaxRateLimit))
+    throw std::invalid_argument("limit out of range");
+  return Out;
+}
+
+Json pack(const std::vector<ToldLimit> &Items) {
+  Json Out = Json::array();
+  for (const ToldLimit &Item : Items)
+    Out.push_back(packArray(Item.m_service, Item.m_server, Item.m_perSecond,
+                            Item.m_age.count()));
+  return Out;
+}
+
+std::vector<ToldLimit> readToldLimits(ArrayReader &In) {
+  std::vector<ToldLimit> Out;
+  if (!In.hasNext())
+    return Out;
+  for (const Json &Value : In.next()) {
+    ArrayReader Item(Value);
+    ToldLimit Told;
+    Told.m_service = Item.take<std::string>();
+    Told.m_server = Item.take<std::string>();
+    Told.m_perSecond = readLimit(Item.take<double>()).m_perSecond;
+    Told.m_age = Item.takeMillis();
+    Out.push_back(std::move(Told));
+  }
+  return Out;
+}
+
 Json pack(const HelloMessage &Value) {
   return packArray(pack(Value.m_host), pack(Value.m_running),
-                   Value.m_isFollowing);
+                   Value.m_isFollowing, pack(Value.m_limits));
 }
 
 void read(ArrayReader In, HelloMessage &Out) {
   Out.m_host = readHost(In.next());
   Out.m_running = readRunning(In.next());
   Out.m_isFollowing = In.take<bool>();
+  Out.m_limits = readToldLimits(In);
 }
 
 Json pack(const RunningMessage &Value) {
-  return packArray(pack(Value.m_running));
+  return packArray(pack(Value.m_running), pack(Value.m_limits));
 }
 
 void read(ArrayReader In, RunningMessage &Out) {
   Out.m_running = readRunning(In.next());
+  Out.m_limits = readToldLimits(In);
 }
 
 Json pack(const DispatchRequestMessage &Value) {
@@ -176,15 +211,6 @@
   Out.m_decision.m_retryAfter = In.takeMillis();
 }
 
-/// Checks a limit of 0 or between MinRateLimit and MaxRateLimit.
-NamedLimit readLimit(double PerSecond) {
-  const NamedLimit Out{PerSecond};
-  if (!Out.isNone() &&
-      !(PerSecond >= MinRateLimit && PerSecond <= MaxRateLimit))
-    throw std::invalid_argument("limit out of range");
-  return Out;
-}
-
 Json pack(const FinishMessage &Value) {
   Json Out =
       packArray(Value.m_service, Value.m_number,
--- a/src/gateway/rate-limit.cc
+++ b/src/gateway/rate-limit.cc
@@ -51,10 +51,25 @@
   m_heardAt = Now;
   if (Named == m_limit)
     return false;
+  set(Named, Now);
+  return true;
+}
+
+bool RateLimit::adopt(double PerSecond, Millis Age, TimePoint Now) {
+  const TimePoint NamedAt = Now - Age;
+  const bool IsKnown =
+      isLimited() ? m_limit.m_perSecond <= PerSecond : NamedAt <= m_heardAt;
+  if (IsKnown)
+    return false;
+  m_heardAt = std::max(m_heardAt, NamedAt);
+  set({PerSecond}, Now);
+  return true;
+}
+
+void RateLimit::set(const NamedLimit &Next, TimePoint Now) {
   m_permits = isLimited() ? permitsAt(Now) : initialPermits();
   m_countedAt = Now;
-  m_limit = Named;
-  return true;
+  m_limit = Next;
 }
 
 void RateLimit::setShare(const RateShare &Share, TimePoint Now) {
--- a/test/gateway/dispatcher-limit-test.cc
+++ b/test/gateway/dispatcher-limit-test.cc
@@ -182,6 +182,32 @@
   EXPECT_GT(m_subject.capacityOf("b"), 2);
 }
 
+// A host that becomes the coordinator has sent the server nothing itself.
+TEST_F(DispatcherLimitTest, AdoptLimit_HostKnowsNothing_LimitIsKept) {
+  setServers({"a"});
+  EXPECT_TRUE(m_subject.adoptLimit("a", 2, Millis(300), m_now));
+  EXPECT_EQ(m_subject.limits(m_now)[0].m_age, Millis(300));
+  for (int I = 0; I < 200; ++I)
+    submit({}, Millis(20));
+  EXPECT_LE(m_assigned["a"], 9);
+}
+
+TEST_F(DispatcherLimitTest, AdoptLimit_HigherOrOlder_IsIgnored) {
+  setServers({"a", "b"});
+  limit("a", 2);
+  EXPECT_FALSE(m_subject.adoptLimit("a", 5, Millis(0), m_now));
+  EXPECT_TRUE(m_subject.adoptLimit("a", 1, Millis(5000), m_now));
+  limit("b", 0);
+  EXPECT_FALSE(m_subject.adoptLimit("b", 5, Millis(100), m_now));
+}
+
+TEST_F(DispatcherLimitTest, NoteLimit_AnswerAfterAdoption_Corrects) {
+  setServers({"a"});
+  m_subject.adoptLimit("a", 2, Millis(300), m_now);
+  limit("a", 0);
+  EXPECT_TRUE(m_subject.limits(m_now).empty());
+}
+
 // A coordinator that was paused hears of answers from before the limit.
 TEST_F(DispatcherLimitTest, NoteLimit_AnswerToAdoptedDispatch_OnlyLowers) {
   setServers({"a"});
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -24,8 +24,10 @@
   Server.m_warmUpLeft = Millis(7);
   return {HelloMessage{{"h1", "10.0.0.1", "zone-a", 5, 20},
                        {{1, "cart", "s", "r", Millis(9)}},
-                       true},
-          RunningMessage{{{2, "cart", "s", "r", Millis(8)}}},
+                       true,
+                       {{"cart", "s-1", 0.5, Millis(900)}}},
+          RunningMessage{{{2, "cart", "s", "r", Millis(8)}},
+                         {{"cart", "s-2", 100, Millis(0)}}},
           DispatchRequestMessage{"cart", Request},
           QueuedMessage{7},
           DecisionMessage{{{0, 7}, "", RefusalReason::Overloaded, Millis(250)}},
