--- a/soak/soak-history.cc
+++ b/soak/soak-history.cc
@@ -1,5 +1,7 @@
 #include "soak-history.h"
 
+#include "limit-check.h"
+
 #include <algorithm>
 #include <map>
 #include <spdlog/fmt/fmt.h>
@@ -50,6 +52,7 @@
     checkReverts();
     checkInForce();
     checkCutRequests();
+    checkLimits();
     return std::move(m_violations);
   }
 
@@ -288,6 +291,32 @@
     }
   }
 
+  void checkLimits() {
+    std::vector<HostArrival> Arrivals;
+    for (const ArrivalRecord &Item : m_history.m_serverRecords.m_arrivals) {
+      const auto Sent = m_requestsById.find(Item.m_requestId);
+      if (Sent != m_requestsById.end())
+        Arrivals.push_back({Item, Sent->second->m_host});
+    }
+    const ExcuseCheck IsExcused = [this](std::size_t Host, TimePoint From,
+                                         TimePoint To) {
+      return std::any_of(m_history.m_faults.begin(), m_history.m_faults.end(),
+                         [&](const InjectedFault &Item) {
+                           const bool IsExcuse =
+                               Item.m_kind == FaultKind::HostKill ||
+                               Item.m_kind == FaultKind::HostStop ||
+                               Item.m_kind == FaultKind::HostPause;
+                           return IsExcuse && Item.m_target == Host &&
+                                  overlaps(Item, From, To);
+                         });
+    };
+    for (const LimitExcess &Item : findLimitExcesses(
+             Arrivals, m_history.m_serverRecords.m_limits, IsExcused))
+      addViolation(Guarantee::WithinLimit, "",
+                   fmt::format("{} got {} requests in 4 s of {} allowed",
+                               Item.m_server, Item.m_count, Item.m_allowed));
+  }
+
   const History &m_history;
   const GuaranteeBounds m_bounds;
   RunsByRequest m_runsByRequest;
@@ -319,6 +348,8 @@
     return "in-force";
   case Guarantee::NothingCut:
     return "nothing-cut";
+  case Guarantee::WithinLimit:
+    return "within-limit";
   }
   return "unknown";
 }
--- a/soak/soak-history.h
+++ b/soak/soak-history.h
@@ -73,7 +73,8 @@
   LeavingOut, ///< A leaving server gets no request after m_leave.
   NoRevert,   ///< A host process never reverts to an older configuration.
   InForce,    ///< A configuration is in force after m_configuration.
-  NothingCut  ///< Planned work cuts no request.
+  NothingCut, ///< Planned work cuts no request.
+  WithinLimit ///< Servers get no more requests than the limits they name.
 };
 
 const char *toText(Guarantee Value) noexcept;
--- a/soak/soak-site.cc
+++ b/soak/soak-site.cc
@@ -66,7 +66,7 @@
 SoakSite::SoakSite(asio::io_context &Context, SiteOptions Options,
                    std::uint64_t Seed, History &Recorded)
     : m_context(Context), m_options(std::move(Options)), m_random(Seed),
-      m_history(Recorded),
+      m_limitRandom(Seed), m_history(Recorded),
       m_store(Context, endpointOf(addressOf(250, 1), StorePort)) {
   std::filesystem::create_directories(m_options.m_directory);
   for (std::size_t I = 0; I < m_options.m_hostCount; ++I)
@@ -133,6 +133,45 @@
   for (std::size_t I = 0; I < m_hosts.size(); ++I)
     startHost(I);
   asio::co_spawn(m_context, reportPeriodically(), asio::detached);
+  if (m_options.m_namesLimits)
+    asio::co_spawn(m_context, nameLimits(), asio::detached);
+}
+
+asio::awaitable<void> SoakSite::nameLimits() {
+  constexpr std::uint64_t MaxPauseMs = 2500;
+  while (true) {
+    co_await sleepFor(
+        Millis(static_cast<std::int64_t>(m_limitRandom() % MaxPauseMs)));
+    const std::size_t First = m_limitRandom() % m_backends.size();
+    const bool IsMostOfService = m_limitRandom() % 8 == 0;
+    for (std::size_t I = 0; I < m_backends.size(); ++I)
+      if (I == First ||
+          (IsMostOfService && m_limitRandom() % 4 != 0 &&
+           m_backends[I].m_service == m_backends[First].m_service))
+        nameLimit(I);
+  }
+}
+
+void SoakSite::nameLimit(std::size_t Index) {
+  // Texts without a number name no limit by the rule. Most of the others are
+  // well below what a server gets without a limit.
+  static const std::vector<std::pair<const char *, std::optional<double>>>
+      Choices{{"", std::nullopt},
+              {"", std::nullopt},
+              {"-3", std::nullopt},
+              {"soon", std::nullopt},
+              {"0", 0},
+              {"0.5", 0.5},
+              {"1", 1},
+              {"1.4", 1.4},
+              {"2.9", 2.9},
+              {"5", 5},
+              {"20", 20},
+              {"100", 100},
+              {"99999999999", 1e11}};
+  const auto &[Text, Limit] = Choices[m_limitRandom() % Choices.size()];
+  if (m_backends[Index].m_server)
+    m_backends[Index].m_server->setRateLimit(Text, Limit);
 }
 
 void SoakSite::startHost(std::size_t Index) {
--- a/soak/soak-site.h
+++ b/soak/soak-site.h
@@ -23,6 +23,7 @@
   std::string m_network = "127.77";  ///< First two parts of all addresses.
   std::size_t m_hostCount = 6;
   std::size_t m_zoneCount = 3;
+  bool m_namesLimits = false; ///< Servers name rate limits at times.
 };
 
 /// Services of the site.
@@ -89,6 +90,9 @@
   boost::asio::awaitable<void> injectStoreFault(FaultEvent Event);
   /// Restores the store after \p Duration to its state at the call.
   boost::asio::awaitable<void> rollBackStore(Millis Duration);
+  /// Lets servers name limits, one or most of a service at a time.
+  boost::asio::awaitable<void> nameLimits();
+  void nameLimit(std::size_t Index);
   /// Removes a server from the registry.
   void removeFromRegistry(const std::string &Id);
   boost::asio::awaitable<void> injectLinkFault(FaultProxy &Link,
@@ -101,6 +105,7 @@
   boost::asio::io_context &m_context;
   const SiteOptions m_options;
   std::mt19937_64 m_random;
+  std::mt19937_64 m_limitRandom; ///< Apart, so that seeds keep their faults.
   History &m_history;
   platform::standin::RowStore m_store;
   gateway::Configuration m_config;
--- a/soak/tamarack-soak.cc
+++ b/soak/tamarack-soak.cc
@@ -68,6 +68,8 @@
                            "clients")(
       "planned", po::bool_switch(&Out.m_isPlannedOnly),
       "inject planned work only: stops, reloads, configurations, leaves")(
+      "limits", po::bool_switch(&Out.m_site.m_namesLimits),
+      "let servers name rate limits")(
       "recovery", po::bool_switch(&Out.m_checksRecovery),
       "also check that requests are served again after the faults")(
       "keep", po::bool_switch(&Out.m_keepsAllLogs),
@@ -122,6 +124,12 @@
                               ? -1
                               : millisBetween(Start, Item.m_to)}}
         << '\n';
+  for (const platform::standin::LimitRecord &Item :
+       Recorded.m_serverRecords.m_limits)
+    Out << Json{{"limit", Item.m_limit.value_or(-1)},
+                {"server", Item.m_server},
+                {"at_ms", millisBetween(Start, Item.m_at)}}
+        << '\n';
   for (const LeaveRecord &Item : Recorded.m_leaves)
     Out << Json{{"leave", Item.m_server},
                 {"at_ms", millisBetween(Start, Item.m_at)}}
--- a/test/soak/soak-history-test.cc
+++ b/test/soak/soak-history-test.cc
@@ -180,6 +180,22 @@
   EXPECT_EQ(violated(), Guarantees{});
 }
 
+TEST_F(SoakHistoryTest, Find_MoreThanTheLimit_WithinLimitWithoutFaults) {
+  m_subject.m_serverRecords.m_limits.push_back({"s", 0, at(0), 1.0});
+  for (int I = 0; I < 60; ++I) {
+    const std::string Id = std::to_string(I);
+    addRequest(Id, I * 100, I * 100, 200);
+    m_subject.m_serverRecords.m_arrivals.push_back(
+        {Id, "s", 0, at(I * 100), at(I * 100), 1.0});
+    addRun(Id, "s", I * 100, I * 100);
+  }
+  EXPECT_EQ(violated(), Guarantees{Guarantee::WithinLimit});
+  addFault(FaultKind::HostStoreReset, 0, 6000);
+  EXPECT_EQ(violated(), Guarantees{Guarantee::WithinLimit});
+  addFault(FaultKind::HostPause, 0, 4000);
+  EXPECT_EQ(violated(), Guarantees{});
+}
+
 TEST_F(SoakHistoryTest, ServedShare_From_OnlyLaterRequestsCount) {
   addRequest("a", 0, 50, 503);
   addRequest("b", 100, 150, 200);
