Tell refused callers of a limited server different times to return

Callers: while a server held its keys to a low limit, all callers that were refused within a moment were told the same Retry-After, although the limit let only one of them in. They came back together, and all but one were refused again.

Cause: the time was that of the queue alone, which does not grow by a refusal. Change: where limits bind, each refusal is told a time one interval of the rate after the one before, as long as the caller has that time; the times of those that have not are not counted. Nothing is reserved: a caller that does not return leaves no permit idle.

The tests of hosts now also play withdrawn and unreadable limits, hosts that stop in turn, use of the rate, refusal at once and keys that move.

--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -321,6 +321,9 @@
     }
   };
 
+  /// Map key for all servers of a service without keys.
+  static inline const std::string AllServers;
+
   /// Server for a new request; without a server the request waits.
   struct Choice {
     Server *m_server = nullptr;
@@ -339,11 +342,6 @@
     double waitMs(std::size_t Ahead) const {
       return m_pauseMs + static_cast<double>(Ahead + 1) / m_ratePerMs;
     }
-    /// Returns why a request that would wait too long is refused.
-    RefusalReason refusalReason() const {
-      return m_isLimited ? RefusalReason::ServerLimit
-                         : RefusalReason::Overloaded;
-    }
   };
 
   std::size_t slotsOf(const Server &Item) const;
@@ -388,6 +386,12 @@
               DispatchDecisions &Out);
   void refuse(const DispatchRequest &Request, RefusalReason Reason,
               Millis RetryAfter, DispatchDecisions &Out) const;
+  /// Refuses a request that would have to wait for \p WaitMs. Where limits of
+  /// servers hold, the callers that are refused are told times at the rate of
+  /// the limits, in the order in which they are refused.
+  void refuseForWait(const DispatchRequest &Request,
+                     const WaitEstimate &Expected, double WaitMs, TimePoint Now,
+                     DispatchDecisions &Out);
   bool isEligible(const Waiting &Item, const Server &Target) const;
   /// Assigns waiting requests to the free slots of \p Target.
   void fillSlots(Server &Target, TimePoint Now, DispatchDecisions &Out);
@@ -424,6 +428,9 @@
   double m_meanServiceMs;  ///< Moving average over all servers.
   double m_meanIdleMs = 0; ///< Average time that an assigned slot is idle.
   std::map<std::string, double> m_routeFactors;
+  /// Last time that a refused caller was told to return, by holder of keys, or
+  /// for AllServers.
+  std::map<std::string, TimePoint> m_lastReturns;
 };
 
 } // namespace tamarackdrum::gateway
--- a/src/gateway/dispatcher-limits.cc
+++ b/src/gateway/dispatcher-limits.cc
@@ -70,6 +70,31 @@
     Item.m_rateLimit.setShare(rateShareFor(Id), Now);
 }
 
+void Dispatcher::refuseForWait(const DispatchRequest &Request,
+                               const WaitEstimate &Expected, double WaitMs,
+                               TimePoint Now, DispatchDecisions &Out) {
+  Millis RetryAfter(static_cast<std::int64_t>(WaitMs));
+  if (!Expected.m_isLimited) {
+    refuse(Request, RefusalReason::Overloaded, RetryAfter, Out);
+    return;
+  }
+  const std::string &Holder =
+      m_isKeyed ? m_keys.holderOf(Request.m_key.value_or(0)) : AllServers;
+  std::erase_if(m_lastReturns,
+                [Now](const auto &Item) { return Item.second <= Now; });
+  const auto Found = m_lastReturns.find(Holder);
+  if (Found != m_lastReturns.end()) {
+    const Millis Interval(static_cast<std::int64_t>(1 / Expected.m_ratePerMs));
+    const Millis AfterOthers =
+        std::chrono::duration_cast<Millis>(Found->second + Interval - Now);
+    RetryAfter = std::max(RetryAfter, AfterOthers);
+  }
+  // A caller without the time to return takes nobody's turn.
+  if (RetryAfter < Request.m_timeLeft)
+    m_lastReturns[Holder] = Now + RetryAfter;
+  refuse(Request, RefusalReason::ServerLimit, RetryAfter, Out);
+}
+
 bool Dispatcher::areAllLimited(TimePoint Now) const {
   bool HasLimit = false;
   for (const auto &[Id, Item] : m_servers) {
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -27,8 +27,6 @@
 /// for reasons that have nothing to do with the route.
 constexpr double MinRouteFactor = 0.05;
 constexpr double MaxRouteFactor = 10.0;
-/// Map key of the estimate that all requests of a service without keys share.
-const std::string AllServers;
 /// Expected time until moving keys have a new holder: a release and a grant.
 constexpr Millis KeyMoveTime{600};
 
@@ -403,7 +401,7 @@
     const double LateWait = Expected.waitMs(All);
     if (LateWait + Expected.m_serviceMs >
         toMs(Request.m_timeLeft) * m_policy.m_maxLateTimeShare) {
-      refuse(Request, Expected.refusalReason(), fromMs(LateWait), Out);
+      refuseForWait(Request, Expected, LateWait, Now, Out);
       return;
     }
   }
@@ -698,7 +696,7 @@
       ++Item;
       continue;
     }
-    refuse(Item->m_request, Estimate.m_wait.refusalReason(), fromMs(Wait), Out);
+    refuseForWait(Item->m_request, Estimate.m_wait, Wait, Now, Out);
     Item = m_waiting.erase(Item);
   }
 }
--- a/test/gateway/dispatcher-limit-test.cc
+++ b/test/gateway/dispatcher-limit-test.cc
@@ -139,6 +139,31 @@
   EXPECT_EQ(m_assigned["a"], 1);
 }
 
+TEST_F(DispatcherLimitTest, Submit_SeveralAreRefused_ReturnOneAfterTheOther) {
+  setServers({"a", "b"});
+  setHolders("a", "b");
+  limit("a", 0.5);
+  for (int I = 0; I < 4; ++I)
+    submit(static_cast<Key>(7), Millis(0), Millis(I < 3 ? 2100 : 9000));
+  // Only the first could return in time; the last is queued.
+  ASSERT_EQ(m_refusals.size(), 3U);
+  EXPECT_EQ(m_refusals[0].second.m_retryAfter, Millis(2000));
+  EXPECT_EQ(m_refusals[1].second.m_retryAfter, Millis(4000));
+  EXPECT_EQ(m_refusals[2].second.m_retryAfter, Millis(4000));
+}
+
+TEST_F(DispatcherLimitTest, Submit_ReturnsHavePassed_WaitIsThatOfTheRate) {
+  setServers({"a", "b"});
+  setHolders("a", "b");
+  limit("a", 0.5);
+  submit(static_cast<Key>(7), Millis(0), Millis(2100));
+  m_now += Millis(10000);
+  submit(static_cast<Key>(7), Millis(0), Millis(2100));
+  submit(static_cast<Key>(7), Millis(0), Millis(2100));
+  ASSERT_EQ(m_refusals.size(), 2U);
+  EXPECT_EQ(m_refusals[1].second.m_retryAfter, Millis(2000));
+}
+
 TEST_F(DispatcherLimitTest, Submit_PermitFallsDue_WaitingRequestIsFirst) {
   setServers({"a"});
   limit("a", 2);
--- a/test/gateway/server-limit-test.cc
+++ b/test/gateway/server-limit-test.cc
@@ -243,5 +243,91 @@
   EXPECT_EQ(toText(findExcesses()), "");
 }
 
+TEST_F(ServerLimitTest, Answer_NamesLimit_RateIsUsed) {
+  startHosts();
+  name("web-0", "5", 5.0);
+  name("web-1", "5", 5.0);
+  name("web-2", "5", 5.0);
+  m_context.run_for(Millis(1000));
+  const TimePoint From = BootClock::now();
+  m_context.run_for(Millis(6000));
+  for (const char *Server : {"web-0", "web-1", "web-2"}) {
+    EXPECT_GE(arrivalsSince(Server, From), 24U) << Server;
+    EXPECT_LE(arrivalsSince(Server, From), 33U) << Server;
+  }
+}
+
+// The coordinator knows limits from all hosts; the next one has heard less.
+TEST_F(ServerLimitTest, Hosts_StopInTurn_LimitIsKept) {
+  startHosts();
+  name("web-0", "0.5", 0.5);
+  name("web-1", "0.5", 0.5);
+  name("stock-0", "0.5", 0.5);
+  m_context.run_for(Millis(3000));
+  for (std::size_t I = 0; I + 1 < HostCount; ++I) {
+    m_hosts[I]->stop([] {});
+    m_context.run_for(Millis(3500));
+  }
+  EXPECT_EQ(toText(findExcesses()), "");
+}
+
+TEST_F(ServerLimitTest, Answer_NamesNoLimitAnyMore_ServerIsUsedAgain) {
+  startHosts();
+  for (const char *Server : {"web-0", "web-1", "web-2"})
+    name(Server, "0.5", 0.5);
+  m_context.run_for(Millis(3000));
+  for (const char *Server : {"web-0", "web-1", "web-2"})
+    name(Server, "", std::nullopt);
+  m_context.run_for(Millis(3000));
+  const std::size_t ServedBefore = servedCount("/web/");
+  m_context.run_for(Millis(1000));
+  EXPECT_GT(servedCount("/web/") - ServedBefore, 30U);
+}
+
+TEST_F(ServerLimitTest, Answer_NamesNoNumber_ServersAreUsedAsBefore) {
+  startHosts();
+  for (const char *Text : {"-1", "soon", "1e-3", "nan"}) {
+    for (const char *Server : {"web-0", "web-1", "web-2"})
+      name(Server, Text, std::nullopt);
+    const std::size_t ServedBefore = servedCount("/web/");
+    m_context.run_for(Millis(500));
+    EXPECT_GT(servedCount("/web/") - ServedBefore, 15U) << Text;
+  }
+}
+
+// Only the holder of a key may run its requests.
+TEST_F(ServerLimitTest, KeyedRequest_HolderIsLimited_IsRefusedAtOnce) {
+  startHosts();
+  for (const char *Server : {"stock-0", "stock-1", "stock-2"})
+    name(Server, "0.2", 0.2);
+  m_context.run_for(Millis(1000));
+  m_replies.clear();
+  m_context.run_for(Millis(3000));
+  std::size_t Refused = 0;
+  for (const Reply &Item : m_replies) {
+    if (Item.m_path != "/stock/" || Item.m_status != 503)
+      continue;
+    ++Refused;
+    EXPECT_LT(Item.m_took, Millis(500));
+    EXPECT_GT(Item.m_retryAfter, 0);
+  }
+  EXPECT_GT(Refused, 100U);
+  EXPECT_EQ(toText(findExcesses()), "");
+}
+
+TEST_F(ServerLimitTest, KeyedRequest_HolderIsLimited_KeysMoveToOthers) {
+  startHosts();
+  name("stock-0", "0.5", 0.5);
+  m_context.run_for(JudgedTime);
+  m_replies.clear();
+  m_context.run_for(Millis(2000));
+  const std::size_t All = static_cast<std::size_t>(
+      std::count_if(m_replies.begin(), m_replies.end(), [](const Reply &Item) {
+        return Item.m_path == "/stock/";
+      }));
+  EXPECT_GT(servedCount("/stock/"), All * 3 / 4);
+  EXPECT_EQ(toText(findExcesses()), "");
+}
+
 } // namespace
 } // namespace tamarackdrum::gateway
