Ask a server with the lowest limit every 2 s instead of 5

Cause: a change is learnt from answers alone, and the lowest rate was one request in 5 s. The users' rule leaves 5 requests in 4 s beside the limit, so that two may ask.

--- a/include/tamarackdrum/gateway/rate-limit.h
+++ b/include/tamarackdrum/gateway/rate-limit.h
@@ -23,7 +23,7 @@
 /// Lowest and highest rate, in requests per second, that a named limit stands
 /// for. At the lowest, a server that names 0 still gets a request now and then,
 /// whose answer tells whether it has changed its mind.
-inline constexpr double MinRateLimit = 0.2;
+inline constexpr double MinRateLimit = 0.5;
 inline constexpr double MaxRateLimit = 1e6;
 
 /// Returns the limit that \p Text, a decimal number of requests per second,
