Serve limited servers in the order of arrival

Callers: of the requests for keys of a limited server, one in nine had waited before it was refused, up to its whole objective.

Cause: past capacity the dispatcher serves the newest request that can still be in time, since an old one would be late anyway. Where a limit holds, its rate is known: what would be late can be refused when it arrives, and newer requests only took the permits of those who waited. The estimate for the first in the queue was an interval too long, too.

Change: where limits hold, who arrives first is served first; a request that would be late waits only if nobody else does.

--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -366,8 +366,9 @@
   double serviceRate(const Server &Item, TimePoint Now) const;
   /// As above, if the server had no rate limit.
   double slotRate(const Server &Item, TimePoint Now) const;
-  /// Returns whether the rate limit of each server that is in use permits less
-  /// than its slots do.
+  /// Returns whether the rate limit of a server permits less than its slots do.
+  bool isLimitBound(const Server &Item, TimePoint Now) const;
+  /// Returns whether that holds for each server that is in use.
   bool areAllLimited(TimePoint Now) const;
   double serviceRate(TimePoint Now) const;
   WaitEstimate estimateWait(const DispatchRequest &Request,
@@ -407,6 +408,13 @@
   /// Returns the waiting request that \p Target should run next, or the end of
   /// the queue.
   Queue::iterator nextRequestFor(const Server &Target, TimePoint Now);
+  /// Returns the waiting request that has arrived first, among those of the
+  /// highest priority that \p Target can run, or the end of the queue.
+  ///
+  /// Load pattern: a limit, not slots, decides how many requests are served.
+  /// Its rate is known, so that a request that would be late is refused when it
+  /// arrives, and whoever waits is served in order.
+  Queue::iterator firstRequestFor(const Server &Target, TimePoint Now);
   /// Marks a request as late if it can no longer meet its objective.
   /// \p ServiceMs is the expected service time of the request.
   void markIfLate(Waiting &Item, double ServiceMs, TimePoint Now) const;
--- a/src/gateway/dispatcher-limits.cc
+++ b/src/gateway/dispatcher-limits.cc
@@ -95,17 +95,40 @@
   refuse(Request, RefusalReason::ServerLimit, RetryAfter, Out);
 }
 
+bool Dispatcher::isLimitBound(const Server &Item, TimePoint Now) const {
+  return Item.m_rateLimit.ratePerMs() < slotRate(Item, Now);
+}
+
 bool Dispatcher::areAllLimited(TimePoint Now) const {
   bool HasLimit = false;
   for (const auto &[Id, Item] : m_servers) {
-    const double Rate = slotRate(Item, Now);
-    if (Rate > 0 && Rate <= Item.m_rateLimit.ratePerMs())
+    if (slotRate(Item, Now) <= 0)
+      continue;
+    if (!isLimitBound(Item, Now))
       return false;
-    HasLimit = HasLimit || Rate > 0;
+    HasLimit = true;
   }
   return HasLimit;
 }
 
+Dispatcher::Queue::iterator Dispatcher::firstRequestFor(const Server &Target,
+                                                        TimePoint Now) {
+  const double MeanService = expectedServiceMs(Target, Now);
+  return std::find_if(
+      m_waiting.begin(), m_waiting.end(), [&](const Waiting &Item) {
+        const double Service =
+            MeanService * routeFactor(Item.m_request.m_route);
+        const double LeftMs =
+            std::chrono::duration<double, std::milli>(Item.m_deadline - Now)
+                .count();
+        const bool WaitsForOwnZone =
+            Item.m_request.m_zone != Target.m_entry.m_zone &&
+            Now < Item.m_ownZoneUntil;
+        return isEligible(Item, Target) && !WaitsForOwnZone &&
+               LeftMs >= Service * m_policy.m_minTimeFactor;
+      });
+}
+
 void Dispatcher::usePermits(TimePoint Now, DispatchDecisions &Out) {
   if (m_waiting.empty())
     return;
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -364,9 +364,9 @@
   if (Limit.ratePerMs() < Out.m_ratePerMs) {
     Out.m_isLimited = true;
     Out.m_ratePerMs = Limit.ratePerMs();
-    // waitMs() adds the time of one permit for the first request.
+    // waitMs() adds the interval of one permit for the first request.
     Out.m_pauseMs =
-        std::max(Out.m_pauseMs, Limit.msUntilPermit(Now) - 1 / Out.m_ratePerMs);
+        std::max(Out.m_pauseMs, Limit.msUntilPermit(Now)) - 1 / Out.m_ratePerMs;
   }
   return Out;
 }
@@ -395,12 +395,15 @@
                             Other.m_objectiveAt <= Item.m_objectiveAt))
       ++Ahead;
   }
-  const double Wait = Expected.waitMs(Ahead);
+  // Permits are used in the order of arrival; see firstRequestFor().
+  const double Wait = Expected.waitMs(Expected.m_isLimited ? All : Ahead);
   Item.m_isLate = Wait + Expected.m_serviceMs > toMs(Request.m_objectiveLeft);
   if (Item.m_isLate) {
     const double LateWait = Expected.waitMs(All);
-    if (LateWait + Expected.m_serviceMs >
-        toMs(Request.m_timeLeft) * m_policy.m_maxLateTimeShare) {
+    const bool MustNotWait = Expected.m_isLimited && All > 0;
+    if (MustNotWait ||
+        LateWait + Expected.m_serviceMs >
+            toMs(Request.m_timeLeft) * m_policy.m_maxLateTimeShare) {
       refuseForWait(Request, Expected, LateWait, Now, Out);
       return;
     }
@@ -425,6 +428,8 @@
 
 Dispatcher::Queue::iterator Dispatcher::nextRequestFor(const Server &Target,
                                                        TimePoint Now) {
+  if (m_isKeyed ? isLimitBound(Target, Now) : areAllLimited(Now))
+    return firstRequestFor(Target, Now);
   const double MeanService = expectedServiceMs(Target, Now);
   const Queue::iterator None = m_waiting.end();
   std::size_t Count = 0;
@@ -680,7 +685,8 @@
   for (Waiting &Item : m_waiting) {
     SharedEstimate &Estimate = EstimateFor(Item);
     markIfLate(Item, ServiceMsOf(Estimate, Item), Now);
-    Estimate.m_ahead += Item.m_isLate ? 0 : 1;
+    // Where limits hold, requests are served in the order of the queue.
+    Estimate.m_ahead += Item.m_isLate || Estimate.m_wait.m_isLimited ? 0 : 1;
   }
   for (Queue::iterator Item = m_waiting.begin(); Item != m_waiting.end();) {
     SharedEstimate &Estimate = EstimateFor(*Item);
@@ -692,7 +698,7 @@
     const bool IsUnservable = Left < Service * m_policy.m_minTimeFactor ||
                               (Item->m_isLate && Wait + Service > Left);
     if (!IsUnservable) {
-      Estimate.m_ahead += Item->m_isLate ? 1 : 0;
+      Estimate.m_ahead += Item->m_isLate || Estimate.m_wait.m_isLimited ? 1 : 0;
       ++Item;
       continue;
     }
--- a/test/gateway/dispatcher-limit-test.cc
+++ b/test/gateway/dispatcher-limit-test.cc
@@ -45,6 +45,7 @@
     Request.m_key = Wanted;
     Request.m_objectiveLeft = Deadline / 3;
     Request.m_timeLeft = Deadline;
+    m_submitted[Request.m_id.m_number] = m_now;
     m_subject.submit(Request, m_now, m_decisions);
     for (const TimePoint End = m_now + Pause; m_now < End;) {
       apply();
@@ -82,6 +83,7 @@
   std::uint32_t m_lastNumber = 0;
   std::deque<std::pair<TimePoint, DispatchId>> m_ends;
   std::map<std::string, int> m_assigned;
+  std::map<std::uint32_t, TimePoint> m_submitted; ///< By number.
   std::vector<std::pair<TimePoint, DispatchDecision>> m_refusals;
 };
 
@@ -128,6 +130,24 @@
   EXPECT_EQ(m_refusals[0].second.m_retryAfter, Millis(2000));
 }
 
+// Whatever the limit leaves no time for is known when it arrives.
+TEST_F(DispatcherLimitTest,
+       Submit_LimitedHolderIsOverloaded_NobodyWaitsInVain) {
+  setServers({"a", "b"});
+  setHolders("a", "b");
+  for (const double Rate : {0.5, 1.4, 2.0, 8.0, 20.0}) {
+    limit("a", Rate);
+    m_refusals.clear();
+    for (int I = 0; I < 500; ++I)
+      submit(static_cast<Key>(7), Millis(40));
+    std::size_t Late = 0;
+    for (const auto &[At, Decision] : m_refusals)
+      Late += At - m_submitted.at(Decision.m_id.m_number) > Millis(300) ? 1 : 0;
+    EXPECT_EQ(Late, 0U) << "of " << m_refusals.size() << " at " << Rate;
+    EXPECT_GT(m_refusals.size(), 50U) << Rate;
+  }
+}
+
 TEST_F(DispatcherLimitTest, Submit_RetryAfterHasPassed_RequestIsServed) {
   setServers({"a", "b"});
   setHolders("a", "b");
