Keep the limit of a server whose registry entry lapses

Servers: one that was cut from the store while it had named a limit, and came back to the registry in the same life, got as many requests as it has slots until its first answer.

Cause: what is known of a limit went with the server's entry. The registry drops entries of servers that run on (a cut from the store, a restored copy), and hosts have no word from them meanwhile. Found by asking of each field of the dispatcher's state what ends its life.

Change: the limit of a server that leaves the list is kept for 60 s and restored if the same instance returns.

DispatcherLimitTest.SetServers_ServerReturns_LimitIsKept failed before and passes.

--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -324,6 +324,13 @@
   /// Map key for all servers of a service without keys.
   static inline const std::string AllServers;
 
+  /// Rate limit of a server that is not listed at present.
+  struct KeptLimit {
+    std::int64_t m_startMs = 0; ///< As in ServerEntry.
+    RateLimit m_limit;
+    TimePoint m_until;
+  };
+
   /// Server for a new request; without a server the request waits.
   struct Choice {
     Server *m_server = nullptr;
@@ -366,6 +373,12 @@
   double serviceRate(const Server &Item, TimePoint Now) const;
   /// As above, if the server had no rate limit.
   double slotRate(const Server &Item, TimePoint Now) const;
+  /// Keeps the rate limit of a removed server for a while: its registry entry
+  /// may have lapsed although it runs.
+  void keepLimit(const Server &Item, TimePoint Now);
+  /// Sets the rate limit of a new server, which is the kept one if the same
+  /// instance of the server has returned.
+  void restoreLimit(const ServerEntry &Entry, Server &Item, TimePoint Now);
   /// Returns whether the rate limit of a server permits less than its slots do.
   bool isLimitBound(const Server &Item, TimePoint Now) const;
   /// Returns whether that holds for each server that is in use.
@@ -436,6 +449,7 @@
   double m_meanServiceMs;  ///< Moving average over all servers.
   double m_meanIdleMs = 0; ///< Average time that an assigned slot is idle.
   std::map<std::string, double> m_routeFactors;
+  std::map<std::string, KeptLimit> m_keptLimits; ///< By server.
   /// Last time that a refused caller was told to return, by holder of keys, or
   /// for AllServers.
   std::map<std::string, TimePoint> m_lastReturns;
--- a/include/tamarackdrum/gateway/upstream-client.h
+++ b/include/tamarackdrum/gateway/upstream-client.h
@@ -98,6 +98,9 @@
                                         const UpstreamRequest &Request,
                                         UpstreamReply &Reply);
   boost::asio::awaitable<bool> readBody(Connection &Used, UpstreamReply &Reply);
+  /// Records what the head of an answer says about its server, and passes it to
+  /// UpstreamRequest::m_onHead.
+  void handleHead(const UpstreamRequest &Request, UpstreamReply &Reply) const;
   /// Returns the result that the status and headers of an answer stand for.
   DispatchResult resultOf(const UpstreamReply &Reply) const;
   /// Returns what an answer says about the rate limit of its server; nothing if
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -201,6 +201,19 @@
   return HasRun ? std::optional<NamedLimit>(NamedLimit{}) : std::nullopt;
 }
 
+void UpstreamClient::handleHead(const UpstreamRequest &Request,
+                                UpstreamReply &Reply) const {
+  const http::response_header<> &Head = Reply.m_parser->get();
+  Reply.m_isLeaving = Head[m_headers.m_leaving] == "1";
+  Reply.m_restTime = restTime(Head);
+  const std::optional<NamedLimit> Limit = limitOf(Reply);
+  if (!Limit)
+    Reply.m_unreadableLimit =
+        Head[m_headers.m_rateLimit].substr(0, MaxLoggedHeaderBytes);
+  if (Request.m_onHead)
+    Request.m_onHead(resultOf(Reply), Reply.m_serviceTime, Limit);
+}
+
 asio::awaitable<UpstreamReply> UpstreamClient::execute(UpstreamRequest Request,
                                                        CancelToken &Token) {
   UpstreamReply Reply;
@@ -244,15 +257,7 @@
   bool IsWhole = co_await readHead(*Used, Request, Reply);
   Reply.m_serviceTime = elapsed(StartedAt);
   if (IsWhole) {
-    const http::response_header<> &Head = Reply.m_parser->get();
-    Reply.m_isLeaving = Head[m_headers.m_leaving] == "1";
-    Reply.m_restTime = restTime(Head);
-    const std::optional<NamedLimit> Limit = limitOf(Reply);
-    if (!Limit)
-      Reply.m_unreadableLimit =
-          Head[m_headers.m_rateLimit].substr(0, MaxLoggedHeaderBytes);
-    if (Request.m_onHead)
-      Request.m_onHead(resultOf(Reply), Reply.m_serviceTime, Limit);
+    handleHead(Request, Reply);
     IsWhole = co_await readBody(*Used, Reply);
   }
   Token.m_stream = nullptr;
--- a/src/gateway/dispatcher-limits.cc
+++ b/src/gateway/dispatcher-limits.cc
@@ -6,6 +6,12 @@
 #include <limits>
 
 namespace tamarackdrum::gateway {
+namespace {
+
+/// Time for which the rate limit of a server that is not listed is kept.
+constexpr Millis KeptLimitTime{60000};
+
+} // namespace
 
 std::optional<LimitChange> Dispatcher::noteLimit(const std::string &Server,
                                                  const NamedLimit &Named,
@@ -70,6 +76,26 @@
     Item.m_rateLimit.setShare(rateShareFor(Id), Now);
 }
 
+void Dispatcher::keepLimit(const Server &Item, TimePoint Now) {
+  std::erase_if(m_keptLimits,
+                [Now](const auto &Kept) { return Kept.second.m_until <= Now; });
+  if (Item.m_rateLimit.isLimited())
+    m_keptLimits[Item.m_entry.m_id] = {Item.m_entry.m_startMs, Item.m_rateLimit,
+                                       Now + KeptLimitTime};
+}
+
+void Dispatcher::restoreLimit(const ServerEntry &Entry, Server &Item,
+                              TimePoint Now) {
+  const auto Found = m_keptLimits.find(Entry.m_id);
+  if (Found != m_keptLimits.end()) {
+    if (Found->second.m_startMs == Entry.m_startMs &&
+        Now < Found->second.m_until)
+      Item.m_rateLimit = Found->second.m_limit;
+    m_keptLimits.erase(Found);
+  }
+  Item.m_rateLimit.setShare(rateShareFor(Entry.m_id), Now);
+}
+
 void Dispatcher::refuseForWait(const DispatchRequest &Request,
                                const WaitEstimate &Expected, double WaitMs,
                                TimePoint Now, DispatchDecisions &Out) {
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -163,13 +163,18 @@
       const std::size_t Count = Item.m_runningCount;
       Item = Server{};
       Item.m_runningCount = Count;
-      Item.m_rateLimit.setShare(rateShareFor(Entry.m_id), Now);
+      restoreLimit(Entry, Item, Now);
     }
     Item.m_entry = Entry;
   }
-  for (auto Item = m_servers.begin(); Item != m_servers.end();)
-    Item =
-        Known.count(Item->first) > 0 ? std::next(Item) : m_servers.erase(Item);
+  for (auto Item = m_servers.begin(); Item != m_servers.end();) {
+    if (Known.count(Item->first) > 0) {
+      ++Item;
+      continue;
+    }
+    keepLimit(Item->second, Now);
+    Item = m_servers.erase(Item);
+  }
   fillAllSlots(Now, Out);
 }
 
--- a/test/gateway/dispatcher-limit-test.cc
+++ b/test/gateway/dispatcher-limit-test.cc
@@ -220,6 +220,22 @@
   EXPECT_TRUE(m_subject.limits(m_now).empty());
 }
 
+// A server whose registry entry lapses for a while, e.g. since it is cut from
+// the store, runs on and still needs its limit.
+TEST_F(DispatcherLimitTest, SetServers_ServerReturns_LimitIsKept) {
+  setServers({"a", "b"});
+  limit("a", 0.5);
+  setServers({"b"});
+  m_now += Millis(10000);
+  setServers({"a", "b"});
+  ASSERT_EQ(m_subject.limits(m_now).size(), 1U);
+  EXPECT_EQ(m_subject.limits(m_now)[0].m_perSecond, 0.5);
+  setServers({"b"});
+  m_now += Millis(61000);
+  setServers({"a", "b"});
+  EXPECT_TRUE(m_subject.limits(m_now).empty());
+}
+
 TEST_F(DispatcherLimitTest, CapacityOf_LimitedServer_IsItsLimit) {
   setServers({"a", "b"});
   limit("a", 2);
--- a/test/gateway/server-limit-test.cc
+++ b/test/gateway/server-limit-test.cc
@@ -16,7 +16,6 @@
 using namespace test;
 using platform::standin::KeyServer;
 using platform::standin::KeyServerOptions;
-using soak::LimitBounds;
 using soak::LimitExcess;
 
 constexpr Millis ReadyTimeout{30000};
--- a/test/soak/soak-history-test.cc
+++ b/test/soak/soak-history-test.cc
@@ -182,12 +182,12 @@
 
 TEST_F(SoakHistoryTest, Find_MoreThanTheLimit_WithinLimitWithoutFaults) {
   m_subject.m_serverRecords.m_limits.push_back({"s", 0, at(0), 1.0});
-  for (int I = 0; I < 60; ++I) {
-    const std::string Id = std::to_string(I);
-    addRequest(Id, I * 100, I * 100, 200);
+  for (std::int64_t At = 0; At < 6000; At += 100) {
+    const std::string Id = std::to_string(At);
+    addRequest(Id, At, At, 200);
     m_subject.m_serverRecords.m_arrivals.push_back(
-        {Id, "s", 0, at(I * 100), at(I * 100), 1.0});
-    addRun(Id, "s", I * 100, I * 100);
+        {Id, "s", 0, at(At), at(At), 1.0});
+    addRun(Id, "s", At, At);
   }
   EXPECT_EQ(violated(), Guarantees{Guarantee::WithinLimit});
   addFault(FaultKind::HostStoreReset, 0, 6000);
