--- a/test/gateway/limit-model-test.cc
+++ b/test/gateway/limit-model-test.cc
@@ -29,6 +29,10 @@
   double m_requestsPerSecond = 100; ///< Of all hosts together.
   std::uint64_t m_seed = 1;
   bool m_freezes = true; ///< The coordinator freezes at times.
+  /// Until then, all requests come to the first host.
+  Millis m_firstHostUntil{0};
+  /// Interval at which another host becomes the coordinator; 0: never.
+  Millis m_changeInterval{0};
 };
 
 /// A site of hosts with one unkeyed service.
@@ -59,6 +63,8 @@
     schedule(Millis(3000), [this] { nameLimits(); });
     if (m_options.m_freezes)
       schedule(Millis(4000), [this] { freezeCoordinator(); });
+    if (m_options.m_changeInterval > Millis(0))
+      schedule(Millis(4000), [this] { changeCoordinator(); });
     while (!m_events.empty() && m_events.top().m_at < End) {
       const Event Next = m_events.top();
       m_events.pop();
@@ -164,7 +170,8 @@
                    ++m_lastEvent, [this] { sendRequest(); }});
     const std::size_t Host = static_cast<std::size_t>(
         draw(static_cast<std::int64_t>(m_hosts.size())));
-    if (isFrozen(Host))
+    if (isFrozen(Host) ||
+        (Host > 0 && m_now < m_start + m_options.m_firstHostUntil))
       return;
     DispatchRequest Ask;
     Ask.m_id = {static_cast<std::uint32_t>(Host + 1), ++m_lastNumber};
@@ -259,6 +266,13 @@
     schedule(Millis(2500 + draw(4000)), [this] { freezeCoordinator(); });
   }
 
+  void changeCoordinator() {
+    m_coordinator = (m_coordinator + 1) % m_hosts.size();
+    for (std::size_t I = 0; I < m_hosts.size(); ++I)
+      setView(I, m_coordinator);
+    schedule(m_options.m_changeInterval, [this] { changeCoordinator(); });
+  }
+
   /// Lets host \p Index follow \p Next, which it tells what it knows.
   void setView(std::size_t Index, std::size_t Next) {
     Host &Item = *m_hosts[Index];
@@ -301,6 +315,26 @@
       }
 }
 
+// New coordinators have sent the servers nothing themselves.
+TEST(LimitModelTest, Coordinators_ChangeOften_NextOneKnowsTheLimits) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    ModelOptions Options;
+    Options.m_hosts = 12;
+    Options.m_limit = 0.5;
+    Options.m_limitedServers = ServerCount;
+    Options.m_requestsPerSecond = 4000;
+    Options.m_freezes = false;
+    Options.m_changeInterval = Millis(400);
+    Options.m_firstHostUntil = Millis(20000);
+    Options.m_seed = Seed;
+    LimitModel Subject(Options);
+    Subject.run(Millis(20000));
+    EXPECT_EQ(Subject.excesses(), "") << Seed;
+    for (std::size_t I = 0; I < ServerCount; ++I)
+      EXPECT_LE(Subject.arrivalsAt(I, Millis(4000)), 16 * 0.5 + 5) << Seed;
+  }
+}
+
 TEST(LimitModelTest, Hosts_NoFault_RateIsUsed) {
   for (const double Limit : {0.5, 5.0, 20.0}) {
     ModelOptions Options;
