Reject told limits with a negative age

Servers: a limit that a peer dates in the future would have stayed in force after the server had withdrawn it, since each answer would count as older. No process sends one; a malformed message would.

PeerMessageTest.Decode_NegativeAgeOfLimit_IsMalformed failed before and passes.

--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -130,6 +130,8 @@
     Told.m_server = Item.take<std::string>();
     Told.m_perSecond = readLimit(Item.take<double>()).m_perSecond;
     Told.m_age = Item.takeMillis();
+    if (Told.m_age < Millis(0))
+      throw std::invalid_argument("negative age");
     Out.push_back(std::move(Told));
   }
   return Out;
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -106,6 +106,13 @@
   EXPECT_FALSE(decode(Buffer));
 }
 
+// An age in the future would outlast every later answer of the server.
+TEST(PeerMessageTest, Decode_NegativeAgeOfLimit_IsMalformed) {
+  std::string Buffer;
+  encode(RunningMessage{{}, {{"cart", "s-1", 2, Millis(-1)}}}, Buffer);
+  EXPECT_FALSE(decode(Buffer));
+}
+
 TEST(PeerMessageTest, Decode_LengthTooLarge_IsMalformed) {
   std::string Buffer = "\xff\xff\xff\xff";
   EXPECT_FALSE(decode(Buffer));
