Log the age of limits that a new coordinator is told

A line of a changed belief names its inputs with their age; server-limit of a hand-over had none, so that an old word could not be told from a fresh one.

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -152,9 +152,11 @@
   /// is the coordinator, and its share elsewhere: hosts that take it for the
   /// coordinator may ask it meanwhile.
   void updateRateShares();
+  /// Logs a change, if any, of what this host knows about a limit. \p Age is
+  /// the time since the server named it, as far as the source tells.
   void logLimit(const std::string &Service,
                 const std::optional<LimitChange> &Change,
-                std::string_view Source);
+                std::string_view Source, Millis Age = Millis(0));
   /// Stores the decision on a pending request and resumes its acquire().
   void resolve(std::uint32_t Number, const DispatchDecision &Made);
   /// Returns the policy of the fallback: this host's share of slots and of the
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -212,13 +212,14 @@
 
 void Admission::logLimit(const std::string &Service,
                          const std::optional<LimitChange> &Change,
-                         std::string_view Source) {
+                         std::string_view Source, Millis Age) {
   if (Change)
     m_log.write("server-limit", {{"service", Service},
                                  {"server", Change->m_server},
                                  {"per_second", Change->m_perSecond},
                                  {"was", Change->m_wasPerSecond},
-                                 {"source", Source}});
+                                 {"source", Source},
+                                 {"age_ms", Age}});
 }
 
 void Admission::setCoordinators(
@@ -318,7 +319,7 @@
     logLimit(Item.m_service,
              m_dispatchers.dispatcher(Item.m_service, Now)
                  .adoptLimit(Item.m_server, Item.m_perSecond, Item.m_age, Now),
-             "hand-over");
+             "hand-over", Item.m_age);
   for (const RunningDispatch &Item : Items)
     m_dispatchers.addRunning(Item.m_service, {Link, Item.m_number},
                              Item.m_server, Item.m_route, Item.m_timeLeft, Now);
