--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -384,6 +384,25 @@
   EXPECT_GT(m_calls.back().m_fence, Before);
 }
 
+// The registry lists a restart late. Until then the new instance of a server
+// takes renewals that were meant for the earlier one.
+TEST_F(KeyGranterTest, Move_RestartedOwnerTookARenewal_IsReleasedFirst) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(700));
+  m_answer = [](const GrantCall &Call) {
+    return Call.m_isRelease ? GrantResult::NoAnswer : GrantResult::Done;
+  };
+  ServerEntry Draining = makeServer("a");
+  Draining.m_isDraining = true;
+  setServers({Draining, makeServer("b")});
+  run(Millis(300));
+  ASSERT_NE(holderOf(0), "b");
+  setServers({makeServer("a", 2), makeServer("b")});
+  run(Millis(500));
+  EXPECT_NE(holderOf(0), "b");
+}
+
 TEST_F(KeyGranterTest, OnCallResult_HigherFence_SendsNothingUntilValidated) {
   takeOver({});
   setServers({makeServer("a")});
