--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -1,4 +1,4 @@
-#include "tamarackdrum/gateway/dispatcher.h"
+#include "dispatcher-detail.h"
 
 #include <algorithm>
 #include <cmath>
@@ -6,42 +6,9 @@
 namespace tamarackdrum::gateway {
 namespace {
 
-double toMs(BootClock::duration Span) {
-  return std::chrono::duration<double, std::milli>(Span).count();
-}
-
-Millis fromMs(double Value) { return Millis(static_cast<std::int64_t>(Value)); }
-
-/// Weight of a new outcome in the shares of refused and failed requests of a
-/// server.
-constexpr double OutcomeWeight = 0.15;
-/// Time constant with which the mean service time of a server without new
-/// samples returns to that of the service.
-constexpr Millis EstimateDecayTime{4000};
-/// Factor on the service time of a server that warms up and has no samples.
-constexpr double WarmUpFactor = 2.0;
 /// A request that has run for more than the mean service time multiplied by
 /// this factor shows that its server has become slow.
 constexpr double OverdueFactor = 1.5;
-/// Bounds of a sample for the factor of a route: a single answer may be late
-/// for reasons that have nothing to do with the route.
-constexpr double MinRouteFactor = 0.05;
-constexpr double MaxRouteFactor = 10.0;
-/// Expected time until moving keys have a new holder: a release and a grant.
-constexpr Millis KeyMoveTime{600};
-
-/// Returns whether a request of a service without keys must not go to
-/// \p Server.
-bool isExcluded(const DispatchRequest &Request, const std::string &Server) {
-  const bool IsTried =
-      std::find(Request.m_triedServers.begin(), Request.m_triedServers.end(),
-                Server) != Request.m_triedServers.end();
-  return IsTried ||
-         std::any_of(Request.m_backoffs.begin(), Request.m_backoffs.end(),
-                     [&Server](const ServerBackoff &Item) {
-                       return Item.m_server == Server;
-                     });
-}
 
 } // namespace
 
@@ -81,7 +48,7 @@
 
 bool Dispatcher::hasFreeSlot(const Server &Item, TimePoint Now,
                              bool OthersWait) const {
-  if (Item.m_entry.m_isDraining || Now < Item.m_pausedUntil)
+  if (!mayGetRequests(Item.m_entry) || Now < Item.m_pausedUntil)
     return false;
   const std::size_t Limit =
       slotsOf(Item) + (OthersWait ? overcommitOf(Item) : 0);
@@ -101,57 +68,6 @@
     ++Item.m_heldBack;
 }
 
-std::size_t Dispatcher::overcommitOf(const Server &Item) const {
-  const double Slots = static_cast<double>(slotsOf(Item));
-  const double IdleShare =
-      std::min(m_meanIdleMs / m_meanServiceMs, m_policy.m_maxOvercommitShare);
-  return static_cast<std::size_t>(std::lround(Slots * IdleShare));
-}
-
-double Dispatcher::expectedServiceMs(const Server &Item, TimePoint Now) const {
-  double Mean = m_meanServiceMs;
-  if (Item.m_meanServiceMs > 0) {
-    const double Age = toMs(Now - Item.m_lastSampleAt);
-    const double Weight =
-        std::exp(-Age / static_cast<double>(EstimateDecayTime.count()));
-    Mean = Item.m_meanServiceMs * Weight + m_meanServiceMs * (1 - Weight);
-  }
-  if (Item.m_entry.m_warmUpLeft.count() > 0 && Item.m_meanServiceMs == 0)
-    Mean *= WarmUpFactor;
-  return Mean;
-}
-
-double Dispatcher::routeFactor(const std::string &Route) const {
-  const auto Found = m_routeFactors.find(Route);
-  return Found == m_routeFactors.end() ? 1.0 : Found->second;
-}
-
-double Dispatcher::slotRate(const Server &Item, TimePoint Now) const {
-  if (Item.m_entry.m_isDraining || Now < Item.m_pausedUntil)
-    return 0;
-  return static_cast<double>(slotsOf(Item)) / expectedServiceMs(Item, Now) *
-         (1 - Item.m_refusedShare);
-}
-
-double Dispatcher::serviceRate(const Server &Item, TimePoint Now) const {
-  return std::min(slotRate(Item, Now), Item.m_rateLimit.ratePerMs());
-}
-
-double Dispatcher::serviceRate(TimePoint Now) const {
-  double Rate = 0;
-  for (const auto &[Id, Item] : m_servers)
-    Rate += serviceRate(Item, Now);
-  return Rate;
-}
-
-std::optional<TimePoint> Dispatcher::earliestPauseEnd() const {
-  std::optional<TimePoint> Out;
-  for (const auto &[Id, Item] : m_servers)
-    if (!Item.m_entry.m_isDraining && (!Out || Item.m_pausedUntil < *Out))
-      Out = Item.m_pausedUntil;
-  return Out;
-}
-
 void Dispatcher::setServers(const std::vector<ServerEntry> &Servers,
                             TimePoint Now, DispatchDecisions &Out) {
   std::set<std::string> Known;
@@ -242,8 +158,9 @@
   double Rate = 0;
   double Fastest = 0;
   for (const auto &[Id, Item] : m_servers) {
-    if (Item.m_entry.m_zone != Request.m_zone || Item.m_entry.m_isDraining ||
-        Now < Item.m_pausedUntil || isExcluded(Request, Id))
+    if (Item.m_entry.m_zone != Request.m_zone ||
+        !mayGetRequests(Item.m_entry) || Now < Item.m_pausedUntil ||
+        isExcluded(Request, Id))
       continue;
     const double Service = expectedServiceMs(Item, Now);
     Rate += serviceRate(Item, Now);
@@ -297,7 +214,7 @@
     return Out;
   const bool HasOther = std::any_of(
       m_servers.begin(), m_servers.end(), [&Request](const auto &Item) {
-        return !Item.second.m_entry.m_isDraining &&
+        return mayGetRequests(Item.second.m_entry) &&
                !isExcluded(Request, Item.first);
       });
   return HasOther ? std::nullopt : Out;
@@ -335,249 +252,11 @@
     enqueue(Request, Chosen.m_ownZoneUntil, Now, Out);
 }
 
-Dispatcher::WaitEstimate
-Dispatcher::estimateWait(const DispatchRequest &Request, TimePoint Now) const {
-  WaitEstimate Out;
-  const double Factor = routeFactor(Request.m_route);
-  Out.m_serviceMs = m_meanServiceMs * Factor;
-  if (!m_isKeyed) {
-    Out.m_ratePerMs = serviceRate(Now);
-    Out.m_isLimited = areAllLimited(Now);
-    if (Out.m_ratePerMs > 0)
-      return Out;
-    // All servers are paused: wait for the first pause to end.
-    const std::optional<TimePoint> PauseEnd = earliestPauseEnd();
-    Out.m_pauseMs = PauseEnd ? std::max(0.0, toMs(*PauseEnd - Now)) : 0;
-    Out.m_ratePerMs = PauseEnd ? 1 / m_meanServiceMs : 0;
-    return Out;
-  }
-  const auto Holder =
-      m_servers.find(m_keys.holderOf(Request.m_key.value_or(0)));
-  if (Holder == m_servers.end()) {
-    // The keys are moving. Different ranges go to different servers, so all of
-    // them count.
-    Out.m_pauseMs = toMs(KeyMoveTime);
-    Out.m_ratePerMs = serviceRate(Now);
-    return Out;
-  }
-  const double HolderMs = expectedServiceMs(Holder->second, Now);
-  Out.m_serviceMs = HolderMs * Factor;
-  Out.m_ratePerMs = static_cast<double>(slotsOf(Holder->second)) / HolderMs;
-  if (Now < Holder->second.m_pausedUntil)
-    Out.m_pauseMs = toMs(Holder->second.m_pausedUntil - Now);
-  const RateLimit &Limit = Holder->second.m_rateLimit;
-  if (Limit.ratePerMs() < Out.m_ratePerMs) {
-    Out.m_isLimited = true;
-    Out.m_ratePerMs = Limit.ratePerMs();
-    // waitMs() adds the interval of one permit for the first request.
-    Out.m_pauseMs =
-        std::max(Out.m_pauseMs, Limit.msUntilPermit(Now)) - 1 / Out.m_ratePerMs;
-  }
-  return Out;
-}
-
-void Dispatcher::enqueue(const DispatchRequest &Request, TimePoint OwnZoneUntil,
-                         TimePoint Now, DispatchDecisions &Out) {
-  Waiting Item{Request,
-               Now + std::min(Request.m_objectiveLeft, Request.m_timeLeft),
-               Now + Request.m_timeLeft, OwnZoneUntil, false};
-  const WaitEstimate Expected = estimateWait(Request, Now);
-  if (Expected.m_ratePerMs <= 0) {
-    refuse(Request, RefusalReason::NoServer, m_policy.m_defaultRetryAfter, Out);
-    return;
-  }
-  std::size_t Ahead = 0;
-  std::size_t All = 0;
-  const std::string &Holder = m_keys.holderOf(Request.m_key.value_or(0));
-  for (const Waiting &Other : m_waiting) {
-    if (Other.m_request.m_priority > Request.m_priority)
-      break;
-    if (m_isKeyed &&
-        m_keys.holderOf(Other.m_request.m_key.value_or(0)) != Holder)
-      continue;
-    ++All;
-    if (!Other.m_isLate && (Other.m_request.m_priority < Request.m_priority ||
-                            Other.m_objectiveAt <= Item.m_objectiveAt))
-      ++Ahead;
-  }
-  // Permits are used in the order of arrival; see firstRequestFor().
-  const double Wait = Expected.waitMs(Expected.m_isLimited ? All : Ahead);
-  Item.m_isLate = Wait + Expected.m_serviceMs > toMs(Request.m_objectiveLeft);
-  if (Item.m_isLate) {
-    const double LateWait = Expected.waitMs(All);
-    const bool MustNotWait = Expected.m_isLimited && All > 0;
-    if (MustNotWait ||
-        LateWait + Expected.m_serviceMs >
-            toMs(Request.m_timeLeft) * m_policy.m_maxLateTimeShare) {
-      refuseForWait(Request, Expected, LateWait, Now, Out);
-      return;
-    }
-  }
-  insertByPriority(std::move(Item));
-}
-
-void Dispatcher::insertByPriority(Waiting Item) {
-  Queue::iterator Behind = m_waiting.end();
-  while (Behind != m_waiting.begin() &&
-         std::prev(Behind)->m_request.m_priority > Item.m_request.m_priority)
-    --Behind;
-  m_waiting.insert(Behind, std::move(Item));
-}
-
-bool Dispatcher::isEligible(const Waiting &Item, const Server &Target) const {
-  const std::string &Id = Target.m_entry.m_id;
-  if (m_isKeyed)
-    return m_keys.holderOf(Item.m_request.m_key.value_or(0)) == Id;
-  return !isExcluded(Item.m_request, Id);
-}
-
-Dispatcher::Queue::iterator Dispatcher::nextRequestFor(const Server &Target,
-                                                       TimePoint Now) {
-  if (m_isKeyed ? isLimitBound(Target, Now) : areAllLimited(Now))
-    return firstRequestFor(Target, Now);
-  const double MeanService = expectedServiceMs(Target, Now);
-  const Queue::iterator None = m_waiting.end();
-  std::size_t Count = 0;
-  ObjectiveRange Urgent{None, None};
-  ObjectiveRange OfZone{None, None};
-  Queue::iterator Late = None;
-  const auto HaveSamePriority = [](Queue::iterator A, Queue::iterator B) {
-    return A->m_request.m_priority == B->m_request.m_priority;
-  };
-  for (Queue::iterator Item = m_waiting.begin(); Item != None; ++Item) {
-    if (Urgent.m_earliest != None && !HaveSamePriority(Item, Urgent.m_earliest))
-      break;
-    if (!isEligible(*Item, Target))
-      continue;
-    ++Count;
-    const bool IsOfZone = Item->m_request.m_zone == Target.m_entry.m_zone;
-    const bool WaitsForOwnZone = !IsOfZone && Now < Item->m_ownZoneUntil;
-    const double Factor = routeFactor(Item->m_request.m_route);
-    const double Service = MeanService * Factor;
-    if (WaitsForOwnZone ||
-        toMs(Item->m_deadline - Now) < Service * m_policy.m_minTimeFactor)
-      continue;
-    markIfLate(*Item, std::min(Service, m_meanServiceMs * Factor), Now);
-    if (Item->m_isLate) {
-      if (Late == None ||
-          (HaveSamePriority(Item, Late) && Item->m_deadline < Late->m_deadline))
-        Late = Item;
-      continue;
-    }
-    // Too slow on this server; a faster one can still serve it in time.
-    if (toMs(Item->m_objectiveAt - Now) <
-        Service * m_policy.m_minObjectiveFactor)
-      continue;
-    Urgent.add(Item, None);
-    if (IsOfZone)
-      OfZone.add(Item, None);
-  }
-  if (Urgent.m_earliest == None)
-    return Late;
-  // Under overload, serving in order makes each request miss its objective by a
-  // little, while the newest one still has all of its time.
-  const WaitEstimate Expected = estimateWait(Urgent.m_latest->m_request, Now);
-  const double Share = m_isKeyed ? m_policy.m_keyedNewestFirstShare
-                                 : m_policy.m_newestFirstShare;
-  const bool IsOverloaded =
-      Expected.m_ratePerMs > 0 &&
-      Expected.waitMs(Count) + Expected.m_serviceMs >
-          toMs(Urgent.m_latest->m_objectiveAt - Now) * Share;
-  // Requests from other zones are considered only while the most urgent one of
-  // the server's own zone can still wait.
-  const bool CanWait =
-      OfZone.m_earliest == None || Now < OfZone.m_earliest->m_ownZoneUntil;
-  const ObjectiveRange &Chosen = m_isKeyed || CanWait ? Urgent : OfZone;
-  return IsOverloaded ? Chosen.m_latest : Chosen.m_earliest;
-}
-
-void Dispatcher::markIfLate(Waiting &Item, double ServiceMs,
-                            TimePoint Now) const {
-  if (toMs(Item.m_objectiveAt - Now) <
-      ServiceMs * m_policy.m_minObjectiveFactor)
-    Item.m_isLate = true;
-}
-
-void Dispatcher::fillSlots(Server &Target, TimePoint Now,
-                           DispatchDecisions &Out) {
-  while (!m_waiting.empty() && mayAssign(Target, Now, true)) {
-    const Queue::iterator Next = nextRequestFor(Target, Now);
-    if (Next == m_waiting.end())
-      return;
-    assign(Next->m_request, Target, Now, Out);
-    m_waiting.erase(Next);
-  }
-}
-
-void Dispatcher::fillAllSlots(TimePoint Now, DispatchDecisions &Out) {
-  if (m_waiting.empty())
-    return;
-  for (auto &[Id, Item] : m_servers)
-    fillSlots(Item, Now, Out);
-}
-
 void Dispatcher::withdraw(const DispatchId &Id) {
   m_waiting.remove_if(
       [&Id](const Waiting &Item) { return Item.m_request.m_id == Id; });
 }
 
-Millis Dispatcher::notHeldPause() const {
-  // Without a granter no grant is renewed: the server's other keys lapse, too.
-  return m_keys.version() == 0 ? KeyMoveTime : m_policy.m_notHeldPause;
-}
-
-void Dispatcher::updateStatistics(Server &Item, const std::string &Route,
-                                  DispatchResult Outcome, Millis ServiceTime,
-                                  TimePoint Now) {
-  const auto UpdateShare = [](double &Share, bool IsHit) {
-    Share += OutcomeWeight * ((IsHit ? 1.0 : 0.0) - Share);
-  };
-  if (Outcome == DispatchResult::Withdrawn)
-    return;
-  Item.m_lacksKey = Outcome == DispatchResult::NotHeld;
-  UpdateShare(Item.m_refusedShare, Outcome == DispatchResult::Refused);
-  UpdateShare(Item.m_failedShare,
-              Outcome == DispatchResult::Failed ||
-                  Outcome == DispatchResult::ConnectionLost);
-  const bool IsError = Outcome == DispatchResult::ConnectionLost ||
-                       Outcome == DispatchResult::Unreachable ||
-                       Outcome == DispatchResult::NotHeld;
-  Item.m_consecutiveErrors = IsError ? Item.m_consecutiveErrors + 1 : 0;
-  if (Outcome == DispatchResult::Unreachable ||
-      Outcome == DispatchResult::NotHeld ||
-      Item.m_consecutiveErrors >= m_policy.m_errorsBeforePause) {
-    const Millis FirstPause = Outcome == DispatchResult::NotHeld
-                                  ? notHeldPause()
-                                  : m_policy.m_initialPause;
-    Item.m_pause = Item.m_pause.count() == 0
-                       ? FirstPause
-                       : std::min(Item.m_pause * 2, m_policy.m_maxPause);
-    Item.m_pausedUntil = Now + Item.m_pause;
-  } else if (!IsError && Outcome != DispatchResult::TimedOut) {
-    Item.m_pause = Millis(0);
-  }
-  const bool HasServiceTime = Outcome == DispatchResult::Served ||
-                              Outcome == DispatchResult::TimedOut ||
-                              Outcome == DispatchResult::Failed;
-  if (!HasServiceTime)
-    return;
-  const double Sample = std::max<double>(1, toMs(ServiceTime));
-  const double OldMean =
-      Item.m_meanServiceMs > 0 ? Item.m_meanServiceMs : m_meanServiceMs;
-  double &Factor = m_routeFactors.emplace(Route, 1.0).first->second;
-  // A request that ended early would have taken longer.
-  if (Outcome != DispatchResult::Served && Sample < OldMean * Factor)
-    return;
-  const double Ratio =
-      std::clamp(Sample / OldMean, MinRouteFactor, MaxRouteFactor);
-  Factor += m_policy.m_routeWeight * (Ratio - Factor);
-  Item.m_meanServiceMs =
-      OldMean + m_policy.m_serviceTimeWeight * (Sample - OldMean);
-  Item.m_lastSampleAt = Now;
-  m_meanServiceMs +=
-      m_policy.m_serviceTimeWeight / 10 * (Sample - m_meanServiceMs);
-}
-
 void Dispatcher::finish(const DispatchId &Id, DispatchResult Outcome,
                         Millis ServiceTime, TimePoint Now,
                         DispatchDecisions &Out) {
@@ -606,14 +285,6 @@
     Item.m_runningCount = 0;
 }
 
-void Dispatcher::recordOutcome(const std::string &Server,
-                               const std::string &Route, DispatchResult Outcome,
-                               Millis ServiceTime, TimePoint Now) {
-  const auto Found = m_servers.find(Server);
-  if (Found != m_servers.end())
-    updateStatistics(Found->second, Route, Outcome, ServiceTime, Now);
-}
-
 void Dispatcher::addRunning(const DispatchId &Id, const std::string &Server,
                             const std::string &Route, Millis TimeLeft,
                             TimePoint Now) {
@@ -661,96 +332,4 @@
   fillAllSlots(Now, Out);
 }
 
-void Dispatcher::refuseUnservable(TimePoint Now, DispatchDecisions &Out) {
-  // Requests that compete for the same slots share one estimate: all requests
-  // of a service without keys, or those for the keys of one holder.
-  struct SharedEstimate {
-    WaitEstimate m_wait;
-    double m_averageServiceMs = 0; ///< Of an average request.
-    std::size_t m_ahead = 0;       ///< Requests that are served earlier.
-  };
-  std::map<std::string, SharedEstimate> Estimates;
-  const auto EstimateFor = [&](const Waiting &Item) -> SharedEstimate & {
-    const std::string &Holder =
-        m_isKeyed ? m_keys.holderOf(Item.m_request.m_key.value_or(0))
-                  : AllServers;
-    const auto Found = Estimates.find(Holder);
-    if (Found != Estimates.end())
-      return Found->second;
-    const WaitEstimate Expected = estimateWait(Item.m_request, Now);
-    const double AverageMs =
-        Expected.m_serviceMs / routeFactor(Item.m_request.m_route);
-    return Estimates.emplace(Holder, SharedEstimate{Expected, AverageMs, 0})
-        .first->second;
-  };
-  const auto ServiceMsOf = [this](const SharedEstimate &Estimate,
-                                  const Waiting &Item) {
-    return Estimate.m_averageServiceMs * routeFactor(Item.m_request.m_route);
-  };
-  for (Waiting &Item : m_waiting) {
-    SharedEstimate &Estimate = EstimateFor(Item);
-    markIfLate(Item, ServiceMsOf(Estimate, Item), Now);
-    // Where limits hold, requests are served in the order of the queue.
-    Estimate.m_ahead += Item.m_isLate || Estimate.m_wait.m_isLimited ? 0 : 1;
-  }
-  for (Queue::iterator Item = m_waiting.begin(); Item != m_waiting.end();) {
-    SharedEstimate &Estimate = EstimateFor(*Item);
-    const double Left = toMs(Item->m_deadline - Now);
-    const double Service = ServiceMsOf(Estimate, *Item);
-    const double Wait = Estimate.m_wait.m_ratePerMs > 0
-                            ? Estimate.m_wait.waitMs(Estimate.m_ahead)
-                            : toMs(m_policy.m_defaultRetryAfter);
-    const bool IsUnservable = Left < Service * m_policy.m_minTimeFactor ||
-                              (Item->m_isLate && Wait + Service > Left);
-    if (!IsUnservable) {
-      Estimate.m_ahead += Item->m_isLate || Estimate.m_wait.m_isLimited ? 1 : 0;
-      ++Item;
-      continue;
-    }
-    refuseForWait(Item->m_request, Estimate.m_wait, Wait, Now, Out);
-    Item = m_waiting.erase(Item);
-  }
-}
-
-double Dispatcher::capacityOf(const std::string &Server) const {
-  const auto Found = m_servers.find(Server);
-  if (Found == m_servers.end())
-    return 0;
-  const double Mean = Found->second.m_meanServiceMs > 0
-                          ? Found->second.m_meanServiceMs
-                          : m_meanServiceMs;
-  const double Rate = static_cast<double>(slotsOf(Found->second)) * 1000 / Mean;
-  const RateLimit &Limit = Found->second.m_rateLimit;
-  return Limit.isLimited() ? std::min(Rate, Limit.perSecond()) : Rate;
-}
-
-std::vector<KeyRate> Dispatcher::keyDemand(TimePoint Now) {
-  std::map<Key, double> ByKey;
-  for (const KeyRate &Item : m_keyLoad.rates(Now))
-    ByKey[Item.m_key] = Item.m_rate;
-  const double RatePerRequest =
-      1000.0 / static_cast<double>(m_policy.m_backlogDrainTime.count());
-  for (const Waiting &Item : m_waiting)
-    ByKey[Item.m_request.m_key.value_or(0)] += RatePerRequest;
-  std::vector<KeyRate> Out;
-  Out.reserve(ByKey.size());
-  for (const auto &[Value, Rate] : ByKey)
-    Out.push_back({Value, Rate});
-  return Out;
-}
-
-std::size_t Dispatcher::waitingFor(const std::string &Server) const {
-  return static_cast<std::size_t>(std::count_if(
-      m_waiting.begin(), m_waiting.end(), [&](const Waiting &Item) {
-        return m_keys.holderOf(Item.m_request.m_key.value_or(0)) == Server;
-      }));
-}
-
-DispatchLoad Dispatcher::load() const {
-  DispatchLoad Out{m_waiting.size(), m_running.size(), 0};
-  for (const auto &[Id, Item] : m_servers)
-    Out.m_slots += slotsOf(Item);
-  return Out;
-}
-
 } // namespace tamarackdrum::gateway
