Let servers of evacuated zones get no requests

Cause: the operator's request to evacuate a zone has no place in the model of a server. ServerEntry gets a flag that no host sets yet, and every decision on who may get requests or keys asks mayGetRequests(). No behaviour changes: the flag is false everywhere. Not measured: nothing to measure before a host sets it.

--- a/include/tamarackdrum/gateway/server-directory.h
+++ b/include/tamarackdrum/gateway/server-directory.h
@@ -24,10 +24,18 @@
   std::int64_t m_startMs = 0;       ///< Unix time of its start.
   std::uint64_t m_reportNumber = 0; ///< Counts the reports of the instance.
   Millis m_warmUpLeft{0};           ///< Time for which it is still slow.
+  /// The operator has asked for the evacuation of its zone. Not part of what
+  /// the server reports: each host sets it by the evacuations that it knows.
+  bool m_isEvacuated = false;
 
   bool operator==(const ServerEntry &) const = default;
 };
 
+/// Returns whether a server may be sent new requests and granted keys.
+inline bool mayGetRequests(const ServerEntry &Entry) {
+  return !Entry.m_isDraining && !Entry.m_isEvacuated;
+}
+
 /// A row of the server registry: its key, and the entry if it can be decoded.
 struct ServerRow {
   std::string m_id;
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -104,7 +104,7 @@
   const std::string &Id = Taken.m_decision.m_server;
   const ServerEntry *Server = m_callbacks.m_findServer(Id);
   // The coordinator may not have received yet what this host knows.
-  const bool IsGone = Server == nullptr || Server->m_isDraining;
+  const bool IsGone = Server == nullptr || !mayGetRequests(*Server);
   const Millis Rest =
       IsGone ? Millis(0)
              : m_restingServers.remaining(*Server, BootClock::now());
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -267,7 +267,7 @@
 
 bool KeyGranter::isUsable(const ServerInstance &Instance, TimePoint Now) const {
   const ServerEntry *Entry = findInstance(Instance);
-  if (Entry == nullptr || Entry->m_isDraining)
+  if (Entry == nullptr || !mayGetRequests(*Entry))
     return false;
   const auto Found = m_reachability.find(Instance.m_id);
   return Found == m_reachability.end() ||
