Spread a hot range of keys over many servers at once

Cause: adjacent keys of one server suddenly get many times what it can serve. Each move carried half of the difference to one target, which was overloaded then, too, and could not pass keys on for the time of a move. Ranges that had just moved also ended the round for all other servers.

--- a/include/tamarackdrum/gateway/key-placement.h
+++ b/include/tamarackdrum/gateway/key-placement.h
@@ -39,7 +39,7 @@
   /// ... if the utilization of another server is lower by more than this.
   double m_minUtilizationGap = 0.3;
   /// Limit per round, since each move makes its keys unavailable for a moment.
-  std::size_t m_maxMovesPerRound = 10;
+  std::size_t m_maxMovesPerRound = 20;
   /// A key whose load is at least this fraction of its server's capacity counts
   /// as the cause of an overload.
   double m_dominantKeyShare = 1.0;
--- a/src/gateway/key-placement.cc
+++ b/src/gateway/key-placement.cc
@@ -11,13 +11,25 @@
 /// Lower bound of the assumed total load in requests per second, for services
 /// without requests so far.
 constexpr double MinTotalLoad = 1.0;
-/// Bounds of the load of moved keys, as fractions of the excess load of their
-/// server.
+/// Bounds of the load of moved keys, as fractions of the load that is wanted.
+/// Where the wanted load evens out two servers, half of it is worth a narrower
+/// range. Where it is what the target has room for, a lower load would only
+/// need more moves.
 constexpr double MinExcessFraction = 0.5;
+constexpr double MinRoomFraction = 0.85;
 constexpr double MaxExcessFraction = 1.3;
 /// A range without a holder is split into at most this many parts.
 constexpr std::uint32_t MaxPiecesPerRange = 4;
 
+/// Load that a move should carry.
+struct WantedLoad {
+  double m_load = 0;
+  double m_minFraction = MinExcessFraction;
+
+  double min() const { return m_load * m_minFraction; }
+  double max() const { return m_load * MaxExcessFraction; }
+};
+
 struct ServerLoads {
   std::map<std::string, double> m_byServer;
   double m_uniformRatePerKey = 0;
@@ -55,6 +67,19 @@
          std::max(0.1, Capacity.at(Server));
 }
 
+/// Returns the utilization of all servers together.
+double meanUtilization(const ServerLoads &Current,
+                       const std::map<std::string, double> &Capacity) {
+  double Load = 0;
+  double Total = 0;
+  for (const auto &[Server, Rate] : Capacity) {
+    const auto Found = Current.m_byServer.find(Server);
+    Load += Found == Current.m_byServer.end() ? 0 : Found->second;
+    Total += std::max(0.1, Rate);
+  }
+  return Load / Total;
+}
+
 /// Returns the server that has the lowest utilization once it gets a load of
 /// \p Added.
 std::string leastUtilized(const ServerLoads &Current,
@@ -118,7 +143,8 @@
 }
 
 /// Returns the narrowest part of \p Keys with a load of about \p Wanted.
-std::optional<KeyRange> findWindow(const KeyRange &Keys, double Wanted,
+std::optional<KeyRange> findWindow(const KeyRange &Keys,
+                                   const WantedLoad &Wanted,
                                    const std::vector<KeyRate> &Rates,
                                    double UniformRatePerKey) {
   const std::span<const KeyRate> Own = ratesIn(Keys, Rates);
@@ -127,10 +153,9 @@
   double Sum = 0;
   for (std::size_t Last = 0; Last < Own.size(); ++Last) {
     Sum += Own[Last].m_rate;
-    while (First < Last &&
-           Sum - Own[First].m_rate >= Wanted * MinExcessFraction)
+    while (First < Last && Sum - Own[First].m_rate >= Wanted.min())
       Sum -= Own[First++].m_rate;
-    if (Sum < Wanted * MinExcessFraction || Sum > Wanted * MaxExcessFraction)
+    if (Sum < Wanted.min() || Sum > Wanted.max())
       continue;
     const KeyRange Found{Own[First].m_key, Own[Last].m_key, ""};
     if (!Best || widthOf(Found) < widthOf(*Best))
@@ -144,7 +169,7 @@
   if (!Own.empty() || Whole <= 0)
     return std::nullopt;
   const std::uint32_t Width = std::clamp<std::uint32_t>(
-      static_cast<std::uint32_t>(widthOf(Keys) * Wanted / Whole), 1,
+      static_cast<std::uint32_t>(widthOf(Keys) * Wanted.m_load / Whole), 1,
       widthOf(Keys));
   return KeyRange{static_cast<Key>(Keys.m_to - Width + 1), Keys.m_to, ""};
 }
@@ -165,8 +190,9 @@
 }
 
 /// Returns the narrowest part of a range of \p Hot with a load of about
-/// \p Excess.
-std::optional<KeyRange> findPartToMove(const std::string &Hot, double Excess,
+/// \p Wanted.
+std::optional<KeyRange> findPartToMove(const std::string &Hot,
+                                       const WantedLoad &Wanted,
                                        const std::vector<PlacedRange> &Ranges,
                                        const std::vector<KeyRate> &Rates,
                                        double UniformRatePerKey) {
@@ -175,7 +201,7 @@
     if (!Range.m_canMove || Range.m_keys.m_server != Hot)
       continue;
     const std::optional<KeyRange> Found =
-        findWindow(Range.m_keys, Excess, Rates, UniformRatePerKey);
+        findWindow(Range.m_keys, Wanted, Rates, UniformRatePerKey);
     if (Found && (!Best || widthOf(*Found) < widthOf(*Best)))
       Best = Found;
   }
@@ -221,6 +247,8 @@
          const std::map<std::string, double> &Capacity,
          const std::vector<KeyRate> &Rates, bool MayMoveWhole,
          const PlacementPolicy &Policy) {
+  const double Level =
+      std::max(Policy.m_busyUtilization, meanUtilization(Current, Capacity));
   std::vector<std::pair<double, std::string>> ByUtilization;
   for (const auto &[Server, Rate] : Capacity)
     ByUtilization.emplace_back(utilization(Server, Current, Capacity), Server);
@@ -235,15 +263,25 @@
     if (Low > 0 && !IsUnequal)
       return std::nullopt;
     const double HotCapacity = std::max(0.1, Capacity.at(Hot));
+    // Load pattern: adjacent keys of one server suddenly get many times what it
+    // can serve. Half of that would overload the target too, and the keys could
+    // not move on for the time of a move; so each target gets only what it has
+    // room for, and one round spreads the load over many targets.
     const double Excess = (High - Low) * HotCapacity * TargetCapacity /
                           (HotCapacity + TargetCapacity);
+    const double Room =
+        std::max(Level - Low, Policy.m_minUtilizationGap / 2) * TargetCapacity;
+    const WantedLoad Wanted = Excess <= Room
+                                  ? WantedLoad{Excess, MinExcessFraction}
+                                  : WantedLoad{Room, MinRoomFraction};
     const bool CanSplit = Ranges.size() < Policy.m_maxRanges;
     const auto FindWholeRange = [&] {
       return findWholeRange(Hot, Policy.m_minWholeRangeShare * HotCapacity,
-                            Excess, Ranges, Rates, Current.m_uniformRatePerKey);
+                            Wanted.m_load, Ranges, Rates,
+                            Current.m_uniformRatePerKey);
     };
     const std::optional<KeyRange> Found =
-        CanSplit ? findPartToMove(Hot, Excess, Ranges, Rates,
+        CanSplit ? findPartToMove(Hot, Wanted, Ranges, Rates,
                                   Current.m_uniformRatePerKey)
                  : FindWholeRange();
     if (Found)
@@ -258,7 +296,9 @@
         CanUnload ? FindWholeRange() : std::nullopt;
     if (Whole)
       return PlannedMove{{Whole->m_from, Whole->m_to, Target}, true};
-    return std::nullopt;
+    // Ranges that have just moved must not keep other servers overloaded.
+    if (!IsUnequal)
+      return std::nullopt;
   }
   return std::nullopt;
 }
--- a/test/gateway/key-placement-test.cc
+++ b/test/gateway/key-placement-test.cc
@@ -152,6 +152,93 @@
   EXPECT_TRUE(HasKeys);
 }
 
+/// 30 servers with equal parts of the keys; 200 adjacent keys of one of them
+/// get a load that 12 servers could serve, besides an even load of a quarter of
+/// what all servers can serve.
+class HotWindowTest : public KeyPlacementTest {
+protected:
+  static constexpr unsigned Servers = 30;
+  static constexpr double PerSecond = 25; ///< Capacity of a server.
+  /// Rounds of 200 ms for which a range that moves cannot move again.
+  static constexpr int MoveRounds = 4;
+
+  HotWindowTest() {
+    m_ranges.clear();
+    m_capacity.clear();
+    std::map<Key, double> ByKey;
+    for (unsigned I = 0; I < Servers; ++I) {
+      const auto From = static_cast<Key>(KeyCount * I / Servers);
+      const auto To = static_cast<Key>(KeyCount * (I + 1) / Servers - 1);
+      const std::string Name = "server-" + std::to_string(I);
+      m_capacity[Name] = PerSecond;
+      m_ranges.push_back({{From, To, Name}, true});
+      for (unsigned J = 0; J < 10; ++J)
+        ByKey[static_cast<Key>(From + 200 * J)] = PerSecond * 0.025;
+    }
+    for (Key I = 0; I < 200; ++I)
+      ByKey[static_cast<Key>(20000 + I)] += 12 * PerSecond / 200;
+    for (const auto &[Value, Rate] : ByKey)
+      m_rates.push_back({Value, Rate});
+  }
+
+  /// Plans a round and applies its moves.
+  void playRound(int Round) {
+    for (std::size_t I = 0; I < m_ranges.size(); ++I)
+      m_ranges[I].m_canMove = m_movableFrom[m_ranges[I].m_keys.m_from] <= Round;
+    for (const KeyMove &Move : plan()) {
+      ++m_moves;
+      std::vector<PlacedRange> Next;
+      for (const PlacedRange &Range : m_ranges) {
+        const KeyRange &Keys = Range.m_keys;
+        if (Move.m_to < Keys.m_from || Move.m_from > Keys.m_to) {
+          Next.push_back(Range);
+          continue;
+        }
+        const int MovableFrom = m_movableFrom[Keys.m_from];
+        if (Keys.m_from < Move.m_from)
+          Next.push_back(
+              {{Keys.m_from, static_cast<Key>(Move.m_from - 1), Keys.m_server},
+               true});
+        Next.push_back({{Move.m_from, Move.m_to, Move.m_target}, true});
+        m_movableFrom[Move.m_from] = Round + MoveRounds;
+        if (Keys.m_to > Move.m_to) {
+          Next.push_back(
+              {{static_cast<Key>(Move.m_to + 1), Keys.m_to, Keys.m_server},
+               true});
+          m_movableFrom[static_cast<Key>(Move.m_to + 1)] = MovableFrom;
+        }
+      }
+      m_ranges = Next;
+    }
+  }
+
+  /// Returns the highest load of a server as a fraction of its capacity.
+  double highestUtilization() const {
+    std::map<std::string, double> Loads;
+    for (const PlacedRange &Range : m_ranges)
+      for (const KeyRate &Item : m_rates)
+        if (Range.m_keys.m_from <= Item.m_key &&
+            Item.m_key <= Range.m_keys.m_to)
+          Loads[Range.m_keys.m_server] += Item.m_rate / PerSecond;
+    double Highest = 0;
+    for (const auto &[Server, Load] : Loads)
+      Highest = std::max(Highest, Load);
+    return Highest;
+  }
+
+  std::map<Key, int> m_movableFrom; ///< Round, by the first key of a range.
+  std::size_t m_moves = 0;
+};
+
+// Halving the load with each move would leave servers overloaded for as long
+// as such a demand lasts, some seconds.
+TEST_F(HotWindowTest, Plan_DemandOfManyServers_IsSpreadWithinOneSecond) {
+  for (int Round = 0; Round < 5; ++Round)
+    playRound(Round);
+  EXPECT_LE(highestUtilization(), 1.0);
+  EXPECT_LE(m_moves, 3 * Servers);
+}
+
 TEST_F(KeyPlacementTest, Plan_RangesCannotMove_MovesNothing) {
   for (PlacedRange &Range : m_ranges)
     Range.m_canMove = false;
