Report what a server's answer says as one value

Cause: dispatchers are to learn more of an answer than its rate limit: the load that the server reports, and the time for which it is still cold. AnswerReport carries these from the head of the answer to the coordinator's dispatcher; the message has new elements only where a server reports them. Nothing uses them yet. Not measured: no decision changes.

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -56,11 +56,11 @@
   void cancel(AdmissionHandle &Handle);
 
   /// Releases the slot of a dispatch that has ended and, unless the fallback
-  /// decided on it, reports the result to the coordinator. \p Limit is what the
-  /// answer says about the rate limit of its server.
+  /// decided on it, reports the result to the coordinator. \p Report is what
+  /// the answer says about its server.
   void finish(const std::string &Service, const AdmissionResult &Taken,
               DispatchResult Outcome, Millis ServiceTime,
-              const std::optional<NamedLimit> &Limit = std::nullopt);
+              const AnswerReport &Report = {});
 
   /// Sets the coordinator of each service. Running and waiting requests of a
   /// service move to its new coordinator.
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -13,6 +13,7 @@
 #ifndef TAMARACKDRUM_GATEWAY_DISPATCHER_H
 #define TAMARACKDRUM_GATEWAY_DISPATCHER_H
 
+#include "tamarackdrum/gateway/answer-report.h"
 #include "tamarackdrum/gateway/key-map.h"
 #include "tamarackdrum/gateway/rate-limit.h"
 #include "tamarackdrum/gateway/retry-window.h"
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -97,7 +97,7 @@
   std::uint32_t m_number = 0;
   DispatchResult m_result = DispatchResult::Served;
   Millis m_serviceTime{0};
-  std::optional<NamedLimit> m_limit; ///< Empty if no answer has told.
+  AnswerReport m_report; ///< What the answer says about its server.
 
   bool operator==(const FinishMessage &) const = default;
 };
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -23,6 +23,8 @@
   std::string m_key;          ///< Key of a request to a keyed service.
   std::string m_leaving;      ///< "1" in all answers of a leaving server.
   std::string m_rateLimit;    ///< Requests per second that a server takes.
+  std::string m_load;         ///< See parseReportedLoad().
+  std::string m_coldLeftMs;   ///< Time for which a server is still cold.
 
   bool operator==(const HeaderNames &) const = default;
 };
--- a/include/tamarackdrum/gateway/upstream-client.h
+++ b/include/tamarackdrum/gateway/upstream-client.h
@@ -30,7 +30,7 @@
   /// Called when the head of the answer arrives: the server has finished its
   /// work and the slot is free, even if the body takes long to transfer.
   std::function<void(DispatchResult Result, Millis ServiceTime,
-                     const std::optional<NamedLimit> &Limit)>
+                     const AnswerReport &Report)>
       m_onHead;
   /// Limit for idle connections to this server.
   std::size_t m_maxIdleConnections = 1;
@@ -49,6 +49,8 @@
   Millis m_restTime{0};     ///< Time without requests that the server asks for.
   /// Text of a rate limit that cannot be read; empty if there is none.
   std::string m_unreadableLimit;
+  /// Text of a reported load that cannot be read; empty if there is none.
+  std::string m_unreadableLoad;
   /// Status and headers; null if none have arrived.
   std::shared_ptr<ResponseParser> m_parser;
   std::string m_body;
@@ -103,6 +105,8 @@
   void handleHead(const UpstreamRequest &Request, UpstreamReply &Reply) const;
   /// Returns the result that the status and headers of an answer stand for.
   DispatchResult resultOf(const UpstreamReply &Reply) const;
+  /// Returns what the head of an answer says about its server.
+  AnswerReport reportOf(const UpstreamReply &Reply) const;
   /// Returns what an answer says about the rate limit of its server; nothing if
   /// it says nothing that can be read.
   std::optional<NamedLimit> limitOf(const UpstreamReply &Reply) const;
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -156,7 +156,7 @@
 
 void Admission::finish(const std::string &Service, const AdmissionResult &Taken,
                        DispatchResult Outcome, Millis ServiceTime,
-                       const std::optional<NamedLimit> &Limit) {
+                       const AnswerReport &Report) {
   const auto Found = m_running.find(Taken.m_number);
   if (Found == m_running.end())
     return;
@@ -164,8 +164,8 @@
   m_running.erase(Found);
   const TimePoint Now = BootClock::now();
   const DispatchId Id{0, Taken.m_number};
-  if (Limit)
-    noteLimit(Item, *Limit);
+  if (Report.m_limit)
+    noteLimit(Item, *Report.m_limit);
   if (Item.m_place == AdmissionPlace::Fallback)
     m_fallbackDispatchers.finish(Service, Id, Outcome, ServiceTime, Now);
   // The dispatchers here may have adopted a dispatch of another coordinator.
@@ -181,7 +181,7 @@
     return;
   m_network->send(
       Coordinator->second,
-      FinishMessage{Service, Taken.m_number, Outcome, ServiceTime, Limit});
+      FinishMessage{Service, Taken.m_number, Outcome, ServiceTime, Report});
 }
 
 void Admission::noteLimit(const StartedDispatch &Item,
@@ -358,7 +358,7 @@
         Found == m_pending.end() ? std::string() : Found->second->m_service;
     m_network->reply(Link,
                      FinishMessage{Service, Number, DispatchResult::Withdrawn,
-                                   Millis(0), std::nullopt});
+                                   Millis(0), AnswerReport{}});
   }
 }
 
@@ -366,11 +366,11 @@
   const TimePoint Now = BootClock::now();
   const DispatchId Id{Link, Message.m_number};
   if (!Message.m_service.empty()) {
-    if (Message.m_limit)
-      logLimit(
-          Message.m_service,
-          m_dispatchers.noteLimit(Message.m_service, Id, *Message.m_limit, Now),
-          "report");
+    if (Message.m_report.m_limit)
+      logLimit(Message.m_service,
+               m_dispatchers.noteLimit(Message.m_service, Id,
+                                       *Message.m_report.m_limit, Now),
+               "report");
     m_dispatchers.finish(Message.m_service, Id, Message.m_result,
                          Message.m_serviceTime, Now);
     return;
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -149,8 +149,8 @@
   UpstreamRequest Upstream = makeRequest(Client, Request, Chosen);
   Upstream.m_onHead = [this, Service = Request->m_service->m_name,
                        Taken](DispatchResult Result, Millis ServiceTime,
-                              const std::optional<NamedLimit> &Limit) {
-    m_admission.finish(Service, Taken, Result, ServiceTime, Limit);
+                              const AnswerReport &Report) {
+    m_admission.finish(Service, Taken, Result, ServiceTime, Report);
   };
   const std::size_t SentBytes = Upstream.m_head.size() + Upstream.m_body.size();
   UpstreamReply Reply = co_await m_upstreamClient.execute(
@@ -206,6 +206,12 @@
                         {"server", Server.m_id},
                         {"service", Service},
                         {"text", Reply.m_unreadableLimit}});
+  if (!Reply.m_unreadableLoad.empty())
+    m_log.writeRequest("server-load-unreadable",
+                       {{"request", Request.m_id},
+                        {"server", Server.m_id},
+                        {"service", Service},
+                        {"text", Reply.m_unreadableLoad}});
   if (Reply.m_result == DispatchResult::Served)
     m_poison.noteAnswered(Request.m_fingerprint, bootMillis());
   else
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -201,17 +201,33 @@
   return HasRun ? std::optional<NamedLimit>(NamedLimit{}) : std::nullopt;
 }
 
+AnswerReport UpstreamClient::reportOf(const UpstreamReply &Reply) const {
+  const http::response_header<> &Head = Reply.m_parser->get();
+  AnswerReport Out;
+  Out.m_limit = limitOf(Reply);
+  const auto Load = Head.find(m_headers.m_load);
+  if (Load != Head.end())
+    Out.m_load = parseReportedLoad(Load->value());
+  const auto Cold = Head.find(m_headers.m_coldLeftMs);
+  if (Cold != Head.end())
+    Out.m_coldLeft = parseColdTime(Cold->value());
+  return Out;
+}
+
 void UpstreamClient::handleHead(const UpstreamRequest &Request,
                                 UpstreamReply &Reply) const {
   const http::response_header<> &Head = Reply.m_parser->get();
   Reply.m_isLeaving = Head[m_headers.m_leaving] == "1";
   Reply.m_restTime = restTime(Head);
-  const std::optional<NamedLimit> Limit = limitOf(Reply);
-  if (!Limit)
+  const AnswerReport Report = reportOf(Reply);
+  if (!Report.m_limit)
     Reply.m_unreadableLimit =
         Head[m_headers.m_rateLimit].substr(0, MaxLoggedHeaderBytes);
+  if (!Report.m_load)
+    Reply.m_unreadableLoad =
+        Head[m_headers.m_load].substr(0, MaxLoggedHeaderBytes);
   if (Request.m_onHead)
-    Request.m_onHead(resultOf(Reply), Reply.m_serviceTime, Limit);
+    Request.m_onHead(resultOf(Reply), Reply.m_serviceTime, Report);
 }
 
 asio::awaitable<UpstreamReply> UpstreamClient::execute(UpstreamRequest Request,
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -111,6 +111,33 @@
   return Out;
 }
 
+Json pack(const std::optional<ReportedLoad> &Load) {
+  if (!Load)
+    return nullptr;
+  return packArray(Load->m_running, Load->m_waiting, Load->m_slots,
+                   Load->m_durationPercent);
+}
+
+std::optional<ReportedLoad> readLoad(const Json &Value) {
+  if (Value.is_null())
+    return std::nullopt;
+  ArrayReader In(Value);
+  ReportedLoad Out;
+  Out.m_running = In.take<unsigned>();
+  Out.m_waiting = In.take<unsigned>();
+  Out.m_slots = In.take<unsigned>();
+  Out.m_durationPercent = In.take<unsigned>();
+  if (Out.m_durationPercent == 0)
+    throw std::invalid_argument("duration of 0%");
+  return Out;
+}
+
+Millis readColdTime(Millis Value) {
+  if (Value < Millis(0) || Value > MaxColdTime)
+    throw std::invalid_argument("cold time out of range");
+  return Value;
+}
+
 Json pack(const std::vector<ToldLimit> &Items) {
   Json Out = Json::array();
   for (const ToldLimit &Item : Items)
@@ -217,10 +244,19 @@
   Json Out =
       packArray(Value.m_service, Value.m_number,
                 static_cast<int>(Value.m_result), Value.m_serviceTime.count());
-  if (Value.m_limit && Value.m_limit->isNone())
+  const AnswerReport &Report = Value.m_report;
+  const bool HasMore = Report.m_load || Report.m_coldLeft;
+  if (Report.m_limit && Report.m_limit->isNone())
     Out.push_back(0);
-  else if (Value.m_limit)
-    Out.push_back(Value.m_limit->m_perSecond);
+  else if (Report.m_limit)
+    Out.push_back(Report.m_limit->m_perSecond);
+  else if (HasMore)
+    Out.push_back(nullptr);
+  if (!HasMore)
+    return Out;
+  Out.push_back(pack(Report.m_load));
+  if (Report.m_coldLeft)
+    Out.push_back(Report.m_coldLeft->count());
   return Out;
 }
 
@@ -229,8 +265,15 @@
   Out.m_number = In.take<std::uint32_t>();
   Out.m_result = static_cast<DispatchResult>(In.take<int>());
   Out.m_serviceTime = In.takeMillis();
+  if (In.hasNext()) {
+    const Json &Limit = In.next();
+    if (!Limit.is_null())
+      Out.m_report.m_limit = readLimit(Limit.get<double>());
+  }
+  if (In.hasNext())
+    Out.m_report.m_load = readLoad(In.next());
   if (In.hasNext())
-    Out.m_limit = readLimit(In.take<double>());
+    Out.m_report.m_coldLeft = readColdTime(In.takeMillis());
 }
 
 Json pack(const WithdrawMessage &Value) {
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -33,9 +33,13 @@
           DecisionMessage{{{0, 7}, "", RefusalReason::Overloaded, Millis(250)}},
           FinishMessage{"cart", 7, DispatchResult::ConnectionLost, Millis(12)},
           FinishMessage{"cart", 8, DispatchResult::Served, Millis(12),
-                        NamedLimit{}},
+                        AnswerReport{NamedLimit{}, {}, {}}},
           FinishMessage{"cart", 9, DispatchResult::Refused, Millis(12),
-                        NamedLimit{2.9}},
+                        AnswerReport{NamedLimit{2.9}, {}, {}}},
+          FinishMessage{"cart", 10, DispatchResult::Served, Millis(12),
+                        AnswerReport{{}, ReportedLoad{4, 12, 4, 300}, {}}},
+          FinishMessage{"cart", 11, DispatchResult::Served, Millis(12),
+                        AnswerReport{NamedLimit{}, {}, Millis(1500)}},
           WithdrawMessage{"cart", 7},
           KeyMapMessage{"cart", {8, 9, {{0, 65535, "s-1"}}}},
           NotHeldMessage{"cart", 65535},
@@ -89,19 +93,20 @@
   std::string WithLimit;
   std::string Without;
   encode(FinishMessage{"cart", 7, DispatchResult::Served, Millis(12),
-                       NamedLimit{}},
+                       AnswerReport{NamedLimit{}, {}, {}}},
          WithLimit);
   encode(FinishMessage{"cart", 7, DispatchResult::Served, Millis(12)}, Without);
   EXPECT_EQ(WithLimit.size(), Without.size() + 1);
   const Result<std::vector<PeerMessage>> Decoded = decode(Without);
   ASSERT_TRUE(Decoded);
-  EXPECT_FALSE(std::get<FinishMessage>(Decoded.value()[0]).m_limit.has_value());
+  EXPECT_FALSE(
+      std::get<FinishMessage>(Decoded.value()[0]).m_report.m_limit.has_value());
 }
 
 TEST(PeerMessageTest, Decode_LimitOutOfRange_IsMalformed) {
   std::string Buffer;
   encode(FinishMessage{"cart", 7, DispatchResult::Served, Millis(12),
-                       NamedLimit{-1}},
+                       AnswerReport{NamedLimit{-1}, {}, {}}},
          Buffer);
   EXPECT_FALSE(decode(Buffer));
 }
