--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -266,7 +266,6 @@
     TimePoint m_previousHoldEndsAt{};
     TimePoint m_releaseValidFrom{};     ///< A grant may arrive before this.
     bool m_isPreviousInherited = false; ///< From an earlier granter.
-    bool m_hasPreviousEnded = false;    ///< The server has restarted.
     bool m_isReleasePending = false;
     bool m_isReleased = false;
     TimePoint m_nextReleaseAt{};
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_GATEWAY_PEER_MESSAGE_H
 
 #include "tamarackdrum/gateway/dispatcher.h"
+#include "tamarackdrum/gateway/evacuations.h"
 #include "tamarackdrum/gateway/roster.h"
 #include "tamarackdrum/gateway/store-time.h"
 
@@ -146,6 +147,7 @@
 struct StateMessage {
   std::string m_configuration; ///< As the store holds it; empty if unknown.
   std::vector<ServerEntry> m_servers;
+  Evacuations m_evacuations;
 
   bool operator==(const StateMessage &) const = default;
 };
@@ -178,24 +180,35 @@
   bool m_hasChanges = false;     ///< False: the rows are those of m_version.
   std::vector<ServerRow> m_rows; ///< New and changed rows.
   std::vector<std::string> m_removed; ///< Ids of removed rows.
+  /// Repeated, so that a follower that has missed a change learns of it.
+  Evacuations m_evacuations;
 
   bool operator==(const ListingMessage &) const = default;
 };
 
-/// A new configuration, as the store holds it.
+/// A new configuration, as the store holds it. It carries the evacuations, so
+/// that no process has routes without knowing which zones it must not use.
 struct ConfigurationMessage {
   std::string m_text;
+  Evacuations m_evacuations;
 
   bool operator==(const ConfigurationMessage &) const = default;
 };
 
+/// The evacuated zones have changed.
+struct EvacuationsMessage {
+  Evacuations m_evacuations;
+
+  bool operator==(const EvacuationsMessage &) const = default;
+};
+
 using PeerMessage =
     std::variant<HelloMessage, RunningMessage, DispatchRequestMessage,
                  QueuedMessage, DecisionMessage, FinishMessage, WithdrawMessage,
                  KeyMapMessage, NotHeldMessage, KeyMapRequest, StateRequest,
                  StateMessage, CrashMessage, ListingMessage,
                  ConfigurationMessage, FollowMessage, HostsMessage,
-                 LeavingMessage>;
+                 LeavingMessage, EvacuationsMessage>;
 
 /// Returns the name of the message's type, for logs and metrics.
 const char *toText(const PeerMessage &Message) noexcept;
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_GATEWAY_PORTS_H
 
 #include "tamarackdrum/gateway/configuration.h"
+#include "tamarackdrum/gateway/evacuations.h"
 #include "tamarackdrum/gateway/key-granter.h"
 #include "tamarackdrum/gateway/retry-window.h"
 #include "tamarackdrum/gateway/roster.h"
@@ -101,6 +102,10 @@
   /// last that this call returned. TableErrc::Conflict: there is none.
   virtual Task<DecodedConfiguration> awaitConfiguration(Millis Wait) = 0;
 
+  /// Returns the evacuated zones as of the last answer of awaitConfiguration(),
+  /// which waits for changes of these, too.
+  virtual const Evacuations &evacuations() const = 0;
+
   /// Decodes the text of a configuration that a peer has passed on.
   virtual Result<DecodedConfiguration>
   decodeConfiguration(const std::string &Text) const = 0;
--- a/include/tamarackdrum/gateway/server-directory.h
+++ b/include/tamarackdrum/gateway/server-directory.h
@@ -93,6 +93,10 @@
   /// for good. Returns whether that is new.
   bool markLeaving(const std::string &Id, std::int64_t StartMs, TimePoint Now);
 
+  /// Sets the zones whose servers must get no requests. Returns whether they
+  /// have changed.
+  bool setEvacuatedZones(const std::set<std::string> &Zones);
+
   /// Records that the listing could not be read.
   void recordReadFailure() { m_hasReadFailed = true; }
 
@@ -131,6 +135,10 @@
   void beginListing(TimePoint AskedAt, TimePoint Now, std::uint64_t Era);
   /// Returns whether a listed server that the directory lacks may be added.
   bool isUsable(const ServerEntry &Entry, TimePoint Now);
+  /// Sets ServerEntry::m_isEvacuated.
+  void markIfEvacuated(ServerEntry &Entry) const {
+    Entry.m_isEvacuated = m_evacuatedZones.count(Entry.m_zone) > 0;
+  }
   void add(const ServerEntry &Entry, DirectoryChange &Out);
   void update(ServerEntry &Known, const ServerEntry &Next,
               DirectoryChange &Out) const;
@@ -138,6 +146,7 @@
 
   const DirectoryPolicy m_policy;
   std::map<std::string, ServerEntry> m_entries;
+  std::set<std::string> m_evacuatedZones;
   std::map<std::string, RemovedServer> m_removedServers; ///< By id.
   std::uint64_t m_era = 0;                               ///< Of m_lastListing.
   TimePoint m_lastListing{};
--- a/include/tamarackdrum/gateway/state-feed.h
+++ b/include/tamarackdrum/gateway/state-feed.h
@@ -94,6 +94,11 @@
     return m_directory.entries();
   }
 
+  /// Zones whose servers must get no requests.
+  const std::set<std::string> &evacuatedZones() const {
+    return m_evacuations.m_zones;
+  }
+
   /// See StoreHealth::lostFor().
   Millis storeLostFor() const;
   /// See StoreHealth::availableFor().
@@ -114,7 +119,11 @@
   void onHeartbeat(const Heartbeat &Beat);
   void onListing(std::uint32_t Link, const std::string &Host,
                  const ListingMessage &Listing);
-  void onConfiguration(const std::string &Text, std::string_view Source);
+  void onConfiguration(const ConfigurationMessage &Message,
+                       std::string_view Source);
+  /// Applies evacuations from \p Source, unless this host knows later ones,
+  /// and sends them on to the followers.
+  void applyEvacuations(const Evacuations &Next, std::string_view Source);
   void onStateRequest(std::uint32_t Link, const StateRequest &Needed);
   void onState(const std::string &Host, const StateMessage &State);
   void onHosts(const HostsMessage &Message);
@@ -179,6 +188,7 @@
   ServerDirectory m_directory;
   std::shared_ptr<RouteTable> m_routes;
   std::string m_configurationText;
+  Evacuations m_evacuations;
   TimePoint m_configurationCurrentAt{}; ///< When it was last the newest.
   std::vector<ServerRow> m_rows;        ///< Of the last listing.
   ListingSource m_listings;             ///< Sent to the followers.
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -370,7 +370,7 @@
   } else if (const auto *Listing = std::get_if<ListingMessage>(&Message)) {
     m_feed.onListing(Link, Host, *Listing);
   } else if (const auto *Config = std::get_if<ConfigurationMessage>(&Message)) {
-    m_feed.onConfiguration(Config->m_text, "source " + Host);
+    m_feed.onConfiguration(*Config, "source " + Host);
   } else if (const auto *Follow = std::get_if<FollowMessage>(&Message)) {
     m_feed.onFollow(Link, Follow->m_isFollowing);
   } else if (const auto *Hosts = std::get_if<HostsMessage>(&Message)) {
@@ -379,6 +379,8 @@
     handleCrash(*Crash, false);
   } else if (const auto *Leaving = std::get_if<LeavingMessage>(&Message)) {
     handleLeaving(*Leaving, false);
+  } else if (const auto *Zones = std::get_if<EvacuationsMessage>(&Message)) {
+    m_feed.applyEvacuations(Zones->m_evacuations, "source " + Host);
   }
 }
 
@@ -430,6 +432,8 @@
   m_metrics.setGauge("client_connections",
                      static_cast<double>(m_edge.connectionCount()));
   m_metrics.setGauge("known_servers", static_cast<double>(servers().size()));
+  m_metrics.setGauge("evacuated_zones",
+                     static_cast<double>(m_feed.evacuatedZones().size()));
   m_metrics.setGauge("store_lost_ms",
                      static_cast<double>(m_feed.storeLostFor().count()));
   m_metrics.setGauge("upstream_connections_opened",
--- a/src/edge/state-feed.cc
+++ b/src/edge/state-feed.cc
@@ -197,6 +197,9 @@
                     HasAnswered ? "" : Read.error().message());
     if (HasAnswered)
       m_configurationCurrentAt = BootClock::now();
+    // Routes must not be used before the evacuations of the same read.
+    if (HasAnswered)
+      applyEvacuations(m_store.evacuations(), "store");
     if (Read)
       applyConfiguration(Read.value(), "store");
     if (HasAnswered) {
@@ -259,10 +262,12 @@
   Message.m_ageMs = ageMs(m_listingTimes.m_requestedAt, Now);
   Message.m_configAgeMs = ageMs(m_configurationCurrentAt, Now);
   Message.m_configVersion = configurationVersion();
+  Message.m_evacuations = m_evacuations;
 }
 
 void StateFeed::onListing(std::uint32_t Link, const std::string &Host,
                           const ListingMessage &Listing) {
+  applyEvacuations(Listing.m_evacuations, Host);
   const TimePoint Now = BootClock::now();
   const std::uint64_t Own = configurationVersion();
   ListingFollower &Received = m_receivedListings[Host];
@@ -280,19 +285,44 @@
                Listing.m_hasChanges);
 }
 
-void StateFeed::onConfiguration(const std::string &Text,
+void StateFeed::onConfiguration(const ConfigurationMessage &Message,
                                 std::string_view Source) {
-  const Result<DecodedConfiguration> Read = m_store.decodeConfiguration(Text);
+  applyEvacuations(Message.m_evacuations, Source);
+  const Result<DecodedConfiguration> Read =
+      m_store.decodeConfiguration(Message.m_text);
   if (Read)
     applyConfiguration(Read.value(), Source);
 }
 
 void StateFeed::onState(const std::string &Host, const StateMessage &State) {
   if (!State.m_configuration.empty())
-    onConfiguration(State.m_configuration, "peer " + Host);
+    onConfiguration({State.m_configuration, State.m_evacuations},
+                    "peer " + Host);
   applyServers(m_directory.addFromPeer(State.m_servers), false);
 }
 
+void StateFeed::applyEvacuations(const Evacuations &Next,
+                                 std::string_view Source) {
+  if (!isNewer(Next, m_evacuations))
+    return;
+  const Evacuations Old = std::exchange(m_evacuations, Next);
+  if (Old.m_zones == Next.m_zones)
+    return;
+  const auto Report = [&](const char *What, const std::set<std::string> &Zones,
+                          const std::set<std::string> &Others) {
+    for (const std::string &Zone : Zones)
+      if (Others.count(Zone) == 0)
+        m_log.write(What, {{"zone", Zone},
+                           {"version", Next.m_version.m_number},
+                           {"source", Source}});
+  };
+  Report("zone-evacuated", Next.m_zones, Old.m_zones);
+  Report("zone-restored", Old.m_zones, Next.m_zones);
+  m_network->sendToFollowers(EvacuationsMessage{Next});
+  if (m_directory.setEvacuatedZones(Next.m_zones))
+    applyServers({}, true);
+}
+
 void StateFeed::applyConfiguration(const DecodedConfiguration &Read,
                                    std::string_view Source) {
   const std::uint64_t Old = configurationVersion();
@@ -300,7 +330,8 @@
     return;
   m_routes = std::make_shared<RouteTable>(Read.m_configuration);
   m_configurationText = Read.m_text;
-  m_network->sendToFollowers(ConfigurationMessage{m_configurationText});
+  m_network->sendToFollowers(
+      ConfigurationMessage{m_configurationText, m_evacuations});
   m_log.write("configuration",
               {{"version", Read.m_configuration.m_version},
                {"was", Old},
@@ -338,7 +369,8 @@
 
 void StateFeed::sendState(std::uint32_t Link, const StateRequest &Needed) {
   if (Needed.m_needsConfiguration && !m_configurationText.empty())
-    m_network->reply(Link, ConfigurationMessage{m_configurationText});
+    m_network->reply(Link,
+                     ConfigurationMessage{m_configurationText, m_evacuations});
   if (!Needed.m_needsServers || !m_directory.isLoaded())
     return;
   if (!std::exchange(m_areRowsPublished, true))
@@ -356,6 +388,7 @@
   StateMessage Known;
   if (Needed.m_needsConfiguration)
     Known.m_configuration = m_configurationText;
+  Known.m_evacuations = m_evacuations;
   if (Needed.m_needsServers)
     for (const auto &[Id, Entry] : m_directory.entries())
       Known.m_servers.push_back(Entry);
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -285,7 +285,7 @@
 }
 
 void KeyGranter::setServers(const std::vector<ServerEntry> &Servers,
-                            TimePoint) {
+                            TimePoint Now) {
   m_servers.clear();
   for (const ServerEntry &Entry : Servers) {
     m_servers[Entry.m_id] = Entry;
@@ -298,19 +298,26 @@
   if (!m_isGranter)
     return;
   for (Range &Item : m_ranges) {
-    // A restarted server holds none of the keys of its earlier instance.
+    // The registry lists a restart late. Until then the new instance takes
+    // renewals that were meant for the earlier one, so that it may hold keys by
+    // the last of them.
     const auto Owner = m_servers.find(Item.m_record.m_owner.m_id);
     if (Owner != m_servers.end() &&
         Owner->second.m_startMs > Item.m_record.m_owner.m_startMs) {
       Item.m_isInherited = false;
-      Item.m_answeredAt = {};
-      Item.m_unansweredAt = {};
+      if (Item.m_isGrantPending)
+        Item.m_unansweredAt = Now;
       regrant(Item, {Owner->first, Owner->second.m_startMs});
     }
     const auto Previous = m_servers.find(Item.m_record.m_previousOwner.m_id);
     if (Previous != m_servers.end() &&
-        Previous->second.m_startMs > Item.m_record.m_previousOwner.m_startMs)
-      Item.m_hasPreviousEnded = true;
+        Previous->second.m_startMs > Item.m_record.m_previousOwner.m_startMs) {
+      Item.m_record.m_previousOwner.m_startMs = Previous->second.m_startMs;
+      Item.m_isReleasePending = false;
+      Item.m_isReleased = false;
+      Item.m_nextReleaseAt = {};
+      m_isDirty = true;
+    }
   }
 }
 
@@ -408,7 +415,6 @@
         Item.m_isGrantPending || Item.m_unansweredAt != TimePoint{};
     Item.m_previousHoldEndsAt = lastHoldEnd(Item);
     Item.m_isPreviousInherited = Item.m_isInherited;
-    Item.m_hasPreviousEnded = false;
     Item.m_releaseValidFrom =
         MayGrantArriveLater ? Item.m_previousHoldEndsAt : Now;
     Item.m_isReleased = false;
@@ -507,8 +513,6 @@
 }
 
 bool KeyGranter::mayClearPreviousOwner(const Range &Item, TimePoint Now) const {
-  if (Item.m_hasPreviousEnded)
-    return true;
   if (Item.m_isPreviousInherited && Now < m_inheritedHoldsEndAt)
     return false;
   return (Item.m_isReleased && Now >= Item.m_releaseValidFrom) ||
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -352,17 +352,45 @@
   return Entry;
 }
 
+Json pack(const Evacuations &Value) {
+  return packArray(Value.m_version.m_era, Value.m_version.m_number,
+                   Value.m_zones);
+}
+
+/// Appends the evacuations to \p Message, unless the sender knows of none.
+void appendEvacuations(const Evacuations &Value, Json &Message) {
+  if (Value.m_version.m_number > 0)
+    Message.push_back(pack(Value));
+}
+
+Evacuations readEvacuations(const Json &Value) {
+  ArrayReader In(Value);
+  Evacuations Out;
+  Out.m_version.m_era = In.take<std::uint64_t>();
+  Out.m_version.m_number = In.take<std::uint64_t>();
+  Out.m_zones = In.take<std::set<std::string>>();
+  return Out;
+}
+
+/// Reads evacuations at the end of a message, if there are any.
+Evacuations takeEvacuations(ArrayReader &In) {
+  return In.hasNext() ? readEvacuations(In.next()) : Evacuations{};
+}
+
 Json pack(const StateMessage &Value) {
   Json Servers = Json::array();
   for (const ServerEntry &Item : Value.m_servers)
     Servers.push_back(packServer(Item));
-  return packArray(Value.m_configuration, Servers);
+  Json Out = packArray(Value.m_configuration, Servers);
+  appendEvacuations(Value.m_evacuations, Out);
+  return Out;
 }
 
 void read(ArrayReader In, StateMessage &Out) {
   Out.m_configuration = In.take<std::string>();
   for (const Json &Value : In.next())
     Out.m_servers.push_back(readServer(Value));
+  Out.m_evacuations = takeEvacuations(In);
 }
 
 Json pack(const ListingMessage &Value) {
@@ -370,10 +398,12 @@
   for (const ServerRow &Row : Value.m_rows)
     Rows.push_back(Row.m_isReadable ? packServer(Row.m_entry)
                                     : packArray(Row.m_id));
-  return packArray(Value.m_version, Value.m_baseVersion,
-                   Value.m_storeTime.m_era, Value.m_storeTime.m_ms,
-                   Value.m_ageMs, Value.m_configAgeMs, Value.m_configVersion,
-                   Value.m_hasChanges, Rows, Value.m_removed);
+  Json Out = packArray(
+      Value.m_version, Value.m_baseVersion, Value.m_storeTime.m_era,
+      Value.m_storeTime.m_ms, Value.m_ageMs, Value.m_configAgeMs,
+      Value.m_configVersion, Value.m_hasChanges, Rows, Value.m_removed);
+  appendEvacuations(Value.m_evacuations, Out);
+  return Out;
 }
 
 void read(ArrayReader In, ListingMessage &Out) {
@@ -393,12 +423,18 @@
     Out.m_rows.push_back(std::move(Row));
   }
   Out.m_removed = In.take<std::vector<std::string>>();
+  Out.m_evacuations = takeEvacuations(In);
 }
 
-Json pack(const ConfigurationMessage &Value) { return packArray(Value.m_text); }
+Json pack(const ConfigurationMessage &Value) {
+  Json Out = packArray(Value.m_text);
+  appendEvacuations(Value.m_evacuations, Out);
+  return Out;
+}
 
 void read(ArrayReader In, ConfigurationMessage &Out) {
   Out.m_text = In.take<std::string>();
+  Out.m_evacuations = takeEvacuations(In);
 }
 
 Json pack(const CrashMessage &Value) {
@@ -434,6 +470,14 @@
   return packArray(Value.m_server, Value.m_startMs);
 }
 
+Json pack(const EvacuationsMessage &Value) {
+  return packArray(pack(Value.m_evacuations));
+}
+
+void read(ArrayReader In, EvacuationsMessage &Out) {
+  Out.m_evacuations = readEvacuations(In.next());
+}
+
 void read(ArrayReader In, LeavingMessage &Out) {
   Out.m_server = In.take<std::string>();
   Out.m_startMs = In.take<std::int64_t>();
@@ -463,10 +507,10 @@
 
 /// Names of the message types, in the order of PeerMessage's alternatives.
 constexpr std::array<const char *, std::variant_size_v<PeerMessage>> TypeNames{
-    "hello",         "running",  "ask",     "queued",   "decision",
-    "finish",        "withdraw", "key-map", "not-held", "key-map-request",
-    "state-request", "state",    "crash",   "listing",  "configuration",
-    "follow",        "hosts",    "leaving"};
+    "hello",         "running",  "ask",     "queued",     "decision",
+    "finish",        "withdraw", "key-map", "not-held",   "key-map-request",
+    "state-request", "state",    "crash",   "listing",    "configuration",
+    "follow",        "hosts",    "leaving", "evacuations"};
 
 } // namespace
 
--- a/src/gateway/server-directory.cc
+++ b/src/gateway/server-directory.cc
@@ -49,6 +49,7 @@
 void ServerDirectory::add(const ServerEntry &Entry, DirectoryChange &Out) {
   const auto Removed = m_removedServers.find(Entry.m_id);
   ServerEntry &Added = m_entries.emplace(Entry.m_id, Entry).first->second;
+  markIfEvacuated(Added);
   Out.m_added.push_back(Entry.m_id);
   if (Removed == m_removedServers.end())
     return;
@@ -72,6 +73,7 @@
     Out.m_draining.push_back(Next.m_id);
   Known = Next;
   Known.m_isDraining = IsDraining;
+  markIfEvacuated(Known);
 }
 
 DirectoryChange
@@ -114,6 +116,15 @@
   }
 }
 
+bool ServerDirectory::setEvacuatedZones(const std::set<std::string> &Zones) {
+  if (Zones == m_evacuatedZones)
+    return false;
+  m_evacuatedZones = Zones;
+  for (auto &[Id, Entry] : m_entries)
+    markIfEvacuated(Entry);
+  return true;
+}
+
 bool ServerDirectory::markLeaving(const std::string &Id, std::int64_t StartMs,
                                   TimePoint Now) {
   const auto Found = m_entries.find(Id);
--- a/test/gateway/fake-platform.h
+++ b/test/gateway/fake-platform.h
@@ -46,6 +46,7 @@
       co_return TableErrc::Conflict;
     co_return DecodedConfiguration{m_configuration, "text"};
   }
+  const Evacuations &evacuations() const override { return m_evacuations; }
   Result<DecodedConfiguration>
   decodeConfiguration(const std::string &Text) const override {
     if (Text != "text")
@@ -93,6 +94,7 @@
   bool m_failsNextWait = false; ///< The next awaitConfiguration().
   std::vector<ServerRow> m_servers;
   Configuration m_configuration;
+  Evacuations m_evacuations;
   VersionedOwnership m_ownership;
   std::vector<HostInfo> m_hosts;
   std::size_t m_serverReads = 0;
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -69,10 +69,16 @@
     return Condition();
   }
 
+  /// Returns a port that no earlier call has returned: the system may give the
+  /// port of a closed probe to the next one.
   std::uint16_t freePort() {
-    asio::ip::tcp::acceptor Probe(m_context,
-                                  {asio::ip::address_v4::loopback(), 0});
-    return Probe.local_endpoint().port();
+    while (true) {
+      asio::ip::tcp::acceptor Probe(m_context,
+                                    {asio::ip::address_v4::loopback(), 0});
+      const std::uint16_t Port = Probe.local_endpoint().port();
+      if (m_usedPorts.insert(Port).second)
+        return Port;
+    }
   }
 
   GatewayHost &addHost(int Number) {
@@ -201,6 +207,7 @@
   HostPolicy m_policy;
   std::vector<std::string> m_seedIps;
   std::uint16_t m_peerPort = 0;
+  std::set<std::uint16_t> m_usedPorts;
   std::vector<Endpoint> m_addresses;
   std::vector<std::unique_ptr<GatewayHost>> m_hosts;
 };
--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -106,6 +106,36 @@
             4U);
 }
 
+// The operator's requests to evacuate a zone come by the same feed.
+TEST_F(StoreClientTest, AwaitConfiguration_ZoneIsEvacuated_EndsWithItsRow) {
+  m_store.put(OperatorTable, "evacuate/zone-a", "null");
+  putConfiguration(3);
+  ASSERT_TRUE(await(m_subject.awaitConfiguration(Millis(50))));
+  EXPECT_EQ(m_subject.evacuations().m_zones, std::set<std::string>{"zone-a"});
+  const Evacuations First = m_subject.evacuations();
+  m_store.put(OperatorTable, "evacuate/zone-b", "not JSON");
+  EXPECT_EQ(await(m_subject.awaitConfiguration(Millis(50))).error(),
+            TableErrc::Conflict);
+  EXPECT_EQ(m_subject.evacuations().m_zones,
+            (std::set<std::string>{"zone-a", "zone-b"}));
+  m_store.remove(OperatorTable, "evacuate/zone-a");
+  EXPECT_FALSE(await(m_subject.awaitConfiguration(Millis(50))));
+  EXPECT_EQ(m_subject.evacuations().m_zones, std::set<std::string>{"zone-b"});
+  EXPECT_TRUE(isNewer(m_subject.evacuations(), First));
+}
+
+// A row that was removed in the lost part of the history is in no change.
+TEST_F(StoreClientTest,
+       AwaitConfiguration_HistoryGone_EvacuationsAreReadAgain) {
+  m_store.put(OperatorTable, "evacuate/zone-a", "null");
+  putConfiguration(3);
+  ASSERT_TRUE(await(m_subject.awaitConfiguration(Millis(50))));
+  m_store.remove(OperatorTable, "evacuate/zone-a");
+  m_store.dropHistory();
+  ASSERT_TRUE(await(m_subject.awaitConfiguration(Millis(50))));
+  EXPECT_TRUE(m_subject.evacuations().m_zones.empty());
+}
+
 TEST_F(StoreClientTest, AwaitConfiguration_Malformed_IsSkipped) {
   putConfiguration(3);
   ASSERT_TRUE(await(m_subject.awaitConfiguration(Millis(50))));
