--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -5,6 +5,7 @@
 #define TAMARACKDRUM_GATEWAY_PORTS_H
 
 #include "tamarackdrum/gateway/configuration.h"
+#include "tamarackdrum/gateway/evacuations.h"
 #include "tamarackdrum/gateway/key-granter.h"
 #include "tamarackdrum/gateway/retry-window.h"
 #include "tamarackdrum/gateway/roster.h"
@@ -23,6 +24,8 @@
   std::string m_key;          ///< Key of a request to a keyed service.
   std::string m_leaving;      ///< "1" in all answers of a leaving server.
   std::string m_rateLimit;    ///< Requests per second that a server takes.
+  std::string m_load;         ///< See parseReportedLoad().
+  std::string m_coldLeftMs;   ///< Time for which a server is still cold.
 
   bool operator==(const HeaderNames &) const = default;
 };
@@ -99,6 +102,10 @@
   /// last that this call returned. TableErrc::Conflict: there is none.
   virtual Task<DecodedConfiguration> awaitConfiguration(Millis Wait) = 0;
 
+  /// Returns the evacuated zones as of the last answer of awaitConfiguration(),
+  /// which waits for changes of these, too.
+  virtual const Evacuations &evacuations() const = 0;
+
   /// Decodes the text of a configuration that a peer has passed on.
   virtual Result<DecodedConfiguration>
   decodeConfiguration(const std::string &Text) const = 0;
--- a/include/tamarackdrum/gateway/server-directory.h
+++ b/include/tamarackdrum/gateway/server-directory.h
@@ -24,10 +24,18 @@
   std::int64_t m_startMs = 0;       ///< Unix time of its start.
   std::uint64_t m_reportNumber = 0; ///< Counts the reports of the instance.
   Millis m_warmUpLeft{0};           ///< Time for which it is still slow.
+  /// The operator has asked for the evacuation of its zone. Not part of what
+  /// the server reports: each host sets it by the evacuations that it knows.
+  bool m_isEvacuated = false;
 
   bool operator==(const ServerEntry &) const = default;
 };
 
+/// Returns whether a server may be sent new requests and granted keys.
+inline bool mayGetRequests(const ServerEntry &Entry) {
+  return !Entry.m_isDraining && !Entry.m_isEvacuated;
+}
+
 /// A row of the server registry: its key, and the entry if it can be decoded.
 struct ServerRow {
   std::string m_id;
@@ -85,6 +93,10 @@
   /// for good. Returns whether that is new.
   bool markLeaving(const std::string &Id, std::int64_t StartMs, TimePoint Now);
 
+  /// Sets the zones whose servers must get no requests. Returns whether they
+  /// have changed.
+  bool setEvacuatedZones(const std::set<std::string> &Zones);
+
   /// Records that the listing could not be read.
   void recordReadFailure() { m_hasReadFailed = true; }
 
@@ -123,6 +135,10 @@
   void beginListing(TimePoint AskedAt, TimePoint Now, std::uint64_t Era);
   /// Returns whether a listed server that the directory lacks may be added.
   bool isUsable(const ServerEntry &Entry, TimePoint Now);
+  /// Sets ServerEntry::m_isEvacuated.
+  void markIfEvacuated(ServerEntry &Entry) const {
+    Entry.m_isEvacuated = m_evacuatedZones.count(Entry.m_zone) > 0;
+  }
   void add(const ServerEntry &Entry, DirectoryChange &Out);
   void update(ServerEntry &Known, const ServerEntry &Next,
               DirectoryChange &Out) const;
@@ -130,6 +146,7 @@
 
   const DirectoryPolicy m_policy;
   std::map<std::string, ServerEntry> m_entries;
+  std::set<std::string> m_evacuatedZones;
   std::map<std::string, RemovedServer> m_removedServers; ///< By id.
   std::uint64_t m_era = 0;                               ///< Of m_lastListing.
   TimePoint m_lastListing{};
