Take waiting requests away from evacuated zones, and test evacuations

Requests that waited for a slot in an evacuated zone, or that only such servers could run, waited on; a keyed request was judged as if its evacuated holder would serve it.

Change: dispatcher-evacuation ends such waits when the servers change, and refuses as no-server what no server is left for; only where a zone is evacuated, so that other deployments are served as before.

--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -434,6 +434,13 @@
   void markIfLate(Waiting &Item, double ServiceMs, TimePoint Now) const;
   /// Refuses waiting requests that can no longer be served in time.
   void refuseUnservable(TimePoint Now, DispatchDecisions &Out);
+  /// Returns whether all servers that could run \p Request, and at least one,
+  /// are of evacuated zones or draining, and one is of an evacuated zone.
+  bool areAllEvacuated(const DispatchRequest &Request) const;
+  /// Lets no waiting request wait for servers of evacuated zones: ends waits
+  /// for a slot in such a zone, and refuses requests that no other server can
+  /// run.
+  void releaseEvacuated(TimePoint Now, DispatchDecisions &Out);
   Millis notHeldPause() const;
   void updateStatistics(Server &Item, const std::string &Route,
                         DispatchResult Outcome, Millis ServiceTime,
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -45,6 +45,10 @@
   Millis m_drainBound{2000};
   /// Longest time from the store's answer until a configuration is in force.
   Millis m_applyBound{2000};
+  /// Longest time from the store's answer until no request goes to a server of
+  /// an evacuated zone. The default does not shorten m_applyBound, since both
+  /// are read by the same calls.
+  Millis m_evacuationBound = Millis::max();
   Millis m_stopTimeout{6000}; ///< From the stop signal to the kill.
   RetryPolicy m_retries;
   std::size_t m_memoryLimitBytes = 256U << 20U; ///< Of the whole process.
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -114,6 +114,9 @@
                      DispatchResult::Withdrawn, Millis(0));
   if (IsGone)
     Request.m_triedServers.push_back(Id);
+  if (Server != nullptr && Server->m_isEvacuated)
+    m_metrics.count("evacuated_server_chosen",
+                    fmt::format("service=\"{}\"", Request.m_service->m_name));
   Request.m_refusal.m_reason =
       IsGone ? RefusalReason::NoServer : RefusalReason::ServerBackoff;
   Request.m_refusal.m_retryAfter = IsGone ? GoneRetryAfter : Rest;
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -360,6 +360,10 @@
       Request.m_service == nullptr ? "" : Request.m_service->m_name;
   m_metrics.count("requests",
                   fmt::format("service=\"{}\",status=\"{}\"", Service, Status));
+  if (Status == 503)
+    m_metrics.count(
+        "requests_refused",
+        fmt::format("service=\"{}\",reason=\"{}\"", Service, Reason));
   if (Request.m_service != nullptr)
     m_metrics.recordLatency(Service, Took);
   m_log.writeRequest(
--- a/src/edge/state-feed.cc
+++ b/src/edge/state-feed.cc
@@ -184,8 +184,9 @@
   ReadBackoff Backoff(m_policy.m_firstBackoff, m_policy.m_maxBackoff);
   while (true) {
     const TimePoint StartedAt = BootClock::now();
-    const Millis Limit =
-        silenceLimit(m_policy.m_maxConfigurationAge, m_settings.m_applyBound);
+    const Millis Limit = silenceLimit(
+        m_policy.m_maxConfigurationAge,
+        std::min(m_settings.m_applyBound, m_settings.m_evacuationBound));
     if (!isReader() && StartedAt - m_configurationCurrentAt < Limit) {
       co_await sleepFor(m_policy.m_pollInterval);
       continue;
@@ -285,44 +286,6 @@
                Listing.m_hasChanges);
 }
 
-void StateFeed::onConfiguration(const ConfigurationMessage &Message,
-                                std::string_view Source) {
-  applyEvacuations(Message.m_evacuations, Source);
-  const Result<DecodedConfiguration> Read =
-      m_store.decodeConfiguration(Message.m_text);
-  if (Read)
-    applyConfiguration(Read.value(), Source);
-}
-
-void StateFeed::onState(const std::string &Host, const StateMessage &State) {
-  if (!State.m_configuration.empty())
-    onConfiguration({State.m_configuration, State.m_evacuations},
-                    "peer " + Host);
-  applyServers(m_directory.addFromPeer(State.m_servers), false);
-}
-
-void StateFeed::applyEvacuations(const Evacuations &Next,
-                                 std::string_view Source) {
-  if (!isNewer(Next, m_evacuations))
-    return;
-  const Evacuations Old = std::exchange(m_evacuations, Next);
-  if (Old.m_zones == Next.m_zones)
-    return;
-  const auto Report = [&](const char *What, const std::set<std::string> &Zones,
-                          const std::set<std::string> &Others) {
-    for (const std::string &Zone : Zones)
-      if (Others.count(Zone) == 0)
-        m_log.write(What, {{"zone", Zone},
-                           {"version", Next.m_version.m_number},
-                           {"source", Source}});
-  };
-  Report("zone-evacuated", Next.m_zones, Old.m_zones);
-  Report("zone-restored", Old.m_zones, Next.m_zones);
-  m_network->sendToFollowers(EvacuationsMessage{Next});
-  if (m_directory.setEvacuatedZones(Next.m_zones))
-    applyServers({}, true);
-}
-
 void StateFeed::applyConfiguration(const DecodedConfiguration &Read,
                                    std::string_view Source) {
   const std::uint64_t Old = configurationVersion();
@@ -358,43 +321,6 @@
     m_events.m_onServers(Change);
 }
 
-void StateFeed::onFollow(std::uint32_t Link, bool IsFollowing) {
-  m_network->setFollower(Link, IsFollowing);
-  if (!IsFollowing)
-    return;
-  m_network->reply(Link, HostsMessage{std::nullopt, m_hosts.allHosts()});
-  sendState(Link, StateRequest{});
-  m_events.m_onFollower(Link);
-}
-
-void StateFeed::sendState(std::uint32_t Link, const StateRequest &Needed) {
-  if (Needed.m_needsConfiguration && !m_configurationText.empty())
-    m_network->reply(Link,
-                     ConfigurationMessage{m_configurationText, m_evacuations});
-  if (!Needed.m_needsServers || !m_directory.isLoaded())
-    return;
-  if (!std::exchange(m_areRowsPublished, true))
-    m_listings.update(m_rows);
-  ListingMessage Snapshot = m_listings.snapshot();
-  setAges(Snapshot);
-  m_network->reply(Link, Snapshot);
-}
-
-void StateFeed::onStateRequest(std::uint32_t Link, const StateRequest &Needed) {
-  if (m_directory.isLoaded()) {
-    sendState(Link, Needed);
-    return;
-  }
-  StateMessage Known;
-  if (Needed.m_needsConfiguration)
-    Known.m_configuration = m_configurationText;
-  Known.m_evacuations = m_evacuations;
-  if (Needed.m_needsServers)
-    for (const auto &[Id, Entry] : m_directory.entries())
-      Known.m_servers.push_back(Entry);
-  m_network->reply(Link, Known);
-}
-
 asio::awaitable<bool> StateFeed::readHosts() {
   const TimePoint SentAt = BootClock::now();
   const Result<HostListing> Read = co_await m_store.readHosts();
--- a/src/gateway/dispatcher-queue.cc
+++ b/src/gateway/dispatcher-queue.cc
@@ -24,7 +24,7 @@
   }
   const auto Holder =
       m_servers.find(m_keys.holderOf(Request.m_key.value_or(0)));
-  if (Holder == m_servers.end()) {
+  if (Holder == m_servers.end() || Holder->second.m_entry.m_isEvacuated) {
     // The keys are moving. Different ranges go to different servers, so all of
     // them count.
     Out.m_pauseMs = toMs(KeyMoveTime);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -91,6 +91,7 @@
     keepLimit(Item->second, Now);
     Item = m_servers.erase(Item);
   }
+  releaseEvacuated(Now, Out);
   fillAllSlots(Now, Out);
 }
 
@@ -240,7 +241,7 @@
     refuse(Request, RefusalReason::NoRetryBudget, RetryAfter, Out);
     return;
   }
-  if (m_servers.empty()) {
+  if (m_servers.empty() || areAllEvacuated(Request)) {
     refuse(Request, RefusalReason::NoServer, m_policy.m_defaultRetryAfter, Out);
     return;
   }
--- a/test/gateway/fake-platform.h
+++ b/test/gateway/fake-platform.h
@@ -89,6 +89,12 @@
     m_ownership.m_version = {era() + 1, 0};
   }
 
+  /// Changes the evacuated zones, as the operator does.
+  void evacuate(std::set<std::string> Zones) {
+    m_evacuations.m_version = {era(), m_evacuations.m_version.m_number + 1};
+    m_evacuations.m_zones = std::move(Zones);
+  }
+
   bool m_isUp = true;
   bool m_acceptsWrites = true;
   bool m_failsNextWait = false; ///< The next awaitConfiguration().
--- a/test/gateway/gateway-host-test.cc
+++ b/test/gateway/gateway-host-test.cc
@@ -102,8 +102,9 @@
     Settings.m_peerPort = m_peerPort;
     Settings.m_headers = Headers;
     m_addresses.push_back(parseEndpoint(Client).value());
-    m_hosts.push_back(std::make_unique<GatewayHost>(
-        m_context.get_executor(), m_policy, Settings, m_store, m_keys, m_log));
+    m_hosts.push_back(
+        std::make_unique<GatewayHost>(m_context.get_executor(), m_policy,
+                                      Settings, *m_storeOfNext, m_keys, m_log));
     EXPECT_FALSE(m_hosts.back()->start());
     return *m_hosts.back();
   }
@@ -199,6 +200,7 @@
   asio::io_context m_context{1};
   EventLog m_log{LogPolicy{}, "test", NoOutput};
   FakeStore m_store;
+  FakeStore *m_storeOfNext = &m_store; ///< Store of the next host.
   FakeKeyServers m_keys;
   std::array<ScriptedServer, 2> m_web{ScriptedServer(m_context),
                                       ScriptedServer(m_context)};
@@ -863,6 +865,126 @@
   }));
 }
 
+/// One server of each service is in the hosts' own zone, which is evacuated.
+class EvacuationTest : public GatewayHostTest {
+protected:
+  EvacuationTest() {
+    for (ServerRow &Row : m_store.m_servers)
+      if (Row.m_id == "web-1" || Row.m_id == "stock-1")
+        Row.m_entry.m_zone = "zone-b";
+    m_lostStore.m_isUp = false;
+    m_lostStore.m_configuration = m_store.m_configuration;
+  }
+
+  bool allHostsKnow(bool IsEvacuated) {
+    return runUntil([this, IsEvacuated] {
+      return std::all_of(
+          m_hosts.begin(), m_hosts.end(), [IsEvacuated](const auto &Item) {
+            return Item->servers().at("web-0").m_isEvacuated == IsEvacuated;
+          });
+    });
+  }
+
+  std::size_t requestsInOwnZone() const {
+    return m_web[0].m_requests.size() + m_stock[0].m_requests.size();
+  }
+
+  /// Sends requests to \p Host, one after the other, until the test ends.
+  asio::awaitable<void> loadHost(int Host) {
+    while (true) {
+      const std::shared_ptr<Answer> Out = std::make_shared<Answer>();
+      const std::shared_ptr<bool> IsDone = std::make_shared<bool>(false);
+      std::string Bytes = m_ended[Host] % 2 == 0
+                              ? get("/web/")
+                              : get("/stock/", "Test-Key: 1\r\n");
+      co_await exchange(std::move(Bytes), Host, Out, IsDone);
+      ++m_ended[Host];
+      ++m_answers[Out->m_status];
+    }
+  }
+
+  /// Runs until each host under load has answered two more requests.
+  bool answersMore() {
+    const std::map<int, std::size_t> Before = m_ended;
+    return runUntil([&] {
+      return std::all_of(Before.begin(), Before.end(),
+                         [this](const auto &Item) {
+                           return m_ended[Item.first] >= Item.second + 2;
+                         });
+    });
+  }
+
+  FakeStore m_lostStore; ///< Cannot be read by the hosts that use it.
+  std::map<int, std::size_t> m_ended;        ///< Requests by host.
+  std::map<unsigned, std::size_t> m_answers; ///< By status.
+};
+
+// The zone must get no request from any host, also from one that cannot read
+// the store, and its keys must move to the other zone.
+TEST_F(EvacuationTest, Evacuation_UnderLoad_OtherZoneServesUntilItEnds) {
+  startAll(2);
+  m_storeOfNext = &m_lostStore;
+  m_seedIps = {"127.0.0.1"};
+  addHost(2);
+  ASSERT_TRUE(runUntil([this] { return m_hosts[2]->isReady(); }));
+  for (int Host = 0; Host < 3; ++Host)
+    asio::co_spawn(m_context, loadHost(Host), asio::detached);
+  ASSERT_TRUE(runUntil([this] {
+    return !m_web[0].m_requests.empty() && !m_stock[0].m_requests.empty();
+  }));
+  m_store.evacuate({"zone-a"});
+  ASSERT_TRUE(allHostsKnow(true));
+  ASSERT_TRUE(answersMore()); // Requests that were sent before have ended.
+  const std::size_t Before = requestsInOwnZone();
+  const std::size_t Moved = m_stock[1].m_requests.size();
+  ASSERT_TRUE(
+      runUntil([&] { return m_stock[1].m_requests.size() > Moved + 20; }));
+  EXPECT_EQ(requestsInOwnZone(), Before);
+  EXPECT_TRUE(std::any_of(
+      m_keys.m_calls.begin(), m_keys.m_calls.end(), [](const GrantCall &Item) {
+        return Item.m_isRelease && Item.m_server.m_id == "stock-0";
+      }));
+  for (const auto &[Status, Count] : m_answers)
+    EXPECT_TRUE(Status == 200 || Status == 503) << Status;
+  m_store.evacuate({});
+  ASSERT_TRUE(allHostsKnow(false));
+  EXPECT_TRUE(runUntil([&] { return requestsInOwnZone() > Before; }));
+}
+
+TEST_F(EvacuationTest, StoreIsUnavailable_StartingHost_KnowsTheEvacuation) {
+  startAll();
+  m_store.evacuate({"zone-a"});
+  ASSERT_TRUE(allHostsKnow(true));
+  m_store.m_isUp = false;
+  GatewayHost &Second = addHost(1);
+  ASSERT_TRUE(runUntil([&Second] { return Second.isReady(); }));
+  for (int I = 0; I < 10; ++I)
+    EXPECT_EQ(send(get("/web/"), 1).m_status, 200U);
+  EXPECT_EQ(m_web[0].m_requests.size(), 0U);
+}
+
+// Older state may arrive later, e.g. from a host that was cut off.
+TEST_F(EvacuationTest, OlderState_ArrivesLater_IsIgnored) {
+  startAll();
+  m_store.evacuate({"zone-a"});
+  ASSERT_TRUE(allHostsKnow(true));
+  m_store.m_evacuations = {{0, 0}, {}};
+  const std::size_t Reads = m_store.m_serverReads;
+  ASSERT_TRUE(runUntil([&] { return m_store.m_serverReads > Reads + 1; }));
+  EXPECT_TRUE(m_hosts[0]->servers().at("web-0").m_isEvacuated);
+  EXPECT_EQ(send(get("/web/")).m_status, 200U);
+  EXPECT_EQ(m_web[0].m_requests.size(), 0U);
+}
+
+TEST_F(EvacuationTest, AllZonesEvacuated_Request_IsRefused) {
+  startAll();
+  m_store.evacuate({"zone-a", "zone-b"});
+  ASSERT_TRUE(allHostsKnow(true));
+  EXPECT_EQ(send(get("/web/")).m_status, 503U);
+  EXPECT_EQ(send(get("/stock/", "Test-Key: 1\r\n")).m_status, 503U);
+  EXPECT_EQ(webRequests(), 0U);
+}
+
 TEST(MayDispatchAgainTest, UnsafeRequest_MayHaveRun_IsFalse) {
   for (DispatchResult Result :
        {DispatchResult::ConnectionLost, DispatchResult::TimedOut,
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -464,6 +464,26 @@
   EXPECT_EQ(holderOf(65535), "a");
 }
 
+// The server of an evacuated zone still answers: its keys leave it by release
+// and with its handover, not when their hold expires.
+TEST_F(KeyGranterTest, SetServers_OwnerIsEvacuated_KeysLeaveByRelease) {
+  takeOver({});
+  setServers({makeServer("a"), makeServer("b")});
+  run(Millis(1000));
+  m_calls.clear();
+  ServerEntry Evacuated = makeServer("a");
+  Evacuated.m_isEvacuated = true;
+  setServers({Evacuated, makeServer("b")});
+  run(Millis(1000));
+  EXPECT_EQ(holderOf(0), "b");
+  bool HasHandover = false;
+  for (const GrantCall &Call : m_calls)
+    HasHandover =
+        HasHandover || (Call.m_server.m_id == "b" && Call.m_from == 0 &&
+                        Call.m_handover == "handed-over");
+  EXPECT_TRUE(HasHandover);
+}
+
 TEST_F(KeyGranterTest, StepDown_WasGranter_SendsNothing) {
   takeOver({});
   setServers({makeServer("a")});
--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fcntl.h>
+#include <spdlog/fmt/fmt.h>
 
 namespace tamarackdrum::platform {
 namespace {
@@ -124,6 +125,38 @@
   EXPECT_TRUE(isNewer(m_subject.evacuations(), First));
 }
 
+// Keys in queries are percent-encoded. The row that ends the first page of the
+// table has characters that would end the query's parameter.
+TEST_F(StoreClientTest, AwaitConfiguration_ManyEvacuations_AllPagesAreRead) {
+  putConfiguration(3);
+  for (int I = 0; I < 498; ++I)
+    m_store.put(OperatorTable, fmt::format("evacuate/a{:03}", I), "");
+  m_store.put(OperatorTable, "evacuate/b&to=c 50%#", "");
+  m_store.put(OperatorTable, "evacuate/c", "");
+  const Result<DecodedConfiguration> Read =
+      await(m_subject.awaitConfiguration(Millis(50)));
+  ASSERT_TRUE(Read) << Read.error().message();
+  EXPECT_EQ(m_subject.evacuations().m_zones.size(), 500U);
+  EXPECT_EQ(m_subject.evacuations().m_zones.count("b&to=c 50%#"), 1U);
+}
+
+// The copy may have rows that were removed later, and lack later ones.
+TEST_F(StoreClientTest,
+       AwaitConfiguration_StoreIsRestored_EvacuationsAreThoseOfTheCopy) {
+  putConfiguration(3);
+  m_store.put(OperatorTable, "evacuate/zone-a", "");
+  m_store.saveSnapshot();
+  m_store.remove(OperatorTable, "evacuate/zone-a");
+  m_store.put(OperatorTable, "evacuate/zone-b", "");
+  ASSERT_TRUE(await(m_subject.awaitConfiguration(Millis(50))));
+  const Evacuations First = m_subject.evacuations();
+  EXPECT_EQ(First.m_zones, std::set<std::string>{"zone-b"});
+  m_store.restoreSnapshot();
+  ASSERT_TRUE(await(m_subject.awaitConfiguration(Millis(50))));
+  EXPECT_EQ(m_subject.evacuations().m_zones, std::set<std::string>{"zone-a"});
+  EXPECT_TRUE(isNewer(m_subject.evacuations(), First));
+}
+
 // A row that was removed in the lost part of the history is in no change.
 TEST_F(StoreClientTest,
        AwaitConfiguration_HistoryGone_EvacuationsAreReadAgain) {
--- a/test/platform/wire-decode-test.cc
+++ b/test/platform/wire-decode-test.cc
@@ -1,5 +1,7 @@
 #include "platform/wire-decode.h"
 
+#include "platform/standin/wire-encode.h"
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -92,5 +94,16 @@
   }
 }
 
+TEST(DecodeSettingsTest, EvacuationBound_NotSet_ShortensNoOtherBound) {
+  GatewaySettings Settings;
+  const auto Decode = [&Settings] {
+    return decodeSettings(standin::encodeSettings(Settings, "127.0.0.1:1"))
+        .m_settings.m_evacuationBound;
+  };
+  EXPECT_EQ(Decode(), Millis::max());
+  Settings.m_evacuationBound = Millis(5000);
+  EXPECT_EQ(Decode(), Millis(5000));
+}
+
 } // namespace
 } // namespace tamarackdrum::platform
