Check in the soak that evacuated zones get no requests

Cause: nothing checked evacuations across processes and faults.

Later outages of the store, restarts of hosts and hosts without the store are no excuse. Schedules of existing seeds stay.

--- a/soak/soak-history.cc
+++ b/soak/soak-history.cc
@@ -53,6 +53,7 @@
     checkInForce();
     checkCutRequests();
     checkLimits();
+    checkEvacuations();
     return std::move(m_violations);
   }
 
@@ -226,6 +227,45 @@
       }
   }
 
+  /// Returns whether a fault excuses that \p Host did not know of \p Known at
+  /// \p At: the store could not be read for long enough after the
+  /// acknowledgement, or the host was paused just before. Later outages of the
+  /// store, restarts and hosts without the store are no excuse.
+  bool isEvacuationExcused(const EvacuationRecord &Known, std::size_t Host,
+                           TimePoint At) const {
+    return std::any_of(
+        m_history.m_faults.begin(), m_history.m_faults.end(),
+        [&](const InjectedFault &Item) {
+          if (isStoreFault(Item))
+            return overlaps(Item, Known.m_at - m_bounds.m_faultFree,
+                            Known.m_at + m_bounds.m_configuration);
+          return Item.m_kind == FaultKind::HostPause && Item.m_target == Host &&
+                 overlaps(Item, At - m_bounds.m_faultFree, At);
+        });
+  }
+
+  void checkEvacuations() {
+    for (const EvacuationRecord &Item : m_history.m_evacuations)
+      for (const ArrivalRecord &Seen : m_history.m_serverRecords.m_arrivals) {
+        const auto Zone = m_history.m_zones.find(Seen.m_server);
+        if (Zone == m_history.m_zones.end() || Zone->second != Item.m_zone ||
+            Seen.m_at <= Item.m_at + m_bounds.m_evacuation ||
+            Seen.m_at >= Item.m_to || Seen.m_isMisdirected)
+          continue;
+        const auto Sent = m_requestsById.find(Seen.m_requestId);
+        if (Sent == m_requestsById.end() ||
+            isEvacuationExcused(Item, Sent->second->m_host, Seen.m_at))
+          continue;
+        addViolation(
+            Guarantee::EvacuatedOut, Seen.m_requestId,
+            fmt::format(
+                "reached {} {} ms after the evacuation of {}", Seen.m_server,
+                std::chrono::duration_cast<Millis>(Seen.m_at - Item.m_at)
+                    .count(),
+                Item.m_zone));
+      }
+  }
+
   void checkReverts() {
     std::vector<const RequestRecord *> ByEnd;
     std::vector<const RequestRecord *> BySent;
@@ -350,6 +390,8 @@
     return "nothing-cut";
   case Guarantee::WithinLimit:
     return "within-limit";
+  case Guarantee::EvacuatedOut:
+    return "evacuated-out";
   }
   return "unknown";
 }
--- a/soak/soak-history.h
+++ b/soak/soak-history.h
@@ -7,6 +7,7 @@
 #include "fault-schedule.h"
 #include "platform/standin/key-server.h"
 
+#include <map>
 #include <string>
 
 namespace tamarackdrum::soak {
@@ -53,6 +54,14 @@
   bool operator==(const VersionRecord &) const = default;
 };
 
+/// The evacuation of a zone that the store has acknowledged.
+struct EvacuationRecord {
+  std::string m_zone;
+  TimePoint m_at;
+  TimePoint m_to = TimePoint::max(); ///< When the row was removed.
+  bool operator==(const EvacuationRecord &) const = default;
+};
+
 /// Everything that is recorded in a soak run.
 struct History {
   std::vector<RequestRecord> m_requests;
@@ -60,21 +69,24 @@
   std::vector<InjectedFault> m_faults;
   std::vector<LeaveRecord> m_leaves;
   std::vector<VersionRecord> m_versions;
+  std::vector<EvacuationRecord> m_evacuations;
+  std::map<std::string, std::string> m_zones; ///< Of the servers, by id.
 };
 
 /// Guarantees to clients and backend servers.
 enum class Guarantee {
-  OwnAnswer,  ///< An answer belongs to its request, and a success is whole.
-  AskedFor,   ///< Servers run only requests that clients sent, unchanged.
-  RunOnce,    ///< An unsafe request runs at most once.
-  NotRun,     ///< An unsafe request that is answered as not run has not run.
-  OneHolder,  ///< Two servers hold a key at most for m_holdOverlap.
-  OneOwner,   ///< Runs of a key on two servers don't overlap; tokens rise.
-  LeavingOut, ///< A leaving server gets no request after m_leave.
-  NoRevert,   ///< A host process never reverts to an older configuration.
-  InForce,    ///< A configuration is in force after m_configuration.
-  NothingCut, ///< Planned work cuts no request.
-  WithinLimit ///< Servers get no more requests than the limits they name.
+  OwnAnswer,   ///< An answer belongs to its request, and a success is whole.
+  AskedFor,    ///< Servers run only requests that clients sent, unchanged.
+  RunOnce,     ///< An unsafe request runs at most once.
+  NotRun,      ///< An unsafe request that is answered as not run has not run.
+  OneHolder,   ///< Two servers hold a key at most for m_holdOverlap.
+  OneOwner,    ///< Runs of a key on two servers don't overlap; tokens rise.
+  LeavingOut,  ///< A leaving server gets no request after m_leave.
+  NoRevert,    ///< A host process never reverts to an older configuration.
+  InForce,     ///< A configuration is in force after m_configuration.
+  NothingCut,  ///< Planned work cuts no request.
+  WithinLimit, ///< Servers get no more requests than the limits they name.
+  EvacuatedOut ///< No request reaches an evacuated zone after m_evacuation.
 };
 
 const char *toText(Guarantee Value) noexcept;
@@ -95,6 +107,7 @@
   Millis m_revertSlack{250};    ///< Requests this close are not compared.
   Millis m_cutSlack{200};       ///< A request cut sooner may cross a close.
   Millis m_holdOverlap{500};    ///< Of two servers' holds of a key.
+  Millis m_evacuation{5000};    ///< After an acknowledged evacuation.
   bool operator==(const GuaranteeBounds &) const = default;
 };
 
--- a/soak/soak-site.cc
+++ b/soak/soak-site.cc
@@ -66,7 +66,7 @@
 SoakSite::SoakSite(asio::io_context &Context, SiteOptions Options,
                    std::uint64_t Seed, History &Recorded)
     : m_context(Context), m_options(std::move(Options)), m_random(Seed),
-      m_limitRandom(Seed), m_history(Recorded),
+      m_limitRandom(Seed), m_evacuationRandom(Seed), m_history(Recorded),
       m_store(Context, endpointOf(addressOf(250, 1), StorePort)) {
   std::filesystem::create_directories(m_options.m_directory);
   for (std::size_t I = 0; I < m_options.m_hostCount; ++I)
@@ -107,6 +107,7 @@
   Settings.m_readyAddress = fmt::format("{}:{}", Ip, ReadyPort);
   Settings.m_peerPort = PeerPort;
   Settings.m_retries.m_baseRetries = 50;
+  Settings.m_evacuationBound = GuaranteeBounds{}.m_evacuation;
   if (!m_hosts.empty())
     Settings.m_seedIps = {m_hosts.front().m_settings.m_host.m_ip};
   Made.m_storeProxy = std::make_unique<FaultProxy>(
@@ -135,6 +136,50 @@
   asio::co_spawn(m_context, reportPeriodically(), asio::detached);
   if (m_options.m_namesLimits)
     asio::co_spawn(m_context, nameLimits(), asio::detached);
+  if (m_options.m_evacuates)
+    asio::co_spawn(m_context, evacuateZones(), asio::detached);
+}
+
+asio::awaitable<void> SoakSite::evacuateZones() {
+  constexpr std::uint64_t MaxPauseMs = 3000;
+  constexpr Millis MinDuration{6000}; // Beyond the bound.
+  constexpr std::uint64_t MaxMoreMs = 3000;
+  const auto Below = [this](std::uint64_t End) {
+    return static_cast<std::int64_t>(m_evacuationRandom() % End);
+  };
+  while (true) {
+    co_await sleepFor(Millis(Below(MaxPauseMs)));
+    m_evacuatedZone =
+        fmt::format("zone-{}", m_evacuationRandom() % m_options.m_zoneCount);
+    beginEvacuation();
+    co_await sleepFor(MinDuration + Millis(Below(MaxMoreMs)));
+    endEvacuation();
+    m_store.remove(OperatorTable, EvacuationKeyPrefix + m_evacuatedZone);
+    m_evacuatedZone.clear();
+  }
+}
+
+void SoakSite::beginEvacuation() {
+  m_store.put(OperatorTable, EvacuationKeyPrefix + m_evacuatedZone, "{}");
+  m_history.m_evacuations.push_back({m_evacuatedZone, BootClock::now()});
+}
+
+void SoakSite::rewriteEvacuations() {
+  if (!m_options.m_evacuates)
+    return;
+  for (std::size_t I = 0; I < m_options.m_zoneCount; ++I) {
+    const std::string Zone = fmt::format("zone-{}", I);
+    if (Zone != m_evacuatedZone)
+      m_store.remove(OperatorTable, EvacuationKeyPrefix + Zone);
+  }
+  if (!m_evacuatedZone.empty())
+    beginEvacuation();
+}
+
+void SoakSite::endEvacuation() {
+  if (!m_history.m_evacuations.empty())
+    m_history.m_evacuations.back().m_to =
+        std::min(m_history.m_evacuations.back().m_to, BootClock::now());
 }
 
 asio::awaitable<void> SoakSite::nameLimits() {
@@ -209,6 +254,7 @@
       m_history.m_serverRecords);
   Item.m_proxy->setTarget(Item.m_server->address());
   m_removedIds.erase(Entry.m_id);
+  m_history.m_zones[Entry.m_id] = Item.m_zone;
   report(Index);
 }
 
@@ -384,11 +430,15 @@
   co_await sleepFor(Duration);
   m_store.m_faults.m_isDown = true;
   co_await sleepFor(RestoreOutage);
+  // The copy may lack the row of an evacuation until the operator writes it
+  // again, or name one that has ended.
+  endEvacuation();
   m_store.restoreSnapshot();
   m_store.m_faults.m_isDown = false;
   // Running servers report again; restored rows of removed servers lapse.
   co_await sleepFor(RewriteDelay);
   m_store.put(OperatorTable, ConfigurationKey, encodeConfiguration(m_config));
+  rewriteEvacuations();
   co_await sleepFor(RegistrationTimeout - RewriteDelay);
   for (const std::string &Id : m_removedIds)
     m_store.remove(ServerTable, Id);
--- a/soak/soak-site.h
+++ b/soak/soak-site.h
@@ -24,6 +24,7 @@
   std::size_t m_hostCount = 6;
   std::size_t m_zoneCount = 3;
   bool m_namesLimits = false; ///< Servers name rate limits at times.
+  bool m_evacuates = false;   ///< The operator evacuates zones, one at a time.
 };
 
 /// Services of the site.
@@ -93,6 +94,12 @@
   /// Lets servers name limits, one or most of a service at a time.
   boost::asio::awaitable<void> nameLimits();
   void nameLimit(std::size_t Index);
+  /// Evacuates one zone after the other.
+  boost::asio::awaitable<void> evacuateZones();
+  void beginEvacuation();
+  void endEvacuation();
+  /// Writes the operator's rows again after the store has been restored.
+  void rewriteEvacuations();
   /// Removes a server from the registry.
   void removeFromRegistry(const std::string &Id);
   boost::asio::awaitable<void> injectLinkFault(FaultProxy &Link,
@@ -106,12 +113,14 @@
   const SiteOptions m_options;
   std::mt19937_64 m_random;
   std::mt19937_64 m_limitRandom; ///< Apart, so that seeds keep their faults.
+  std::mt19937_64 m_evacuationRandom; ///< Apart, too.
   History &m_history;
   platform::standin::RowStore m_store;
   gateway::Configuration m_config;
   std::vector<Host> m_hosts;
   std::vector<Backend> m_backends;
   std::set<std::string> m_removedIds; ///< Servers removed from the registry.
+  std::string m_evacuatedZone;        ///< Empty: none.
 };
 
 } // namespace tamarackdrum::soak
--- a/soak/tamarack-soak.cc
+++ b/soak/tamarack-soak.cc
@@ -69,7 +69,9 @@
       "planned", po::bool_switch(&Out.m_isPlannedOnly),
       "inject planned work only: stops, reloads, configurations, leaves")(
       "limits", po::bool_switch(&Out.m_site.m_namesLimits),
-      "let servers name rate limits")(
+      "let servers name rate limits")("evacuations",
+                                      po::bool_switch(&Out.m_site.m_evacuates),
+                                      "let the operator evacuate zones")(
       "recovery", po::bool_switch(&Out.m_checksRecovery),
       "also check that requests are served again after the faults")(
       "keep", po::bool_switch(&Out.m_keepsAllLogs),
@@ -130,6 +132,13 @@
                 {"server", Item.m_server},
                 {"at_ms", millisBetween(Start, Item.m_at)}}
         << '\n';
+  for (const EvacuationRecord &Item : Recorded.m_evacuations)
+    Out << Json{{"evacuation", Item.m_zone},
+                {"from_ms", millisBetween(Start, Item.m_at)},
+                {"to_ms", Item.m_to == TimePoint::max()
+                              ? -1
+                              : millisBetween(Start, Item.m_to)}}
+        << '\n';
   for (const LeaveRecord &Item : Recorded.m_leaves)
     Out << Json{{"leave", Item.m_server},
                 {"at_ms", millisBetween(Start, Item.m_at)}}
--- a/test/soak/soak-history-test.cc
+++ b/test/soak/soak-history-test.cc
@@ -148,6 +148,24 @@
   EXPECT_EQ(violated(), Guarantees{});
 }
 
+// An outage of the store that begins when all hosts must know is no excuse.
+TEST_F(SoakHistoryTest, Find_ArrivalInEvacuatedZone_EvacuatedOutAfterTheBound) {
+  addRequest("a", 5000, 5050, 503).m_isUnsafe = false;
+  m_subject.m_zones["s"] = "zone-1";
+  m_subject.m_serverRecords.m_arrivals = {
+      {"a", "s", 0, at(5010), at(5020), std::nullopt, false}};
+  m_subject.m_evacuations = {{"zone-1", at(0), at(9000)}};
+  addFault(FaultKind::StoreDown, 2500, 6000);
+  EXPECT_EQ(violated(), Guarantees{Guarantee::EvacuatedOut});
+  m_subject.m_serverRecords.m_arrivals[0].m_isMisdirected = true;
+  EXPECT_EQ(violated(), Guarantees{});
+  m_subject.m_serverRecords.m_arrivals[0].m_isMisdirected = false;
+  m_subject.m_evacuations[0].m_to = at(5005); // The evacuation has ended.
+  EXPECT_EQ(violated(), Guarantees{});
+  m_subject.m_evacuations[0] = {"zone-1", at(20), at(9000)}; // Within 5 s.
+  EXPECT_EQ(violated(), Guarantees{});
+}
+
 TEST_F(SoakHistoryTest, Find_OlderConfigurationAgain_NoRevert) {
   addRequest("a", 0, 50, 200).m_probedVersion = 4;
   addRun("a", "s", 10, 40);
