Reset connections whose call is given up

Cause: after the usual close the kernel goes on sending what a connection holds, so that servers accepted grants after a partition, when their granter had lost its term. Ruled out: to set the option after the failure, since Beast closes the socket itself when its timer ends; set_option(), since Asio takes the option back when a socket is destroyed, as with a withdrawn request.

Change: connections of the pool are reset unless they end idle or after a whole answer (grants, releases, requests, store); links between hosts are reset when PeerNetwork gives them up, but not at the end of the process.

Before: a server that reads late found all 204,856 and 204,958 bytes of a request and a grant that had been given up; three of the new tests failed. After: it finds a part and a reset.

--- a/include/tamarackdrum/gateway/connection.h
+++ b/include/tamarackdrum/gateway/connection.h
@@ -25,7 +25,17 @@
 /// unacknowledged for \p Time, e.g. because the peer has lost power.
 void setTcpUserTimeout(boost::asio::ip::tcp::socket &Socket, Millis Time);
 
-/// An HTTP/1.1 connection that carries one request at a time.
+/// Sets whether closing \p Socket resets the connection, which discards the
+/// data that the peer has not received, or delivers that data first.
+///
+/// Must be set before the first write: a stream whose timer ends closes its
+/// socket itself. It bypasses set_option(), because Asio delivers the data when
+/// a socket with the option SO_LINGER is destroyed.
+void setAbortiveClose(boost::asio::ip::tcp::socket &Socket, bool IsAbortive);
+
+/// An HTTP/1.1 connection that carries one request at a time. Closing it during
+/// a request resets it, so that no part of a request that is given up can
+/// arrive later.
 struct Connection {
   explicit Connection(boost::asio::any_io_executor Executor)
       : m_stream(std::move(Executor)) {}
@@ -85,7 +95,9 @@
                                                      Millis Timeout);
 
   /// Adds a connection without a request to the pool. Closes the connection of
-  /// \p Peer that has been idle longest if there are \p MaxIdle already.
+  /// \p Peer that has been idle longest if there are \p MaxIdle already. It and
+  /// all idle connections are closed without a reset: a server may still be
+  /// writing or may report a reset as a failure.
   void putIdle(const std::string &Peer, ConnectionPtr Kept,
                std::size_t MaxIdle);
 
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -29,6 +29,12 @@
                sizeof(Value));
 }
 
+void setAbortiveClose(boost::asio::ip::tcp::socket &Socket, bool IsAbortive) {
+  const linger Value{IsAbortive ? 1 : 0, 0};
+  ::setsockopt(Socket.native_handle(), SOL_SOCKET, SO_LINGER, &Value,
+               sizeof(Value));
+}
+
 Millis ConnectionPool::idleLimit(const Connection &Item) const {
   if (Item.m_keepAliveTimeout.count() == 0)
     return m_policy.m_maxIdleTime;
@@ -52,6 +58,7 @@
     if (Now - Taken->m_idleSince < idleLimit(*Taken) &&
         peek(Taken->m_stream.socket().native_handle()) == PeekResult::Silent) {
       Taken->m_isReused = true;
+      setAbortiveClose(Taken->m_stream.socket(), true);
       return Taken;
     }
   }
@@ -78,11 +85,13 @@
   Opened->m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true),
                                        Ignored);
   setTcpUserTimeout(Opened->m_stream.socket(), m_policy.m_tcpUserTimeout);
+  setAbortiveClose(Opened->m_stream.socket(), true);
   co_return Opened;
 }
 
 void ConnectionPool::putIdle(const std::string &Peer, ConnectionPtr Kept,
                              std::size_t MaxIdle) {
+  setAbortiveClose(Kept->m_stream.socket(), false);
   if (Kept->m_buffer.size() > 0 || MaxIdle == 0)
     return;
   Kept->m_idleSince = BootClock::now();
--- a/src/edge/peer-network.cc
+++ b/src/edge/peer-network.cc
@@ -242,6 +242,8 @@
   if (Item->m_isClosed)
     return;
   Item->m_isClosed = true;
+  // The peer must not act later on messages of a link that has been given up.
+  setAbortiveClose(Item->m_socket, true);
   boost::system::error_code Ignored; // The socket is closed in any case.
   Item->m_socket.close(Ignored);
   m_links.erase(Item->m_id);
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -301,11 +301,12 @@
     Reply.m_result = DispatchResult::ConnectionLost;
     co_return Reply;
   }
-  if (CanKeep) {
+  if (CanKeep)
     Used->m_keepAliveTimeout =
         keepAliveTime(Reply.m_parser->get()[http::field::keep_alive]);
-    m_pool.putIdle(Peer, std::move(Used), Request.m_maxIdleConnections);
-  }
+  if (Used != nullptr)
+    m_pool.putIdle(Peer, std::move(Used),
+                   CanKeep ? Request.m_maxIdleConnections : 0);
   co_return Reply;
 }
 
@@ -331,13 +332,17 @@
       co_return Piece;
     }
   }
+  setAbortiveClose(Reply.m_connection->m_stream.socket(), false);
   co_return std::string();
 }
 
 asio::awaitable<bool> UpstreamClient::isDown(std::string Address) {
   Result<ConnectionPool::ConnectionPtr> Opened =
       co_await m_pool.open(Address, ProbeTimeout);
-  co_return !Opened;
+  if (!Opened)
+    co_return true;
+  m_pool.putIdle(Address, std::move(Opened.value()), 0);
+  co_return false;
 }
 
 } // namespace tamarackdrum::gateway
--- /dev/null
+++ b/test/gateway/upstream-client-test.cc
@@ -0,0 +1,89 @@
+#include "tamarackdrum/gateway/upstream-client.h"
+
+#include "late-reader.h"
+#include "tamarackdrum/blocking.h"
+#include "tamarackdrum/worker-context.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+/// A connection that ends by a reset drops what its sender's kernel has not
+/// sent; after the usual close, a server would receive that later.
+class UpstreamClientTest : public testing::Test {
+protected:
+  ~UpstreamClientTest() override { m_context.dropPending(); }
+
+  UpstreamRequest makeRequest(std::size_t BodyBytes) const {
+    UpstreamRequest Out;
+    Out.m_server.m_id = "server";
+    Out.m_server.m_address = m_server.address();
+    Out.m_head = "POST /work HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                 std::to_string(BodyBytes) + "\r\n\r\n";
+    Out.m_body = std::string(BodyBytes, 'x');
+    Out.m_requestId = "id";
+    Out.m_isSafe = false;
+    Out.m_deadline = BootClock::now() + Millis(100);
+    return Out;
+  }
+
+  DispatchResult execute(UpstreamRequest Request) {
+    asio::awaitable<UpstreamReply> Task =
+        m_subject.execute(std::move(Request), m_token);
+    return runBlocking(m_context, std::move(Task)).m_result;
+  }
+
+  WorkerContext m_context{1};
+  LateReader m_server;
+  ConnectionPool m_pool{PoolPolicy{}};
+  UpstreamClient m_subject{m_pool, HeaderNames{}};
+  CancelToken m_token;
+};
+
+TEST_F(UpstreamClientTest, Execute_GivenUpWhileUnread_ConnectionIsReset) {
+  EXPECT_EQ(execute(makeRequest(LateReader::LongBytes)),
+            DispatchResult::TimedOut);
+  m_server.accept();
+  EXPECT_EQ(m_server.readToEnd(), asio::error::connection_reset);
+  EXPECT_LT(m_server.m_text.size(), LateReader::LongBytes);
+}
+
+TEST_F(UpstreamClientTest, Execute_CancelledWhileUnread_ConnectionIsReset) {
+  asio::steady_timer Timer(m_context, Millis(50));
+  Timer.async_wait([this](boost::system::error_code) { m_token.cancel(); });
+  UpstreamRequest Request = makeRequest(LateReader::LongBytes);
+  Request.m_deadline += Millis(5000);
+  EXPECT_EQ(execute(std::move(Request)), DispatchResult::Withdrawn);
+  m_server.accept();
+  EXPECT_EQ(m_server.readToEnd(), asio::error::connection_reset);
+  EXPECT_LT(m_server.m_text.size(), LateReader::LongBytes);
+}
+
+// A reset after the answer could fail the next operation of the server.
+TEST_F(UpstreamClientTest, Execute_Answered_ConnectionEndsWithoutReset) {
+  std::thread Server([this] {
+    m_server.accept();
+    m_server.send("HTTP/1.1 503 busy\r\nConnection: close\r\n"
+                  "Content-Length: 2\r\n\r\nno");
+  });
+  const DispatchResult Result = execute(makeRequest(3));
+  Server.join();
+  EXPECT_EQ(Result, DispatchResult::Failed);
+  EXPECT_EQ(m_server.readToEnd(), asio::error::eof);
+  EXPECT_TRUE(m_server.m_text.ends_with("xxx"));
+}
+
+TEST_F(UpstreamClientTest, IsDown_ServerListens_ConnectionEndsWithoutReset) {
+  EXPECT_FALSE(runBlocking(m_context, m_subject.isDown(m_server.address())));
+  m_server.accept();
+  EXPECT_EQ(m_server.readToEnd(), asio::error::eof);
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -1,5 +1,6 @@
 #include "platform/key-server-client.h"
 
+#include "../gateway/late-reader.h"
 #include "platform/standin/key-server.h"
 #include "platform/wire-decode.h"
 #include "tamarackdrum/blocking.h"
@@ -117,5 +118,22 @@
   EXPECT_EQ(await(requestKey(5)), 421U);
 }
 
+// A server that receives a grant after the term of its granter has ended may
+// hold keys that another granter has moved.
+TEST_F(KeyServerClientTest, Grant_GivenUpWhileUnread_ConnectionIsReset) {
+  for (const bool IsRelease : {false, true}) {
+    LateReader Server;
+    GrantCall Call;
+    Call.m_isRelease = IsRelease;
+    Call.m_address = Server.address();
+    Call.m_handover = std::string(LateReader::LongBytes, 'x');
+    const GrantReply Reply = await(m_subject.call(Call, Millis(100)));
+    EXPECT_EQ(Reply.m_result, GrantResult::NoAnswer);
+    Server.accept();
+    EXPECT_EQ(Server.readToEnd(), asio::error::connection_reset);
+    EXPECT_LT(Server.m_text.size(), LateReader::LongBytes);
+  }
+}
+
 } // namespace
 } // namespace tamarackdrum::platform
