Wait for pending and inherited grants of an owner that restarts

Cause: at a restart under the same id, a pending grant counted as arrived at once, and an inherited range as no longer inherited, although the earlier granter may still renew the new instance. A token that was replaced while its grant was pending had the same fault. Ruled out: late processing of a call by another instance than the one it arrived at, which the model played at first.

Change: such a grant counts as unanswered until it can no longer arrive; inherited ranges stay so, without a holder in the key map. The model plays servers whose restart is listed late.

--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -253,6 +253,8 @@
     RangeRecord m_record;
     std::uint64_t m_change = 0; ///< Number of the last change of m_record.
     bool m_isInherited = false; ///< An earlier granter may renew the owner.
+    /// The owner has started again since it was granted the keys.
+    bool m_hasOwnerRestarted = false;
     /// A granter that no record names may have moved the range.
     bool m_mayHaveUnknownOwner = false;
     bool m_isGrantPending = false;
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -279,13 +279,18 @@
   Item.m_record.m_owner = Owner;
   Item.m_record.m_fence = nextFence();
   Item.m_confirmedAt = {};
+  // A pending grant with the earlier token can still arrive, and its result is
+  // ignored.
+  if (Item.m_isGrantPending)
+    Item.m_unansweredAt =
+        std::max(Item.m_unansweredAt, latestArrival(Item.m_grantSentAt));
   Item.m_isGrantPending = false;
   Item.m_nextGrantAt = {};
   markChanged(Item);
 }
 
 void KeyGranter::setServers(const std::vector<ServerEntry> &Servers,
-                            TimePoint Now) {
+                            TimePoint) {
   m_servers.clear();
   for (const ServerEntry &Entry : Servers) {
     m_servers[Entry.m_id] = Entry;
@@ -299,14 +304,12 @@
     return;
   for (Range &Item : m_ranges) {
     // The registry lists a restart late. Until then the new instance takes
-    // renewals that were meant for the earlier one, so that it may hold keys by
-    // the last of them.
+    // renewals that were meant for the earlier one, also those of an earlier
+    // granter, so that it may hold keys by the last of them.
     const auto Owner = m_servers.find(Item.m_record.m_owner.m_id);
     if (Owner != m_servers.end() &&
         Owner->second.m_startMs > Item.m_record.m_owner.m_startMs) {
-      Item.m_isInherited = false;
-      if (Item.m_isGrantPending)
-        Item.m_unansweredAt = Now;
+      Item.m_hasOwnerRestarted = true;
       regrant(Item, {Owner->first, Owner->second.m_startMs});
     }
     const auto Previous = m_servers.find(Item.m_record.m_previousOwner.m_id);
@@ -374,6 +377,7 @@
       Item->m_confirmedAt = Ended.m_sentAt;
       Item->m_answeredAt = Now;
       Item->m_isInherited = false;
+      Item->m_hasOwnerRestarted = false;
       Item->m_handover.clear();
       // Forget an earlier unanswered grant once its hold has expired.
       if (Item->m_unansweredAt != TimePoint{} &&
@@ -424,6 +428,8 @@
     Record.m_previousFence = Record.m_fence;
   }
   Item.m_isInherited = false;
+  Item.m_hasOwnerRestarted = false;
+  Item.m_isGrantPending = false;
   Item.m_answeredAt = {};
   Item.m_unansweredAt = {};
   Item.m_handover.clear();
@@ -657,10 +663,10 @@
   std::vector<KeyRange> Ranges;
   for (const Range &Item : m_ranges) {
     const RangeRecord &Record = Item.m_record;
-    const bool IsHeld =
-        Record.m_previousOwner.isNone() &&
-        (Item.m_isInherited || (Item.m_confirmedAt != TimePoint{} &&
-                                Now < holdEnd(Item.m_confirmedAt)));
+    const bool IsHeld = Record.m_previousOwner.isNone() &&
+                        ((Item.m_isInherited && !Item.m_hasOwnerRestarted) ||
+                         (Item.m_confirmedAt != TimePoint{} &&
+                          Now < holdEnd(Item.m_confirmedAt)));
     const std::string Server = IsHeld ? Record.m_owner.m_id : std::string();
     appendRange(Ranges, {Record.m_from, Record.m_to, Server});
   }
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -403,6 +403,38 @@
   EXPECT_NE(holderOf(0), "b");
 }
 
+// The call can reach the new instance after that has answered a release.
+TEST_F(KeyGranterTest, Restart_GrantIsPending_KeysWaitForItsHold) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(600));
+  ASSERT_EQ(holderOf(0), "a");
+  m_now += m_policy.m_renewInterval;
+  ASSERT_FALSE(step().empty());
+  const TimePoint SentAt = m_now;
+  ServerEntry Draining = makeServer("a", 2);
+  Draining.m_isDraining = true;
+  setServers({Draining, makeServer("b")});
+  const Millis Longest = 2 * m_policy.m_callTimeout + m_policy.m_hold;
+  run(Longest);
+  EXPECT_NE(holderOf(0), "b");
+  run(std::chrono::duration_cast<Millis>(SentAt + Longest + Millis(1000) -
+                                         m_now));
+  EXPECT_EQ(holderOf(0), "b");
+}
+
+// An earlier granter does not know of the restart either: its renewals reach
+// the new instance.
+TEST_F(KeyGranterTest, Restart_RangeIsInherited_KeysWaitForInheritedHolds) {
+  takeOver({4, "h0", 5, {}, {makeRange(0, 65535, "a", 77)}}, false);
+  ServerEntry Draining = makeServer("a", 2);
+  Draining.m_isDraining = true;
+  setServers({Draining, makeServer("b")});
+  EXPECT_EQ(holderOf(0), "");
+  run(Millis(3000));
+  EXPECT_NE(holderOf(0), "b");
+}
+
 TEST_F(KeyGranterTest, OnCallResult_HigherFence_SendsNothingUntilValidated) {
   takeOver({});
   setServers({makeServer("a")});
--- a/test/gateway/ownership-model-test.cc
+++ b/test/gateway/ownership-model-test.cc
@@ -66,9 +66,14 @@
   std::function<void()> m_run;
 };
 
+/// How long the registry goes on to list the earlier instance of a server that
+/// starts again. The new instance then takes the calls meant for it.
+enum class RestartListing { AtOnce, Late };
+
 class Model {
 public:
-  explicit Model(std::uint32_t Seed) : m_random(Seed) {
+  Model(std::uint32_t Seed, RestartListing Listing)
+      : m_random(Seed), m_restartListing(Listing) {
     for (int I = 0; I < Hosts; ++I)
       restart(I);
   }
@@ -165,13 +170,18 @@
       Entry.m_id = nameOf('s', I);
       Entry.m_service = "stock";
       Entry.m_address = Entry.m_id;
-      Entry.m_startMs = m_servers[I].m_startMs;
+      Entry.m_startMs = m_listedStartMs[I];
       Entry.m_isDraining = m_servers[I].m_isDraining;
       Out.push_back(Entry);
     }
     return Out;
   }
 
+  void listInstance(int Index) {
+    m_listed[Index] = true;
+    m_listedStartMs[Index] = m_servers[Index].m_startMs;
+  }
+
   void injectFaults() {
     const int Index = pick(Servers);
     ModelServer &Server = m_servers[Index];
@@ -185,7 +195,15 @@
     if (!Server.m_isUp && chance(0.02)) {
       Server = ModelServer{};
       Server.m_startMs = ++m_lastServerStartMs;
-      m_listed[Index] = true;
+      listInstance(Index);
+    }
+    if (m_restartListing == RestartListing::Late && chance(0.004)) {
+      Server = ModelServer{};
+      Server.m_startMs = ++m_lastServerStartMs;
+      schedule(delay(0, 2500), [this, Index, StartMs = Server.m_startMs] {
+        if (m_servers[Index].m_startMs == StartMs)
+          listInstance(Index);
+      });
     }
     if (chance(0.004))
       Server.m_isDraining = !Server.m_isDraining;
@@ -377,8 +395,12 @@
         return;
       }
       if (IsLate) {
-        schedule(delay(200, 4000),
-                 [=, this] { processCall(Call, Server, ArrivedAt); });
+        // A call that waits in a server ends with its instance.
+        const std::int64_t StartMs = m_servers[Server].m_startMs;
+        schedule(delay(200, 4000), [=, this] {
+          if (m_servers[Server].m_startMs == StartMs)
+            processCall(Call, Server, ArrivedAt);
+        });
         Report(GrantResult::NoAnswer, Millis(100));
         return;
       }
@@ -390,7 +412,8 @@
   GrantResult processCall(const GrantCall &Call, int Index,
                           TimePoint ArrivedAt) {
     ModelServer &Server = m_servers[Index];
-    if (!Server.m_isUp || Server.m_startMs != Call.m_server.m_startMs)
+    if (!Server.m_isUp || (Server.m_startMs != Call.m_server.m_startMs &&
+                           m_restartListing == RestartListing::AtOnce))
       return GrantResult::NoAnswer;
     const auto IsInRange = [&Call](int I) {
       return sampledKey(I) >= Call.m_from && sampledKey(I) <= Call.m_to;
@@ -438,6 +461,7 @@
   }
 
   std::mt19937 m_random;
+  const RestartListing m_restartListing;
   TimePoint m_now{std::chrono::seconds(1000)};
   std::int64_t m_lastProcessStartMs = 0;
   std::int64_t m_lastServerStartMs = 1;
@@ -446,6 +470,8 @@
   TimePoint m_copiedAt{};
   std::vector<ModelServer> m_servers = std::vector<ModelServer>(Servers);
   std::vector<bool> m_listed = std::vector<bool>(Servers, true);
+  std::vector<std::int64_t> m_listedStartMs =
+      std::vector<std::int64_t>(Servers, 1);
   std::array<Host, Hosts> m_hosts;
   std::vector<Event> m_events;
   std::string m_violation;
@@ -454,8 +480,9 @@
 
 /// Runs the history of \p Seed. Returns the violation and the trace, or an
 /// empty string.
-std::string runHistory(std::uint32_t Seed) {
-  Model Subject(Seed);
+std::string runHistory(std::uint32_t Seed,
+                       RestartListing Listing = RestartListing::AtOnce) {
+  Model Subject(Seed, Listing);
   const std::string Violation = Subject.run();
   if (Violation.empty())
     return Violation;
@@ -487,5 +514,24 @@
   }
 }
 
+// Found with these seeds: a restarted owner, whose new instance has taken
+// renewals meant for the earlier one or has been sent one that is still under
+// way, counts as an owner without keys.
+TEST(OwnershipModelTest, RestartsListedLate_SeedsThatFailed_KeepsInvariants) {
+  for (std::uint32_t Seed : {183U, 185U, 193U, 209U, 343U, 71273U})
+    EXPECT_EQ(runHistory(Seed, RestartListing::Late), "");
+}
+
+RC_GTEST_PROP(OwnershipModelTest,
+              RandomHistory_RestartsListedLate_KeepsInvariants,
+              (std::uint32_t Seed)) {
+  for (std::uint32_t I = 0; I < 10; ++I) {
+    const std::string Violation =
+        runHistory(Seed + I * 7919, RestartListing::Late);
+    if (!Violation.empty())
+      RC_FAIL(Violation);
+  }
+}
+
 } // namespace
 } // namespace tamarackdrum::gateway
