Limit the requests that cold servers get

Cause: cold servers got as many requests as warm ones and crashed; their registry rows say up to 2.5 s late that they are cold.

Ruled out: report numbers for all hosts (multiplies the listing's traffic), own health checks, the whole of cold_per_s at the coordinator (no room for delayed arrivals together with hosts that decide by themselves).

Change: services may set cold_per_s and cold_s. A server whose state is unknown (just listed, restarted, evacuation ended, reachable again) counts as cold until reports show otherwise or cold_s has passed. Unknown states are handed over to a new coordinator, and a listing tells followers when a cold time has grown. Without cold_per_s nothing changes.

Not measured against real load.

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -79,10 +79,16 @@
   bool changeKeyMap(const std::string &Service, const KeyMapUpdate &Change);
   /// Drops the dispatchers of all services but \p Names.
   void setServices(const std::vector<std::string> &Names);
+  /// Sets how cold servers are treated, by service.
+  void setColdPolicies(std::map<std::string, ColdPolicy> Policies) {
+    m_coldPolicies = std::move(Policies);
+    updateRateShares();
+  }
 
   // Handlers of messages from other hosts. Link identifies the connection.
   void onRunning(std::uint32_t Link, const std::vector<RunningDispatch> &Items,
-                 const std::vector<ToldLimit> &Limits);
+                 const std::vector<ToldLimit> &Limits,
+                 const std::vector<ToldCold> &Cold);
   void onAsk(std::uint32_t Link, const std::string &Zone,
              DispatchRequestMessage &Message);
   void onQueued(std::uint32_t Link, std::uint32_t Number);
@@ -100,6 +106,10 @@
   /// the services that \p Host coordinates.
   std::vector<ToldLimit> limitsFor(const std::string &Host) const;
 
+  /// Returns the servers of these services that this host, as coordinator,
+  /// expects to be cold although the registry may not show it.
+  std::vector<ToldCold> coldServersFor(const std::string &Host) const;
+
   /// Moves requests whose coordinator is dead or has not acknowledged them in
   /// time to the fallback, and advances the timers of all dispatchers.
   void tick();
@@ -157,6 +167,10 @@
   void logLimit(const std::string &Service,
                 const std::optional<LimitChange> &Change,
                 std::string_view Source, Millis Age = Millis(0));
+  /// Records the time left cold that an answer to a request of this host says.
+  void noteColdTime(const StartedDispatch &Item, Millis Left);
+  /// Logs which servers have become cold or warm.
+  void logColdChanges(TimePoint Now);
   /// Stores the decision on a pending request and resumes its acquire().
   void resolve(std::uint32_t Number, const DispatchDecision &Made);
   /// Returns the policy of the fallback: this host's share of slots and of the
@@ -173,6 +187,7 @@
   DispatcherRegistry m_fallbackDispatchers;
   std::map<std::string, std::string> m_coordinators;
   std::map<std::string, KeyMap> m_keyMaps;
+  std::map<std::string, ColdPolicy> m_coldPolicies; ///< By service.
   std::uint32_t m_lastNumber = 0;
   std::map<std::uint32_t, PendingRequestPtr> m_pending;
   std::map<std::uint32_t, StartedDispatch> m_running;
--- a/include/tamarackdrum/gateway/configuration.h
+++ b/include/tamarackdrum/gateway/configuration.h
@@ -4,7 +4,7 @@
 #ifndef TAMARACKDRUM_GATEWAY_CONFIGURATION_H
 #define TAMARACKDRUM_GATEWAY_CONFIGURATION_H
 
-#include "tamarackdrum/core.h"
+#include "tamarackdrum/gateway/cold-server.h"
 
 #include <map>
 #include <unordered_map>
@@ -44,6 +44,7 @@
   std::string m_name;
   unsigned m_maxConnections = 0; ///< Total of all hosts.
   bool m_isKeyed = false;        ///< Servers hold ranges of keys.
+  ColdPolicy m_cold;
 
   bool operator==(const Service &) const = default;
 };
--- a/include/tamarackdrum/gateway/dispatcher-registry.h
+++ b/include/tamarackdrum/gateway/dispatcher-registry.h
@@ -53,6 +53,10 @@
   /// Sets the part of servers' rate limits that the dispatcher of a service may
   /// use. Does nothing if there is none yet.
   void setRateShare(const std::string &Service, double Share, TimePoint Now);
+  /// Sets how cold servers are treated, by service; see
+  /// Dispatcher::setColdPolicy().
+  void setColdPolicies(const std::map<std::string, ColdPolicy> &Policies,
+                       double HeardShare, TimePoint Now);
   void addRunning(const std::string &Service, const DispatchId &Id,
                   const std::string &Server, const std::string &Route,
                   Millis TimeLeft, TimePoint Now);
@@ -73,6 +77,8 @@
   const DecisionHandler m_onDecision;
   std::map<std::string, std::vector<ServerEntry>> m_servers; ///< By service.
   std::map<std::string, KeyMap> m_keyMaps;                   ///< By service.
+  std::map<std::string, ColdPolicy> m_coldPolicies;          ///< By service.
+  double m_heardShare = 1;
   std::map<std::string, std::unique_ptr<Dispatcher>> m_dispatchers;
 };
 
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -14,6 +14,7 @@
 #define TAMARACKDRUM_GATEWAY_DISPATCHER_H
 
 #include "tamarackdrum/gateway/answer-report.h"
+#include "tamarackdrum/gateway/cold-server.h"
 #include "tamarackdrum/gateway/key-map.h"
 #include "tamarackdrum/gateway/rate-limit.h"
 #include "tamarackdrum/gateway/retry-window.h"
@@ -21,6 +22,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <list>
 #include <optional>
 #include <set>
@@ -160,6 +162,7 @@
   Millis m_defaultRetryAfter{1000};
   Millis m_minRetryAfter{50};
   RetryPolicy m_retries;
+  ColdBound m_coldBound;
 
   bool operator==(const DispatchPolicy &) const = default;
 };
@@ -184,11 +187,29 @@
   bool operator==(const KnownLimit &) const = default;
 };
 
+/// A change of whether a server counts as cold.
+struct ColdChange {
+  std::string m_server;
+  bool m_isCold = false;
+  Millis m_left{0}; ///< Time until it counts as warm.
+
+  bool operator==(const ColdChange &) const = default;
+};
+
+/// A server that counts as cold for a reason that the registry does not show.
+struct KnownCold {
+  std::string m_server;
+  Millis m_left{0};
+
+  bool operator==(const KnownCold &) const = default;
+};
+
 /// Counts of one dispatcher, for logs and metrics.
 struct DispatchLoad {
   std::size_t m_waiting = 0;
   std::size_t m_running = 0;
   std::size_t m_slots = 0;
+  std::size_t m_coldServers = 0; ///< Servers that are logged as cold.
 };
 
 using DispatchDecisions = std::vector<DispatchDecision>;
@@ -246,6 +267,24 @@
                                         double PerSecond, Millis Age,
                                         TimePoint Now);
 
+  /// Sets how cold servers are treated. \p HeardShare is the part of all hosts
+  /// that this one hears of: hosts beyond may have another dispatcher that
+  /// decides for them.
+  void setColdPolicy(const ColdPolicy &Policy, double HeardShare,
+                     TimePoint Now);
+  /// Records the time left cold that an answer to a request that was sent at
+  /// \p SentAt or later says.
+  void noteColdTime(const std::string &Server, Millis Left, TimePoint SentAt,
+                    TimePoint Now);
+  /// As above, for the answer to a running dispatch.
+  void noteColdTime(const DispatchId &Id, Millis Left, TimePoint Now);
+  /// Records that another host expects a server to be cold for \p Left.
+  void adoptCold(const std::string &Server, Millis Left, TimePoint Now);
+  /// Returns the servers that a new coordinator has to be told of.
+  std::vector<KnownCold> coldServers(TimePoint Now) const;
+  /// Returns the changes since the last call.
+  std::vector<ColdChange> takeColdChanges(TimePoint Now);
+
   /// Returns the known rate limits.
   std::vector<KnownLimit> limits(TimePoint Now) const;
 
@@ -299,6 +338,11 @@
     TimePoint m_lastSampleAt{};
     RateLimit m_rateLimit;
     std::uint64_t m_heldBack = 0; ///< See KnownLimit.
+    ColdState m_cold;
+    RateLimit m_coldLimit;      ///< Holds while the server is cold.
+    bool m_isShownCold = false; ///< See takeColdChanges().
+    /// Unreachable or lost connections without an answer in between.
+    unsigned m_contactErrors = 0;
   };
   struct Waiting {
     DispatchRequest m_request;
@@ -325,10 +369,12 @@
   /// Map key for all servers of a service without keys.
   static inline const std::string AllServers;
 
-  /// Rate limit of a server that is not listed at present.
+  /// Limits of a server that is not listed at present.
   struct KeptLimit {
     std::int64_t m_startMs = 0; ///< As in ServerEntry.
     RateLimit m_limit;
+    RateLimit m_coldLimit;
+    ColdState m_cold;
     TimePoint m_until;
   };
 
@@ -345,10 +391,22 @@
     double m_pauseMs = 0;   ///< Time until the first request is served.
     /// The rate is that of limits that servers have named.
     bool m_isLimited = false;
+    /// Time until the limit ends, and the requests per millisecond from then
+    /// on.
+    double m_limitEndMs = std::numeric_limits<double>::infinity();
+    double m_rateAfterPerMs = 0;
 
     /// Returns the expected wait behind \p Ahead other requests.
     double waitMs(std::size_t Ahead) const {
-      return m_pauseMs + static_cast<double>(Ahead + 1) / m_ratePerMs;
+      return atActualRate(m_pauseMs +
+                          static_cast<double>(Ahead + 1) / m_ratePerMs);
+    }
+    /// Returns the wait that takes \p Ms if the limit does not end.
+    double atActualRate(double Ms) const {
+      return Ms <= m_limitEndMs
+                 ? Ms
+                 : m_limitEndMs +
+                       (Ms - m_limitEndMs) * m_ratePerMs / m_rateAfterPerMs;
     }
   };
 
@@ -374,6 +432,23 @@
   double serviceRate(const Server &Item, TimePoint Now) const;
   /// As above, if the server had no rate limit.
   double slotRate(const Server &Item, TimePoint Now) const;
+  /// Returns whether the limits of a server permit another request now.
+  bool hasPermit(const Server &Item, TimePoint Now) const;
+  void takePermit(Server &Item, TimePoint Now);
+  double msUntilPermit(const Server &Item, TimePoint Now) const;
+  /// Returns the requests per millisecond that the limits of a server permit;
+  /// infinity if it has none.
+  double limitRate(const Server &Item, TimePoint Now) const;
+  /// Returns whether the limit on cold servers holds for a server.
+  bool isCold(const Server &Item, TimePoint Now) const;
+  /// Sets the rate of permits for a server while it is cold.
+  void setColdLimit(Server &Item, TimePoint Now) const;
+  /// Records the state that the registry shows of a server. \p HasChanged: the
+  /// server has just been listed or restarted, or its evacuation has ended.
+  void updateCold(const ServerEntry &Entry, Server &Item, bool HasChanged,
+                  TimePoint Now) const;
+  /// Records whether a server could be reached.
+  void updateContact(Server &Item, DispatchResult Outcome, TimePoint Now) const;
   /// Keeps the rate limit of a removed server for a while: its registry entry
   /// may have lapsed although it runs.
   void keepLimit(const Server &Item, TimePoint Now);
@@ -451,8 +526,12 @@
   double m_meanIdleMs = 0; ///< Average time that an assigned slot is idle.
   std::map<std::string, double> m_routeFactors;
   std::map<std::string, KeptLimit> m_keptLimits; ///< By server.
-  /// Last time that a refused caller was told to return, by holder of keys, or
-  /// for AllServers.
+  ColdPolicy m_coldPolicy;
+  double m_heardShare = 1;
+  bool m_hasServers = false; ///< Servers have been set before.
+  TimePoint m_now{};         ///< Of the last tick.
+  /// Last time at which the limit permits a refused caller to return, by holder
+  /// of keys, or for AllServers.
   std::map<std::string, TimePoint> m_lastReturns;
 };
 
--- a/include/tamarackdrum/gateway/listing-feed.h
+++ b/include/tamarackdrum/gateway/listing-feed.h
@@ -56,7 +56,9 @@
   static constexpr unsigned VersionBits = 20;
 
   std::uint64_t m_version;
-  std::map<std::string, ServerRow> m_rows;
+  std::map<std::string, ServerRow> m_rows; ///< As sent last.
+  /// Of the last read: m_rows does not show that a cold server gets colder.
+  std::map<std::string, Millis> m_warmUpLeft;
   bool m_hasListing = false;
 };
 
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -34,12 +34,22 @@
   bool operator==(const ToldLimit &) const = default;
 };
 
+/// A server that counts as cold for a reason that the registry does not show.
+struct ToldCold {
+  std::string m_service;
+  std::string m_server;
+  Millis m_left{0}; ///< Until it counts as warm.
+
+  bool operator==(const ToldCold &) const = default;
+};
+
 /// First message on a link: identifies the sender and its running dispatches.
 struct HelloMessage {
   HostInfo m_host;
   std::vector<RunningDispatch> m_running;
   bool m_isFollowing = false; ///< See FollowMessage.
   std::vector<ToldLimit> m_limits;
+  std::vector<ToldCold> m_cold;
 
   bool operator==(const HelloMessage &) const = default;
 };
@@ -49,6 +59,7 @@
 struct RunningMessage {
   std::vector<RunningDispatch> m_running;
   std::vector<ToldLimit> m_limits;
+  std::vector<ToldCold> m_cold;
 
   bool operator==(const RunningMessage &) const = default;
 };
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -4,6 +4,7 @@
 #ifndef TAMARACKDRUM_GATEWAY_PORTS_H
 #define TAMARACKDRUM_GATEWAY_PORTS_H
 
+#include "tamarackdrum/gateway/cold-server.h"
 #include "tamarackdrum/gateway/configuration.h"
 #include "tamarackdrum/gateway/evacuations.h"
 #include "tamarackdrum/gateway/key-granter.h"
@@ -47,6 +48,7 @@
   Millis m_applyBound{2000};
   Millis m_stopTimeout{6000}; ///< From the stop signal to the kill.
   RetryPolicy m_retries;
+  ColdBound m_coldBound;
   std::size_t m_memoryLimitBytes = 256U << 20U; ///< Of the whole process.
   HeaderNames m_headers;
 
--- a/include/tamarackdrum/gateway/rate-limit.h
+++ b/include/tamarackdrum/gateway/rate-limit.h
@@ -6,6 +6,7 @@
 
 #include "tamarackdrum/core.h"
 
+#include <limits>
 #include <optional>
 #include <string_view>
 
@@ -43,15 +44,27 @@
   bool operator==(const RateShare &) const = default;
 };
 
+/// How long permits that are not used are kept.
+struct PermitPolicy {
+  /// By a dispatcher that decides for all hosts.
+  Millis m_maxBurstTime{250};
+  double m_maxBurst = std::numeric_limits<double>::infinity();
+  /// By a host that decides by itself.
+  Millis m_sharePermitTime{1000};
+
+  bool operator==(const PermitPolicy &) const = default;
+};
+
 /// The limit that one server is known to have, and the permits to send it
 /// requests.
 ///
 /// Load pattern: a server in need takes far fewer requests than its slots could
 /// run, from all hosts together. Permits fall due at the rate of the limit. A
 /// dispatcher that decides for all hosts keeps permits that it does not use for
-/// MaxBurstTime, at least one. A host that decides by itself has its share of
-/// them, and drops a permit that it does not use for SharePermitTime: otherwise
-/// each of many hosts could hold one, and they would be used at the same time.
+/// PermitPolicy::m_maxBurstTime, at least one. A host that decides by itself
+/// has its share of them, and drops a permit that it does not use for a while:
+/// otherwise each of many hosts could hold one, and they would be used at the
+/// same time.
 ///
 /// Answers arrive in another order than they were sent: a host may have been
 /// paused, or a link slow. An answer to a request that was sent after the last
@@ -68,6 +81,12 @@
   /// long. Returns whether the known limit has changed.
   bool adopt(double PerSecond, Millis Age, TimePoint Now);
 
+  /// Sets the limit, which is not one that the server has named.
+  void prescribe(double PerSecond, TimePoint Now);
+
+  /// Sets how permits are kept.
+  void setPermitPolicy(const PermitPolicy &Policy) { m_policy = Policy; }
+
   /// Sets the share of the limit from \p Now on. Nothing is left over when the
   /// share becomes the whole limit or ceases to be: another dispatcher decided
   /// before.
@@ -99,6 +118,7 @@
     return m_share.isWhole() ? 0 : m_share.m_phase;
   }
 
+  PermitPolicy m_policy;
   RateShare m_share;
   NamedLimit m_limit;
   TimePoint m_heardAt{}; ///< Arrival of the last answer that was recorded.
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -15,6 +15,9 @@
 /// A limit that a server has not named for longer is not told to a coordinator:
 /// hosts learn of its end only from answers to their own requests.
 constexpr Millis MaxToldAge{60000};
+/// Least part of the hosts that a coordinator assumes to hear of. With three
+/// zones that are cut off from each other, there are three coordinators.
+constexpr double MinHeardShare = 1.0 / 3;
 
 } // namespace
 
@@ -166,6 +169,8 @@
   const DispatchId Id{0, Taken.m_number};
   if (Report.m_limit)
     noteLimit(Item, *Report.m_limit);
+  if (Report.m_coldLeft)
+    noteColdTime(Item, *Report.m_coldLeft);
   if (Item.m_place == AdmissionPlace::Fallback)
     m_fallbackDispatchers.finish(Service, Id, Outcome, ServiceTime, Now);
   // The dispatchers here may have adopted a dispatch of another coordinator.
@@ -208,6 +213,30 @@
         Found != m_coordinators.end() && Found->second == m_hosts.self().m_name;
     m_dispatchers.setRateShare(Service, IsCoordinator ? 1 : OwnShare, Now);
   }
+  const double HeardShare =
+      std::max(MinHeardShare,
+               OwnShare * static_cast<double>(m_hosts.liveHosts(Now).size()));
+  m_dispatchers.setColdPolicies(m_coldPolicies, HeardShare, Now);
+  m_fallbackDispatchers.setColdPolicies(m_coldPolicies, HeardShare, Now);
+}
+
+void Admission::noteColdTime(const StartedDispatch &Item, Millis Left) {
+  const TimePoint Now = BootClock::now();
+  for (DispatcherRegistry *Registry :
+       {&m_dispatchers, &m_fallbackDispatchers}) {
+    const auto Found = Registry->all().find(Item.m_service);
+    if (Found != Registry->all().end())
+      Found->second->noteColdTime(Item.m_server, Left, Item.m_startedAt, Now);
+  }
+}
+
+void Admission::logColdChanges(TimePoint Now) {
+  for (const auto &[Service, Item] : m_dispatchers.all())
+    for (const ColdChange &Change : Item->takeColdChanges(Now))
+      m_log.write(Change.m_isCold ? "server-cold" : "server-warm",
+                  {{"service", Service},
+                   {"server", Change.m_server},
+                   {"left_ms", Change.m_left}});
 }
 
 void Admission::logLimit(const std::string &Service,
@@ -251,8 +280,9 @@
             Service, {0, Number}, Item.m_server, Item.m_route,
             std::chrono::duration_cast<Millis>(Item.m_deadline - Now), Now);
   } else {
-    m_network->send(
-        Host, RunningMessage{dispatchesCoordinatedBy(Host), limitsFor(Host)});
+    m_network->send(Host,
+                    RunningMessage{dispatchesCoordinatedBy(Host),
+                                   limitsFor(Host), coldServersFor(Host)});
   }
   std::vector<PendingRequestPtr> Waiting;
   for (const auto &[Number, Item] : m_pending)
@@ -313,8 +343,12 @@
 
 void Admission::onRunning(std::uint32_t Link,
                           const std::vector<RunningDispatch> &Items,
-                          const std::vector<ToldLimit> &Limits) {
+                          const std::vector<ToldLimit> &Limits,
+                          const std::vector<ToldCold> &Cold) {
   const TimePoint Now = BootClock::now();
+  for (const ToldCold &Item : Cold)
+    m_dispatchers.dispatcher(Item.m_service, Now)
+        .adoptCold(Item.m_server, Item.m_left, Now);
   for (const ToldLimit &Item : Limits)
     logLimit(Item.m_service,
              m_dispatchers.dispatcher(Item.m_service, Now)
@@ -371,6 +405,9 @@
                m_dispatchers.noteLimit(Message.m_service, Id,
                                        *Message.m_report.m_limit, Now),
                "report");
+    const auto Known = m_dispatchers.all().find(Message.m_service);
+    if (Message.m_report.m_coldLeft && Known != m_dispatchers.all().end())
+      Known->second->noteColdTime(Id, *Message.m_report.m_coldLeft, Now);
     m_dispatchers.finish(Message.m_service, Id, Message.m_result,
                          Message.m_serviceTime, Now);
     return;
@@ -422,6 +459,19 @@
   return Out;
 }
 
+std::vector<ToldCold> Admission::coldServersFor(const std::string &Host) const {
+  std::vector<ToldCold> Out;
+  const TimePoint Now = BootClock::now();
+  for (const auto &[Service, Item] : m_dispatchers.all()) {
+    const auto Found = m_coordinators.find(Service);
+    if (Found == m_coordinators.end() || Found->second != Host)
+      continue;
+    for (const KnownCold &Known : Item->coldServers(Now))
+      Out.push_back({Service, Known.m_server, Known.m_left});
+  }
+  return Out;
+}
+
 void Admission::tick() {
   const TimePoint Now = BootClock::now();
   std::vector<PendingRequestPtr> Silent;
@@ -440,6 +490,7 @@
   updateRateShares();
   m_dispatchers.tick(Now);
   m_fallbackDispatchers.tick(Now);
+  logColdChanges(Now);
 }
 
 } // namespace tamarackdrum::gateway
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -33,6 +33,7 @@
 DispatchPolicy dispatchPolicy(const GatewaySettings &Settings) {
   DispatchPolicy Out;
   Out.m_retries = Settings.m_retries;
+  Out.m_coldBound = Settings.m_coldBound;
   Out.m_rateSeed = hashKey(Settings.m_host.m_name);
   return Out;
 }
@@ -102,7 +103,8 @@
   Out.m_makeHello = [this](const std::string &Host) {
     return HelloMessage{m_hosts.self(),
                         m_admission.dispatchesCoordinatedBy(Host),
-                        m_feed.isFollowing(Host), m_admission.limitsFor(Host)};
+                        m_feed.isFollowing(Host), m_admission.limitsFor(Host),
+                        m_admission.coldServersFor(Host)};
   };
   Out.m_makeHeartbeat = [this](const Heartbeat *Received) {
     return makeHeartbeat(Received);
@@ -173,14 +175,17 @@
 
 void GatewayHost::onConfiguration() {
   std::vector<std::string> Names;
+  std::map<std::string, ColdPolicy> Cold;
   for (const auto &[Name, Item] : m_feed.routes()->configuration().m_services) {
     Names.push_back(Name);
+    Cold[Name] = Item.m_cold;
     if (Item.m_isKeyed && m_granterRunners.count(Name) == 0) {
       m_admission.setKeyMap(Name, KeyMap(0, {}));
       asio::co_spawn(m_executor, makeGranterRunner(Name).run(), asio::detached);
     }
   }
   m_admission.setServices(Names);
+  m_admission.setColdPolicies(std::move(Cold));
   updateCoordinators();
 }
 
@@ -338,11 +343,13 @@
                             PeerMessage &Message) {
   if (const auto *Hello = std::get_if<HelloMessage>(&Message)) {
     m_hosts.addHosts({Hello->m_host}, BootClock::now());
-    m_admission.onRunning(Link, Hello->m_running, Hello->m_limits);
+    m_admission.onRunning(Link, Hello->m_running, Hello->m_limits,
+                          Hello->m_cold);
     if (Hello->m_isFollowing)
       m_feed.onFollow(Link, true);
   } else if (const auto *Running = std::get_if<RunningMessage>(&Message)) {
-    m_admission.onRunning(Link, Running->m_running, Running->m_limits);
+    m_admission.onRunning(Link, Running->m_running, Running->m_limits,
+                          Running->m_cold);
   } else if (auto *Request = std::get_if<DispatchRequestMessage>(&Message)) {
     const std::optional<HostInfo> Peer = m_hosts.find(Host);
     m_admission.onAsk(Link, Peer ? Peer->m_zone : "", *Request);
@@ -442,9 +449,13 @@
                      static_cast<double>(m_log.droppedLines()));
   m_metrics.setGauge("configuration_version",
                      static_cast<double>(m_feed.configurationVersion()));
-  for (const auto &[Service, Item] : m_admission.dispatchers().all())
-    m_metrics.setGauge("waiting{service=\"" + Service + "\"}",
-                       static_cast<double>(Item->load().m_waiting));
+  for (const auto &[Service, Item] : m_admission.dispatchers().all()) {
+    const std::string Labels = "{service=\"" + Service + "\"}";
+    const DispatchLoad Load = Item->load();
+    m_metrics.setGauge("waiting" + Labels, static_cast<double>(Load.m_waiting));
+    m_metrics.setGauge("cold_servers" + Labels,
+                       static_cast<double>(Load.m_coldServers));
+  }
   setLimitGauges();
   return m_metrics.toText();
 }
--- a/src/gateway/dispatcher-limits.cc
+++ b/src/gateway/dispatcher-limits.cc
@@ -72,15 +72,18 @@
   if (m_policy.m_rateShare == Share)
     return;
   m_policy.m_rateShare = Share;
-  for (auto &[Id, Item] : m_servers)
+  for (auto &[Id, Item] : m_servers) {
     Item.m_rateLimit.setShare(rateShareFor(Id), Now);
+    setColdLimit(Item, Now);
+  }
 }
 
 void Dispatcher::keepLimit(const Server &Item, TimePoint Now) {
   std::erase_if(m_keptLimits,
                 [Now](const auto &Kept) { return Kept.second.m_until <= Now; });
-  if (Item.m_rateLimit.isLimited())
+  if (Item.m_rateLimit.isLimited() || isCold(Item, Now))
     m_keptLimits[Item.m_entry.m_id] = {Item.m_entry.m_startMs, Item.m_rateLimit,
+                                       Item.m_coldLimit, Item.m_cold,
                                        Now + KeptLimitTime};
 }
 
@@ -89,8 +92,11 @@
   const auto Found = m_keptLimits.find(Entry.m_id);
   if (Found != m_keptLimits.end()) {
     if (Found->second.m_startMs == Entry.m_startMs &&
-        Now < Found->second.m_until)
+        Now < Found->second.m_until) {
       Item.m_rateLimit = Found->second.m_limit;
+      Item.m_coldLimit = Found->second.m_coldLimit;
+      Item.m_cold = Found->second.m_cold;
+    }
     m_keptLimits.erase(Found);
   }
   Item.m_rateLimit.setShare(rateShareFor(Entry.m_id), Now);
@@ -109,20 +115,24 @@
   std::erase_if(m_lastReturns,
                 [Now](const auto &Item) { return Item.second <= Now; });
   const auto Found = m_lastReturns.find(Holder);
+  // Turns are counted at the rate of the limit, as if it did not end.
+  TimePoint Turn = Now + RetryAfter;
   if (Found != m_lastReturns.end()) {
     const Millis Interval(static_cast<std::int64_t>(1 / Expected.m_ratePerMs));
-    const Millis AfterOthers =
-        std::chrono::duration_cast<Millis>(Found->second + Interval - Now);
-    RetryAfter = std::max(RetryAfter, AfterOthers);
+    Turn = std::max(Turn, Found->second + Interval);
+    const double TurnMs =
+        std::chrono::duration<double, std::milli>(Turn - Now).count();
+    RetryAfter = std::max(RetryAfter, Millis(static_cast<std::int64_t>(
+                                          Expected.atActualRate(TurnMs))));
   }
   // A caller without the time to return takes nobody's turn.
   if (RetryAfter < Request.m_timeLeft)
-    m_lastReturns[Holder] = Now + RetryAfter;
+    m_lastReturns[Holder] = Turn;
   refuse(Request, RefusalReason::ServerLimit, RetryAfter, Out);
 }
 
 bool Dispatcher::isLimitBound(const Server &Item, TimePoint Now) const {
-  return Item.m_rateLimit.ratePerMs() < slotRate(Item, Now);
+  return limitRate(Item, Now) < slotRate(Item, Now);
 }
 
 bool Dispatcher::areAllLimited(TimePoint Now) const {
@@ -159,7 +169,7 @@
   if (m_waiting.empty())
     return;
   for (auto &[Id, Item] : m_servers)
-    if (Item.m_rateLimit.isLimited())
+    if (Item.m_rateLimit.isLimited() || isCold(Item, Now))
       fillSlots(Item, Now, Out);
 }
 
--- a/src/gateway/dispatcher-queue.cc
+++ b/src/gateway/dispatcher-queue.cc
@@ -36,13 +36,18 @@
   Out.m_ratePerMs = static_cast<double>(slotsOf(Holder->second)) / HolderMs;
   if (Now < Holder->second.m_pausedUntil)
     Out.m_pauseMs = toMs(Holder->second.m_pausedUntil - Now);
-  const RateLimit &Limit = Holder->second.m_rateLimit;
-  if (Limit.ratePerMs() < Out.m_ratePerMs) {
+  const double LimitRate = limitRate(Holder->second, Now);
+  if (LimitRate < Out.m_ratePerMs) {
     Out.m_isLimited = true;
-    Out.m_ratePerMs = Limit.ratePerMs();
+    if (Holder->second.m_rateLimit.ratePerMs() >= Out.m_ratePerMs) {
+      Out.m_limitEndMs = toMs(Holder->second.m_cold.timeLeft(Now));
+      Out.m_rateAfterPerMs = Out.m_ratePerMs;
+    }
+    Out.m_ratePerMs = LimitRate;
     // waitMs() adds the interval of one permit for the first request.
     Out.m_pauseMs =
-        std::max(Out.m_pauseMs, Limit.msUntilPermit(Now)) - 1 / Out.m_ratePerMs;
+        std::max(Out.m_pauseMs, msUntilPermit(Holder->second, Now)) -
+        1 / Out.m_ratePerMs;
   }
   return Out;
 }
--- a/src/gateway/dispatcher-registry.cc
+++ b/src/gateway/dispatcher-registry.cc
@@ -17,6 +17,9 @@
     return *Found->second;
   std::unique_ptr<Dispatcher> Created = std::make_unique<Dispatcher>(m_policy);
   DispatchDecisions Ignored;
+  const auto Cold = m_coldPolicies.find(Service);
+  if (Cold != m_coldPolicies.end())
+    Created->setColdPolicy(Cold->second, m_heardShare, Now);
   const auto Servers = m_servers.find(Service);
   if (Servers != m_servers.end())
     Created->setServers(Servers->second, Now, Ignored);
@@ -133,6 +136,18 @@
     Found->second->setRateShare(Share, Now);
 }
 
+void DispatcherRegistry::setColdPolicies(
+    const std::map<std::string, ColdPolicy> &Policies, double HeardShare,
+    TimePoint Now) {
+  m_coldPolicies = Policies;
+  m_heardShare = HeardShare;
+  for (auto &[Service, Item] : m_dispatchers) {
+    const auto Found = Policies.find(Service);
+    Item->setColdPolicy(Found == Policies.end() ? ColdPolicy{} : Found->second,
+                        HeardShare, Now);
+  }
+}
+
 void DispatcherRegistry::addRunning(const std::string &Service,
                                     const DispatchId &Id,
                                     const std::string &Server,
--- a/src/gateway/dispatcher-statistics.cc
+++ b/src/gateway/dispatcher-statistics.cc
@@ -56,7 +56,7 @@
 }
 
 double Dispatcher::serviceRate(const Server &Item, TimePoint Now) const {
-  return std::min(slotRate(Item, Now), Item.m_rateLimit.ratePerMs());
+  return std::min(slotRate(Item, Now), limitRate(Item, Now));
 }
 
 double Dispatcher::serviceRate(TimePoint Now) const {
@@ -87,6 +87,7 @@
   };
   if (Outcome == DispatchResult::Withdrawn)
     return;
+  updateContact(Item, Outcome, Now);
   Item.m_lacksKey = Outcome == DispatchResult::NotHeld;
   UpdateShare(Item.m_refusedShare, Outcome == DispatchResult::Refused);
   UpdateShare(Item.m_failedShare,
@@ -148,13 +149,19 @@
                           : m_meanServiceMs;
   const double Rate = static_cast<double>(slotsOf(Found->second)) * 1000 / Mean;
   const RateLimit &Limit = Found->second.m_rateLimit;
-  return Limit.isLimited() ? std::min(Rate, Limit.perSecond()) : Rate;
+  const double Named =
+      Limit.isLimited() ? std::min(Rate, Limit.perSecond()) : Rate;
+  return isCold(Found->second, m_now)
+             ? std::min(Named, m_coldPolicy.m_perSecond)
+             : Named;
 }
 
 DispatchLoad Dispatcher::load() const {
-  DispatchLoad Out{m_waiting.size(), m_running.size(), 0};
-  for (const auto &[Id, Item] : m_servers)
+  DispatchLoad Out{m_waiting.size(), m_running.size(), 0, 0};
+  for (const auto &[Id, Item] : m_servers) {
     Out.m_slots += slotsOf(Item);
+    Out.m_coldServers += Item.m_isShownCold ? 1 : 0;
+  }
   return Out;
 }
 
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -9,6 +9,9 @@
 /// A request that has run for more than the mean service time multiplied by
 /// this factor shows that its server has become slow.
 constexpr double OverdueFactor = 1.5;
+/// A cold server is chosen after all that are warm, unless those are slower by
+/// this factor.
+constexpr double ColdCostFactor = 4;
 
 } // namespace
 
@@ -37,7 +40,11 @@
 
 void Dispatcher::setPolicy(const DispatchPolicy &Policy, TimePoint Now) {
   setRateShare(Policy.m_rateShare, Now);
+  const bool HasNewBound = Policy.m_coldBound != m_policy.m_coldBound;
   m_policy = Policy;
+  if (HasNewBound)
+    for (auto &[Id, Item] : m_servers)
+      setColdLimit(Item, Now);
   m_retries.setPolicy(Policy.m_retries);
 }
 
@@ -60,29 +67,36 @@
 
 bool Dispatcher::mayAssign(const Server &Item, TimePoint Now,
                            bool OthersWait) const {
-  return hasFreeSlot(Item, Now, OthersWait) && Item.m_rateLimit.hasPermit(Now);
+  return hasFreeSlot(Item, Now, OthersWait) && hasPermit(Item, Now);
 }
 
 void Dispatcher::countIfHeldBack(Server &Item, TimePoint Now) const {
-  if (!Item.m_rateLimit.hasPermit(Now) && hasFreeSlot(Item, Now, false))
+  if (!hasPermit(Item, Now) && hasFreeSlot(Item, Now, false))
     ++Item.m_heldBack;
 }
 
 void Dispatcher::setServers(const std::vector<ServerEntry> &Servers,
                             TimePoint Now, DispatchDecisions &Out) {
+  m_now = Now;
   std::set<std::string> Known;
   for (const ServerEntry &Entry : Servers) {
     Known.insert(Entry.m_id);
     const auto [Found, IsNew] = m_servers.try_emplace(Entry.m_id);
     Server &Item = Found->second;
+    bool MayBeCold = IsNew && m_hasServers;
     if (IsNew || Item.m_entry.m_startMs != Entry.m_startMs) {
       const std::size_t Count = Item.m_runningCount;
+      MayBeCold = MayBeCold || !IsNew;
       Item = Server{};
       Item.m_runningCount = Count;
       restoreLimit(Entry, Item, Now);
     }
+    MayBeCold =
+        MayBeCold || (Item.m_entry.m_isEvacuated && !Entry.m_isEvacuated);
+    updateCold(Entry, Item, MayBeCold, Now);
     Item.m_entry = Entry;
   }
+  m_hasServers = m_hasServers || !Servers.empty();
   for (auto Item = m_servers.begin(); Item != m_servers.end();) {
     if (Known.count(Item->first) > 0) {
       ++Item;
@@ -131,8 +145,9 @@
       continue;
     const double SuccessShare =
         std::max(0.05, (1 - Item.m_refusedShare) * (1 - Item.m_failedShare));
-    const double Cost =
-        expectedServiceMs(Item, Now) / (SuccessShare * SuccessShare);
+    const double Cost = expectedServiceMs(Item, Now) *
+                        (isCold(Item, Now) ? ColdCostFactor : 1) /
+                        (SuccessShare * SuccessShare);
     if (Best == nullptr || Cost < BestCost) {
       Best = &Item;
       BestCost = Cost;
@@ -186,7 +201,7 @@
 void Dispatcher::assign(const DispatchRequest &Request, Server &Target,
                         TimePoint Now, DispatchDecisions &Out) {
   ++Target.m_runningCount;
-  Target.m_rateLimit.takePermit(Now);
+  takePermit(Target, Now);
   m_running[Request.m_id] = {Target.m_entry.m_id, Request.m_route, Now,
                              Now + Request.m_timeLeft + m_policy.m_reportGrace,
                              false};
@@ -308,6 +323,7 @@
 }
 
 void Dispatcher::tick(TimePoint Now, DispatchDecisions &Out) {
+  m_now = Now;
   for (auto Item = m_running.begin(); Item != m_running.end();) {
     const auto Target = m_servers.find(Item->second.m_server);
     if (Now >= Item->second.m_expiresAt) {
--- a/src/gateway/listing-feed.cc
+++ b/src/gateway/listing-feed.cc
@@ -37,14 +37,19 @@
   for (const ServerRow &Row : Rows) {
     Next[Row.m_id] = Row;
     const auto Old = m_rows.find(Row.m_id);
-    if (Old == m_rows.end() || !isEquivalent(Old->second, Row))
+    Millis &WarmUpLeft = m_warmUpLeft[Row.m_id];
+    const bool IsColdAgain = Row.m_entry.m_warmUpLeft > WarmUpLeft;
+    WarmUpLeft = Row.m_entry.m_warmUpLeft;
+    if (Old == m_rows.end() || IsColdAgain || !isEquivalent(Old->second, Row))
       Out.m_rows.push_back(Row);
     else
       Next[Row.m_id] = Old->second;
   }
   for (const auto &[Id, Row] : m_rows)
-    if (Next.count(Id) == 0)
+    if (Next.count(Id) == 0) {
       Out.m_removed.push_back(Id);
+      m_warmUpLeft.erase(Id);
+    }
   Out.m_hasChanges =
       !Out.m_rows.empty() || !Out.m_removed.empty() || !m_hasListing;
   Out.m_baseVersion = m_hasListing ? m_version : 0;
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -164,9 +164,37 @@
   return Out;
 }
 
+/// Appends the cold servers to \p Message, unless the sender knows of none.
+void appendCold(const std::vector<ToldCold> &Items, Json &Message) {
+  if (Items.empty())
+    return;
+  Json Out = Json::array();
+  for (const ToldCold &Item : Items)
+    Out.push_back(
+        packArray(Item.m_service, Item.m_server, Item.m_left.count()));
+  Message.push_back(std::move(Out));
+}
+
+std::vector<ToldCold> takeCold(ArrayReader &In) {
+  std::vector<ToldCold> Out;
+  if (!In.hasNext())
+    return Out;
+  for (const Json &Value : In.next()) {
+    ArrayReader Item(Value);
+    ToldCold Told;
+    Told.m_service = Item.take<std::string>();
+    Told.m_server = Item.take<std::string>();
+    Told.m_left = readColdTime(Item.takeMillis());
+    Out.push_back(std::move(Told));
+  }
+  return Out;
+}
+
 Json pack(const HelloMessage &Value) {
-  return packArray(pack(Value.m_host), pack(Value.m_running),
-                   Value.m_isFollowing, pack(Value.m_limits));
+  Json Out = packArray(pack(Value.m_host), pack(Value.m_running),
+                       Value.m_isFollowing, pack(Value.m_limits));
+  appendCold(Value.m_cold, Out);
+  return Out;
 }
 
 void read(ArrayReader In, HelloMessage &Out) {
@@ -174,15 +202,19 @@
   Out.m_running = readRunning(In.next());
   Out.m_isFollowing = In.take<bool>();
   Out.m_limits = readToldLimits(In);
+  Out.m_cold = takeCold(In);
 }
 
 Json pack(const RunningMessage &Value) {
-  return packArray(pack(Value.m_running), pack(Value.m_limits));
+  Json Out = packArray(pack(Value.m_running), pack(Value.m_limits));
+  appendCold(Value.m_cold, Out);
+  return Out;
 }
 
 void read(ArrayReader In, RunningMessage &Out) {
   Out.m_running = readRunning(In.next());
   Out.m_limits = readToldLimits(In);
+  Out.m_cold = takeCold(In);
 }
 
 Json pack(const DispatchRequestMessage &Value) {
--- a/src/gateway/rate-limit.cc
+++ b/src/gateway/rate-limit.cc
@@ -8,10 +8,6 @@
 namespace tamarackdrum::gateway {
 namespace {
 
-/// Time for which a dispatcher that decides for all hosts keeps permits.
-constexpr Millis MaxBurstTime{250};
-/// Time for which a host that decides by itself keeps a permit.
-constexpr Millis SharePermitTime{1000};
 /// Sums of shares are inexact.
 constexpr double PermitTolerance = 1e-9;
 
@@ -66,6 +62,11 @@
   return true;
 }
 
+void RateLimit::prescribe(double PerSecond, TimePoint Now) {
+  if (PerSecond != m_limit.m_perSecond)
+    set({PerSecond}, Now);
+}
+
 void RateLimit::set(const NamedLimit &Next, TimePoint Now) {
   m_permits = isLimited() ? permitsAt(Now) : initialPermits();
   m_countedAt = Now;
@@ -88,8 +89,10 @@
     return 0;
   const double Due = m_permits + ratePerMs() * toMs(Now - m_countedAt);
   if (m_share.isWhole())
-    return std::min(Due, std::max(1.0, ratePerMs() * toMs(MaxBurstTime)));
-  const double Most = 1 + ratePerMs() * toMs(SharePermitTime);
+    return std::min(
+        {Due, m_policy.m_maxBurst,
+         std::max(1.0, ratePerMs() * toMs(m_policy.m_maxBurstTime))});
+  const double Most = 1 + ratePerMs() * toMs(m_policy.m_sharePermitTime);
   return Due <= Most ? Due : Due - std::ceil(Due - Most);
 }
 
--- a/test/gateway/listing-feed-test.cc
+++ b/test/gateway/listing-feed-test.cc
@@ -50,6 +50,16 @@
   EXPECT_EQ(m_follower.rows(), Next);
 }
 
+// A server may become cold again before it is warm: followers that are not told
+// count it as warm too early.
+TEST_F(ListingFeedTest, Update_ColdTimeGrows_ContainsTheRow) {
+  for (const auto &[Left, IsSent] : std::vector<std::pair<Millis, bool>>{
+           {Millis(5000), true}, {Millis(2000), false}, {Millis(4000), true}}) {
+    m_rows[0].m_entry.m_warmUpLeft = Left;
+    EXPECT_EQ(m_source.update(m_rows).m_hasChanges, IsSent);
+  }
+}
+
 TEST_F(ListingFeedTest, Update_OnlyReportNumbersDiffer_HasNoChanges) {
   m_follower.apply(m_source.update(m_rows));
   const std::vector<ServerRow> Next{makeRow("a", false, 9), makeRow("b"),
--- a/test/platform/wire-decode-test.cc
+++ b/test/platform/wire-decode-test.cc
@@ -56,6 +56,18 @@
             RequestKind::Unsafe);
 }
 
+TEST_F(DecodeConfigurationTest, ColdServers_WithoutALimit_HaveNone) {
+  m_value["services"]["quotes"]["cold_per_s"] = 20;
+  m_value["services"]["quotes"]["cold_s"] = 2.5;
+  const Result<DecodedConfiguration> Read = decode();
+  ASSERT_TRUE(Read) << m_reason;
+  const auto &Services = Read.value().m_configuration.m_services;
+  EXPECT_EQ(Services.at("quotes").m_cold, (ColdPolicy{20, Millis(2500)}));
+  EXPECT_EQ(Services.at("sheets").m_cold, ColdPolicy{});
+  m_value["services"]["quotes"]["cold_per_s"] = -1;
+  EXPECT_FALSE(decode());
+}
+
 TEST_F(DecodeConfigurationTest, Weight_Negative_IsNamed) {
   part(0)["weight"] = -1;
   EXPECT_FALSE(decode());
