Use the load that servers report in their answers

Cause: servers that share machines become three times as slow for some 400 ms. They were chosen like others, and the slow moment counted as a slow server for seconds.

Ruled out: a log line for each slow moment (several a second and server; a gauge counts them), dividing the slots of a slow server (nobody else can serve its keys).

Change: for services without keys, a server whose report of the last 200 ms says 150% or more is chosen after others with a free slot; so is a cold one. A server that reports more waiting requests than its dispatcher knows of gets nothing beyond its slots. Service times are divided by the reported duration. Without X-Server-Load nothing changes.

--- a/include/tamarackdrum/gateway/dispatcher-registry.h
+++ b/include/tamarackdrum/gateway/dispatcher-registry.h
@@ -38,11 +38,13 @@
               TimePoint Now);
   void withdraw(const std::string &Service, const DispatchId &Id);
   void finish(const std::string &Service, const DispatchId &Id,
-              DispatchResult Outcome, Millis ServiceTime, TimePoint Now);
+              DispatchResult Outcome, Millis ServiceTime, TimePoint Now,
+              const std::optional<ReportedLoad> &Load = std::nullopt);
   void clearRunning(const std::string &Service);
   void recordOutcome(const std::string &Service, const std::string &Server,
                      const std::string &Route, DispatchResult Outcome,
-                     Millis ServiceTime, TimePoint Now);
+                     Millis ServiceTime, TimePoint Now,
+                     const std::optional<ReportedLoad> &Load = std::nullopt);
   std::optional<LimitChange> noteLimit(const std::string &Service,
                                        const std::string &Server,
                                        const NamedLimit &Named,
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -15,10 +15,12 @@
 
 #include "tamarackdrum/gateway/answer-report.h"
 #include "tamarackdrum/gateway/cold-server.h"
+#include "tamarackdrum/gateway/dispatch-state.h"
 #include "tamarackdrum/gateway/key-map.h"
 #include "tamarackdrum/gateway/rate-limit.h"
 #include "tamarackdrum/gateway/retry-window.h"
 #include "tamarackdrum/gateway/server-directory.h"
+#include "tamarackdrum/gateway/server-load.h"
 
 #include <deque>
 #include <functional>
@@ -167,51 +169,6 @@
   bool operator==(const DispatchPolicy &) const = default;
 };
 
-/// A change of what a dispatcher knows about the rate limit of a server.
-struct LimitChange {
-  std::string m_server;
-  double m_perSecond = 0;    ///< 0: no limit.
-  double m_wasPerSecond = 0; ///< 0: no limit.
-
-  bool operator==(const LimitChange &) const = default;
-};
-
-/// The rate limit of a server.
-struct KnownLimit {
-  std::string m_server;
-  double m_perSecond = 0;
-  Millis m_age{0}; ///< Since the server last named it.
-  /// Requests that got no free slot of the server because of the limit.
-  std::uint64_t m_heldBack = 0;
-
-  bool operator==(const KnownLimit &) const = default;
-};
-
-/// A change of whether a server counts as cold.
-struct ColdChange {
-  std::string m_server;
-  bool m_isCold = false;
-  Millis m_left{0}; ///< Time until it counts as warm.
-
-  bool operator==(const ColdChange &) const = default;
-};
-
-/// A server that counts as cold for a reason that the registry does not show.
-struct KnownCold {
-  std::string m_server;
-  Millis m_left{0};
-
-  bool operator==(const KnownCold &) const = default;
-};
-
-/// Counts of one dispatcher, for logs and metrics.
-struct DispatchLoad {
-  std::size_t m_waiting = 0;
-  std::size_t m_running = 0;
-  std::size_t m_slots = 0;
-  std::size_t m_coldServers = 0; ///< Servers that are logged as cold.
-};
-
 using DispatchDecisions = std::vector<DispatchDecision>;
 
 /// Dispatcher of one service. Its calls append the decisions that they cause,
@@ -235,8 +192,10 @@
   void withdraw(const DispatchId &Id);
 
   /// Records the end of a dispatch and assigns its slot to a waiting request.
+  /// \p Load is the load that the answer reports, if any.
   void finish(const DispatchId &Id, DispatchResult Outcome, Millis ServiceTime,
-              TimePoint Now, DispatchDecisions &Out);
+              TimePoint Now, DispatchDecisions &Out,
+              const std::optional<ReportedLoad> &Load = std::nullopt);
 
   /// Adds a dispatch that another dispatcher has decided and that ends within
   /// \p TimeLeft.
@@ -250,7 +209,8 @@
   /// Updates the statistics of a server with the outcome of a dispatch that
   /// another dispatcher has decided.
   void recordOutcome(const std::string &Server, const std::string &Route,
-                     DispatchResult Outcome, Millis ServiceTime, TimePoint Now);
+                     DispatchResult Outcome, Millis ServiceTime, TimePoint Now,
+                     const std::optional<ReportedLoad> &Load = std::nullopt);
 
   /// Records what an answer of \p Server to a request that was sent at
   /// \p SentAt or later says about its rate limit. Returns the change, if any.
@@ -338,6 +298,7 @@
     TimePoint m_lastSampleAt{};
     RateLimit m_rateLimit;
     std::uint64_t m_heldBack = 0; ///< See KnownLimit.
+    ServerLoad m_load;
     ColdState m_cold;
     RateLimit m_coldLimit;      ///< Holds while the server is cold.
     bool m_isShownCold = false; ///< See takeColdChanges().
@@ -422,8 +383,11 @@
   /// Load pattern: hosts with slow links. A slot counts as taken from the
   /// decision to the report of the end; while either message is in transit the
   /// slot is idle. Requests that wait at the server fill these gaps.
-  std::size_t overcommitOf(const Server &Item) const;
+  std::size_t overcommitOf(const Server &Item, TimePoint Now) const;
   double expectedServiceMs(const Server &Item, TimePoint Now) const;
+  /// Returns the expected service time of a server, increased for the requests
+  /// that it refuses or fails.
+  double costOf(const Server &Item, TimePoint Now) const;
   /// Returns the service time of requests of \p Route relative to the mean of
   /// the service.
   double routeFactor(const std::string &Route) const;
@@ -512,7 +476,7 @@
   Millis notHeldPause() const;
   void updateStatistics(Server &Item, const std::string &Route,
                         DispatchResult Outcome, Millis ServiceTime,
-                        TimePoint Now);
+                        const std::optional<ReportedLoad> &Load, TimePoint Now);
 
   DispatchPolicy m_policy;
   std::map<std::string, Server> m_servers;
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -172,13 +172,14 @@
   if (Report.m_coldLeft)
     noteColdTime(Item, *Report.m_coldLeft);
   if (Item.m_place == AdmissionPlace::Fallback)
-    m_fallbackDispatchers.finish(Service, Id, Outcome, ServiceTime, Now);
+    m_fallbackDispatchers.finish(Service, Id, Outcome, ServiceTime, Now,
+                                 Report.m_load);
   // The dispatchers here may have adopted a dispatch of another coordinator.
-  m_dispatchers.finish(Service, Id, Outcome, ServiceTime, Now);
+  m_dispatchers.finish(Service, Id, Outcome, ServiceTime, Now, Report.m_load);
   // Keeps the service times known here in case this host becomes coordinator.
   if (Item.m_place == AdmissionPlace::Coordinator)
     m_dispatchers.recordOutcome(Service, Item.m_server, Item.m_route, Outcome,
-                                ServiceTime, Now);
+                                ServiceTime, Now, Report.m_load);
   const auto Coordinator = m_coordinators.find(Service);
   if (Coordinator == m_coordinators.end() ||
       Coordinator->second == m_hosts.self().m_name ||
@@ -409,7 +410,7 @@
     if (Message.m_report.m_coldLeft && Known != m_dispatchers.all().end())
       Known->second->noteColdTime(Id, *Message.m_report.m_coldLeft, Now);
     m_dispatchers.finish(Message.m_service, Id, Message.m_result,
-                         Message.m_serviceTime, Now);
+                         Message.m_serviceTime, Now, Message.m_report.m_load);
     return;
   }
   for (const auto &[Service, Item] : m_dispatchers.all())
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -455,6 +455,8 @@
     m_metrics.setGauge("waiting" + Labels, static_cast<double>(Load.m_waiting));
     m_metrics.setGauge("cold_servers" + Labels,
                        static_cast<double>(Load.m_coldServers));
+    m_metrics.setGauge("slow_servers" + Labels,
+                       static_cast<double>(Load.m_slowServers));
   }
   setLimitGauges();
   return m_metrics.toText();
--- a/src/gateway/dispatcher-registry.cc
+++ b/src/gateway/dispatcher-registry.cc
@@ -90,12 +90,13 @@
 
 void DispatcherRegistry::finish(const std::string &Service,
                                 const DispatchId &Id, DispatchResult Outcome,
-                                Millis ServiceTime, TimePoint Now) {
+                                Millis ServiceTime, TimePoint Now,
+                                const std::optional<ReportedLoad> &Load) {
   const auto Found = m_dispatchers.find(Service);
   if (Found == m_dispatchers.end())
     return;
   DispatchDecisions Decisions;
-  Found->second->finish(Id, Outcome, ServiceTime, Now, Decisions);
+  Found->second->finish(Id, Outcome, ServiceTime, Now, Decisions, Load);
   deliver(Service, Decisions);
 }
 
@@ -105,13 +106,12 @@
     Found->second->clearRunning();
 }
 
-void DispatcherRegistry::recordOutcome(const std::string &Service,
-                                       const std::string &Server,
-                                       const std::string &Route,
-                                       DispatchResult Outcome,
-                                       Millis ServiceTime, TimePoint Now) {
+void DispatcherRegistry::recordOutcome(
+    const std::string &Service, const std::string &Server,
+    const std::string &Route, DispatchResult Outcome, Millis ServiceTime,
+    TimePoint Now, const std::optional<ReportedLoad> &Load) {
   dispatcher(Service, Now)
-      .recordOutcome(Server, Route, Outcome, ServiceTime, Now);
+      .recordOutcome(Server, Route, Outcome, ServiceTime, Now, Load);
 }
 
 std::optional<LimitChange> DispatcherRegistry::noteLimit(
--- a/src/gateway/dispatcher-statistics.cc
+++ b/src/gateway/dispatcher-statistics.cc
@@ -23,7 +23,11 @@
 
 } // namespace
 
-std::size_t Dispatcher::overcommitOf(const Server &Item) const {
+std::size_t Dispatcher::overcommitOf(const Server &Item, TimePoint Now) const {
+  const std::size_t Waiting =
+      Item.m_runningCount - std::min(Item.m_runningCount, slotsOf(Item));
+  if (Item.m_load.isOverfilled(Waiting, Now))
+    return 0;
   const double Slots = static_cast<double>(slotsOf(Item));
   const double IdleShare =
       std::min(m_meanIdleMs / m_meanServiceMs, m_policy.m_maxOvercommitShare);
@@ -43,6 +47,13 @@
   return Mean;
 }
 
+double Dispatcher::costOf(const Server &Item, TimePoint Now) const {
+  const double SuccessShare =
+      std::max(0.05, (1 - Item.m_refusedShare) * (1 - Item.m_failedShare));
+  return expectedServiceMs(Item, Now) * Item.m_load.slowness(Now) /
+         (SuccessShare * SuccessShare);
+}
+
 double Dispatcher::routeFactor(const std::string &Route) const {
   const auto Found = m_routeFactors.find(Route);
   return Found == m_routeFactors.end() ? 1.0 : Found->second;
@@ -81,6 +92,7 @@
 
 void Dispatcher::updateStatistics(Server &Item, const std::string &Route,
                                   DispatchResult Outcome, Millis ServiceTime,
+                                  const std::optional<ReportedLoad> &Load,
                                   TimePoint Now) {
   const auto UpdateShare = [](double &Share, bool IsHit) {
     Share += OutcomeWeight * ((IsHit ? 1.0 : 0.0) - Share);
@@ -88,6 +100,8 @@
   if (Outcome == DispatchResult::Withdrawn)
     return;
   updateContact(Item, Outcome, Now);
+  if (Load)
+    Item.m_load.note(*Load, Now);
   Item.m_lacksKey = Outcome == DispatchResult::NotHeld;
   UpdateShare(Item.m_refusedShare, Outcome == DispatchResult::Refused);
   UpdateShare(Item.m_failedShare,
@@ -115,7 +129,8 @@
                               Outcome == DispatchResult::Failed;
   if (!HasServiceTime)
     return;
-  const double Sample = std::max<double>(1, toMs(ServiceTime));
+  const double Sample =
+      std::max<double>(1, usualServiceMs(toMs(ServiceTime), Load));
   const double OldMean =
       Item.m_meanServiceMs > 0 ? Item.m_meanServiceMs : m_meanServiceMs;
   double &Factor = m_routeFactors.emplace(Route, 1.0).first->second;
@@ -134,10 +149,11 @@
 
 void Dispatcher::recordOutcome(const std::string &Server,
                                const std::string &Route, DispatchResult Outcome,
-                               Millis ServiceTime, TimePoint Now) {
+                               Millis ServiceTime, TimePoint Now,
+                               const std::optional<ReportedLoad> &Load) {
   const auto Found = m_servers.find(Server);
   if (Found != m_servers.end())
-    updateStatistics(Found->second, Route, Outcome, ServiceTime, Now);
+    updateStatistics(Found->second, Route, Outcome, ServiceTime, Load, Now);
 }
 
 double Dispatcher::capacityOf(const std::string &Server) const {
@@ -157,10 +173,11 @@
 }
 
 DispatchLoad Dispatcher::load() const {
-  DispatchLoad Out{m_waiting.size(), m_running.size(), 0, 0};
+  DispatchLoad Out{m_waiting.size(), m_running.size(), 0, 0, 0};
   for (const auto &[Id, Item] : m_servers) {
     Out.m_slots += slotsOf(Item);
     Out.m_coldServers += Item.m_isShownCold ? 1 : 0;
+    Out.m_slowServers += Item.m_load.slowness(m_now) > 1 ? 1 : 0;
   }
   return Out;
 }
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -9,9 +9,6 @@
 /// A request that has run for more than the mean service time multiplied by
 /// this factor shows that its server has become slow.
 constexpr double OverdueFactor = 1.5;
-/// A cold server is chosen after all that are warm, unless those are slower by
-/// this factor.
-constexpr double ColdCostFactor = 4;
 
 } // namespace
 
@@ -58,7 +55,7 @@
   if (!mayGetRequests(Item.m_entry) || Now < Item.m_pausedUntil)
     return false;
   const std::size_t Limit =
-      slotsOf(Item) + (OthersWait ? overcommitOf(Item) : 0);
+      slotsOf(Item) + (OthersWait ? overcommitOf(Item, Now) : 0);
   // After a pause, one request at a time probes whether the server works again.
   if (Item.m_pause.count() > 0)
     return Item.m_runningCount == 0;
@@ -133,31 +130,32 @@
     const bool MayAssign = mayAssign(Found->second, Now, false);
     return {MayAssign ? &Found->second : nullptr, Now};
   }
+  // Those that are cold or slow at present come after all others.
+  const auto RankOf = [this, Now](const Server &Item) {
+    return std::make_pair(isCold(Item, Now) || Item.m_load.slowness(Now) > 1,
+                          costOf(Item, Now));
+  };
   Server *Best = nullptr;
   Server *BestInZone = nullptr;
-  double BestCost = 0;
-  double BestInZoneCost = 0;
   for (auto &[Id, Item] : m_servers) {
     if (isExcluded(Request, Id))
       continue;
     countIfHeldBack(Item, Now);
     if (!mayAssign(Item, Now, false))
       continue;
-    const double SuccessShare =
-        std::max(0.05, (1 - Item.m_refusedShare) * (1 - Item.m_failedShare));
-    const double Cost = expectedServiceMs(Item, Now) *
-                        (isCold(Item, Now) ? ColdCostFactor : 1) /
-                        (SuccessShare * SuccessShare);
-    if (Best == nullptr || Cost < BestCost) {
+    if (Best == nullptr || RankOf(Item) < RankOf(*Best))
       Best = &Item;
-      BestCost = Cost;
-    }
     if (Item.m_entry.m_zone == Request.m_zone &&
-        (BestInZone == nullptr || Cost < BestInZoneCost)) {
+        (BestInZone == nullptr || RankOf(Item) < RankOf(*BestInZone)))
       BestInZone = &Item;
-      BestInZoneCost = Cost;
-    }
   }
+  // A server of the zone that comes after all others is no reason to spare
+  // those of other zones.
+  if (BestInZone != nullptr && RankOf(*BestInZone).first &&
+      !RankOf(*Best).first)
+    BestInZone = nullptr;
+  const double BestInZoneCost =
+      BestInZone == nullptr ? 0 : costOf(*BestInZone, Now);
   const bool IsZoneFastEnough =
       BestInZone != nullptr && BestInZoneCost * routeFactor(Request.m_route) *
                                        m_policy.m_zoneSafetyFactor <=
@@ -274,7 +272,8 @@
 
 void Dispatcher::finish(const DispatchId &Id, DispatchResult Outcome,
                         Millis ServiceTime, TimePoint Now,
-                        DispatchDecisions &Out) {
+                        DispatchDecisions &Out,
+                        const std::optional<ReportedLoad> &Load) {
   const auto Found = m_running.find(Id);
   if (Found == m_running.end())
     return;
@@ -290,7 +289,7 @@
     return;
   if (Item->second.m_runningCount > 0)
     --Item->second.m_runningCount;
-  updateStatistics(Item->second, Route, Outcome, ServiceTime, Now);
+  updateStatistics(Item->second, Route, Outcome, ServiceTime, Load, Now);
   fillSlots(Item->second, Now, Out);
 }
 
