--- a/include/tamarackdrum/gateway/dispatcher-registry.h
+++ b/include/tamarackdrum/gateway/dispatcher-registry.h
@@ -38,11 +38,13 @@
               TimePoint Now);
   void withdraw(const std::string &Service, const DispatchId &Id);
   void finish(const std::string &Service, const DispatchId &Id,
-              DispatchResult Outcome, Millis ServiceTime, TimePoint Now);
+              DispatchResult Outcome, Millis ServiceTime, TimePoint Now,
+              const std::optional<ReportedLoad> &Load = std::nullopt);
   void clearRunning(const std::string &Service);
   void recordOutcome(const std::string &Service, const std::string &Server,
                      const std::string &Route, DispatchResult Outcome,
-                     Millis ServiceTime, TimePoint Now);
+                     Millis ServiceTime, TimePoint Now,
+                     const std::optional<ReportedLoad> &Load = std::nullopt);
   std::optional<LimitChange> noteLimit(const std::string &Service,
                                        const std::string &Server,
                                        const NamedLimit &Named,
@@ -53,6 +55,10 @@
   /// Sets the part of servers' rate limits that the dispatcher of a service may
   /// use. Does nothing if there is none yet.
   void setRateShare(const std::string &Service, double Share, TimePoint Now);
+  /// Sets how cold servers are treated, by service; see
+  /// Dispatcher::setColdPolicy().
+  void setColdPolicies(const std::map<std::string, ColdPolicy> &Policies,
+                       double HeardShare, TimePoint Now);
   void addRunning(const std::string &Service, const DispatchId &Id,
                   const std::string &Server, const std::string &Route,
                   Millis TimeLeft, TimePoint Now);
@@ -73,6 +79,8 @@
   const DecisionHandler m_onDecision;
   std::map<std::string, std::vector<ServerEntry>> m_servers; ///< By service.
   std::map<std::string, KeyMap> m_keyMaps;                   ///< By service.
+  std::map<std::string, ColdPolicy> m_coldPolicies;          ///< By service.
+  double m_heardShare = 1;
   std::map<std::string, std::unique_ptr<Dispatcher>> m_dispatchers;
 };
 
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -4,6 +4,7 @@
 #ifndef TAMARACKDRUM_GATEWAY_PORTS_H
 #define TAMARACKDRUM_GATEWAY_PORTS_H
 
+#include "tamarackdrum/gateway/cold-server.h"
 #include "tamarackdrum/gateway/configuration.h"
 #include "tamarackdrum/gateway/evacuations.h"
 #include "tamarackdrum/gateway/key-granter.h"
@@ -51,6 +52,7 @@
   Millis m_evacuationBound = Millis::max();
   Millis m_stopTimeout{6000}; ///< From the stop signal to the kill.
   RetryPolicy m_retries;
+  ColdBound m_coldBound;
   std::size_t m_memoryLimitBytes = 256U << 20U; ///< Of the whole process.
   HeaderNames m_headers;
 
--- a/src/gateway/dispatcher-registry.cc
+++ b/src/gateway/dispatcher-registry.cc
@@ -17,6 +17,9 @@
     return *Found->second;
   std::unique_ptr<Dispatcher> Created = std::make_unique<Dispatcher>(m_policy);
   DispatchDecisions Ignored;
+  const auto Cold = m_coldPolicies.find(Service);
+  if (Cold != m_coldPolicies.end())
+    Created->setColdPolicy(Cold->second, m_heardShare, Now);
   const auto Servers = m_servers.find(Service);
   if (Servers != m_servers.end())
     Created->setServers(Servers->second, Now, Ignored);
@@ -87,12 +90,13 @@
 
 void DispatcherRegistry::finish(const std::string &Service,
                                 const DispatchId &Id, DispatchResult Outcome,
-                                Millis ServiceTime, TimePoint Now) {
+                                Millis ServiceTime, TimePoint Now,
+                                const std::optional<ReportedLoad> &Load) {
   const auto Found = m_dispatchers.find(Service);
   if (Found == m_dispatchers.end())
     return;
   DispatchDecisions Decisions;
-  Found->second->finish(Id, Outcome, ServiceTime, Now, Decisions);
+  Found->second->finish(Id, Outcome, ServiceTime, Now, Decisions, Load);
   deliver(Service, Decisions);
 }
 
@@ -102,13 +106,12 @@
     Found->second->clearRunning();
 }
 
-void DispatcherRegistry::recordOutcome(const std::string &Service,
-                                       const std::string &Server,
-                                       const std::string &Route,
-                                       DispatchResult Outcome,
-                                       Millis ServiceTime, TimePoint Now) {
+void DispatcherRegistry::recordOutcome(
+    const std::string &Service, const std::string &Server,
+    const std::string &Route, DispatchResult Outcome, Millis ServiceTime,
+    TimePoint Now, const std::optional<ReportedLoad> &Load) {
   dispatcher(Service, Now)
-      .recordOutcome(Server, Route, Outcome, ServiceTime, Now);
+      .recordOutcome(Server, Route, Outcome, ServiceTime, Now, Load);
 }
 
 std::optional<LimitChange> DispatcherRegistry::noteLimit(
@@ -133,6 +136,18 @@
     Found->second->setRateShare(Share, Now);
 }
 
+void DispatcherRegistry::setColdPolicies(
+    const std::map<std::string, ColdPolicy> &Policies, double HeardShare,
+    TimePoint Now) {
+  m_coldPolicies = Policies;
+  m_heardShare = HeardShare;
+  for (auto &[Service, Item] : m_dispatchers) {
+    const auto Found = Policies.find(Service);
+    Item->setColdPolicy(Found == Policies.end() ? ColdPolicy{} : Found->second,
+                        HeardShare, Now);
+  }
+}
+
 void DispatcherRegistry::addRunning(const std::string &Service,
                                     const DispatchId &Id,
                                     const std::string &Server,
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -29,7 +29,11 @@
 
 void Dispatcher::setPolicy(const DispatchPolicy &Policy, TimePoint Now) {
   setRateShare(Policy.m_rateShare, Now);
+  const bool HasNewBound = Policy.m_coldBound != m_policy.m_coldBound;
   m_policy = Policy;
+  if (HasNewBound)
+    for (auto &[Id, Item] : m_servers)
+      setColdLimit(Item, Now);
   m_retries.setPolicy(Policy.m_retries);
 }
 
@@ -43,7 +47,7 @@
   if (!mayGetRequests(Item.m_entry) || Now < Item.m_pausedUntil)
     return false;
   const std::size_t Limit =
-      slotsOf(Item) + (OthersWait ? overcommitOf(Item) : 0);
+      slotsOf(Item) + (OthersWait ? overcommitOf(Item, Now) : 0);
   // After a pause, one request at a time probes whether the server works again.
   if (Item.m_pause.count() > 0)
     return Item.m_runningCount == 0;
@@ -52,29 +56,36 @@
 
 bool Dispatcher::mayAssign(const Server &Item, TimePoint Now,
                            bool OthersWait) const {
-  return hasFreeSlot(Item, Now, OthersWait) && Item.m_rateLimit.hasPermit(Now);
+  return hasFreeSlot(Item, Now, OthersWait) && hasPermit(Item, Now);
 }
 
 void Dispatcher::countIfHeldBack(Server &Item, TimePoint Now) const {
-  if (!Item.m_rateLimit.hasPermit(Now) && hasFreeSlot(Item, Now, false))
+  if (!hasPermit(Item, Now) && hasFreeSlot(Item, Now, false))
     ++Item.m_heldBack;
 }
 
 void Dispatcher::setServers(const std::vector<ServerEntry> &Servers,
                             TimePoint Now, DispatchDecisions &Out) {
+  m_now = Now;
   std::set<std::string> Known;
   for (const ServerEntry &Entry : Servers) {
     Known.insert(Entry.m_id);
     const auto [Found, IsNew] = m_servers.try_emplace(Entry.m_id);
     Server &Item = Found->second;
+    bool MayBeCold = IsNew && m_hasServers;
     if (IsNew || Item.m_entry.m_startMs != Entry.m_startMs) {
       const std::size_t Count = Item.m_runningCount;
+      MayBeCold = MayBeCold || !IsNew;
       Item = Server{};
       Item.m_runningCount = Count;
       restoreLimit(Entry, Item, Now);
     }
+    MayBeCold =
+        MayBeCold || (Item.m_entry.m_isEvacuated && !Entry.m_isEvacuated);
+    updateCold(Entry, Item, MayBeCold, Now);
     Item.m_entry = Entry;
   }
+  m_hasServers = m_hasServers || !Servers.empty();
   for (auto Item = m_servers.begin(); Item != m_servers.end();) {
     if (Known.count(Item->first) > 0) {
       ++Item;
@@ -112,30 +123,32 @@
     const bool MayAssign = mayAssign(Found->second, Now, false);
     return {MayAssign ? &Found->second : nullptr, Now};
   }
+  // Those that are cold or slow at present come after all others.
+  const auto RankOf = [this, Now](const Server &Item) {
+    return std::make_pair(isCold(Item, Now) || Item.m_load.slowness(Now) > 1,
+                          costOf(Item, Now));
+  };
   Server *Best = nullptr;
   Server *BestInZone = nullptr;
-  double BestCost = 0;
-  double BestInZoneCost = 0;
   for (auto &[Id, Item] : m_servers) {
     if (isExcluded(Request, Id))
       continue;
     countIfHeldBack(Item, Now);
     if (!mayAssign(Item, Now, false))
       continue;
-    const double SuccessShare =
-        std::max(0.05, (1 - Item.m_refusedShare) * (1 - Item.m_failedShare));
-    const double Cost =
-        expectedServiceMs(Item, Now) / (SuccessShare * SuccessShare);
-    if (Best == nullptr || Cost < BestCost) {
+    if (Best == nullptr || RankOf(Item) < RankOf(*Best))
       Best = &Item;
-      BestCost = Cost;
-    }
     if (Item.m_entry.m_zone == Request.m_zone &&
-        (BestInZone == nullptr || Cost < BestInZoneCost)) {
+        (BestInZone == nullptr || RankOf(Item) < RankOf(*BestInZone)))
       BestInZone = &Item;
-      BestInZoneCost = Cost;
-    }
   }
+  // A server of the zone that comes after all others is no reason to spare
+  // those of other zones.
+  if (BestInZone != nullptr && RankOf(*BestInZone).first &&
+      !RankOf(*Best).first)
+    BestInZone = nullptr;
+  const double BestInZoneCost =
+      BestInZone == nullptr ? 0 : costOf(*BestInZone, Now);
   const bool IsZoneFastEnough =
       BestInZone != nullptr && BestInZoneCost * routeFactor(Request.m_route) *
                                        m_policy.m_zoneSafetyFactor <=
@@ -179,7 +192,7 @@
 void Dispatcher::assign(const DispatchRequest &Request, Server &Target,
                         TimePoint Now, DispatchDecisions &Out) {
   ++Target.m_runningCount;
-  Target.m_rateLimit.takePermit(Now);
+  takePermit(Target, Now);
   m_running[Request.m_id] = {Target.m_entry.m_id, Request.m_route, Now,
                              Now + Request.m_timeLeft + m_policy.m_reportGrace,
                              false};
@@ -252,7 +265,8 @@
 
 void Dispatcher::finish(const DispatchId &Id, DispatchResult Outcome,
                         Millis ServiceTime, TimePoint Now,
-                        DispatchDecisions &Out) {
+                        DispatchDecisions &Out,
+                        const std::optional<ReportedLoad> &Load) {
   const auto Found = m_running.find(Id);
   if (Found == m_running.end())
     return;
@@ -268,7 +282,7 @@
     return;
   if (Item->second.m_runningCount > 0)
     --Item->second.m_runningCount;
-  updateStatistics(Item->second, Route, Outcome, ServiceTime, Now);
+  updateStatistics(Item->second, Route, Outcome, ServiceTime, Load, Now);
   fillSlots(Item->second, Now, Out);
 }
 
@@ -301,6 +315,7 @@
 }
 
 void Dispatcher::tick(TimePoint Now, DispatchDecisions &Out) {
+  m_now = Now;
   for (auto Item = m_running.begin(); Item != m_running.end();) {
     const auto Target = m_servers.find(Item->second.m_server);
     if (Now >= Item->second.m_expiresAt) {
