Pause servers for all hosts only if hosts in general fail

Cause: one Unreachable of any host paused a server for all hosts, so that a host, or a zone of hosts, cut off from the servers took healthy servers out of use everywhere.

Ruled out: a plain count of reporting hosts (all hosts of a zone fail together) and a count of failed servers of a host (when a zone's servers are down, every host fails with several).

Change: FailureJudge blames the host if another host has just reached the server, or if the host has failed with two such servers.

--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -14,6 +14,7 @@
 #define TAMARACKDRUM_GATEWAY_DISPATCHER_H
 
 #include "tamarackdrum/gateway/answer-report.h"
+#include "tamarackdrum/gateway/failure-judge.h"
 #include "tamarackdrum/gateway/key-map.h"
 #include "tamarackdrum/gateway/rate-limit.h"
 #include "tamarackdrum/gateway/retry-window.h"
@@ -133,6 +134,9 @@
   Millis m_notHeldPause{120};
   /// Consecutive errors after which a server is paused; see updateStatistics().
   unsigned m_errorsBeforePause = 2;
+  /// Servers are paused only if hosts in general fail to reach them; see
+  /// FailureJudge. Otherwise each host's failures count.
+  bool m_judgesByHost = false;
   /// A request counts as late once the rest of its objective is less than its
   /// expected service time multiplied by this factor.
   double m_minObjectiveFactor = 0.8;
@@ -435,6 +439,10 @@
   /// Refuses waiting requests that can no longer be served in time.
   void refuseUnservable(TimePoint Now, DispatchDecisions &Out);
   Millis notHeldPause() const;
+  /// Returns whether the outcome of a dispatch of the host behind \p Link
+  /// counts in the statistics of the server.
+  bool countsForServer(const Server &Item, std::uint32_t Link,
+                       DispatchResult Outcome, TimePoint Now);
   void updateStatistics(Server &Item, const std::string &Route,
                         DispatchResult Outcome, Millis ServiceTime,
                         TimePoint Now);
@@ -446,6 +454,7 @@
   RetryWindow m_retries;
   KeyMap m_keys;
   KeyLoad m_keyLoad;
+  FailureJudge m_judge;
   bool m_isKeyed = false;
   double m_meanServiceMs;  ///< Moving average over all servers.
   double m_meanIdleMs = 0; ///< Average time that an assigned slot is idle.
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -45,6 +45,9 @@
   Millis m_drainBound{2000};
   /// Longest time from the store's answer until a configuration is in force.
   Millis m_applyBound{2000};
+  /// Longest time from the start of a partition between this host and all
+  /// servers until its requests are served; 0: the case is not handled.
+  Millis m_contactBound{0};
   Millis m_stopTimeout{6000}; ///< From the stop signal to the kill.
   RetryPolicy m_retries;
   std::size_t m_memoryLimitBytes = 256U << 20U; ///< Of the whole process.
--- a/src/gateway/dispatcher-statistics.cc
+++ b/src/gateway/dispatcher-statistics.cc
@@ -79,6 +79,19 @@
   return m_keys.version() == 0 ? KeyMoveTime : m_policy.m_notHeldPause;
 }
 
+bool Dispatcher::countsForServer(const Server &Item, std::uint32_t Link,
+                                 DispatchResult Outcome, TimePoint Now) {
+  if (!m_policy.m_judgesByHost)
+    return true;
+  if (Outcome == DispatchResult::Unreachable ||
+      Outcome == DispatchResult::ConnectionLost)
+    return m_judge.recordFailed(Item.m_entry.m_id, Link, Now);
+  if (Outcome != DispatchResult::Withdrawn &&
+      Outcome != DispatchResult::TimedOut)
+    m_judge.recordReached(Item.m_entry.m_id, Link, Now);
+  return true;
+}
+
 void Dispatcher::updateStatistics(Server &Item, const std::string &Route,
                                   DispatchResult Outcome, Millis ServiceTime,
                                   TimePoint Now) {
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -275,7 +275,8 @@
     return;
   if (Item->second.m_runningCount > 0)
     --Item->second.m_runningCount;
-  updateStatistics(Item->second, Route, Outcome, ServiceTime, Now);
+  if (countsForServer(Item->second, Id.m_link, Outcome, Now))
+    updateStatistics(Item->second, Route, Outcome, ServiceTime, Now);
   fillSlots(Item->second, Now, Out);
 }
 
