Decide whether a host is cut off from the servers

Cause: a host that reaches no server went on sending to them.

Ruled out: counting failed requests only, which takes seconds at one request per second and fires when one service or zone is down.

--- a/include/tamarackdrum/gateway/roster.h
+++ b/include/tamarackdrum/gateway/roster.h
@@ -51,6 +51,8 @@
   std::map<std::string, KnownGranter> m_granters; ///< By service.
   /// In a reply to a process without a configuration: hosts to contact.
   std::vector<HostInfo> m_initialPeers;
+  bool m_isCutOff = false;       ///< The sender reaches no server.
+  bool m_reachesServers = false; ///< The sender has reached servers of late.
 
   bool operator==(const Heartbeat &) const = default;
 };
