Send requests through peers while cut off from the servers

Cause: clients' requests at a cut-off host failed until the partition ended.

Change: ContactMonitor probes and decides; RequestRelay passes requests with the chosen server to a peer and sends those of others, bounded in number and bytes. A request goes to a second peer only if the first has not tried to send it. The loss of a peer counts neither against a server nor as its crash. The granter runner reports calls that fail.

--- a/include/tamarackdrum/gateway/connection.h
+++ b/include/tamarackdrum/gateway/connection.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -73,8 +74,14 @@
 public:
   using ConnectionPtr = std::unique_ptr<Connection>;
 
+  /// Returns the address at which this process reaches a server.
+  using AddressMap = std::function<std::string(const std::string &Address)>;
+
   explicit ConnectionPool(PoolPolicy Policy) : m_policy(Policy) {}
 
+  /// Maps the addresses of new connections, e.g. to those of proxies in tests.
+  void setAddressMap(AddressMap Map) { m_addressMap = std::move(Map); }
+
   /// Removes and returns an open connection to \p Peer that has been idle for
   /// at most \p MaxIdle, or returns null.
   ConnectionPtr takeIdle(const std::string &Peer, Millis MaxIdle);
@@ -102,6 +109,7 @@
   Millis idleLimit(const Connection &Item) const;
 
   const PoolPolicy m_policy;
+  AddressMap m_addressMap; ///< Null: addresses are used as they are.
   std::map<std::string, std::vector<ConnectionPtr>> m_idle;
   std::uint64_t m_openedCount = 0;
 };
--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -9,6 +9,7 @@
 #include "tamarackdrum/gateway/backoff-tracker.h"
 #include "tamarackdrum/gateway/gateway-metrics.h"
 #include "tamarackdrum/gateway/message-head.h"
+#include "tamarackdrum/gateway/request-relay.h"
 #include "tamarackdrum/gateway/upstream-client.h"
 #include "tamarackdrum/poison.h"
 
@@ -73,7 +74,8 @@
   EdgeServer(boost::asio::any_io_executor Executor, EdgePolicy Policy,
              const GatewaySettings &Settings, Admission &Slots,
              UpstreamClient &Upstreams, PoisonRegistry &Poison, EventLog &Log,
-             GatewayMetrics &Metrics, Roster &Hosts, Callbacks Context);
+             GatewayMetrics &Metrics, Roster &Hosts, ContactMonitor &Contacts,
+             RequestRelay &Relay, Callbacks Context);
 
   /// Opens the client port. Errors: those of parseEndpoint() and of the system.
   std::error_code start();
@@ -120,6 +122,11 @@
   /// dispatch it again.
   boost::asio::awaitable<bool>
   attemptDispatch(SessionPtr Client, std::shared_ptr<ClientRequest> Request);
+  /// Sends a request to its server, or through a peer if this host seems to be
+  /// cut off from the servers.
+  boost::asio::awaitable<UpstreamReply>
+  sendUpstream(UpstreamRequest Upstream,
+               std::shared_ptr<ClientRequest> Request);
   /// Answers a request that no server has served.
   boost::asio::awaitable<void>
   answerUnserved(SessionPtr Client, std::shared_ptr<ClientRequest> Request);
@@ -174,6 +181,8 @@
   EventLog &m_log;
   GatewayMetrics &m_metrics;
   Roster &m_hosts;
+  ContactMonitor &m_contacts;
+  RequestRelay &m_relay;
   const Callbacks m_callbacks;
   boost::asio::ip::tcp::acceptor m_acceptor;
   const TimePoint m_createdAt = BootClock::now();
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -54,6 +54,14 @@
   /// calls \p OnStopped.
   void stop(std::function<void()> OnStopped);
 
+  /// See ConnectionPool::setAddressMap().
+  void setAddressMap(ConnectionPool::AddressMap Map) {
+    m_pool.setAddressMap(std::move(Map));
+  }
+
+  /// Returns whether this host reaches no server while others do.
+  bool isCutOff() const { return m_contacts.isCutOff(); }
+
   /// Returns whether clients should be sent here.
   bool isReady() const;
 
@@ -82,10 +90,13 @@
   /// Counts a server's crash and, if it is new, sends the message on. \p IsOwn:
   /// this host saw the crash itself.
   void handleCrash(const CrashMessage &Message, bool IsOwn);
+  /// Handles a message about a relayed request. Returns whether it is one.
+  bool onRelayMessage(std::uint32_t Link, PeerMessage &Message);
   GranterRunner &makeGranterRunner(const std::string &Service);
   void sendKeyMap(std::uint32_t Link, const std::string &Service);
   /// Sends changed holders to the candidates, as granter, and to the followers.
   void sendKeyMapChanges();
+  const ServerEntry *findServer(const std::string &Id) const;
   PeerEvents peerEvents();
   FeedEvents feedEvents();
   EdgeServer::Callbacks edgeView();
@@ -106,8 +117,10 @@
   StateFeed m_feed;
   ConnectionPool m_pool;
   UpstreamClient m_upstreams;
+  ContactMonitor m_contacts;
   Admission m_admission;
   PeerNetwork m_network;
+  RequestRelay m_relay;
   EdgeServer m_edge;
   TextServer m_readinessServer;
   std::unique_ptr<TextServer> m_metricsServer;
--- a/include/tamarackdrum/gateway/granter-runner.h
+++ b/include/tamarackdrum/gateway/granter-runner.h
@@ -52,6 +52,10 @@
   std::function<void()> m_requestKeyMaps;
   /// Takes the holders from the store's record, whose granter may have ended.
   std::function<void(const KeyMap &)> m_onRecordedMap;
+  /// Returns whether this host is cut off from the servers; may be null.
+  std::function<bool()> m_isCutOff;
+  /// Takes whether a call reached a server; may be null.
+  std::function<void(const std::string &Server, bool IsReached)> m_onContact;
 };
 
 class GranterRunner {
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -202,13 +202,52 @@
   bool operator==(const EvacuationsMessage &) const = default;
 };
 
+/// Asks the receiver to send a request to a server, since the sender is cut off
+/// from the servers.
+struct RelayMessage {
+  std::uint32_t m_number = 0; ///< Identifies the request on the link.
+  std::string m_server;       ///< Chosen by the dispatcher of the service.
+  std::string m_head;         ///< As in UpstreamRequest.
+  std::string m_body;         ///< As in UpstreamRequest; always whole.
+  std::string m_requestId;
+  bool m_isHeadRequest = false;
+  bool m_isSafe = true;
+  Millis m_timeLeft{0}; ///< Until the end of the wait for the answer.
+
+  bool operator==(const RelayMessage &) const = default;
+};
+
+/// Answer to a RelayMessage.
+struct RelayAnswerMessage {
+  std::uint32_t m_number = 0;
+  DispatchResult m_result = DispatchResult::Unreachable;
+  bool m_isSent = false;     ///< The request may have reached the server.
+  bool m_isAccepted = false; ///< False: the receiver has not tried to send it.
+  Millis m_serviceTime{0};   ///< As measured by the relaying host.
+  AnswerReport m_report;
+  bool m_isLeaving = false;
+  Millis m_restTime{0};
+  std::string m_head; ///< Status line and headers; empty if none arrived.
+  std::string m_body;
+
+  bool operator==(const RelayAnswerMessage &) const = default;
+};
+
+/// Ends a RelayMessage whose answer is no longer wanted.
+struct RelayCancelMessage {
+  std::uint32_t m_number = 0;
+
+  bool operator==(const RelayCancelMessage &) const = default;
+};
+
 using PeerMessage =
     std::variant<HelloMessage, RunningMessage, DispatchRequestMessage,
                  QueuedMessage, DecisionMessage, FinishMessage, WithdrawMessage,
                  KeyMapMessage, NotHeldMessage, KeyMapRequest, StateRequest,
                  StateMessage, CrashMessage, ListingMessage,
                  ConfigurationMessage, FollowMessage, HostsMessage,
-                 LeavingMessage, EvacuationsMessage>;
+                 LeavingMessage, EvacuationsMessage, RelayMessage,
+                 RelayAnswerMessage, RelayCancelMessage>;
 
 /// Returns the name of the message's type, for logs and metrics.
 const char *toText(const PeerMessage &Message) noexcept;
--- a/include/tamarackdrum/gateway/peer-network.h
+++ b/include/tamarackdrum/gateway/peer-network.h
@@ -76,6 +76,12 @@
   /// Sends to all hosts that follow this one.
   void sendToFollowers(const PeerMessage &Message);
 
+  /// Returns whether messages to \p Host can be sent at once over an outgoing
+  /// link on which less than \p MaxQueued bytes wait.
+  bool canSend(const std::string &Host, std::size_t MaxQueued) const;
+  /// Returns the bytes that wait on a link; 0 if it has ended.
+  std::size_t queuedBytes(std::uint32_t Link) const;
+
   void sendDueHeartbeats();
   /// Sends a heartbeat to \p Ip, in reply to \p Received unless it is null.
   void sendHeartbeat(const std::string &Ip,
--- a/include/tamarackdrum/gateway/upstream-client.h
+++ b/include/tamarackdrum/gateway/upstream-client.h
@@ -42,8 +42,9 @@
 /// The answer of a backend server, or the reason why there is none.
 struct UpstreamReply {
   DispatchResult m_result = DispatchResult::Unreachable;
-  bool m_isSent = false;  ///< The request may have reached the server.
-  bool m_hasMore = false; ///< m_body is not whole; see readMore().
+  bool m_isSent = false;     ///< The request may have reached the server.
+  bool m_isPeerLost = false; ///< A peer that was to send it has ended.
+  bool m_hasMore = false;    ///< m_body is not whole; see readMore().
   Millis m_serviceTime{0};
   bool m_isLeaving = false; ///< The server announced that it leaves.
   Millis m_restTime{0};     ///< Time without requests that the server asks for.
@@ -51,6 +52,7 @@
   std::string m_unreadableLimit;
   /// Text of a reported load that cannot be read; empty if there is none.
   std::string m_unreadableLoad;
+  AnswerReport m_report; ///< What the answer says about its server.
   /// Status and headers; null if none have arrived.
   std::shared_ptr<ResponseParser> m_parser;
   std::string m_body;
@@ -62,12 +64,19 @@
 public:
   void cancel() {
     m_isCancelled = true;
+    interrupt();
+    if (m_onCancel)
+      m_onCancel();
+  }
+  /// Ends a wait for an answer as if the connection had broken.
+  void interrupt() {
     if (m_stream != nullptr)
       m_stream->cancel();
   }
   bool isCancelled() const { return m_isCancelled; }
 
   boost::beast::tcp_stream *m_stream = nullptr;
+  std::function<void()> m_onCancel; ///< Set while a peer sends the request.
 
 private:
   bool m_isCancelled = false;
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -60,6 +60,8 @@
 
 boost::asio::awaitable<Result<ConnectionPool::ConnectionPtr>>
 ConnectionPool::open(std::string Address, Millis Timeout) {
+  if (m_addressMap)
+    Address = m_addressMap(Address);
   const Result<Endpoint> Peer = parseEndpoint(Address);
   if (!Peer)
     co_return HttpErrc::ConnectFailed;
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -31,6 +31,8 @@
 /// Time that this host waits for an answer beyond the deadline that it sends to
 /// the server: the server ends its work at the deadline and then answers.
 constexpr Millis TimeoutGrace{60};
+/// Servers that a request has not reached before it is sent through a peer.
+constexpr unsigned UnreachableBeforeRelay = 2;
 
 /// Returns whether the server reported that it did not run the request.
 bool isRefusal(DispatchResult Value) {
@@ -153,9 +155,11 @@
     m_admission.finish(Service, Taken, Result, ServiceTime, Report);
   };
   const std::size_t SentBytes = Upstream.m_head.size() + Upstream.m_body.size();
-  UpstreamReply Reply = co_await m_upstreamClient.execute(
-      std::move(Upstream), Request->m_cancelToken);
-  m_admission.finish(Request->m_service->m_name, Taken, Reply.m_result,
+  UpstreamReply Reply = co_await sendUpstream(std::move(Upstream), Request);
+  // The loss of a peer tells nothing about the server.
+  m_admission.finish(Request->m_service->m_name, Taken,
+                     Reply.m_isPeerLost ? DispatchResult::Withdrawn
+                                        : Reply.m_result,
                      Reply.m_serviceTime);
   recordReply(*Request, Chosen, Reply, SentBytes);
   if (Reply.m_result == DispatchResult::Served) {
@@ -173,6 +177,40 @@
   co_return shouldRetry(*Request);
 }
 
+asio::awaitable<UpstreamReply>
+EdgeServer::sendUpstream(UpstreamRequest Upstream,
+                         std::shared_ptr<ClientRequest> Request) {
+  CancelToken &Token = Request->m_cancelToken;
+  // Connections that are open may still work while new ones fail.
+  const bool IsSuspected =
+      m_contacts.isSuspected() ||
+      (m_contacts.isEnabled() &&
+       Request->m_unreachableAttempts >= UnreachableBeforeRelay);
+  const bool IsCutOff = m_contacts.isCutOff();
+  // A body that is too long to be buffered cannot be relayed.
+  if (IsCutOff && Upstream.m_bodySource) {
+    UpstreamReply Refused;
+    Refused.m_result = DispatchResult::Withdrawn;
+    co_return Refused;
+  }
+  if (IsCutOff ||
+      (IsSuspected && !Upstream.m_bodySource && m_relay.hasPeer())) {
+    Request->m_places.append(",relay");
+    UpstreamReply Relayed = co_await m_relay.execute(Upstream, Token);
+    const bool IsTaken =
+        Relayed.m_isSent || Relayed.m_result != DispatchResult::Withdrawn;
+    if (IsCutOff || IsTaken || Token.isCancelled())
+      co_return Relayed;
+  }
+  const std::string Server = Upstream.m_server.m_id;
+  const bool IsSafe = Upstream.m_isSafe && !Upstream.m_bodySource;
+  const std::uint32_t Attempt = m_contacts.begin(IsSafe ? &Token : nullptr);
+  UpstreamReply Reply =
+      co_await m_upstreamClient.execute(std::move(Upstream), Token);
+  m_contacts.end(Attempt, Server, Reply);
+  co_return Reply;
+}
+
 void EdgeServer::recordReply(ClientRequest &Request, const ServerEntry &Server,
                              const UpstreamReply &Reply,
                              std::size_t SentBytes) {
@@ -188,7 +226,8 @@
     ++Request.m_dispatches;
   const bool MayHaveRun = Reply.m_isSent && !isRefusal(Reply.m_result);
   Request.m_mayHaveRun = Request.m_mayHaveRun || MayHaveRun;
-  if (Reply.m_result == DispatchResult::ConnectionLost)
+  if (Reply.m_result == DispatchResult::ConnectionLost &&
+      !m_contacts.isSuspected() && !Reply.m_isPeerLost)
     asio::co_spawn(m_executor, checkForCrash(Request.m_fingerprint, Server),
                    asio::detached);
   if (Reply.m_isLeaving)
@@ -327,7 +366,8 @@
                       {"address", Server.m_address},
                       {"is_down", IsDown},
                       {"fingerprint", std::to_string(Fingerprint)}});
-  if (IsDown)
+  // A host that is cut off cannot tell whether a server has ended.
+  if (IsDown && !m_contacts.isSuspected())
     m_callbacks.m_onCrash(Fingerprint, Server);
 }
 
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -40,11 +40,12 @@
                        const GatewaySettings &Settings, Admission &Slots,
                        UpstreamClient &Upstreams, PoisonRegistry &Poison,
                        EventLog &Log, GatewayMetrics &Metrics, Roster &Hosts,
+                       ContactMonitor &Contacts, RequestRelay &Relay,
                        Callbacks Context)
     : m_executor(std::move(Executor)), m_policy(Policy), m_settings(Settings),
       m_admission(Slots), m_upstreamClient(Upstreams), m_poison(Poison),
-      m_log(Log), m_metrics(Metrics), m_hosts(Hosts),
-      m_callbacks(std::move(Context)), m_acceptor(m_executor) {}
+      m_log(Log), m_metrics(Metrics), m_hosts(Hosts), m_contacts(Contacts),
+      m_relay(Relay), m_callbacks(std::move(Context)), m_acceptor(m_executor) {}
 
 std::error_code EdgeServer::start() {
   const Result<Endpoint> Address = parseEndpoint(m_settings.m_clientAddress);
--- /dev/null
+++ b/src/edge/gateway-host-metrics.cc
@@ -0,0 +1,50 @@
+// The part of GatewayHost that provides the metrics.
+
+#include "tamarackdrum/gateway/gateway-host.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace tamarackdrum::gateway {
+
+void GatewayHost::setLimitGauges() {
+  std::map<std::string, double> Limits;
+  std::map<std::string, double> Ages;
+  std::map<std::string, double> HeldBack;
+  for (const auto &[Service, Item] : m_admission.dispatchers().all())
+    for (const KnownLimit &Known : Item->limits(BootClock::now())) {
+      const std::string Labels =
+          fmt::format("service=\"{}\",server=\"{}\"", Service, Known.m_server);
+      Limits[Labels] = Known.m_perSecond;
+      Ages[Labels] = static_cast<double>(Known.m_age.count());
+      HeldBack[Labels] = static_cast<double>(Known.m_heldBack);
+    }
+  m_metrics.setGauges("server_limit_per_second", std::move(Limits));
+  m_metrics.setGauges("server_limit_age_ms", std::move(Ages));
+  m_metrics.setGauges("server_limit_held_back", std::move(HeldBack));
+}
+
+std::string GatewayHost::metricsText() {
+  m_metrics.setGauge("active_requests",
+                     static_cast<double>(m_edge.activeRequests()));
+  m_metrics.setGauge("client_connections",
+                     static_cast<double>(m_edge.connectionCount()));
+  m_metrics.setGauge("known_servers", static_cast<double>(servers().size()));
+  m_metrics.setGauge("evacuated_zones",
+                     static_cast<double>(m_feed.evacuatedZones().size()));
+  m_metrics.setGauge("cut_off", m_contacts.isCutOff() ? 1 : 0);
+  m_metrics.setGauge("store_lost_ms",
+                     static_cast<double>(m_feed.storeLostFor().count()));
+  m_metrics.setGauge("upstream_connections_opened",
+                     static_cast<double>(m_pool.openedCount()));
+  m_metrics.setGauge("log_lines_dropped",
+                     static_cast<double>(m_log.droppedLines()));
+  m_metrics.setGauge("configuration_version",
+                     static_cast<double>(m_feed.configurationVersion()));
+  for (const auto &[Service, Item] : m_admission.dispatchers().all())
+    m_metrics.setGauge("waiting{service=\"" + Service + "\"}",
+                       static_cast<double>(Item->load().m_waiting));
+  setLimitGauges();
+  return m_metrics.toText();
+}
+
+} // namespace tamarackdrum::gateway
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <random>
-#include <spdlog/fmt/fmt.h>
 
 namespace tamarackdrum::gateway {
 namespace {
@@ -23,6 +22,8 @@
 /// Bodies may take the process's memory divided by this. Without bodies, a
 /// process needs less than half of its memory.
 constexpr std::size_t BodyMemoryDivisor = 4;
+/// As above, for the bodies of requests of other hosts.
+constexpr std::size_t RelayMemoryDivisor = 32;
 
 PoisonPolicy poisonPolicy() {
   PoisonPolicy Out;
@@ -34,6 +35,14 @@
   DispatchPolicy Out;
   Out.m_retries = Settings.m_retries;
   Out.m_rateSeed = hashKey(Settings.m_host.m_name);
+  Out.m_judgesByHost = Settings.m_contactBound > Millis(0);
+  return Out;
+}
+
+RelayPolicy relayPolicy(const GatewaySettings &Settings) {
+  RelayPolicy Out;
+  Out.m_maxServedBytes = std::min(
+      Out.m_maxServedBytes, Settings.m_memoryLimitBytes / RelayMemoryDivisor);
   return Out;
 }
 
@@ -54,18 +63,27 @@
       m_feed(Executor, Policy.m_feed, m_settings, Store, m_hosts, Log,
              m_metrics, feedEvents()),
       m_pool(PoolPolicy{}), m_upstreams(m_pool, m_settings.m_headers),
+      m_contacts(Executor, m_settings.m_contactBound > Millis(0), m_hosts,
+                 m_upstreams, Log, m_metrics,
+                 [this]() -> const Reachability::Servers & {
+                   return m_feed.servers();
+                 }),
       m_admission(Executor, AdmissionPolicy{}, dispatchPolicy(m_settings),
                   m_hosts, Log),
       m_network(Executor, PeerNetworkPolicy{}, m_hosts, m_settings.m_peerPort,
                 Log, m_metrics, peerEvents()),
+      m_relay(Executor, relayPolicy(m_settings), m_hosts, m_upstreams,
+              m_contacts, Log, m_metrics,
+              [this](const std::string &Id) { return findServer(Id); }),
       m_edge(Executor, edgePolicy(Policy.m_edge, m_settings), m_settings,
              m_admission, m_upstreams, m_poison, Log, m_metrics, m_hosts,
-             edgeView()),
+             m_contacts, m_relay, edgeView()),
       m_readinessServer(Executor, [this](std::string_view) {
         return isReady() ? TextResponse{200, "ready\n"}
                          : TextResponse{503, "not ready\n"};
       }) {
   m_admission.setNetwork(m_network);
+  m_relay.setNetwork(m_network);
   m_feed.setNetwork(m_network);
 }
 
@@ -98,6 +116,7 @@
       m_hosts.markUnreachable(Host);
     m_feed.onLinkDown(Host);
     m_admission.onLinkDown(Link);
+    m_relay.onLinkDown(Link);
   };
   Out.m_makeHello = [this](const std::string &Host) {
     return HelloMessage{m_hosts.self(),
@@ -115,10 +134,7 @@
   EdgeServer::Callbacks Out;
   Out.m_routes = [this] { return m_feed.routes(); };
   Out.m_hasServers = [this] { return !m_feed.servers().empty(); };
-  Out.m_findServer = [this](const std::string &Id) -> const ServerEntry * {
-    const auto Found = m_feed.servers().find(Id);
-    return Found == m_feed.servers().end() ? nullptr : &Found->second;
-  };
+  Out.m_findServer = [this](const std::string &Id) { return findServer(Id); };
   Out.m_onNotHeld = [this](const std::string &Service, Key Value) {
     const auto Runner = m_granterRunners.find(Service);
     if (Runner == m_granterRunners.end())
@@ -141,6 +157,11 @@
   return Out;
 }
 
+const ServerEntry *GatewayHost::findServer(const std::string &Id) const {
+  const auto Found = m_feed.servers().find(Id);
+  return Found == m_feed.servers().end() ? nullptr : &Found->second;
+}
+
 std::error_code GatewayHost::start() {
   std::error_code Error = m_network.start();
   if (!Error)
@@ -160,6 +181,7 @@
       m_log.write("metrics-unavailable", {{"reason", Failed.message()}});
   }
   m_feed.start();
+  m_contacts.start(m_network);
   asio::co_spawn(m_executor, tickLoop(), asio::detached);
   asio::co_spawn(m_executor, heartbeatLoop(), asio::detached);
   asio::co_spawn(m_executor, flushLoop(), asio::detached);
@@ -224,6 +246,10 @@
   Context.m_onRecordedMap = [this, Service](const KeyMap &Map) {
     m_admission.setKeyMap(Service, Map);
   };
+  Context.m_isCutOff = [this] { return m_contacts.isCutOff(); };
+  Context.m_onContact = [this](const std::string &Server, bool IsReached) {
+    m_contacts.record(Server, IsReached);
+  };
   std::unique_ptr<GranterRunner> Runner = std::make_unique<GranterRunner>(
       m_executor, Service, GranterRunnerPolicy{}, GrantPolicy{}, m_store,
       m_keyServers, m_hosts, m_log, m_metrics, std::move(Context));
@@ -305,6 +331,8 @@
   Out.m_storeAvailableMs =
       static_cast<std::uint32_t>(m_feed.storeAvailableFor().count());
   Out.m_configVersion = m_feed.configurationVersion();
+  Out.m_isCutOff = m_contacts.isCutOff();
+  Out.m_reachesServers = m_contacts.reachesServers();
   for (const auto &[Service, Runner] : m_granterRunners)
     Out.m_granters[Service] = Runner->knownGranter();
   if (Received != nullptr && Received->m_configVersion == 0)
@@ -334,8 +362,22 @@
   m_network.sendToFollowers(Message);
 }
 
+bool GatewayHost::onRelayMessage(std::uint32_t Link, PeerMessage &Message) {
+  if (auto *Request = std::get_if<RelayMessage>(&Message))
+    m_relay.onRelay(Link, *Request);
+  else if (auto *Answer = std::get_if<RelayAnswerMessage>(&Message))
+    m_relay.onAnswer(Link, *Answer);
+  else if (const auto *Cancel = std::get_if<RelayCancelMessage>(&Message))
+    m_relay.onCancel(Link, *Cancel);
+  else
+    return false;
+  return true;
+}
+
 void GatewayHost::onMessage(std::uint32_t Link, const std::string &Host,
                             PeerMessage &Message) {
+  if (onRelayMessage(Link, Message))
+    return;
   if (const auto *Hello = std::get_if<HelloMessage>(&Message)) {
     m_hosts.addHosts({Hello->m_host}, BootClock::now());
     m_admission.onRunning(Link, Hello->m_running, Hello->m_limits);
@@ -388,6 +430,7 @@
   while (true) {
     m_admission.tick();
     m_feed.tick();
+    m_relay.tick();
     updateCoordinators();
     sendKeyMapChanges();
     co_await sleepFor(m_policy.m_tickInterval);
@@ -409,46 +452,6 @@
   }
 }
 
-void GatewayHost::setLimitGauges() {
-  std::map<std::string, double> Limits;
-  std::map<std::string, double> Ages;
-  std::map<std::string, double> HeldBack;
-  for (const auto &[Service, Item] : m_admission.dispatchers().all())
-    for (const KnownLimit &Known : Item->limits(BootClock::now())) {
-      const std::string Labels =
-          fmt::format("service=\"{}\",server=\"{}\"", Service, Known.m_server);
-      Limits[Labels] = Known.m_perSecond;
-      Ages[Labels] = static_cast<double>(Known.m_age.count());
-      HeldBack[Labels] = static_cast<double>(Known.m_heldBack);
-    }
-  m_metrics.setGauges("server_limit_per_second", std::move(Limits));
-  m_metrics.setGauges("server_limit_age_ms", std::move(Ages));
-  m_metrics.setGauges("server_limit_held_back", std::move(HeldBack));
-}
-
-std::string GatewayHost::metricsText() {
-  m_metrics.setGauge("active_requests",
-                     static_cast<double>(m_edge.activeRequests()));
-  m_metrics.setGauge("client_connections",
-                     static_cast<double>(m_edge.connectionCount()));
-  m_metrics.setGauge("known_servers", static_cast<double>(servers().size()));
-  m_metrics.setGauge("evacuated_zones",
-                     static_cast<double>(m_feed.evacuatedZones().size()));
-  m_metrics.setGauge("store_lost_ms",
-                     static_cast<double>(m_feed.storeLostFor().count()));
-  m_metrics.setGauge("upstream_connections_opened",
-                     static_cast<double>(m_pool.openedCount()));
-  m_metrics.setGauge("log_lines_dropped",
-                     static_cast<double>(m_log.droppedLines()));
-  m_metrics.setGauge("configuration_version",
-                     static_cast<double>(m_feed.configurationVersion()));
-  for (const auto &[Service, Item] : m_admission.dispatchers().all())
-    m_metrics.setGauge("waiting{service=\"" + Service + "\"}",
-                       static_cast<double>(Item->load().m_waiting));
-  setLimitGauges();
-  return m_metrics.toText();
-}
-
 void GatewayHost::stop(std::function<void()> OnStopped) {
   if (m_isStopping)
     return;
--- a/src/edge/granter-runner.cc
+++ b/src/edge/granter-runner.cc
@@ -132,7 +132,8 @@
 
 bool GranterRunner::shouldTakeOver(TimePoint Now) const {
   if (m_isStopped || m_granter.isGranter() || Now < m_nextTakeOverAt ||
-      m_context.m_storeLostFor() > Millis(0))
+      m_context.m_storeLostFor() > Millis(0) ||
+      (m_context.m_isCutOff && m_context.m_isCutOff()))
     return false;
   return isNextGranter(m_hosts, m_knownGranter, m_policy.m_storeLostTimeout,
                        Now);
@@ -298,6 +299,10 @@
   const TimePoint Now = BootClock::now();
   m_metrics.count("grant_calls",
                   std::string("result=\"") + toText(Reply.m_result) + "\"");
+  if (m_context.m_onContact)
+    m_context.m_onContact(Call.m_server.m_id,
+                          Reply.m_result == GrantResult::Done ||
+                              Reply.m_result == GrantResult::HigherFence);
   const Millis Took = std::chrono::duration_cast<Millis>(Now - StartedAt);
   if (Reply.m_result != GrantResult::Done || Call.m_isRelease)
     m_log.write(Call.m_isRelease ? "keys-released" : "grant-failed",
--- a/src/edge/peer-network.cc
+++ b/src/edge/peer-network.cc
@@ -278,6 +278,18 @@
     enqueue(LinkPtr(Found->second), Message);
 }
 
+bool PeerNetwork::canSend(const std::string &Host,
+                          std::size_t MaxQueued) const {
+  const auto Found = m_outgoing.find(Host);
+  return Found != m_outgoing.end() && Found->second->m_isConnected &&
+         Found->second->m_queue.size() < MaxQueued;
+}
+
+std::size_t PeerNetwork::queuedBytes(std::uint32_t Id) const {
+  const auto Found = m_links.find(Id);
+  return Found == m_links.end() ? 0 : Found->second->m_queue.size();
+}
+
 void PeerNetwork::setFollower(std::uint32_t Id, bool IsFollowing) {
   const auto Found = m_links.find(Id);
   if (Found != m_links.end())
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -219,7 +219,8 @@
   const http::response_header<> &Head = Reply.m_parser->get();
   Reply.m_isLeaving = Head[m_headers.m_leaving] == "1";
   Reply.m_restTime = restTime(Head);
-  const AnswerReport Report = reportOf(Reply);
+  Reply.m_report = reportOf(Reply);
+  const AnswerReport &Report = Reply.m_report;
   if (!Report.m_limit)
     Reply.m_unreadableLimit =
         Head[m_headers.m_rateLimit].substr(0, MaxLoggedHeaderBytes);
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -483,6 +483,79 @@
   Out.m_startMs = In.take<std::int64_t>();
 }
 
+/// Returns bytes that need not be text.
+Json packBytes(const std::string &Bytes) {
+  return Json::binary({Bytes.begin(), Bytes.end()});
+}
+
+std::string takeBytes(ArrayReader &In) {
+  const Json::binary_t &Bytes = In.next().get_binary();
+  return {Bytes.begin(), Bytes.end()};
+}
+
+Json pack(const RelayMessage &Value) {
+  return packArray(Value.m_number, Value.m_server, packBytes(Value.m_head),
+                   packBytes(Value.m_body), packBytes(Value.m_requestId),
+                   Value.m_isHeadRequest, Value.m_isSafe,
+                   Value.m_timeLeft.count());
+}
+
+void read(ArrayReader In, RelayMessage &Out) {
+  Out.m_number = In.take<std::uint32_t>();
+  Out.m_server = In.take<std::string>();
+  Out.m_head = takeBytes(In);
+  Out.m_body = takeBytes(In);
+  Out.m_requestId = takeBytes(In);
+  Out.m_isHeadRequest = In.take<bool>();
+  Out.m_isSafe = In.take<bool>();
+  Out.m_timeLeft = In.takeMillis();
+}
+
+Json pack(const RelayAnswerMessage &Value) {
+  const AnswerReport &Report = Value.m_report;
+  Json Limit;
+  if (Report.m_limit)
+    Limit = Report.m_limit->isNone() ? 0 : Report.m_limit->m_perSecond;
+  Json ColdLeft;
+  if (Report.m_coldLeft)
+    ColdLeft = Report.m_coldLeft->count();
+  return packArray(Value.m_number, static_cast<int>(Value.m_result),
+                   Value.m_isSent, Value.m_isAccepted,
+                   Value.m_serviceTime.count(), Limit, pack(Report.m_load),
+                   ColdLeft, Value.m_isLeaving, Value.m_restTime.count(),
+                   packBytes(Value.m_head), packBytes(Value.m_body));
+}
+
+void read(ArrayReader In, RelayAnswerMessage &Out) {
+  Out.m_number = In.take<std::uint32_t>();
+  Out.m_result = static_cast<DispatchResult>(In.take<int>());
+  Out.m_isSent = In.take<bool>();
+  Out.m_isAccepted = In.take<bool>();
+  Out.m_serviceTime = In.takeMillis();
+  // A new report is that of an answer which says nothing.
+  Out.m_report = AnswerReport{};
+  const Json &Limit = In.next();
+  if (Limit.is_null())
+    Out.m_report.m_limit.reset();
+  else
+    Out.m_report.m_limit = readLimit(Limit.get<double>());
+  Out.m_report.m_load = readLoad(In.next());
+  const Json &ColdLeft = In.next();
+  if (!ColdLeft.is_null())
+    Out.m_report.m_coldLeft =
+        readColdTime(Millis(ColdLeft.get<std::int64_t>()));
+  Out.m_isLeaving = In.take<bool>();
+  Out.m_restTime = In.takeMillis();
+  Out.m_head = takeBytes(In);
+  Out.m_body = takeBytes(In);
+}
+
+Json pack(const RelayCancelMessage &Value) { return packArray(Value.m_number); }
+
+void read(ArrayReader In, RelayCancelMessage &Out) {
+  Out.m_number = In.take<std::uint32_t>();
+}
+
 /// Reads the message whose type is alternative \p Wanted of PeerMessage, which
 /// is not before \p Index.
 template <std::size_t Index = 0>
@@ -507,10 +580,11 @@
 
 /// Names of the message types, in the order of PeerMessage's alternatives.
 constexpr std::array<const char *, std::variant_size_v<PeerMessage>> TypeNames{
-    "hello",         "running",  "ask",     "queued",     "decision",
-    "finish",        "withdraw", "key-map", "not-held",   "key-map-request",
-    "state-request", "state",    "crash",   "listing",    "configuration",
-    "follow",        "hosts",    "leaving", "evacuations"};
+    "hello",         "running",     "ask",     "queued",      "decision",
+    "finish",        "withdraw",    "key-map", "not-held",    "key-map-request",
+    "state-request", "state",       "crash",   "listing",     "configuration",
+    "follow",        "hosts",       "leaving", "evacuations", "relay",
+    "relay-answer",  "relay-cancel"};
 
 } // namespace
 
@@ -565,7 +639,8 @@
   const std::vector<std::uint8_t> Body = Json::to_msgpack(
       packArray(ProtocolVersion, pack(Beat.m_host), Beat.m_isStopping,
                 Beat.m_isReply, Beat.m_storeLostMs, Beat.m_storeAvailableMs,
-                Beat.m_configVersion, Granters, pack(Beat.m_initialPeers)));
+                Beat.m_configVersion, Granters, pack(Beat.m_initialPeers),
+                Beat.m_isCutOff, Beat.m_reachesServers));
   return {Body.begin(), Body.end()};
 }
 
@@ -592,6 +667,10 @@
       Out.m_granters[Service] = Granter;
     }
     Out.m_initialPeers = readHosts(In.next());
+    if (In.hasNext())
+      Out.m_isCutOff = In.take<bool>();
+    if (In.hasNext())
+      Out.m_reachesServers = In.take<bool>();
     return Out;
   } catch (const std::exception &) {
     // Both the library and ArrayReader throw on malformed input.
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -49,6 +49,14 @@
           StateMessage{"{}", {Server}, {{1, 12}, {"zone-a", "zone-b"}}},
           EvacuationsMessage{{{0, 7}, {}}},
           CrashMessage{~0ULL, "s-1@5"},
+          RelayMessage{9, "s-1", "GET / HTTP/1.1\r\n\r\n", "\xff\0x", "id",
+                       true, false, Millis(700)},
+          RelayAnswerMessage{
+              9, DispatchResult::Served, true, true, Millis(160),
+              AnswerReport{NamedLimit{2.5}, ReportedLoad{4, 1, 4}, Millis(3)},
+              true, Millis(20), "HTTP/1.1 200 OK\r\n\r\n", "\xfe"},
+          RelayAnswerMessage{},
+          RelayCancelMessage{9},
           ListingMessage{3,
                          2,
                          {1, 9},
@@ -134,6 +142,8 @@
   Beat.m_configVersion = 3;
   Beat.m_granters["cart"] = {4, "h2", 6};
   Beat.m_initialPeers = {{"h3", "10.0.0.3", "zone-b", 7, 50}};
+  Beat.m_isCutOff = true;
+  Beat.m_reachesServers = true;
   const Result<Heartbeat> Decoded = decodeHeartbeat(encodeHeartbeat(Beat));
   ASSERT_TRUE(Decoded);
   EXPECT_TRUE(Decoded.value() == Beat);
