Hand the keys over from a granter that is cut off

Cause: a granter that reaches no server cannot renew grants, but kept its term while it was alive and reached the store.

Change: a granter whose heartbeat says that it is cut off is replaced by the first candidate that is not cut off; a cut-off host takes over no term.

NextGranterTest extended.

--- a/src/gateway/roster.cc
+++ b/src/gateway/roster.cc
@@ -271,7 +271,7 @@
       Hosts.isAlive(Granter.m_host, Now)) {
     const Heartbeat *Beat = Hosts.lastHeartbeat(Granter.m_host);
     const bool CanGrant =
-        Beat != nullptr && !Beat->m_isStopping &&
+        Beat != nullptr && !Beat->m_isStopping && !Beat->m_isCutOff &&
         Millis(Beat->m_storeLostMs) < StoreLostTimeout &&
         Hosts.processStartMs(Granter.m_host) == Granter.m_processStartMs;
     if (CanGrant)
@@ -283,7 +283,7 @@
     if (Item.m_name == Granter.m_host)
       continue;
     const Heartbeat *Beat = Hosts.lastHeartbeat(Item.m_name);
-    if (Beat != nullptr && Beat->m_storeLostMs == 0)
+    if (Beat != nullptr && Beat->m_storeLostMs == 0 && !Beat->m_isCutOff)
       return false;
   }
   return false;
--- a/test/gateway/roster-test.cc
+++ b/test/gateway/roster-test.cc
@@ -195,6 +195,20 @@
   EXPECT_FALSE(isNext({3, "h2", 1000}));
 }
 
+// A cut-off granter cannot renew grants, and a cut-off candidate could not
+// either.
+TEST_F(NextGranterTest, GranterIsCutOff_FirstCandidateNotCutOff_TakesOver) {
+  Heartbeat Beat;
+  Beat.m_host = makeHost("h2", 20);
+  Beat.m_isCutOff = true;
+  m_subject.recordHeartbeat(Beat, m_now);
+  Beat.m_host = makeHost("h3", 20);
+  m_subject.recordHeartbeat(Beat, m_now);
+  EXPECT_TRUE(isNext({3, "h2", 1000}));
+  addStoreLostHeartbeat("h3", 0);
+  EXPECT_FALSE(isNext({3, "h2", 1000}));
+}
+
 // The write of an abandoned takeover takes effect seconds later. The store then
 // names a host that grants nothing and is no candidate, and since it is alive,
 // no other host replaces it.
