--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -50,6 +50,9 @@
   /// an evacuated zone. The default does not shorten m_applyBound, since both
   /// are read by the same calls.
   Millis m_evacuationBound = Millis::max();
+  /// Longest time from the start of a partition between this host and all
+  /// servers until its requests are served; 0: the case is not handled.
+  Millis m_contactBound{0};
   Millis m_stopTimeout{6000}; ///< From the stop signal to the kill.
   RetryPolicy m_retries;
   ColdBound m_coldBound;
