--- a/bench/tamarack-replay.cc
+++ b/bench/tamarack-replay.cc
@@ -21,6 +21,7 @@
   unsigned m_seeds = 3;
   TraceOptions m_trace;
   ReplayPolicy m_policy;
+  bool m_isDeployments = false;
   bool m_isHelp = false;
 };
 
@@ -54,6 +55,8 @@
       "objective-ms", po::value(&Objective)->default_value(600),
       "time within which an answer is in time; the timeout and the deadline "
       "are 2 and 4 times as long");
+  Known.add_options()("deployments", po::bool_switch(&Out.m_isDeployments),
+                      "play the keyed loads of docs/HARD-LOAD.md instead");
   po::variables_map Values;
   po::store(po::parse_command_line(Argc, Argv, Known), Values);
   po::notify(Values);
@@ -126,10 +129,56 @@
       Sum.m_notHeld / Line.m_seeds, Sum.m_writes / Line.m_seeds);
 }
 
+struct NamedEvent {
+  const char *m_name;
+  DeploymentEvent m_event;
+};
+
+constexpr std::array<NamedEvent, 4> Events{
+    {{"none", DeploymentEvent::None},
+     {"hot-range", DeploymentEvent::HotRange},
+     {"few-hot-keys", DeploymentEvent::FewHotKeys},
+     {"servers-lost", DeploymentEvent::ServersLost}}};
+
+/// Prints the shares of requests, then what became of refused callers, then the
+/// utilization of the busiest server by second.
+void printDeployment(const Options &Line, bool IsSecond,
+                     const NamedEvent &Event) {
+  ReplayResult Sum;
+  for (unsigned Seed = 1; Seed <= Line.m_seeds; ++Seed)
+    Sum += replay(makeDeploymentLoad(IsSecond, Event.m_event, Seed),
+                  Line.m_policy);
+  const double Owed = Sum.m_owed;
+  fmt::print("{:6} {:12} {:6} {:6.3f} {:6.3f} {:6.3f} {:6.3f} {:7} {:7} {:7} "
+             "{:6.2f} {:6} |",
+             IsSecond ? "second" : "first", Event.m_name, Sum.m_owed,
+             Sum.m_inTime / Owed, Sum.m_late / Owed, Sum.m_refused / Owed,
+             Sum.m_failed / Owed, Sum.m_refusals, Sum.m_returns,
+             Sum.m_returnsRefused, Sum.m_keysMoved / Line.m_seeds,
+             Sum.m_moves / Line.m_seeds);
+  for (double Busiest : Sum.m_busiest)
+    fmt::print(" {:.1f}", Busiest);
+  fmt::print("\n");
+}
+
+void printDeployments(const Options &Line) {
+  fmt::print("{:6} {:12} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7} {:>7} {:>7} {:>6} "
+             "{:>6} | busiest server, by second\n",
+             "load", "event", "owed", "intime", "late", "refus", "fail",
+             "answers", "returns", "again", "keys", "moves");
+  for (bool IsSecond : {false, true})
+    for (const NamedEvent &Event : Events)
+      printDeployment(Line, IsSecond, Event);
+}
+
 int run(int Argc, char **Argv) {
   const Options Line = parse(Argc, Argv);
   if (Line.m_isHelp)
     return 0;
+  if (Line.m_isDeployments) {
+    printDeployments(Line);
+    return 0;
+  }
   fmt::print("{:11} {:4} {:17} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} "
              "{:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6}\n",
              "pattern", "load", "decider", "credit", "worst", "first", "intime",
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -17,6 +17,7 @@
 #include "tamarackdrum/gateway/key-map.h"
 #include "tamarackdrum/gateway/rate-limit.h"
 #include "tamarackdrum/gateway/retry-window.h"
+#include "tamarackdrum/gateway/return-schedule.h"
 #include "tamarackdrum/gateway/server-directory.h"
 
 #include <deque>
@@ -160,6 +161,7 @@
   Millis m_defaultRetryAfter{1000};
   Millis m_minRetryAfter{50};
   RetryPolicy m_retries;
+  ReturnPolicy m_returns; ///< For keyed services.
 
   bool operator==(const DispatchPolicy &) const = default;
 };
@@ -276,6 +278,7 @@
   /// be served within DispatchPolicy::m_backlogDrainTime.
   std::vector<KeyRate> keyDemand(TimePoint Now);
   const KeyMap &keyMap() const { return m_keys; }
+  const ReturnCounts &returnCounts() const { return m_returns.counts(); }
 
 private:
   struct Running {
@@ -306,6 +309,9 @@
     TimePoint m_deadline;
     TimePoint m_ownZoneUntil; ///< Waits only for its own zone until then.
     bool m_isLate = false;    ///< Is not expected to meet its objective.
+    /// Was refused before, and has returned to its place in the order of
+    /// return: new requests have been judged with regard to it.
+    bool m_hasPlace = false;
   };
   using Queue = std::list<Waiting>;
 
@@ -403,10 +409,19 @@
               Millis RetryAfter, DispatchDecisions &Out) const;
   /// Refuses a request that would have to wait for \p WaitMs. Where limits of
   /// servers hold, the callers that are refused are told times at the rate of
-  /// the limits, in the order in which they are refused.
-  void refuseForWait(const DispatchRequest &Request,
-                     const WaitEstimate &Expected, double WaitMs, TimePoint Now,
-                     DispatchDecisions &Out);
+  /// the limits, in the order in which they are refused. Callers of a holder of
+  /// keys get a place in the order of return, if there is one.
+  void refuseForWait(const Waiting &Item, const WaitEstimate &Expected,
+                     double WaitMs, TimePoint Now, DispatchDecisions &Out);
+  /// Returns the time after which a caller that \p WaitMs is too long for is to
+  /// return to the holder of its key.
+  Millis returnTime(const Waiting &Item, const WaitEstimate &Expected,
+                    double WaitMs, TimePoint Now);
+  /// Returns how many requests are served before \p Item, with \p Ahead
+  /// waiting ones and the callers that are due to return until then.
+  std::size_t aheadWithReturns(const Waiting &Item, std::size_t Ahead,
+                               const WaitEstimate &Expected,
+                               TimePoint Now) const;
   bool isEligible(const Waiting &Item, const Server &Target) const;
   /// Assigns waiting requests to the free slots of \p Target.
   void fillSlots(Server &Target, TimePoint Now, DispatchDecisions &Out);
@@ -454,6 +469,7 @@
   /// Last time that a refused caller was told to return, by holder of keys, or
   /// for AllServers.
   std::map<std::string, TimePoint> m_lastReturns;
+  ReturnSchedule m_returns; ///< Of a keyed service.
 };
 
 } // namespace tamarackdrum::gateway
--- a/include/tamarackdrum/gateway/granter-runner.h
+++ b/include/tamarackdrum/gateway/granter-runner.h
@@ -102,6 +102,9 @@
   boost::asio::awaitable<void> executeCall(GrantCall Call);
   void stepDown(std::string_view Reason, const KnownGranter &Winner);
   void publishKeyMap();
+  /// Counts rounds of placement by what ends them. Logs a change of what ends
+  /// them, or of whether a server is overloaded.
+  void notePlacement();
   std::vector<ServerEntry> serviceServers() const;
 
   boost::asio::any_io_executor m_executor;
@@ -126,6 +129,10 @@
   TimePoint m_nextTakeOverAt;
   TimePoint m_nextLookupAt{};
   bool m_hasReadRecord = false; ///< By readRecordedHolders().
+  /// As last logged; see logPlacement().
+  PlacementLimit m_loggedLimit = PlacementLimit::None;
+  bool m_wasOverloaded = false;
+  TimePoint m_placementLoggedAt{};
   KeyMap m_published;
   std::uint64_t m_mapChangeCount = 0;
 };
--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -123,6 +123,10 @@
   Millis m_writeInterval{150};
   /// Shortest time between two rounds of placement.
   Millis m_planInterval{200};
+  /// Weight of a new value in the average capacity of a server. Work that is
+  /// slow for periods of 400 ms must not move keys; with this weight, the
+  /// average covers some 3 s of rounds.
+  double m_capacityWeight = 0.07;
   /// A range is not moved again within this time, unless its owner becomes
   /// unusable.
   Millis m_moveCooldown{500};
@@ -235,10 +239,14 @@
 
   /// Plans moves if a round of placement is due. \p Demand returns the request
   /// rates by key, \p RateOf the requests per second that a server can serve.
-  void plan(const std::function<std::vector<KeyRate>()> &Demand,
+  /// Returns whether a round was due.
+  bool plan(const std::function<std::vector<KeyRate>()> &Demand,
             const std::function<double(const std::string &)> &RateOf,
             TimePoint Now);
 
+  /// Returns the result of the last round of placement.
+  const Placement &lastPlacement() const { return m_lastPlacement; }
+
   /// Returns the calls and the write that are due.
   GrantActions step(TimePoint Now);
 
@@ -290,6 +298,11 @@
   std::uint64_t nextFence() {
     return (m_record.m_term << FenceBits) + ++m_fenceCount;
   }
+  /// Returns the requests per second of each usable server, averaged over some
+  /// rounds.
+  std::map<std::string, double>
+  averageCapacity(const std::function<double(const std::string &)> &RateOf,
+                  TimePoint Now);
   /// Splits the range around \p At so that a range begins there.
   void splitAt(Key At);
   void markChanged(Range &Item);
@@ -354,6 +367,9 @@
   TimePoint m_unknownHoldsEndAt{};   ///< Of granters that no record names.
   TimePoint m_lastWriteAt{};
   TimePoint m_lastPlanAt{};
+  Placement m_lastPlacement;
+  /// Requests per second, by id and start of the server.
+  std::map<std::pair<std::string, std::int64_t>, double> m_meanCapacity;
   std::vector<Range> m_ranges;
   struct Reachability {
     unsigned m_failures = 0; ///< Failed calls in a row.
--- a/include/tamarackdrum/gateway/key-placement.h
+++ b/include/tamarackdrum/gateway/key-placement.h
@@ -55,6 +55,12 @@
   /// No range is split once there are this many: each range is renewed by a
   /// call of its own, and the ranges of a service share one row of the store.
   std::size_t m_maxRanges = 800;
+  /// Servers that are not overloaded split ranges only up to this share of
+  /// m_maxRanges, and those from m_severeUtilization on up to all of them. Else
+  /// small differences use up all ranges in steady load, and a hot range can
+  /// then not be split.
+  double m_ordinaryRangeShare = 0.5;
+  double m_severeUtilization = 1.5;
   /// Fraction of the total load that is assumed to be uniform over all keys,
   /// since only few keys are requested within a few seconds.
   double m_uniformLoadShare = 0.25;
@@ -62,6 +68,35 @@
   bool operator==(const PlacementPolicy &) const = default;
 };
 
+/// Why no further range moves.
+enum class PlacementLimit {
+  None,       ///< No placement yet.
+  Balanced,   ///< No server is overloaded, compared to the others.
+  NoServer,   ///< No server can hold keys.
+  MoveLimit,  ///< The round has as many moves as are allowed.
+  RangeLimit, ///< Keys would move, but no range may be split any more.
+  SingleKey,  ///< One key alone overloads its server.
+  NoPart      ///< No part of the ranges that may move carries enough load.
+};
+
+/// Returns the name of \p Value for logs and metrics.
+const char *toText(PlacementLimit Value) noexcept;
+
+struct Placement {
+  std::vector<KeyMove> m_moves;
+  PlacementLimit m_limit = PlacementLimit::None;
+  std::string m_busiest; ///< Server with the highest utilization afterwards.
+  double m_busiestUtilization = 0;
+
+  bool operator==(const Placement &) const = default;
+};
+
+/// As planKeyMoves(), with the reason why no more keys move.
+Placement planPlacement(const std::vector<PlacedRange> &Ranges,
+                        const std::map<std::string, double> &Capacity,
+                        const std::vector<KeyRate> &Rates,
+                        const PlacementPolicy &Policy);
+
 /// Returns the moves of one round. \p Capacity maps each usable server to the
 /// requests per second that it can serve; \p Rates is sorted by key.
 std::vector<KeyMove> planKeyMoves(const std::vector<PlacedRange> &Ranges,
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -445,6 +445,18 @@
   for (const auto &[Service, Item] : m_admission.dispatchers().all())
     m_metrics.setGauge("waiting{service=\"" + Service + "\"}",
                        static_cast<double>(Item->load().m_waiting));
+  std::map<std::string, double> Returns;
+  for (const auto &[Service, Item] : m_admission.dispatchers().all()) {
+    const ReturnCounts &Counts = Item->returnCounts();
+    for (const auto &[Result, Count] :
+         std::map<std::string, std::uint64_t>{{"given", Counts.m_given},
+                                              {"taken", Counts.m_taken},
+                                              {"lapsed", Counts.m_lapsed},
+                                              {"none", Counts.m_none}})
+      Returns["service=\"" + Service + "\",result=\"" + Result + "\""] =
+          static_cast<double>(Count);
+  }
+  m_metrics.setGauges("return_places", std::move(Returns));
   setLimitGauges();
   return m_metrics.toText();
 }
--- a/src/edge/granter-runner.cc
+++ b/src/edge/granter-runner.cc
@@ -14,6 +14,8 @@
 /// The upper bits of a key map's version are the term; these lower ones count
 /// the changes within the term.
 constexpr unsigned ChangeBits = 24;
+/// What ends a round may alternate between two causes each 200 ms.
+constexpr Millis MinPlacementLogInterval{1000};
 
 const char *toText(GrantResult Value) {
   switch (Value) {
@@ -324,6 +326,29 @@
   m_context.m_onKeyMap(m_published);
 }
 
+void GranterRunner::notePlacement() {
+  const Placement &Last = m_granter.lastPlacement();
+  const std::string Limit = toText(Last.m_limit);
+  m_metrics.count("placement_rounds", "limit=\"" + Limit + "\"");
+  const bool IsOverloaded = Last.m_busiestUtilization >
+                            m_grantPolicy.m_placement.m_overloadedUtilization;
+  // While no server is overloaded, it does not matter what ends the rounds.
+  const bool HasChanged = IsOverloaded != m_wasOverloaded ||
+                          (IsOverloaded && Last.m_limit != m_loggedLimit);
+  const TimePoint Now = BootClock::now();
+  if (!HasChanged || Now - m_placementLoggedAt < MinPlacementLogInterval)
+    return;
+  m_placementLoggedAt = Now;
+  m_loggedLimit = Last.m_limit;
+  m_wasOverloaded = IsOverloaded;
+  m_log.write("placement-limited",
+              {{"service", m_service},
+               {"limit", Limit},
+               {"moves", Last.m_moves.size()},
+               {"busiest", Last.m_busiest},
+               {"utilization", Last.m_busiestUtilization}});
+}
+
 asio::awaitable<void> GranterRunner::run() {
   while (!m_isEnded) {
     const TimePoint Now = BootClock::now();
@@ -336,7 +361,9 @@
           },
           Now);
       m_granter.setServers(serviceServers(), Now);
-      m_granter.plan(m_context.m_keyDemand, m_context.m_serverCapacity, Now);
+      if (m_granter.plan(m_context.m_keyDemand, m_context.m_serverCapacity,
+                         Now))
+        notePlacement();
       GrantActions Actions = m_granter.step(BootClock::now());
       for (GrantCall &Call : Actions.m_calls)
         asio::co_spawn(m_executor, executeCall(std::move(Call)),
--- a/src/gateway/dispatcher-detail.h
+++ b/src/gateway/dispatcher-detail.h
@@ -35,6 +35,13 @@
                      });
 }
 
+/// Returns the caller of a request that has just arrived.
+inline Caller callerOf(const DispatchRequest &Request, TimePoint Now) {
+  return {Request.m_key.value_or(0), Request.m_route, Request.m_priority,
+          Now + std::min(Request.m_objectiveLeft, Request.m_timeLeft),
+          Now + Request.m_timeLeft};
+}
+
 } // namespace tamarackdrum::gateway
 
 #endif // TAMARACKDRUM_SRC_GATEWAY_DISPATCHER_DETAIL_H
--- a/src/gateway/dispatcher-limits.cc
+++ b/src/gateway/dispatcher-limits.cc
@@ -96,11 +96,14 @@
   Item.m_rateLimit.setShare(rateShareFor(Entry.m_id), Now);
 }
 
-void Dispatcher::refuseForWait(const DispatchRequest &Request,
+void Dispatcher::refuseForWait(const Waiting &Item,
                                const WaitEstimate &Expected, double WaitMs,
                                TimePoint Now, DispatchDecisions &Out) {
+  const DispatchRequest &Request = Item.m_request;
   Millis RetryAfter(static_cast<std::int64_t>(WaitMs));
   if (!Expected.m_isLimited) {
+    if (m_isKeyed)
+      RetryAfter = returnTime(Item, Expected, WaitMs, Now);
     refuse(Request, RefusalReason::Overloaded, RetryAfter, Out);
     return;
   }
--- a/src/gateway/dispatcher-queue.cc
+++ b/src/gateway/dispatcher-queue.cc
@@ -51,7 +51,13 @@
                          TimePoint Now, DispatchDecisions &Out) {
   Waiting Item{Request,
                Now + std::min(Request.m_objectiveLeft, Request.m_timeLeft),
-               Now + Request.m_timeLeft, OwnZoneUntil, false};
+               Now + Request.m_timeLeft,
+               OwnZoneUntil,
+               false,
+               false};
+  if (m_isKeyed)
+    Item.m_hasPlace =
+        m_returns.take(callerOf(Item.m_request, Now), m_policy.m_returns, Now);
   const WaitEstimate Expected = estimateWait(Request, Now);
   if (Expected.m_ratePerMs <= 0) {
     refuse(Request, RefusalReason::NoServer, m_policy.m_defaultRetryAfter, Out);
@@ -66,27 +72,55 @@
     if (m_isKeyed &&
         m_keys.holderOf(Other.m_request.m_key.value_or(0)) != Holder)
       continue;
+    // Those that return to a place go first within their priority.
+    const bool IsBehind = Item.m_hasPlace && !Other.m_hasPlace &&
+                          Other.m_request.m_priority == Request.m_priority;
+    if (IsBehind)
+      continue;
     ++All;
     if (!Other.m_isLate && (Other.m_request.m_priority < Request.m_priority ||
                             Other.m_objectiveAt <= Item.m_objectiveAt))
       ++Ahead;
   }
+  if (m_isKeyed && !Expected.m_isLimited && !Item.m_hasPlace) {
+    Ahead = aheadWithReturns(Item, Ahead, Expected, Now);
+    All = aheadWithReturns(Item, All, Expected, Now);
+  }
   // Permits are used in the order of arrival; see firstRequestFor().
   const double Wait = Expected.waitMs(Expected.m_isLimited ? All : Ahead);
   Item.m_isLate = Wait + Expected.m_serviceMs > toMs(Request.m_objectiveLeft);
   if (Item.m_isLate) {
     const double LateWait = Expected.waitMs(All);
     const bool MustNotWait = Expected.m_isLimited && All > 0;
+    const double MaxShare = Item.m_hasPlace ? 1 : m_policy.m_maxLateTimeShare;
     if (MustNotWait ||
-        LateWait + Expected.m_serviceMs >
-            toMs(Request.m_timeLeft) * m_policy.m_maxLateTimeShare) {
-      refuseForWait(Request, Expected, LateWait, Now, Out);
+        LateWait + Expected.m_serviceMs > toMs(Request.m_timeLeft) * MaxShare) {
+      refuseForWait(Item, Expected, LateWait, Now, Out);
       return;
     }
   }
   insertByPriority(std::move(Item));
 }
 
+std::size_t Dispatcher::aheadWithReturns(const Waiting &Item, std::size_t Ahead,
+                                         const WaitEstimate &Expected,
+                                         TimePoint Now) const {
+  const std::string &Holder = m_keys.holderOf(Item.m_request.m_key.value_or(0));
+  const TimePoint Until = Now + fromMs(Expected.waitMs(Ahead));
+  return Ahead + m_returns.dueUntil(Holder, Until, Item.m_request.m_priority);
+}
+
+Millis Dispatcher::returnTime(const Waiting &Item, const WaitEstimate &Expected,
+                              double WaitMs, TimePoint Now) {
+  const Caller Who{Item.m_request.m_key.value_or(0), Item.m_request.m_route,
+                   Item.m_request.m_priority, Item.m_objectiveAt,
+                   Item.m_deadline};
+  const std::optional<TimePoint> Due = m_returns.give(
+      m_keys.holderOf(Who.m_key), Who, Expected.m_ratePerMs,
+      Now + fromMs(std::max(0.0, Expected.m_pauseMs)), m_policy.m_returns, Now);
+  return Due ? std::chrono::duration_cast<Millis>(*Due - Now) : fromMs(WaitMs);
+}
+
 void Dispatcher::insertByPriority(Waiting Item) {
   Queue::iterator Behind = m_waiting.end();
   while (Behind != m_waiting.begin() &&
@@ -112,12 +146,15 @@
   ObjectiveRange Urgent{None, None};
   ObjectiveRange OfZone{None, None};
   Queue::iterator Late = None;
+  Queue::iterator Placed = None;
   const auto HaveSamePriority = [](Queue::iterator A, Queue::iterator B) {
     return A->m_request.m_priority == B->m_request.m_priority;
   };
   for (Queue::iterator Item = m_waiting.begin(); Item != None; ++Item) {
     if (Urgent.m_earliest != None && !HaveSamePriority(Item, Urgent.m_earliest))
       break;
+    if (Placed != None && !HaveSamePriority(Item, Placed))
+      break;
     if (!isEligible(*Item, Target))
       continue;
     ++Count;
@@ -128,6 +165,8 @@
     if (WaitsForOwnZone ||
         toMs(Item->m_deadline - Now) < Service * m_policy.m_minTimeFactor)
       continue;
+    if (Item->m_hasPlace && Placed == None)
+      Placed = Item;
     markIfLate(*Item, std::min(Service, m_meanServiceMs * Factor), Now);
     if (Item->m_isLate) {
       if (Late == None ||
@@ -143,6 +182,9 @@
     if (IsOfZone)
       OfZone.add(Item, None);
   }
+  if (Placed != None && (Urgent.m_earliest == None ||
+                         HaveSamePriority(Urgent.m_earliest, Placed)))
+    return Placed;
   if (Urgent.m_earliest == None)
     return Late;
   // Under overload, serving in order makes each request miss its objective by a
@@ -233,7 +275,7 @@
       ++Item;
       continue;
     }
-    refuseForWait(Item->m_request, Estimate.m_wait, Wait, Now, Out);
+    refuseForWait(*Item, Estimate.m_wait, Wait, Now, Out);
     Item = m_waiting.erase(Item);
   }
 }
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -96,7 +96,8 @@
 
 void Dispatcher::setKeyMap(KeyMap Map, TimePoint Now, DispatchDecisions &Out) {
   m_isKeyed = true;
-  if (Map.ranges() != m_keys.ranges())
+  const bool HasChanged = Map.ranges() != m_keys.ranges();
+  if (HasChanged)
     for (auto &[Id, Item] : m_servers)
       if (Item.m_lacksKey) {
         // The holders have changed: the next request probes the server.
@@ -105,6 +106,8 @@
         Item.m_pausedUntil = {};
       }
   m_keys = std::move(Map);
+  if (HasChanged)
+    m_returns.setHolders(m_keys);
   fillAllSlots(Now, Out);
 }
 
@@ -246,10 +249,14 @@
   }
   usePermits(Now, Out);
   const Choice Chosen = chooseServer(Request, Now);
-  if (Chosen.m_server != nullptr)
-    assign(Request, *Chosen.m_server, Now, Out);
-  else
+  if (Chosen.m_server == nullptr) {
     enqueue(Request, Chosen.m_ownZoneUntil, Now, Out);
+    return;
+  }
+  // A free slot serves a caller that returns without its place.
+  if (m_isKeyed)
+    m_returns.take(callerOf(Request, Now), m_policy.m_returns, Now);
+  assign(Request, *Chosen.m_server, Now, Out);
 }
 
 void Dispatcher::withdraw(const DispatchId &Id) {
@@ -328,6 +335,7 @@
     }
     ++Item;
   }
+  m_returns.dropLapsed(m_policy.m_returns, Now);
   refuseUnservable(Now, Out);
   fillAllSlots(Now, Out);
 }
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -483,18 +483,32 @@
   }
 }
 
-void KeyGranter::plan(const std::function<std::vector<KeyRate>()> &Demand,
+std::map<std::string, double> KeyGranter::averageCapacity(
+    const std::function<double(const std::string &)> &RateOf, TimePoint Now) {
+  std::map<std::string, double> Out;
+  decltype(m_meanCapacity) Averages;
+  for (const auto &[Id, Entry] : m_servers) {
+    if (!isUsable({Id, Entry.m_startMs}, Now))
+      continue;
+    const double Rate = RateOf(Id);
+    const auto Known = m_meanCapacity.find({Id, Entry.m_startMs});
+    const double Before = Known == m_meanCapacity.end() ? Rate : Known->second;
+    Out[Id] = Before + m_policy.m_capacityWeight * (Rate - Before);
+    Averages[{Id, Entry.m_startMs}] = Out[Id];
+  }
+  m_meanCapacity = std::move(Averages);
+  return Out;
+}
+
+bool KeyGranter::plan(const std::function<std::vector<KeyRate>()> &Demand,
                       const std::function<double(const std::string &)> &RateOf,
                       TimePoint Now) {
   if (!isInForce() || m_needsValidation ||
       Now - m_validatedAt > MaxValidationAge ||
       Now - m_lastPlanAt < m_policy.m_planInterval)
-    return;
+    return false;
   m_lastPlanAt = Now;
-  std::map<std::string, double> Capacity;
-  for (const auto &[Id, Entry] : m_servers)
-    if (isUsable({Id, Entry.m_startMs}, Now))
-      Capacity[Id] = RateOf(Id);
+  const std::map<std::string, double> Capacity = averageCapacity(RateOf, Now);
   std::vector<PlacedRange> Placed;
   for (const Range &Item : m_ranges) {
     const RangeRecord &Record = Item.m_record;
@@ -506,10 +520,12 @@
                        HasOwner ? Record.m_owner.m_id : std::string()},
                       CanMove});
   }
-  for (const KeyMove &Move :
-       planKeyMoves(Placed, Capacity, Demand(), m_policy.m_placement))
+  m_lastPlacement =
+      planPlacement(Placed, Capacity, Demand(), m_policy.m_placement);
+  for (const KeyMove &Move : m_lastPlacement.m_moves)
     move(Move, Now);
   mergeNeighbours();
+  return true;
 }
 
 bool KeyGranter::mayClearPreviousOwner(const Range &Item, TimePoint Now) const {
--- a/src/gateway/key-placement.cc
+++ b/src/gateway/key-placement.cc
@@ -1,4 +1,4 @@
-#include "tamarackdrum/gateway/key-placement.h"
+#include "key-placement-detail.h"
 
 #include <algorithm>
 #include <cmath>
@@ -18,8 +18,6 @@
 constexpr double MinExcessFraction = 0.5;
 constexpr double MinRoomFraction = 0.85;
 constexpr double MaxExcessFraction = 1.3;
-/// A range without a holder is split into at most this many parts.
-constexpr std::uint32_t MaxPiecesPerRange = 4;
 
 /// Load that a move should carry.
 struct WantedLoad {
@@ -30,43 +28,6 @@
   double max() const { return m_load * MaxExcessFraction; }
 };
 
-struct ServerLoads {
-  std::map<std::string, double> m_byServer;
-  double m_uniformRatePerKey = 0;
-};
-
-std::uint32_t widthOf(const KeyRange &Keys) {
-  return static_cast<std::uint32_t>(Keys.m_to) - Keys.m_from + 1;
-}
-
-/// Returns the part of \p Rates that belongs to \p Keys.
-std::span<const KeyRate> ratesIn(const KeyRange &Keys,
-                                 const std::vector<KeyRate> &Rates) {
-  const auto First = std::lower_bound(
-      Rates.begin(), Rates.end(), Keys.m_from,
-      [](const KeyRate &Item, Key From) { return Item.m_key < From; });
-  const auto End = std::upper_bound(
-      First, Rates.end(), Keys.m_to,
-      [](Key To, const KeyRate &Item) { return To < Item.m_key; });
-  return {First, End};
-}
-
-/// Returns the requests per second for \p Keys, including the uniform load.
-double loadOf(const KeyRange &Keys, const std::vector<KeyRate> &Rates,
-              double UniformRatePerKey) {
-  double Sum = UniformRatePerKey * widthOf(Keys);
-  for (const KeyRate &Item : ratesIn(Keys, Rates))
-    Sum += Item.m_rate;
-  return Sum;
-}
-
-double utilization(const std::string &Server, const ServerLoads &Current,
-                   const std::map<std::string, double> &Capacity) {
-  const auto Load = Current.m_byServer.find(Server);
-  return (Load == Current.m_byServer.end() ? 0 : Load->second) /
-         std::max(0.1, Capacity.at(Server));
-}
-
 /// Returns the utilization of all servers together.
 double meanUtilization(const ServerLoads &Current,
                        const std::map<std::string, double> &Capacity) {
@@ -80,68 +41,6 @@
   return Load / Total;
 }
 
-/// Returns the server that has the lowest utilization once it gets a load of
-/// \p Added.
-std::string leastUtilized(const ServerLoads &Current,
-                          const std::map<std::string, double> &Capacity,
-                          double Added) {
-  std::string Best;
-  double Lowest = 0;
-  for (const auto &[Server, Rate] : Capacity) {
-    const double Value =
-        utilization(Server, Current, Capacity) + Added / std::max(0.1, Rate);
-    if (Best.empty() || Value < Lowest) {
-      Best = Server;
-      Lowest = Value;
-    }
-  }
-  return Best;
-}
-
-/// Returns moves that distribute all keys in proportion to capacity.
-std::vector<KeyMove>
-distributeAll(const std::map<std::string, double> &Capacity) {
-  double Total = 0;
-  for (const auto &[Server, Rate] : Capacity)
-    Total += Rate;
-  std::vector<KeyMove> Out;
-  double Sum = 0;
-  std::uint32_t From = 0;
-  for (const auto &[Server, Rate] : Capacity) {
-    Sum += Rate;
-    const std::uint32_t End = std::min<std::uint32_t>(
-        KeyCount,
-        static_cast<std::uint32_t>(std::lround(KeyCount * Sum / Total)));
-    if (End > From)
-      Out.push_back(
-          {static_cast<Key>(From), static_cast<Key>(End - 1), Server});
-    From = std::max(From, End);
-  }
-  return Out;
-}
-
-/// Appends moves that distribute a range without a holder over the least
-/// utilized servers, in up to \p MaxPieces parts.
-void distributeRange(const KeyRange &Keys, std::uint32_t MaxPieces,
-                     const std::map<std::string, double> &Capacity,
-                     const std::vector<KeyRate> &Rates, ServerLoads &Current,
-                     std::vector<KeyMove> &Out) {
-  const std::uint32_t Width = widthOf(Keys);
-  const std::uint32_t Share = std::max<std::uint32_t>(
-      1, KeyCount / static_cast<std::uint32_t>(2 * Capacity.size()));
-  const std::uint32_t Pieces =
-      std::min({MaxPieces, Width, std::max<std::uint32_t>(1, Width / Share)});
-  for (std::uint32_t I = 0; I < Pieces; ++I) {
-    const std::uint32_t From = Keys.m_from + Width * I / Pieces;
-    const std::uint32_t To = Keys.m_from + Width * (I + 1) / Pieces - 1;
-    const KeyRange Piece{static_cast<Key>(From), static_cast<Key>(To), ""};
-    const double Load = loadOf(Piece, Rates, Current.m_uniformRatePerKey);
-    const std::string Target = leastUtilized(Current, Capacity, Load);
-    Current.m_byServer[Target] += Load;
-    Out.push_back({Piece.m_from, Piece.m_to, Target});
-  }
-}
-
 /// Returns the narrowest part of \p Keys with a load of about \p Wanted.
 std::optional<KeyRange> findWindow(const KeyRange &Keys,
                                    const WantedLoad &Wanted,
@@ -229,15 +128,70 @@
   return Best;
 }
 
+/// Returns the part of the ranges of \p Hot without keys of \p HotKeyRate or
+/// more that has the highest load, of at least \p MinLoad and about \p MaxLoad
+/// at most.
+///
+/// Load pattern: one key alone overloads its server. The requests for its other
+/// keys would miss their objective for as long as the key is hot.
+std::optional<KeyRange> findBesideHotKey(const std::string &Hot,
+                                         double HotKeyRate, double MinLoad,
+                                         double MaxLoad,
+                                         const std::vector<PlacedRange> &Ranges,
+                                         const std::vector<KeyRate> &Rates) {
+  std::optional<KeyRange> Best;
+  double Most = MinLoad;
+  const auto Consider = [&](std::uint32_t From, std::uint32_t End) {
+    if (From >= End)
+      return;
+    const KeyRange Part{static_cast<Key>(From), static_cast<Key>(End - 1), ""};
+    // The uniform load is an assumption, and no reason to move anything.
+    const double Load = loadOf(Part, Rates, 0);
+    const std::optional<KeyRange> Found =
+        findWindow(Part, {std::min(Load, MaxLoad), MinRoomFraction}, Rates, 0);
+    const double FoundLoad = Found ? loadOf(*Found, Rates, 0) : 0;
+    if (FoundLoad < Most)
+      return;
+    Best = Found;
+    Most = FoundLoad;
+  };
+  for (const PlacedRange &Range : Ranges) {
+    if (!Range.m_canMove || Range.m_keys.m_server != Hot)
+      continue;
+    std::uint32_t From = Range.m_keys.m_from;
+    for (const KeyRate &Item : ratesIn(Range.m_keys, Rates)) {
+      if (Item.m_rate < HotKeyRate)
+        continue;
+      Consider(From, Item.m_key);
+      From = static_cast<std::uint32_t>(Item.m_key) + 1;
+    }
+    Consider(From, static_cast<std::uint32_t>(Range.m_keys.m_to) + 1);
+  }
+  return Best;
+}
+
 /// A move that takes load off a server.
 struct PlannedMove {
   KeyMove m_move;
   bool m_isWhole = false; ///< Moves a whole range that may have little load.
 };
 
+/// Returns the number of ranges from which on a server of \p Utilization does
+/// not split ranges any more.
+std::size_t maxRangesFor(double Utilization, const PlacementPolicy &Policy) {
+  const double Severity = std::clamp(
+      (Utilization - Policy.m_overloadedUtilization) /
+          (Policy.m_severeUtilization - Policy.m_overloadedUtilization),
+      0.0, 1.0);
+  const double Share = Policy.m_ordinaryRangeShare +
+                       Severity * (1 - Policy.m_ordinaryRangeShare);
+  return static_cast<std::size_t>(Share *
+                                  static_cast<double>(Policy.m_maxRanges));
+}
+
 /// Returns a move to the least utilized server from the most utilized server
-/// that has suitable keys. A server that is overloaded by a single key is
-/// skipped, since moving its other keys helps little.
+/// that has suitable keys. A server that a single key overloads keeps that key.
+/// Sets \p Limit to the reason why the busiest server keeps its keys.
 ///
 /// The hot keys of an overloaded server may lie in many short ranges, none of
 /// which carries half of the excess load. A whole range is moved in this case;
@@ -246,7 +200,12 @@
 planMove(const std::vector<PlacedRange> &Ranges, const ServerLoads &Current,
          const std::map<std::string, double> &Capacity,
          const std::vector<KeyRate> &Rates, bool MayMoveWhole,
-         const PlacementPolicy &Policy) {
+         const PlacementPolicy &Policy, PlacementLimit &Limit) {
+  Limit = PlacementLimit::Balanced;
+  const auto NoteLimit = [&Limit](PlacementLimit Value) {
+    if (Limit == PlacementLimit::Balanced)
+      Limit = Value;
+  };
   const double Level =
       std::max(Policy.m_busyUtilization, meanUtilization(Current, Capacity));
   std::vector<std::pair<double, std::string>> ByUtilization;
@@ -274,7 +233,7 @@
     const WantedLoad Wanted = Excess <= Room
                                   ? WantedLoad{Excess, MinExcessFraction}
                                   : WantedLoad{Room, MinRoomFraction};
-    const bool CanSplit = Ranges.size() < Policy.m_maxRanges;
+    const bool CanSplit = Ranges.size() < maxRangesFor(High, Policy);
     const auto FindWholeRange = [&] {
       return findWholeRange(Hot, Policy.m_minWholeRangeShare * HotCapacity,
                             Wanted.m_load, Ranges, Rates,
@@ -286,9 +245,19 @@
                  : FindWholeRange();
     if (Found)
       return PlannedMove{{Found->m_from, Found->m_to, Target}, false};
-    if (hasDominantKey(Hot, Policy.m_dominantKeyShare * HotCapacity, Ranges,
-                       Rates))
+    const double HotKeyRate = Policy.m_dominantKeyShare * HotCapacity;
+    if (hasDominantKey(Hot, HotKeyRate, Ranges, Rates)) {
+      const std::optional<KeyRange> Beside =
+          CanSplit && IsUnequal
+              ? findBesideHotKey(Hot, HotKeyRate,
+                                 Policy.m_minWholeRangeShare * HotCapacity,
+                                 Room, Ranges, Rates)
+              : std::nullopt;
+      if (Beside)
+        return PlannedMove{{Beside->m_from, Beside->m_to, Target}, false};
+      NoteLimit(PlacementLimit::SingleKey);
       continue;
+    }
     const bool CanUnload = CanSplit && MayMoveWhole &&
                            High >= Policy.m_overloadedUtilization &&
                            Low < Policy.m_idleUtilization;
@@ -299,6 +268,7 @@
     // Ranges that have just moved must not keep other servers overloaded.
     if (!IsUnequal)
       return std::nullopt;
+    NoteLimit(CanSplit ? PlacementLimit::NoPart : PlacementLimit::RangeLimit);
   }
   return std::nullopt;
 }
@@ -331,25 +301,55 @@
 
 } // namespace
 
+const char *toText(PlacementLimit Value) noexcept {
+  switch (Value) {
+  case PlacementLimit::None:
+    return "none";
+  case PlacementLimit::Balanced:
+    return "balanced";
+  case PlacementLimit::NoServer:
+    return "no-server";
+  case PlacementLimit::MoveLimit:
+    return "move-limit";
+  case PlacementLimit::RangeLimit:
+    return "range-limit";
+  case PlacementLimit::SingleKey:
+    return "single-key";
+  case PlacementLimit::NoPart:
+    return "no-part";
+  }
+  return "unknown";
+}
+
 std::vector<KeyMove> planKeyMoves(const std::vector<PlacedRange> &Ranges,
                                   const std::map<std::string, double> &Capacity,
                                   const std::vector<KeyRate> &Rates,
                                   const PlacementPolicy &Policy) {
-  if (Capacity.empty())
-    return {};
-  const bool IsUnassigned =
-      std::all_of(Ranges.begin(), Ranges.end(), [&](const PlacedRange &Range) {
-        return Capacity.count(Range.m_keys.m_server) == 0;
-      });
-  if (IsUnassigned)
-    return distributeAll(Capacity);
+  return planPlacement(Ranges, Capacity, Rates, Policy).m_moves;
+}
 
+Placement planPlacement(const std::vector<PlacedRange> &Ranges,
+                        const std::map<std::string, double> &Capacity,
+                        const std::vector<KeyRate> &Rates,
+                        const PlacementPolicy &Policy) {
+  Placement Out;
+  Out.m_limit = PlacementLimit::NoServer;
+  if (Capacity.empty())
+    return Out;
   double Total = MinTotalLoad;
   for (const KeyRate &Item : Rates)
     Total += Item.m_rate;
   ServerLoads Current;
   Current.m_uniformRatePerKey = Policy.m_uniformLoadShare * Total / KeyCount;
-  std::vector<KeyMove> Out;
+  const bool IsUnassigned =
+      std::all_of(Ranges.begin(), Ranges.end(), [&](const PlacedRange &Range) {
+        return Capacity.count(Range.m_keys.m_server) == 0;
+      });
+  if (IsUnassigned) {
+    Out.m_moves = distributeAll(Capacity, Rates, Current.m_uniformRatePerKey);
+    Out.m_limit = PlacementLimit::Balanced;
+    return Out;
+  }
   for (const PlacedRange &Range : Ranges)
     if (Capacity.count(Range.m_keys.m_server) > 0)
       Current.m_byServer[Range.m_keys.m_server] +=
@@ -357,19 +357,21 @@
   for (const PlacedRange &Range : Ranges)
     if (Capacity.count(Range.m_keys.m_server) == 0)
       distributeRange(Range.m_keys,
-                      Ranges.size() + Out.size() < Policy.m_maxRanges
-                          ? MaxPiecesPerRange
-                          : 1,
-                      Capacity, Rates, Current, Out);
+                      Ranges.size() + Out.m_moves.size() < Policy.m_maxRanges,
+                      Capacity, Rates, Current, Out.m_moves);
 
   std::vector<PlacedRange> After = Ranges;
   std::size_t WholeMoves = 0;
+  Out.m_limit = PlacementLimit::MoveLimit;
   for (std::size_t I = 0; I < Policy.m_maxMovesPerRound; ++I) {
+    PlacementLimit Limit = PlacementLimit::None;
     const std::optional<PlannedMove> Found =
         planMove(After, Current, Capacity, Rates,
-                 WholeMoves < Policy.m_maxWholeMovesPerRound, Policy);
-    if (!Found)
+                 WholeMoves < Policy.m_maxWholeMovesPerRound, Policy, Limit);
+    if (!Found) {
+      Out.m_limit = Limit;
       break;
+    }
     WholeMoves += Found->m_isWhole ? 1 : 0;
     const KeyMove *Move = &Found->m_move;
     for (const PlacedRange &Range : After)
@@ -381,7 +383,14 @@
         Current.m_byServer[Move->m_target] += Load;
       }
     After = applyMove(After, *Move);
-    Out.push_back(*Move);
+    Out.m_moves.push_back(*Move);
+  }
+  for (const auto &[Server, Rate] : Capacity) {
+    const double Value = utilization(Server, Current, Capacity);
+    if (Value <= Out.m_busiestUtilization)
+      continue;
+    Out.m_busiest = Server;
+    Out.m_busiestUtilization = Value;
   }
   return Out;
 }
--- a/standin/dispatch-replay.cc
+++ b/standin/dispatch-replay.cc
@@ -76,6 +76,7 @@
     const double Last =
         Load.m_arrivals.empty() ? 0 : toMs(Load.m_arrivals.back().m_at);
     m_result.m_windows.resize(static_cast<std::size_t>(Last / 1000) + 1);
+    m_asked.resize(m_result.m_windows.size());
   }
 
   ReplayResult play() {
@@ -160,6 +161,10 @@
 
   void carryOut(const GrantCall &Call) {
     ServerState &State = m_servers.at(Call.m_server.m_id);
+    if (faultAt(State, Fault::Down)) {
+      m_granter.onCallResult(Call.m_number, GrantResult::NotSent, "", now());
+      return;
+    }
     std::vector<KeyRange> Held;
     for (const KeyRange &Item : State.m_held) {
       const bool IsApart = Item.m_to < Call.m_from || Call.m_to < Item.m_from;
@@ -174,6 +179,7 @@
     State.m_held = std::move(Held);
     double AnsweredAt = m_now;
     if (Call.m_isRelease) {
+      ++m_result.m_moves;
       m_result.m_keysMoved +=
           (Call.m_to - Call.m_from + 1.0) / static_cast<double>(KeyCount);
       for (const auto &[End, Value] : State.m_keysAtWork)
@@ -235,10 +241,26 @@
     Item.m_endsAt =
         std::min(deadlineOf(Request), m_now + toMs(m_load.m_timeout));
     m_tries.push_back(Item);
+    m_result.m_returns += Number > 0 ? 1 : 0;
+    if (Number == 0 && m_load.m_isKeyed)
+      noteDemand(m_load.m_arrivals[Request]);
     at(Item.m_endsAt + 1, [this, Id] { expire(Id); });
     ask(Id);
   }
 
+  /// Adds the work of a request to the demand on the holder of its key.
+  void noteDemand(const Arrival &From) {
+    const std::string &Holder =
+        m_dispatcher.keyMap().holderOf(From.m_key.value_or(0));
+    const auto Found = m_servers.find(Holder);
+    if (Found == m_servers.end())
+      return;
+    const SimulatedServer &Target = *Found->second.m_server;
+    constexpr double MsPerWindow = 1000;
+    m_asked[From.m_at.count() / 1000][Holder] +=
+        From.m_workMs / (Target.m_speed * Target.m_entry.m_slots * MsPerWindow);
+  }
+
   /// The client leaves, or the route's time is over.
   void expire(std::size_t Id) {
     Try &Item = m_tries[Id];
@@ -553,6 +575,8 @@
     if (Item.m_isOver)
       return;
     Item.m_isOver = true;
+    ++m_result.m_refusals;
+    m_result.m_returnsRefused += Item.m_number > 0 ? 1 : 0;
     const Arrival &From = m_load.m_arrivals[Item.m_request];
     const double Left = deadlineOf(Item.m_request) - m_now;
     if (!comesBack(Item)) {
@@ -582,6 +606,11 @@
   }
 
   void finish() {
+    for (const auto &ByServer : m_asked) {
+      double &Busiest = m_result.m_busiest.emplace_back(0);
+      for (const auto &[Server, Work] : ByServer)
+        Busiest = std::max(Busiest, Work);
+    }
     for (std::size_t I = 0; I < m_requests.size(); ++I) {
       const Arrival &From = m_load.m_arrivals[I];
       if (From.m_leavesAfter && !m_requests[I].m_isServed)
@@ -606,6 +635,8 @@
   std::map<std::string, ServerState> m_servers;
   std::deque<Try> m_tries;
   std::vector<RequestState> m_requests;
+  /// By second: share of the time of a server that its requests ask for.
+  std::vector<std::map<std::string, double>> m_asked;
   std::map<std::uint32_t, std::size_t> m_byTicket;
   std::uint32_t m_tickets = 0;
   std::deque<Waiting> m_firstCome;
@@ -672,6 +703,10 @@
   m_refused += Other.m_refused;
   m_refusedAgain += Other.m_refusedAgain;
   m_failed += Other.m_failed;
+  m_refusals += Other.m_refusals;
+  m_returns += Other.m_returns;
+  m_returnsRefused += Other.m_returnsRefused;
+  m_moves += Other.m_moves;
   m_dispatches += Other.m_dispatches;
   m_otherZone += Other.m_otherZone;
   m_messages += Other.m_messages;
@@ -683,6 +718,9 @@
   m_windows.resize(std::max(m_windows.size(), Other.m_windows.size()));
   for (std::size_t I = 0; I < Other.m_windows.size(); ++I)
     m_windows[I] += Other.m_windows[I];
+  m_busiest.resize(std::max(m_busiest.size(), Other.m_busiest.size()));
+  for (std::size_t I = 0; I < Other.m_busiest.size(); ++I)
+    m_busiest[I] = std::max(m_busiest[I], Other.m_busiest[I]);
   for (const auto &[Priority, Part] : Other.m_byPriority)
     m_byPriority[Priority] += Part;
   return *this;
--- a/standin/dispatch-replay.h
+++ b/standin/dispatch-replay.h
@@ -53,9 +53,13 @@
 
 /// Figures of all requests; owed are those whose client did not leave early.
 struct ReplayResult : ReplayPart {
-  unsigned m_refused = 0;      ///< Refused for good.
-  unsigned m_refusedAgain = 0; ///< Of these, after they had come back.
-  unsigned m_failed = 0;       ///< Neither served nor refused.
+  unsigned m_refused = 0;        ///< Refused for good.
+  unsigned m_refusedAgain = 0;   ///< Of these, after they had come back.
+  unsigned m_failed = 0;         ///< Neither served nor refused.
+  unsigned m_refusals = 0;       ///< Answers that refuse, of all tries.
+  unsigned m_returns = 0;        ///< Tries of callers that were refused before.
+  unsigned m_returnsRefused = 0; ///< Of these, refused again.
+  unsigned m_moves = 0;          ///< Ranges of keys that changed hands.
   unsigned m_dispatches = 0;
   unsigned m_otherZone = 0; ///< Dispatches to a server of another zone.
   unsigned m_messages = 0;  ///< Between hosts.
@@ -65,6 +69,9 @@
   double m_keysMoved = 0;   ///< Times that all keys changed hands.
   unsigned m_writes = 0;    ///< Of the ownership record.
   std::vector<ReplayPart> m_windows; ///< By second.
+  /// Work that is asked for of the busiest server over what it can do, by
+  /// second; first tries only.
+  std::vector<double> m_busiest;
   std::map<unsigned, ReplayPart> m_byPriority;
 
   double inTimeShare() const;
--- a/standin/replay-trace.cc
+++ b/standin/replay-trace.cc
@@ -70,6 +70,32 @@
       Item.m_key = static_cast<Key>(First + Random() % Wanted.m_keys);
 }
 
+/// Removes requests so that the rate swings by \p Swing around a lower mean;
+/// its peak is that of the trace.
+void addWave(Trace &Load, double Swing, Millis Period,
+             std::mt19937_64 &Random) {
+  std::uniform_real_distribution<> Share;
+  std::erase_if(Load.m_arrivals, [&](const Arrival &Item) {
+    const double Phase = 2 * M_PI * static_cast<double>(Item.m_at.count()) /
+                         static_cast<double>(Period.count());
+    return Share(Random) > (1 + Swing * std::sin(Phase)) / (1 + Swing);
+  });
+}
+
+/// Makes the work of each server take three times as long in a fifth of its
+/// periods of 400 ms.
+void addSlowPeriods(Trace &Load, std::mt19937_64 &Random) {
+  constexpr Millis Period{400};
+  const Millis End = Load.m_arrivals.back().m_at;
+  for (Millis From{0}; From < End; From += Period) {
+    FaultSpan Span{Fault::Slow, From, From + Period, 3, {}};
+    for (std::size_t I = 0; I < Load.m_servers.size(); ++I)
+      if (std::bernoulli_distribution(0.2)(Random))
+        Span.m_servers.push_back(I);
+    Load.m_faults.push_back(std::move(Span));
+  }
+}
+
 /// Makes half of the requests short ones of a route that goes first and has
 /// little time. The work as a whole stays as it is.
 void mixSizes(Trace &Out, std::mt19937_64 &Random) {
@@ -107,6 +133,9 @@
       Server.m_entry.m_slots = Options.m_slots;
       Server.m_entry.m_startMs = 1;
       Server.m_speed = Speeds[I % Speeds.size()];
+      if (Options.m_speeds)
+        Server.m_speed = std::uniform_real_distribution<>(
+            Options.m_speeds->first, Options.m_speeds->second)(Random);
       Capacity += Options.m_slots * Server.m_speed * 1000 / Options.m_workMs;
       Out.m_servers.push_back(std::move(Server));
     }
@@ -148,6 +177,46 @@
   return Names;
 }
 
+TraceOptions deploymentOptions(bool IsSecond, std::uint64_t Seed) {
+  TraceOptions Out;
+  Out.m_seed = Seed;
+  Out.m_length = Millis(24000);
+  Out.m_zones = {"zone-a", "zone-b", "zone-c"};
+  Out.m_serversPerZone = IsSecond ? 39 : 34;
+  Out.m_workMs = IsSecond ? 190 : 160;
+  // Capacity at the mean speed is 1,162 and 1,095 requests/s over these.
+  Out.m_load = IsSecond ? 1095 * 0.190 / (117 * 4) : 1162 * 0.160 / (102 * 4);
+  Out.m_objective = Millis(800);
+  Out.m_spread = 0.5;
+  Out.m_unevenness = 0;
+  Out.m_speeds = {0.5, IsSecond ? 1.6 : 1.5};
+  return Out;
+}
+
+Trace makeDeploymentLoad(bool IsSecond, DeploymentEvent Event,
+                         std::uint64_t Seed) {
+  const TraceOptions Options = deploymentOptions(IsSecond, Seed);
+  Trace Out = makeTrace(Options);
+  Out.m_name = IsSecond ? "second-keyed" : "first-keyed";
+  Out.m_deadline = Millis(IsSecond ? 5000 : 3000);
+  Out.m_timeout = Out.m_deadline;
+  Out.m_retries = IsSecond ? 2 : 1;
+  std::mt19937_64 Random(Seed + 1);
+  if (IsSecond)
+    addWave(Out, 0.55, Millis(13000), Random);
+  spreadOverKeys(Out, Random);
+  if (Event == DeploymentEvent::HotRange)
+    heat(Out, {Millis(8000), Millis(13000), 0.45, 200}, Random);
+  if (Event == DeploymentEvent::FewHotKeys)
+    heat(Out, {Millis(8000), Millis(13000), 0.45, 12}, Random);
+  if (Event == DeploymentEvent::ServersLost)
+    Out.m_faults.push_back({Fault::Down, Millis(8000), Millis(1000000), 1,
+                            everyNth(Out.m_servers.size(), 4)});
+  if (!IsSecond)
+    addSlowPeriods(Out, Random);
+  return Out;
+}
+
 Trace makePattern(const std::string &Name, const TraceOptions &Options) {
   Trace Out = makeTrace(Options);
   Out.m_name = Name;
--- a/standin/replay-trace.h
+++ b/standin/replay-trace.h
@@ -82,8 +82,28 @@
   Millis m_objective{600}; ///< The timeout is 2, the deadline 4 times as long.
   double m_spread = 0.5;   ///< Of the logarithm of the work.
   double m_unevenness = 0.15; ///< Swing of each zone's share of the load.
+  /// Servers differ in speed from the first to the second, around 1.
+  std::optional<std::pair<double, double>> m_speeds;
 };
 
+/// What happens 8 s after the start of a deployment's load.
+enum class DeploymentEvent {
+  None,
+  HotRange,   ///< 200 adjacent keys get 0.45 of the requests for 5 s.
+  FewHotKeys, ///< As above, 12 keys: each fills a server or more.
+  ServersLost ///< A quarter of the servers is down from then on.
+};
+
+/// Returns the servers and the rate of the keyed load of the first or the
+/// second deployment of docs/HARD-LOAD.md.
+TraceOptions deploymentOptions(bool IsSecond, std::uint64_t Seed);
+
+/// Returns the keyed load of the first or the second deployment: servers of
+/// uneven speed; for the first, work that takes three times as long for
+/// moments; for the second, a wave of the demand.
+Trace makeDeploymentLoad(bool IsSecond, DeploymentEvent Event,
+                         std::uint64_t Seed);
+
 /// Returns a trace with nothing but its load, named "calm".
 Trace makeTrace(const TraceOptions &Options);
 
--- a/test/gateway/dispatch-replay-test.cc
+++ b/test/gateway/dispatch-replay-test.cc
@@ -129,5 +129,59 @@
   EXPECT_LT(Result.m_refused * 100, Result.m_owed);
 }
 
+/// Keyed loads of the deployments with many slow or uneven servers.
+class DeploymentReplayTest : public testing::Test {
+protected:
+  ReplayResult replayLoad(bool IsSecond, DeploymentEvent Event) const {
+    return replay(makeDeploymentLoad(IsSecond, Event, 1), {});
+  }
+
+  /// Returns the longest time for which the first tries alone ask for more than
+  /// a server can do, after the first distribution of the keys.
+  static unsigned longestOverloadSeconds(const ReplayResult &Result) {
+    constexpr std::size_t FirstSecond = 5;
+    // Requests of a second vary by a quarter at the rates of these servers.
+    constexpr double Overloaded = 1.5;
+    unsigned Longest = 0;
+    unsigned Current = 0;
+    for (std::size_t I = FirstSecond; I < Result.m_busiest.size(); ++I) {
+      Current = Result.m_busiest[I] > Overloaded ? Current + 1 : 0;
+      Longest = std::max(Longest, Current);
+    }
+    return Longest;
+  }
+};
+
+// Small differences in steady load used up all ranges, so that a hot range
+// could no longer be split and its server was overloaded for as long.
+TEST_F(DeploymentReplayTest, HotRange_EitherLoad_NoServerIsOverloadedForLong) {
+  for (bool IsSecond : {false, true}) {
+    const ReplayResult Result = replayLoad(IsSecond, DeploymentEvent::HotRange);
+    EXPECT_LE(longestOverloadSeconds(Result), 1U) << IsSecond;
+    EXPECT_LT(Result.m_refused * 100, Result.m_owed) << IsSecond;
+  }
+}
+
+TEST_F(DeploymentReplayTest,
+       ServersLost_EitherLoad_NoServerIsOverloadedForLong) {
+  for (bool IsSecond : {false, true})
+    EXPECT_LE(longestOverloadSeconds(
+                  replayLoad(IsSecond, DeploymentEvent::ServersLost)),
+              1U)
+        << IsSecond;
+}
+
+// Refused callers must not return together and be refused again.
+TEST_F(DeploymentReplayTest, FewHotKeys_OrderOfReturn_FewerAreRefusedAgain) {
+  const Trace Load = makeDeploymentLoad(false, DeploymentEvent::FewHotKeys, 1);
+  ReplayPolicy Policy;
+  const ReplayResult With = replay(Load, Policy);
+  Policy.m_dispatch.m_returns.m_rateShare = 0;
+  const ReplayResult Without = replay(Load, Policy);
+  EXPECT_LT(With.m_returnsRefused * Without.m_returns,
+            Without.m_returnsRefused * With.m_returns);
+  EXPECT_LE(With.m_refused, Without.m_refused);
+}
+
 } // namespace
 } // namespace tamarackdrum::replay
--- a/test/gateway/key-placement-test.cc
+++ b/test/gateway/key-placement-test.cc
@@ -11,7 +11,7 @@
     return planKeyMoves(m_ranges, m_capacity, m_rates, m_policy);
   }
 
-  const PlacementPolicy m_policy{};
+  PlacementPolicy m_policy;
   std::vector<PlacedRange> m_ranges{{{0, 32767, "a"}, true},
                                     {{32768, 65535, "b"}, true}};
   std::map<std::string, double> m_capacity{{"a", 10}, {"b", 10}};
@@ -226,6 +226,13 @@
     return Highest;
   }
 
+  std::string holderOf(Key Value) const {
+    for (const PlacedRange &Range : m_ranges)
+      if (Range.m_keys.m_from <= Value && Value <= Range.m_keys.m_to)
+        return Range.m_keys.m_server;
+    return {};
+  }
+
   std::map<Key, int> m_movableFrom; ///< Round, by the first key of a range.
   std::size_t m_moves = 0;
 };
@@ -239,6 +246,61 @@
   EXPECT_LE(m_moves, 3 * Servers);
 }
 
+// The requests for the neighbours of a hot key would miss their objective for
+// as long as the key is hot.
+TEST_F(HotWindowTest, Plan_OneKeyFillsItsServer_NeighboursMoveAway) {
+  m_rates.clear();
+  for (Key I = 0; I < 40; ++I)
+    m_rates.push_back({static_cast<Key>(20000 + I),
+                       I == 20 ? 3 * PerSecond : PerSecond * 0.02});
+  for (int Round = 0; Round < 5; ++Round)
+    playRound(Round);
+  double Beside = 0;
+  for (const PlacedRange &Range : m_ranges)
+    if (Range.m_keys.m_server == holderOf(20020))
+      for (const KeyRate &Item : m_rates)
+        if (Item.m_key != 20020 && Range.m_keys.m_from <= Item.m_key &&
+            Item.m_key <= Range.m_keys.m_to)
+          Beside += Item.m_rate;
+  EXPECT_LE(Beside, PerSecond * 0.1);
+  EXPECT_LE(m_moves, 6U);
+}
+
+// Small differences in steady load must leave ranges for a demand that comes
+// later; without any, a hot range could not be split.
+TEST_F(HotWindowTest, Plan_ManyRanges_HotRangeIsStillSplit) {
+  m_policy.m_maxRanges = 4 * Servers;
+  m_policy.m_ordinaryRangeShare = 0.25;
+  for (int Round = 0; Round < 10; ++Round)
+    playRound(Round);
+  EXPECT_LE(highestUtilization(), 1.0);
+}
+
+// Equal numbers of keys would overload the servers that get the busy ones.
+TEST_F(HotWindowTest, Plan_NoHolders_FirstDistributionUsesDemand) {
+  m_ranges = {{{0, 65535, ""}, true}};
+  playRound(0);
+  EXPECT_LE(highestUtilization(), 1.0);
+}
+
+TEST_F(HotWindowTest, Plan_HotRangeLosesItsServer_IsSplitByLoad) {
+  for (PlacedRange &Range : m_ranges)
+    if (Range.m_keys.m_server == holderOf(20020))
+      Range.m_keys.m_server.clear();
+  for (int Round = 0; Round < 5; ++Round)
+    playRound(Round);
+  EXPECT_LE(highestUtilization(), 1.0);
+}
+
+TEST_F(KeyPlacementTest, Plan_RangesCannotMoveUnderLoad_NamesTheReason) {
+  for (Key I = 0; I < 60; ++I)
+    m_rates.push_back({I, 0.3});
+  for (PlacedRange &Range : m_ranges)
+    Range.m_canMove = false;
+  EXPECT_EQ(planPlacement(m_ranges, m_capacity, m_rates, m_policy).m_limit,
+            PlacementLimit::NoPart);
+}
+
 TEST_F(KeyPlacementTest, Plan_RangesCannotMove_MovesNothing) {
   for (PlacedRange &Range : m_ranges)
     Range.m_canMove = false;
