--- a/include/tamarackdrum/gateway/key-placement.h
+++ b/include/tamarackdrum/gateway/key-placement.h
@@ -55,8 +55,8 @@
   /// No range is split once there are this many: each range is renewed by a
   /// call of its own, and the ranges of a service share one row of the store.
   std::size_t m_maxRanges = 800;
-  /// Servers that are not overloaded split ranges only up to this share of
-  /// m_maxRanges, and those from m_severeUtilization on up to all of them. Else
+  /// Servers up to m_severeUtilization split ranges only up to this share of
+  /// m_maxRanges, and those above it up to all of them. Else
   /// small differences use up all ranges in steady load, and a hot range can
   /// then not be split.
   double m_ordinaryRangeShare = 0.5;
--- a/src/gateway/key-placement.cc
+++ b/src/gateway/key-placement.cc
@@ -179,12 +179,11 @@
 /// Returns the number of ranges from which on a server of \p Utilization does
 /// not split ranges any more.
 std::size_t maxRangesFor(double Utilization, const PlacementPolicy &Policy) {
-  const double Severity = std::clamp(
-      (Utilization - Policy.m_overloadedUtilization) /
-          (Policy.m_severeUtilization - Policy.m_overloadedUtilization),
-      0.0, 1.0);
-  const double Share = Policy.m_ordinaryRangeShare +
-                       Severity * (1 - Policy.m_ordinaryRangeShare);
+  // A limit that grows from a utilization of 1 on is used up by servers that
+  // exceed it for a moment; a hot range can then not be split.
+  const double Share = Utilization > Policy.m_severeUtilization
+                           ? 1.0
+                           : Policy.m_ordinaryRangeShare;
   return static_cast<std::size_t>(Share *
                                   static_cast<double>(Policy.m_maxRanges));
 }
