Judge overload in replays by the capacity itself

The tests counted from 1.5 of it and from the fifth second; both figures came from what had been seen.

--- a/test/gateway/dispatch-replay-test.cc
+++ b/test/gateway/dispatch-replay-test.cc
@@ -136,16 +136,14 @@
     return replay(makeDeploymentLoad(IsSecond, Event, 1), {});
   }
 
-  /// Returns the longest time for which the first tries alone ask for more than
-  /// a server can do, after the first distribution of the keys.
+  /// Returns the longest time, in whole seconds, for which the first tries
+  /// alone ask for more than a server can do.
   static unsigned longestOverloadSeconds(const ReplayResult &Result) {
-    constexpr std::size_t FirstSecond = 5;
-    // Requests of a second vary by a quarter at the rates of these servers.
-    constexpr double Overloaded = 1.5;
+    constexpr double Overloaded = 1.0;
     unsigned Longest = 0;
     unsigned Current = 0;
-    for (std::size_t I = FirstSecond; I < Result.m_busiest.size(); ++I) {
-      Current = Result.m_busiest[I] > Overloaded ? Current + 1 : 0;
+    for (const double Busiest : Result.m_busiest) {
+      Current = Busiest > Overloaded ? Current + 1 : 0;
       Longest = std::max(Longest, Current);
     }
     return Longest;
