--- a/src/edge/gateway-host-metrics.cc
+++ b/src/edge/gateway-host-metrics.cc
@@ -49,6 +49,18 @@
     m_metrics.setGauge("slow_servers" + Labels,
                        static_cast<double>(Load.m_slowServers));
   }
+  std::map<std::string, double> Returns;
+  for (const auto &[Service, Item] : m_admission.dispatchers().all()) {
+    const ReturnCounts &Counts = Item->returnCounts();
+    for (const auto &[Result, Count] :
+         std::map<std::string, std::uint64_t>{{"given", Counts.m_given},
+                                              {"taken", Counts.m_taken},
+                                              {"lapsed", Counts.m_lapsed},
+                                              {"none", Counts.m_none}})
+      Returns["service=\"" + Service + "\",result=\"" + Result + "\""] =
+          static_cast<double>(Count);
+  }
+  m_metrics.setGauges("return_places", std::move(Returns));
   setLimitGauges();
   return m_metrics.toText();
 }
