--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -228,6 +228,13 @@
 
   void setServers(const std::vector<ServerEntry> &Servers, TimePoint Now);
 
+  /// Records all listed servers, also before this host becomes the granter.
+  /// \p Service is the service of this granter. A later server at the address
+  /// of an earlier one proves that the earlier one has ended, without a wait
+  /// for its holds.
+  void noteServers(const std::map<std::string, ServerEntry> &Listed,
+                   const std::string &Service);
+
   /// Makes a renewal for \p Value due at once. Called when a server has
   /// answered that it does not hold the key.
   void renewNow(Key Value);
@@ -278,6 +285,7 @@
     bool m_isPreviousInherited = false; ///< From an earlier granter.
     bool m_isReleasePending = false;
     bool m_isReleased = false;
+    TimePoint m_releasedAt{}; ///< When the answered release was sent.
     TimePoint m_nextReleaseAt{};
     std::string m_handover;
   };
@@ -312,6 +320,14 @@
   bool isPersisted(const Range &Item) const;
   /// Returns the latest time at which a hold of the owner of \p Item can end.
   TimePoint lastHoldEnd(const Range &Item) const;
+  /// Returns whether a later server is listed at the address of \p Instance.
+  bool hasEnded(const ServerInstance &Instance) const;
+  /// Returns whether a grant of an earlier granter may have arrived at the
+  /// previous owner after the release that it answered.
+  bool needsSecondRelease(const Range &Item) const;
+  /// Shortens the holds of earlier granters once the term is written: none of
+  /// them can validate its own term after \p WrittenAt.
+  void shortenEarlierHolds(TimePoint WrittenAt);
   /// Returns whether the previous owner of \p Item can no longer hold the keys.
   bool mayClearPreviousOwner(const Range &Item, TimePoint Now) const;
   std::int64_t toStoreMs(TimePoint At) const;
@@ -366,7 +382,11 @@
   TimePoint m_takeOverAt{};
   std::int64_t m_takeOverStoreMs = 0;
   TimePoint m_inheritedHoldsEndAt{}; ///< Of all earlier granters.
-  TimePoint m_unknownHoldsEndAt{};   ///< Of granters that no record names.
+  /// Last time at which a grant of an earlier granter may arrive.
+  TimePoint m_inheritedGrantsEndAt{};
+  /// First time at which an earlier granter was known to have ended, by term.
+  std::map<std::uint64_t, TimePoint> m_earlierEndedAt;
+  TimePoint m_unknownHoldsEndAt{}; ///< Of granters that no record names.
   TimePoint m_lastWriteAt{};
   TimePoint m_lastPlanAt{};
   Placement m_lastPlacement;
@@ -381,6 +401,8 @@
   /// The last entry of each server ever listed, for releases to servers that
   /// are no longer listed.
   std::map<std::string, ServerEntry> m_knownServers;
+  /// The last server that started at each address, of all services.
+  std::map<std::string, ServerInstance> m_addressUsers;
   std::map<std::string, Reachability> m_reachability;
   std::map<std::uint64_t, Call> m_calls;
   std::uint64_t m_lastCall = 0;
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -81,6 +81,7 @@
   if (!m_isGranter)
     return;
   m_inheritedHoldsEndAt = {};
+  m_inheritedGrantsEndAt = {};
   m_unknownHoldsEndAt = {};
   for (EarlierGranter &Item : m_record.m_earlier) {
     if (Item.m_host.empty())
@@ -97,8 +98,14 @@
       m_isDirty = m_isDirty || ExpiredBy < Item.m_holdsEndMs;
       Item.m_holdsEndMs = std::min(Item.m_holdsEndMs, ExpiredBy);
     }
-    m_inheritedHoldsEndAt =
-        std::max(m_inheritedHoldsEndAt, fromStoreMs(Item.m_holdsEndMs));
+    const TimePoint HoldsEndAt = fromStoreMs(Item.m_holdsEndMs);
+    m_inheritedHoldsEndAt = std::max(m_inheritedHoldsEndAt, HoldsEndAt);
+    TimePoint GrantsEndAt = HoldsEndAt;
+    if (Known != EarlierGranterState::MayGrant) {
+      const auto Ended = m_earlierEndedAt.emplace(Item.m_term, Now).first;
+      GrantsEndAt = std::min(HoldsEndAt, latestArrival(Ended->second));
+    }
+    m_inheritedGrantsEndAt = std::max(m_inheritedGrantsEndAt, GrantsEndAt);
   }
 }
 
@@ -229,6 +236,7 @@
   m_lastChange = 0;
   m_ranges.clear();
   m_calls.clear();
+  m_earlierEndedAt.clear();
 }
 
 void KeyGranter::onWritten(TimePoint AskedAt, TimePoint Now) {
@@ -241,10 +249,23 @@
     stepDown();
     return;
   }
+  if (!m_isTermWritten)
+    shortenEarlierHolds(Now);
   m_isTermWritten = true;
   m_isRestating = false;
 }
 
+void KeyGranter::shortenEarlierHolds(TimePoint WrittenAt) {
+  const std::int64_t ExpiredBy = toStoreMs(
+      holdEnd(WrittenAt + m_policy.m_validationTimeout, maxInheritedHold()));
+  for (EarlierGranter &Item : m_record.m_earlier) {
+    if (Item.m_host.empty() || Item.m_holdsEndMs <= ExpiredBy)
+      continue;
+    Item.m_holdsEndMs = ExpiredBy;
+    m_isDirty = true;
+  }
+}
+
 void KeyGranter::onValidated(TimePoint AskedAt) {
   m_validatedAt = std::max(m_validatedAt, AskedAt);
   if (!m_needsValidation)
@@ -289,6 +310,33 @@
   markChanged(Item);
 }
 
+void KeyGranter::noteServers(const std::map<std::string, ServerEntry> &Listed,
+                             const std::string &Service) {
+  m_addressUsers.clear();
+  for (const auto &[Id, Entry] : Listed) {
+    if (Entry.m_service == Service)
+      m_knownServers[Id] = Entry;
+    ServerInstance &User = m_addressUsers[Entry.m_address];
+    if (Entry.m_startMs > User.m_startMs)
+      User = {Id, Entry.m_startMs};
+  }
+}
+
+bool KeyGranter::hasEnded(const ServerInstance &Instance) const {
+  const auto Known = m_knownServers.find(Instance.m_id);
+  if (Known == m_knownServers.end() ||
+      Known->second.m_startMs != Instance.m_startMs)
+    return false;
+  const auto User = m_addressUsers.find(Known->second.m_address);
+  return User != m_addressUsers.end() && User->second.m_id != Instance.m_id &&
+         User->second.m_startMs > Instance.m_startMs;
+}
+
+bool KeyGranter::needsSecondRelease(const Range &Item) const {
+  return Item.m_isPreviousInherited &&
+         Item.m_releasedAt < m_inheritedGrantsEndAt;
+}
+
 void KeyGranter::setServers(const std::vector<ServerEntry> &Servers,
                             TimePoint) {
   m_servers.clear();
@@ -366,6 +414,7 @@
       Item->m_nextReleaseAt = Now + RetryDelay;
       if (Outcome == GrantResult::Done) {
         Item->m_isReleased = true;
+        Item->m_releasedAt = Ended.m_sentAt;
         Item->m_handover = Handover;
       }
       continue;
@@ -535,8 +584,11 @@
 }
 
 bool KeyGranter::mayClearPreviousOwner(const Range &Item, TimePoint Now) const {
+  if (hasEnded(Item.m_record.m_previousOwner))
+    return true;
   if (Item.m_isPreviousInherited && Now < m_inheritedHoldsEndAt)
-    return false;
+    return Item.m_isReleased && !needsSecondRelease(Item) &&
+           Now >= m_inheritedGrantsEndAt && Now >= Item.m_releaseValidFrom;
   return (Item.m_isReleased && Now >= Item.m_releaseValidFrom) ||
          Now >= Item.m_previousHoldEndsAt;
 }
@@ -614,7 +666,11 @@
     const RangeRecord &Record = Item.m_record;
     if (Record.m_previousOwner.isNone() || !isPersisted(Item) ||
         mayUnknownGranterHold(Item, Now) || Item.m_isReleasePending ||
-        Item.m_isReleased || Now < Item.m_nextReleaseAt)
+        Now < Item.m_nextReleaseAt || hasEnded(Record.m_previousOwner))
+      continue;
+    const bool IsDue = !Item.m_isReleased || (needsSecondRelease(Item) &&
+                                              Now >= m_inheritedGrantsEndAt);
+    if (!IsDue)
       continue;
     const auto Known = m_knownServers.find(Record.m_previousOwner.m_id);
     if (Known == m_knownServers.end() ||
