--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -285,7 +285,6 @@
     bool m_isPreviousInherited = false; ///< From an earlier granter.
     bool m_isReleasePending = false;
     bool m_isReleased = false;
-    TimePoint m_releasedAt{}; ///< When the answered release was sent.
     TimePoint m_nextReleaseAt{};
     std::string m_handover;
   };
@@ -320,14 +319,11 @@
   bool isPersisted(const Range &Item) const;
   /// Returns the latest time at which a hold of the owner of \p Item can end.
   TimePoint lastHoldEnd(const Range &Item) const;
+  /// Keeps the last entry of a server. Earlier failures of its calls do not
+  /// count for another instance.
+  void rememberServer(const ServerEntry &Entry);
   /// Returns whether a later server is listed at the address of \p Instance.
   bool hasEnded(const ServerInstance &Instance) const;
-  /// Returns whether a grant of an earlier granter may have arrived at the
-  /// previous owner after the release that it answered.
-  bool needsSecondRelease(const Range &Item) const;
-  /// Shortens the holds of earlier granters once the term is written: none of
-  /// them can validate its own term after \p WrittenAt.
-  void shortenEarlierHolds(TimePoint WrittenAt);
   /// Returns whether the previous owner of \p Item can no longer hold the keys.
   bool mayClearPreviousOwner(const Range &Item, TimePoint Now) const;
   std::int64_t toStoreMs(TimePoint At) const;
@@ -382,11 +378,7 @@
   TimePoint m_takeOverAt{};
   std::int64_t m_takeOverStoreMs = 0;
   TimePoint m_inheritedHoldsEndAt{}; ///< Of all earlier granters.
-  /// Last time at which a grant of an earlier granter may arrive.
-  TimePoint m_inheritedGrantsEndAt{};
-  /// First time at which an earlier granter was known to have ended, by term.
-  std::map<std::uint64_t, TimePoint> m_earlierEndedAt;
-  TimePoint m_unknownHoldsEndAt{}; ///< Of granters that no record names.
+  TimePoint m_unknownHoldsEndAt{};   ///< Of granters that no record names.
   TimePoint m_lastWriteAt{};
   TimePoint m_lastPlanAt{};
   Placement m_lastPlacement;
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -81,7 +81,6 @@
   if (!m_isGranter)
     return;
   m_inheritedHoldsEndAt = {};
-  m_inheritedGrantsEndAt = {};
   m_unknownHoldsEndAt = {};
   for (EarlierGranter &Item : m_record.m_earlier) {
     if (Item.m_host.empty())
@@ -98,14 +97,8 @@
       m_isDirty = m_isDirty || ExpiredBy < Item.m_holdsEndMs;
       Item.m_holdsEndMs = std::min(Item.m_holdsEndMs, ExpiredBy);
     }
-    const TimePoint HoldsEndAt = fromStoreMs(Item.m_holdsEndMs);
-    m_inheritedHoldsEndAt = std::max(m_inheritedHoldsEndAt, HoldsEndAt);
-    TimePoint GrantsEndAt = HoldsEndAt;
-    if (Known != EarlierGranterState::MayGrant) {
-      const auto Ended = m_earlierEndedAt.emplace(Item.m_term, Now).first;
-      GrantsEndAt = std::min(HoldsEndAt, latestArrival(Ended->second));
-    }
-    m_inheritedGrantsEndAt = std::max(m_inheritedGrantsEndAt, GrantsEndAt);
+    m_inheritedHoldsEndAt =
+        std::max(m_inheritedHoldsEndAt, fromStoreMs(Item.m_holdsEndMs));
   }
 }
 
@@ -236,7 +229,6 @@
   m_lastChange = 0;
   m_ranges.clear();
   m_calls.clear();
-  m_earlierEndedAt.clear();
 }
 
 void KeyGranter::onWritten(TimePoint AskedAt, TimePoint Now) {
@@ -249,23 +241,10 @@
     stepDown();
     return;
   }
-  if (!m_isTermWritten)
-    shortenEarlierHolds(Now);
   m_isTermWritten = true;
   m_isRestating = false;
 }
 
-void KeyGranter::shortenEarlierHolds(TimePoint WrittenAt) {
-  const std::int64_t ExpiredBy = toStoreMs(
-      holdEnd(WrittenAt + m_policy.m_validationTimeout, maxInheritedHold()));
-  for (EarlierGranter &Item : m_record.m_earlier) {
-    if (Item.m_host.empty() || Item.m_holdsEndMs <= ExpiredBy)
-      continue;
-    Item.m_holdsEndMs = ExpiredBy;
-    m_isDirty = true;
-  }
-}
-
 void KeyGranter::onValidated(TimePoint AskedAt) {
   m_validatedAt = std::max(m_validatedAt, AskedAt);
   if (!m_needsValidation)
@@ -310,12 +289,20 @@
   markChanged(Item);
 }
 
+void KeyGranter::rememberServer(const ServerEntry &Entry) {
+  const auto Known = m_knownServers.find(Entry.m_id);
+  if (Known != m_knownServers.end() &&
+      Known->second.m_startMs != Entry.m_startMs)
+    m_reachability.erase(Entry.m_id);
+  m_knownServers[Entry.m_id] = Entry;
+}
+
 void KeyGranter::noteServers(const std::map<std::string, ServerEntry> &Listed,
                              const std::string &Service) {
   m_addressUsers.clear();
   for (const auto &[Id, Entry] : Listed) {
     if (Entry.m_service == Service)
-      m_knownServers[Id] = Entry;
+      rememberServer(Entry);
     ServerInstance &User = m_addressUsers[Entry.m_address];
     if (Entry.m_startMs > User.m_startMs)
       User = {Id, Entry.m_startMs};
@@ -332,21 +319,12 @@
          User->second.m_startMs > Instance.m_startMs;
 }
 
-bool KeyGranter::needsSecondRelease(const Range &Item) const {
-  return Item.m_isPreviousInherited &&
-         Item.m_releasedAt < m_inheritedGrantsEndAt;
-}
-
 void KeyGranter::setServers(const std::vector<ServerEntry> &Servers,
                             TimePoint) {
   m_servers.clear();
   for (const ServerEntry &Entry : Servers) {
     m_servers[Entry.m_id] = Entry;
-    const auto Known = m_knownServers.find(Entry.m_id);
-    if (Known != m_knownServers.end() &&
-        Known->second.m_startMs != Entry.m_startMs)
-      m_reachability.erase(Entry.m_id);
-    m_knownServers[Entry.m_id] = Entry;
+    rememberServer(Entry);
   }
   if (!m_isGranter)
     return;
@@ -414,7 +392,6 @@
       Item->m_nextReleaseAt = Now + RetryDelay;
       if (Outcome == GrantResult::Done) {
         Item->m_isReleased = true;
-        Item->m_releasedAt = Ended.m_sentAt;
         Item->m_handover = Handover;
       }
       continue;
@@ -587,8 +564,7 @@
   if (hasEnded(Item.m_record.m_previousOwner))
     return true;
   if (Item.m_isPreviousInherited && Now < m_inheritedHoldsEndAt)
-    return Item.m_isReleased && !needsSecondRelease(Item) &&
-           Now >= m_inheritedGrantsEndAt && Now >= Item.m_releaseValidFrom;
+    return false;
   return (Item.m_isReleased && Now >= Item.m_releaseValidFrom) ||
          Now >= Item.m_previousHoldEndsAt;
 }
@@ -666,11 +642,8 @@
     const RangeRecord &Record = Item.m_record;
     if (Record.m_previousOwner.isNone() || !isPersisted(Item) ||
         mayUnknownGranterHold(Item, Now) || Item.m_isReleasePending ||
-        Now < Item.m_nextReleaseAt || hasEnded(Record.m_previousOwner))
-      continue;
-    const bool IsDue = !Item.m_isReleased || (needsSecondRelease(Item) &&
-                                              Now >= m_inheritedGrantsEndAt);
-    if (!IsDue)
+        Item.m_isReleased || Now < Item.m_nextReleaseAt ||
+        hasEnded(Record.m_previousOwner))
       continue;
     const auto Known = m_knownServers.find(Record.m_previousOwner.m_id);
     if (Known == m_knownServers.end() ||
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -228,27 +228,6 @@
   EXPECT_EQ(holderOf(0), "");
 }
 
-// After the end of the earlier granter's process, a release that the owner has
-// answered ends its hold, which may otherwise last for the longest hold.
-TEST_F(KeyGranterTest, Move_EarlierProcessEnded_ReleaseEndsTheHold) {
-  const OwnershipRecord Read{4, "h0", 5, {}, {makeRange(0, 65535, "a", 77)}};
-  m_subject.takeOver(
-      Read,
-      [](const EarlierGranter &) { return EarlierGranterState::ProcessEnded; },
-      TakeOverContext{.m_wasStoreUnavailable = true}, m_now);
-  ServerEntry Draining = makeServer("a");
-  Draining.m_isDraining = true;
-  setServers({Draining, makeServer("b")});
-  m_answer = [](const GrantCall &Call) {
-    return Call.m_isRelease || Call.m_server.m_id == "b" ? GrantResult::Done
-                                                         : GrantResult::NotSent;
-  };
-  run(Millis(600));
-  EXPECT_EQ(holderOf(0), "");
-  run(Millis(2400));
-  EXPECT_EQ(holderOf(0), "b");
-}
-
 // Two takeovers in a row while a range moves: the range must not wait for the
 // second-to-last granter, which has stepped down.
 TEST_F(KeyGranterTest, TakeOver_EarlierGrantersSteppedDown_WaitsForOneHold) {
