Probe servers whose cold state is unknown (partial)

Cause: a server that is listed again, or was in doubt, is used at the rate of a cold one for up to cold_s, although its health path would tell at once.

Change: the coordinator's dispatcher lists such servers, ColdProber asks them over connections of their own and reports the answer with the time at which the probe was sent. Only the coordinator writes server-cold and server-warm.

There is no test of the I/O yet.

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -110,6 +110,16 @@
   /// expects to be cold although the registry may not show it.
   std::vector<ToldCold> coldServersFor(const std::string &Host) const;
 
+  /// Returns the servers of \p Service that this host, as coordinator, is to
+  /// ask now whether they are cold.
+  std::vector<ServerEntry> takeColdProbes(const std::string &Service);
+  void endColdProbe(const std::string &Service, const std::string &Server);
+  /// Records the time left cold that an answer to a request says that this host
+  /// sent at \p SentAt. Returns whether that changes what the dispatcher of the
+  /// service knows.
+  bool noteColdTime(const std::string &Service, const std::string &Server,
+                    Millis Left, TimePoint SentAt);
+
   /// Moves requests whose coordinator is dead or has not acknowledged them in
   /// time to the fallback, and advances the timers of all dispatchers.
   void tick();
@@ -167,9 +177,10 @@
   void logLimit(const std::string &Service,
                 const std::optional<LimitChange> &Change,
                 std::string_view Source, Millis Age = Millis(0));
-  /// Records the time left cold that an answer to a request of this host says.
-  void noteColdTime(const StartedDispatch &Item, Millis Left);
-  /// Logs which servers have become cold or warm.
+  /// Returns whether this host decides on the requests of all hosts.
+  bool isCoordinator(const std::string &Service) const;
+  /// Logs which servers of the services that this host coordinates have become
+  /// cold or warm.
   void logColdChanges(TimePoint Now);
   /// Stores the decision on a pending request and resumes its acquire().
   void resolve(std::uint32_t Number, const DispatchDecision &Made);
--- a/include/tamarackdrum/gateway/cold-server.h
+++ b/include/tamarackdrum/gateway/cold-server.h
@@ -8,6 +8,10 @@
 #include "tamarackdrum/gateway/rate-limit.h"
 
 #include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
 
 namespace tamarackdrum::gateway {
 
@@ -45,8 +49,9 @@
 /// late that it is cold, and the load of the others waits for it.
 ///
 /// Events after which the server may have become cold make its state unknown.
-/// It then counts as cold until the registry shows a report that was made after
-/// the event, or until the configured cold time has passed.
+/// It then counts as cold until an answer to a request that was sent after the
+/// event says otherwise, the registry shows a report that was made after the
+/// event, or the configured cold time has passed.
 class ColdState {
 public:
   /// Records a report in the registry. The same report may be seen again; its
@@ -54,8 +59,8 @@
   void noteReport(std::uint64_t Number, Millis Left, TimePoint Now);
 
   /// Records the time left that the answer to a request that was sent at
-  /// \p SentAt says.
-  void noteAnswer(Millis Left, TimePoint SentAt, TimePoint Now);
+  /// \p SentAt says. Returns whether that changes the state.
+  bool noteAnswer(Millis Left, TimePoint SentAt, TimePoint Now);
 
   /// Records an event after which the server may be cold for \p ColdTime.
   /// \p IsShared: the observation is that of all hosts.
@@ -65,6 +70,11 @@
   void adopt(Millis Left, TimePoint Now) { noteEvent(Left, true, Now); }
 
   bool isCold(TimePoint Now) const { return timeLeft(Now) > Millis(0); }
+  /// Returns whether the server counts as cold only because nothing is known
+  /// since the last event.
+  bool isUnknown(TimePoint Now) const {
+    return Now < m_unknownUntil && m_reportedUntil <= Now;
+  }
   /// Returns the time until the server counts as warm, or 0.
   Millis timeLeft(TimePoint Now) const;
   /// Returns the part of it that a new coordinator cannot read from the
@@ -82,6 +92,31 @@
   std::uint64_t m_firstAfterEvent = 0;
 };
 
+/// Decides when the servers of one dispatcher whose state is unknown are asked
+/// whether they are cold.
+///
+/// Load pattern: all servers of a site are listed again after an outage of the
+/// store. Healthy ones would be used at the rate of cold ones for seconds.
+class ColdProbeSchedule {
+public:
+  /// Returns those of \p Unknown that are to be probed at \p Now, and counts
+  /// them as in flight. Servers that were probed longest ago come first.
+  std::vector<std::string> take(std::vector<std::string> Unknown,
+                                TimePoint Now);
+
+  /// Records the end of the probe of \p Server.
+  void end(const std::string &Server);
+
+private:
+  struct Probe {
+    TimePoint m_sentAt{};
+    bool m_isInFlight = false;
+  };
+
+  std::map<std::string, Probe> m_probes; ///< Last probe of each server.
+  std::deque<TimePoint> m_sentTimes;     ///< Within the last second.
+};
+
 } // namespace tamarackdrum::gateway
 
 #endif // TAMARACKDRUM_GATEWAY_COLD_SERVER_H
--- a/include/tamarackdrum/gateway/configuration.h
+++ b/include/tamarackdrum/gateway/configuration.h
@@ -45,6 +45,8 @@
   unsigned m_maxConnections = 0; ///< Total of all hosts.
   bool m_isKeyed = false;        ///< Servers hold ranges of keys.
   ColdPolicy m_cold;
+  /// Path at which a server answers health checks; empty if there is none.
+  std::string m_healthPath;
 
   bool operator==(const Service &) const = default;
 };
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -239,8 +239,9 @@
   void setColdPolicy(const ColdPolicy &Policy, double HeardShare,
                      TimePoint Now);
   /// Records the time left cold that an answer to a request that was sent at
-  /// \p SentAt or later says.
-  void noteColdTime(const std::string &Server, Millis Left, TimePoint SentAt,
+  /// \p SentAt or later says. Returns whether that changes the state of the
+  /// server.
+  bool noteColdTime(const std::string &Server, Millis Left, TimePoint SentAt,
                     TimePoint Now);
   /// As above, for the answer to a running dispatch.
   void noteColdTime(const DispatchId &Id, Millis Left, TimePoint Now);
@@ -250,6 +251,11 @@
   std::vector<KnownCold> coldServers(TimePoint Now) const;
   /// Returns the changes since the last call.
   std::vector<ColdChange> takeColdChanges(TimePoint Now);
+  /// Returns the servers that are to be asked now whether they are cold; none
+  /// unless this dispatcher decides for all hosts. Each probe ends with
+  /// endColdProbe().
+  std::vector<ServerEntry> takeColdProbes(TimePoint Now);
+  void endColdProbe(const std::string &Server) { m_coldProbes.end(Server); }
 
   /// Returns the known rate limits.
   std::vector<KnownLimit> limits(TimePoint Now) const;
@@ -529,6 +535,7 @@
   std::map<std::string, double> m_routeFactors;
   std::map<std::string, KeptLimit> m_keptLimits; ///< By server.
   ColdPolicy m_coldPolicy;
+  ColdProbeSchedule m_coldProbes;
   double m_heardShare = 1;
   bool m_hasServers = false; ///< Servers have been set before.
   TimePoint m_now{};         ///< Of the last tick.
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -4,6 +4,7 @@
 #ifndef TAMARACKDRUM_GATEWAY_GATEWAY_HOST_H
 #define TAMARACKDRUM_GATEWAY_GATEWAY_HOST_H
 
+#include "tamarackdrum/gateway/cold-prober.h"
 #include "tamarackdrum/gateway/edge-server.h"
 #include "tamarackdrum/gateway/granter-runner.h"
 #include "tamarackdrum/gateway/key-map-feed.h"
@@ -119,6 +120,7 @@
   UpstreamClient m_upstreams;
   ContactMonitor m_contacts;
   Admission m_admission;
+  ColdProber m_coldProber;
   PeerNetwork m_network;
   RequestRelay m_relay;
   EdgeServer m_edge;
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -27,6 +27,7 @@
   std::string m_rateLimit;    ///< Requests per second that a server takes.
   std::string m_load;         ///< See parseReportedLoad().
   std::string m_coldLeftMs;   ///< Time for which a server is still cold.
+  std::string m_instance;     ///< Id of the server that answers a health check.
 
   bool operator==(const HeaderNames &) const = default;
 };
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -170,7 +170,8 @@
   if (Report.m_limit)
     noteLimit(Item, *Report.m_limit);
   if (Report.m_coldLeft)
-    noteColdTime(Item, *Report.m_coldLeft);
+    noteColdTime(Item.m_service, Item.m_server, *Report.m_coldLeft,
+                 Item.m_startedAt);
   if (Item.m_place == AdmissionPlace::Fallback)
     m_fallbackDispatchers.finish(Service, Id, Outcome, ServiceTime, Now,
                                  Report.m_load);
@@ -209,10 +210,8 @@
   const TimePoint Now = BootClock::now();
   const double OwnShare = 1.0 / static_cast<double>(m_hosts.hostCount());
   for (const auto &[Service, Item] : m_dispatchers.all()) {
-    const auto Found = m_coordinators.find(Service);
-    const bool IsCoordinator =
-        Found != m_coordinators.end() && Found->second == m_hosts.self().m_name;
-    m_dispatchers.setRateShare(Service, IsCoordinator ? 1 : OwnShare, Now);
+    m_dispatchers.setRateShare(Service, isCoordinator(Service) ? 1 : OwnShare,
+                               Now);
   }
   const double HeardShare =
       std::max(MinHeardShare,
@@ -221,25 +220,6 @@
   m_fallbackDispatchers.setColdPolicies(m_coldPolicies, HeardShare, Now);
 }
 
-void Admission::noteColdTime(const StartedDispatch &Item, Millis Left) {
-  const TimePoint Now = BootClock::now();
-  for (DispatcherRegistry *Registry :
-       {&m_dispatchers, &m_fallbackDispatchers}) {
-    const auto Found = Registry->all().find(Item.m_service);
-    if (Found != Registry->all().end())
-      Found->second->noteColdTime(Item.m_server, Left, Item.m_startedAt, Now);
-  }
-}
-
-void Admission::logColdChanges(TimePoint Now) {
-  for (const auto &[Service, Item] : m_dispatchers.all())
-    for (const ColdChange &Change : Item->takeColdChanges(Now))
-      m_log.write(Change.m_isCold ? "server-cold" : "server-warm",
-                  {{"service", Service},
-                   {"server", Change.m_server},
-                   {"left_ms", Change.m_left}});
-}
-
 void Admission::logLimit(const std::string &Service,
                          const std::optional<LimitChange> &Change,
                          std::string_view Source, Millis Age) {
@@ -460,19 +440,6 @@
   return Out;
 }
 
-std::vector<ToldCold> Admission::coldServersFor(const std::string &Host) const {
-  std::vector<ToldCold> Out;
-  const TimePoint Now = BootClock::now();
-  for (const auto &[Service, Item] : m_dispatchers.all()) {
-    const auto Found = m_coordinators.find(Service);
-    if (Found == m_coordinators.end() || Found->second != Host)
-      continue;
-    for (const KnownCold &Known : Item->coldServers(Now))
-      Out.push_back({Service, Known.m_server, Known.m_left});
-  }
-  return Out;
-}
-
 void Admission::tick() {
   const TimePoint Now = BootClock::now();
   std::vector<PendingRequestPtr> Silent;
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -17,8 +17,6 @@
 constexpr unsigned CrashesToRefuse = 3;
 /// Number of remembered crash reports at which all are discarded.
 constexpr std::size_t MaxSeenCrashes = 4096;
-/// Interval at which a stopping host checks whether its requests have ended.
-constexpr Millis DrainPollInterval{50};
 /// Bodies may take the process's memory divided by this. Without bodies, a
 /// process needs less than half of its memory.
 constexpr std::size_t BodyMemoryDivisor = 4;
@@ -71,6 +69,8 @@
                  }),
       m_admission(Executor, AdmissionPolicy{}, dispatchPolicy(m_settings),
                   m_hosts, Log),
+      m_coldProber(Executor, m_pool, m_settings.m_headers, m_admission,
+                   m_contacts, Log, m_metrics),
       m_network(Executor, PeerNetworkPolicy{}, m_hosts, m_settings.m_peerPort,
                 Log, m_metrics, peerEvents()),
       m_relay(Executor, relayPolicy(m_settings), m_hosts, m_upstreams,
@@ -436,6 +436,8 @@
 asio::awaitable<void> GatewayHost::tickLoop() {
   while (true) {
     m_admission.tick();
+    if (m_feed.routes() != nullptr)
+      m_coldProber.tick(m_feed.routes()->configuration());
     m_feed.tick();
     m_relay.tick();
     updateCoordinators();
@@ -459,43 +461,4 @@
   }
 }
 
-void GatewayHost::stop(std::function<void()> OnStopped) {
-  if (m_isStopping)
-    return;
-  m_isStopping = true;
-  m_hosts.setStopping();
-  m_edge.beginDrain();
-  for (const auto &[Service, Runner] : m_granterRunners)
-    Runner->stop();
-  m_network.sendDueHeartbeats();
-  m_log.write("stopping", {{"active", m_edge.activeRequests()},
-                           {"connections", m_edge.connectionCount()}});
-  asio::co_spawn(m_executor, stopSequence(std::move(OnStopped)),
-                 asio::detached);
-}
-
-asio::awaitable<void>
-GatewayHost::stopSequence(std::function<void()> OnStopped) {
-  const TimePoint End =
-      BootClock::now() + m_settings.m_stopTimeout - m_policy.m_stopMargin;
-  co_await sleepFor(m_policy.m_refuseNewAfter);
-  m_edge.refuseNewRequests();
-  co_await sleepFor(m_policy.m_closeIdleAfter - m_policy.m_refuseNewAfter);
-  m_edge.closeIdleConnections();
-  while (BootClock::now() < End &&
-         (m_edge.activeRequests() > 0 || m_edge.connectionCount() > 0)) {
-    if (BootClock::now() > End - m_policy.m_refuseWaitingMargin) {
-      m_edge.refuseWaitingRequests();
-    }
-    co_await sleepFor(DrainPollInterval);
-  }
-  for (const auto &[Service, Runner] : m_granterRunners)
-    Runner->prepareExit();
-  co_await sleepFor(m_policy.m_finalCallTime);
-  m_log.write("stopped", {{"active", m_edge.activeRequests()},
-                          {"connections", m_edge.connectionCount()}});
-  m_log.flush();
-  OnStopped();
-}
-
 } // namespace tamarackdrum::gateway
--- a/src/gateway/dispatcher-cold.cc
+++ b/src/gateway/dispatcher-cold.cc
@@ -89,11 +89,11 @@
     Item.m_contactErrors = 0;
 }
 
-void Dispatcher::noteColdTime(const std::string &Server, Millis Left,
+bool Dispatcher::noteColdTime(const std::string &Server, Millis Left,
                               TimePoint SentAt, TimePoint Now) {
   const auto Found = m_servers.find(Server);
-  if (Found != m_servers.end())
-    Found->second.m_cold.noteAnswer(Left, SentAt, Now);
+  return Found != m_servers.end() &&
+         Found->second.m_cold.noteAnswer(Left, SentAt, Now);
 }
 
 void Dispatcher::noteColdTime(const DispatchId &Id, Millis Left,
@@ -134,4 +134,18 @@
   return Out;
 }
 
+std::vector<ServerEntry> Dispatcher::takeColdProbes(TimePoint Now) {
+  std::vector<ServerEntry> Out;
+  const bool DecidesForAll = m_policy.m_rateShare >= 1;
+  if (m_coldPolicy.m_perSecond <= 0 || !DecidesForAll)
+    return Out;
+  std::vector<std::string> Unknown;
+  for (const auto &[Id, Item] : m_servers)
+    if (mayGetRequests(Item.m_entry) && Item.m_cold.isUnknown(Now))
+      Unknown.push_back(Id);
+  for (const std::string &Id : m_coldProbes.take(std::move(Unknown), Now))
+    Out.push_back(m_servers.at(Id).m_entry);
+  return Out;
+}
+
 } // namespace tamarackdrum::gateway
--- a/test/gateway/cold-server-test.cc
+++ b/test/gateway/cold-server-test.cc
@@ -239,6 +239,52 @@
   EXPECT_EQ(Changes[1], (ColdChange{"c", true, ColdTime}));
 }
 
+// Guards against healthy servers at a quarter of their rate for seconds after
+// they were listed again, and against answers from before the event.
+TEST_F(ColdDispatchTest, TakeColdProbes_ListedAgain_AnswerGivesTheFullRate) {
+  m_servers = {makeServer("a", 1, Millis(0))};
+  Dispatcher Subject = makeDispatcher(1, 0);
+  const double Warm = Subject.capacityOf("a");
+  Subject.setServers({}, m_now, m_decisions);
+  m_now += Step;
+  Subject.setServers(m_servers, m_now, m_decisions);
+  EXPECT_EQ(Subject.capacityOf("a"), ColdPerSecond);
+  EXPECT_EQ(Subject.takeColdProbes(m_now), m_servers);
+  EXPECT_FALSE(Subject.noteColdTime("a", Millis(0), m_now - Step, m_now));
+  EXPECT_TRUE(
+      Subject.noteColdTime("a", Millis(0), m_now + Millis(1), m_now + Step));
+  EXPECT_EQ(Subject.capacityOf("a"), Warm);
+}
+
+// A server that answers that it is cold stays within the bound.
+TEST_F(ColdDispatchTest, NoteColdTime_AnswerIsCold_KeepsTheBound) {
+  m_servers = {makeServer("a", 1, Millis(0))};
+  Dispatcher Subject = makeDispatcher(1, 0);
+  Subject.setServers({}, m_now, m_decisions);
+  Subject.setServers(m_servers, m_now, m_decisions);
+  Subject.noteColdTime("a", Millis(4000), m_now + Millis(1), m_now + Step);
+  EXPECT_TRUE(Subject.takeColdProbes(m_now + Step).empty());
+  for (const TimePoint End = m_now + Millis(4000); m_now < End; m_now += Step)
+    send(Subject, Millis(0));
+  EXPECT_LE(mostInASecond(), bound());
+}
+
+TEST(ColdProbeScheduleTest, Take_ManyServers_KeepsTheLimits) {
+  ColdProbeSchedule Subject;
+  const TimePoint Start{std::chrono::seconds(100)};
+  EXPECT_EQ(Subject.take({"a"}, Start).size(), 1U);
+  EXPECT_TRUE(Subject.take({"a"}, Start + Millis(600)).empty());
+  Subject.end("a");
+  EXPECT_EQ(Subject.take({"a"}, Start + Millis(600)).size(), 1U);
+  Subject.end("a");
+  EXPECT_TRUE(Subject.take({"a"}, Start + Millis(1099)).empty());
+  std::vector<std::string> Many;
+  for (int Number = 100; Number < 200; ++Number)
+    Many.push_back(std::to_string(Number));
+  EXPECT_EQ(Subject.take(Many, Start + Millis(1099)).size(), 39U);
+  EXPECT_EQ(Subject.take(Many, Start + Millis(1600)).size(), 1U);
+}
+
 // A zone's servers come back cold together; requests without keys go elsewhere.
 TEST_F(ColdDispatchTest, Submit_ZoneIsCold_WarmServersAreChosen) {
   m_servers = {makeServer("a", 1, Millis(9000)),
--- a/test/gateway/fake-platform.h
+++ b/test/gateway/fake-platform.h
@@ -24,8 +24,9 @@
 inline constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
 inline const HeaderNames Headers{
-    "Test-Id",      "Test-Deadline", "Test-Server", "Test-Not-Run", "Test-Key",
-    "Test-Leaving", "Test-Limit",    "Test-Load",   "Test-Cold"};
+    "Test-Id",   "Test-Deadline", "Test-Server", "Test-Not-Run",
+    "Test-Key",  "Test-Leaving",  "Test-Limit",  "Test-Load",
+    "Test-Cold", "Test-Instance"};
 
 /// An in-memory store that all hosts of a test share.
 class FakeStore : public GatewayStore {
