Refuse bodies that do not fit before they are read

Cause: EdgeServer compared the bytes of bodies with the limit after it had read them, so that many uploads at once could exceed the memory of the process. A dispatch copied its body twice. The deadline of a request cut off a client that was slow to read a ready answer.

Change: EdgeServer takes the declared length from BodyMemory before it reads a body and before 100 Continue, and each piece of a chunked body before that piece. UpstreamClient counts answers, RequestRelay counts relayed bodies. A body is shared by its request and its dispatches. Writes to clients end after the write timeout without progress; the time that a client takes to read is added to the deadline of the server. UpstreamRequest::m_body is shared, so upstream-client-test makes it with make_shared; its checks are unchanged.

LongAnswer_ClientReadsSlowly_IsServed still fails: 4.9 of 24 MB are received.

--- a/include/tamarackdrum/gateway/connection.h
+++ b/include/tamarackdrum/gateway/connection.h
@@ -26,6 +26,11 @@
 /// unacknowledged for \p Time, e.g. because the peer has lost power.
 void setTcpUserTimeout(boost::asio::ip::tcp::socket &Socket, Millis Time);
 
+/// Sets TCP_NOTSENT_LOWAT: a write waits while more than \p Bytes are unsent. A
+/// write that ends then means that the peer has made room, and the kernel holds
+/// little for a peer that does not read.
+void setUnsentLimit(boost::asio::ip::tcp::socket &Socket, std::size_t Bytes);
+
 /// Sets whether closing \p Socket resets the connection, which discards the
 /// data that the peer has not received, or delivers that data first.
 ///
@@ -47,6 +52,11 @@
     m_stream.expires_after(End - BootClock::now());
   }
 
+  /// Adds \p Time to the deadline.
+  void extendDeadline(BootClock::duration Time) {
+    setDeadline(m_deadline + Time);
+  }
+
   /// Must be checked between reads: the timer of the stream ends only an
   /// operation that waits, and none waits if the peer sends continuously.
   bool isPastDeadline() const { return BootClock::now() >= m_deadline; }
--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -25,8 +25,9 @@
   /// Upper limit of the time for a request. The deadline header of the client
   /// and the timeout of the route may only shorten it.
   Millis m_maxRequestTime{30000};
-  /// Limit of a write to a client, and of the time for which sent data may
-  /// stay unacknowledged.
+  /// Time without progress after which a client that does not read its answer
+  /// is disconnected, and limit of the time for which sent data may stay
+  /// unacknowledged.
   Millis m_writeTimeout{10000};
   /// Number of dispatches that reach no usable server after which a request is
   /// refused.
@@ -40,8 +41,7 @@
   Millis m_startupTimeout{900};
   /// Interval at which a waiting request checks for routes and servers.
   Millis m_startupPollInterval{10};
-  /// Limit for the buffered bodies of all requests, in bytes. Requests beyond
-  /// it are refused.
+  /// Limit of BodyMemory, in bytes. Requests beyond it are refused.
   std::size_t m_maxBufferedBytes = 64U << 20U;
 
   bool operator==(const EdgePolicy &) const = default;
@@ -75,7 +75,8 @@
              const GatewaySettings &Settings, Admission &Slots,
              UpstreamClient &Upstreams, PoisonRegistry &Poison, EventLog &Log,
              GatewayMetrics &Metrics, Roster &Hosts, ContactMonitor &Contacts,
-             RequestRelay &Relay, Callbacks Context);
+             RequestRelay &Relay, std::shared_ptr<BodyMemory> Memory,
+             Callbacks Context);
 
   /// Opens the client port. Errors: those of parseEndpoint() and of the system.
   std::error_code start();
@@ -89,6 +90,8 @@
   void refuseWaitingRequests();
   /// Stops accepting connections and closes those without a request.
   void closeIdleConnections();
+  /// Logs a change of whether memory for bodies is short.
+  void logBodyMemory();
   std::size_t activeRequests() const { return m_activeRequests; }
   std::size_t connectionCount() const { return m_sessions.size(); }
 
@@ -104,6 +107,14 @@
   /// connection then ends.
   boost::asio::awaitable<bool>
   readRequest(SessionPtr Client, std::shared_ptr<ClientRequest> Request);
+  /// Takes memory for the body of a request whose head has been read. Returns
+  /// false if the request has been refused.
+  boost::asio::awaitable<bool>
+  reserveBody(SessionPtr Client, std::shared_ptr<ClientRequest> Request);
+  /// Answers that \p Bytes of a body do not fit into the memory.
+  boost::asio::awaitable<void>
+  refuseForMemory(SessionPtr Client, std::shared_ptr<ClientRequest> Request,
+                  std::size_t Bytes);
   /// Reads the body up to the limit for buffered bodies. Returns false if the
   /// request has been answered or the client has disconnected.
   boost::asio::awaitable<bool> readBody(SessionPtr Client,
@@ -138,8 +149,19 @@
   boost::asio::awaitable<void>
   sendAnswer(SessionPtr Client, std::shared_ptr<ClientRequest> Request,
              unsigned Status, std::string_view Reason, Millis RetryAfter);
-  /// Returns whether all bytes were sent.
-  boost::asio::awaitable<bool> write(SessionPtr Client, std::string Bytes);
+  /// Sends \p Head, then \p Body as it is or as a chunk. Ends if the client
+  /// takes nothing for the write timeout. Returns whether all bytes were sent.
+  boost::asio::awaitable<bool> write(SessionPtr Client, std::string Head,
+                                     std::string Body = {},
+                                     bool IsChunk = false);
+  /// Sends a piece of the answer of a server. The time that the client takes is
+  /// added to the time that the server has. Returns whether it was sent.
+  boost::asio::awaitable<bool> writePiece(SessionPtr Client,
+                                          UpstreamReply &Reply,
+                                          std::string Head, std::string Body,
+                                          bool IsChunk);
+  /// Reads and discards what the client still sends after the last answer.
+  boost::asio::awaitable<void> discardInput(SessionPtr Client);
   /// Reports a crash if \p Server accepts no new connection.
   boost::asio::awaitable<void> checkForCrash(std::uint64_t Fingerprint,
                                              ServerEntry Server);
@@ -183,12 +205,12 @@
   Roster &m_hosts;
   ContactMonitor &m_contacts;
   RequestRelay &m_relay;
+  const std::shared_ptr<BodyMemory> m_bodyMemory;
   const Callbacks m_callbacks;
   boost::asio::ip::tcp::acceptor m_acceptor;
   const TimePoint m_createdAt = BootClock::now();
   std::list<SessionPtr> m_sessions;
   std::size_t m_activeRequests = 0;
-  std::size_t m_bufferedBytes = 0;
   bool m_isDraining = false;
   bool m_isRefusing = false;
   std::map<std::string, Millis> m_longestDeadlines; ///< By route.
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -62,6 +62,8 @@
   /// Returns whether this host reaches no server while others do.
   bool isCutOff() const { return m_contacts.isCutOff(); }
 
+  const BodyMemory &bodyMemory() const { return *m_bodyMemory; }
+
   /// Returns whether clients should be sent here.
   bool isReady() const;
 
@@ -116,6 +118,7 @@
   Roster m_hosts;
   StateFeed m_feed;
   ConnectionPool m_pool;
+  const std::shared_ptr<BodyMemory> m_bodyMemory;
   UpstreamClient m_upstreams;
   ContactMonitor m_contacts;
   Admission m_admission;
--- a/include/tamarackdrum/gateway/request-relay.h
+++ b/include/tamarackdrum/gateway/request-relay.h
@@ -39,7 +39,7 @@
   RequestRelay(boost::asio::any_io_executor Executor, RelayPolicy Policy,
                Roster &Hosts, UpstreamClient &Upstreams,
                ContactMonitor &Contacts, EventLog &Log, GatewayMetrics &Metrics,
-               FindServer Find);
+               FindServer Find, std::shared_ptr<BodyMemory> Memory);
 
   void setNetwork(PeerNetwork &Network) { m_network = &Network; }
 
@@ -89,7 +89,13 @@
   passOn(std::string Peer, std::shared_ptr<const UpstreamRequest> Request,
          CancelToken &Token);
   boost::asio::awaitable<void> serve(std::uint32_t Link, RelayMessage Message,
-                                     ServerEntry Server);
+                                     ServerEntry Server, HeldBytes Held);
+  /// Sends \p Request to \p Peer. Returns the link, or 0 if there is none.
+  std::uint32_t sendTo(const std::string &Peer, std::uint32_t Number,
+                       const UpstreamRequest &Request);
+  /// Holds \p Bytes of a request in \p Held if they fit; a request without a
+  /// body always does. Returns whether they do.
+  bool tryHold(HeldBytes &Held, std::size_t Bytes, bool HasBody);
   void resolve(const PendingPtr &Item, bool IsLost);
 
   boost::asio::any_io_executor m_executor;
@@ -100,6 +106,7 @@
   EventLog &m_log;
   GatewayMetrics &m_metrics;
   const FindServer m_findServer;
+  const std::shared_ptr<BodyMemory> m_memory;
   PeerNetwork *m_network = nullptr;
   std::uint32_t m_lastNumber = 0;
   std::map<std::uint32_t, PendingPtr> m_pending;
--- a/include/tamarackdrum/gateway/upstream-client.h
+++ b/include/tamarackdrum/gateway/upstream-client.h
@@ -6,6 +6,7 @@
 
 #include "tamarackdrum/gateway/connection.h"
 #include "tamarackdrum/gateway/dispatcher.h"
+#include "tamarackdrum/gateway/held-bytes.h"
 #include "tamarackdrum/gateway/ports.h"
 
 #include <boost/beast/http.hpp>
@@ -17,15 +18,21 @@
 /// the body. Errors: HttpErrc.
 using BodySource = std::function<boost::asio::awaitable<Result<std::string>>()>;
 
+/// A body that its client's request and its dispatch share; null if empty.
+using SharedBody = std::shared_ptr<const std::string>;
+
 /// A request to a backend server.
 struct UpstreamRequest {
   ServerEntry m_server;
   std::string m_head;      ///< Request line, headers and the empty line.
-  std::string m_body;      ///< Framed as m_head declares.
+  SharedBody m_body;       ///< Framed as m_head declares.
   BodySource m_bodySource; ///< Rest of the body; null if m_body is whole.
   std::string m_requestId;
   bool m_isHeadRequest = false; ///< HEAD: the answer has no body.
   bool m_isSafe = true;
+  /// While memory is full, only the first piece of the answer is buffered.
+  bool m_canStreamAnswer = false;
+  BodyDirection m_answerDirection = BodyDirection::Answer;
   TimePoint m_deadline; ///< End of the wait for the answer.
   /// Called when the head of the answer arrives: the server has finished its
   /// work and the slot is free, even if the body takes long to transfer.
@@ -34,6 +41,10 @@
       m_onHead;
   /// Limit for idle connections to this server.
   std::size_t m_maxIdleConnections = 1;
+
+  std::size_t bodySize() const {
+    return m_body == nullptr ? 0 : m_body->size();
+  }
 };
 
 using ResponseParser =
@@ -56,6 +67,7 @@
   /// Status and headers; null if none have arrived.
   std::shared_ptr<ResponseParser> m_parser;
   std::string m_body;
+  HeldBytes m_held; ///< Of m_body, or of a piece of it if m_hasMore is set.
   ConnectionPool::ConnectionPtr m_connection; ///< Only if m_hasMore is set.
 };
 
@@ -85,8 +97,11 @@
 /// Sends requests to backend servers over pooled connections.
 class UpstreamClient {
 public:
-  UpstreamClient(ConnectionPool &Pool, HeaderNames Headers)
-      : m_pool(Pool), m_headers(std::move(Headers)) {}
+  /// Answers are counted in \p Memory.
+  UpstreamClient(ConnectionPool &Pool, HeaderNames Headers,
+                 std::shared_ptr<BodyMemory> Memory)
+      : m_pool(Pool), m_headers(std::move(Headers)),
+        m_memory(std::move(Memory)) {}
 
   /// Sends the request and reads the answer. The body of a long answer is read
   /// in part; readMore() returns the rest.
@@ -108,7 +123,9 @@
   boost::asio::awaitable<bool> readHead(Connection &Used,
                                         const UpstreamRequest &Request,
                                         UpstreamReply &Reply);
-  boost::asio::awaitable<bool> readBody(Connection &Used, UpstreamReply &Reply);
+  boost::asio::awaitable<bool> readBody(Connection &Used,
+                                        const UpstreamRequest &Request,
+                                        UpstreamReply &Reply);
   /// Records what the head of an answer says about its server, and passes it to
   /// UpstreamRequest::m_onHead.
   void handleHead(const UpstreamRequest &Request, UpstreamReply &Reply) const;
@@ -122,6 +139,7 @@
 
   ConnectionPool &m_pool;
   const HeaderNames m_headers;
+  const std::shared_ptr<BodyMemory> m_memory;
 };
 
 } // namespace tamarackdrum::gateway
--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -44,7 +44,10 @@
 /// A request of a client and the state of its processing.
 struct EdgeServer::ClientRequest {
   std::shared_ptr<RequestParser> m_parser;
-  std::string m_body;
+  /// Shared with the dispatches. Null once the request cannot be dispatched
+  /// again.
+  std::shared_ptr<std::string> m_body = std::make_shared<std::string>();
+  HeldBytes m_heldBytes; ///< Of m_body and of pieces that are streamed.
   bool m_isBodyWhole = true;
   bool m_isStreaming = false; ///< Part of the body has been sent unbuffered.
   std::shared_ptr<RouteTable> m_routeTable;
@@ -74,6 +77,12 @@
   std::string m_places;
   UpstreamReply m_lastReply; ///< m_parser may be null.
 
+  /// Gives up the buffered body, except for \p Bytes that are still needed.
+  void releaseBody(std::size_t Bytes) {
+    m_body = nullptr;
+    m_heldBytes.shrinkTo(Bytes);
+  }
+
   const RequestHead &head() const { return m_parser->get(); }
 };
 
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -29,6 +29,12 @@
                sizeof(Value));
 }
 
+void setUnsentLimit(boost::asio::ip::tcp::socket &Socket, std::size_t Bytes) {
+  const int Value = static_cast<int>(Bytes);
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &Value,
+               sizeof(Value));
+}
+
 void setAbortiveClose(boost::asio::ip::tcp::socket &Socket, bool IsAbortive) {
   const linger Value{IsAbortive ? 1 : 0, 0};
   ::setsockopt(Socket.native_handle(), SOL_SOCKET, SO_LINGER, &Value,
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -6,7 +6,6 @@
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/sleep.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,8 +17,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t PieceBytes = 16U << 10U;
 /// Retry-After if a server refused or was unreachable: other servers are
 /// expected to have a free slot within the time of one request.
 constexpr Millis ServerRetryAfter{200};
@@ -39,19 +36,6 @@
   return Value == DispatchResult::Refused || Value == DispatchResult::NotHeld;
 }
 
-/// Returns the framing with which the client gets the body of \p Reply.
-Framing replyFraming(const UpstreamReply &Reply, bool IsToHead) {
-  const unsigned Status = Reply.m_parser->get().result_int();
-  const boost::optional<std::uint64_t> Length =
-      Reply.m_parser->content_length();
-  if (Reply.m_hasMore)
-    return Length ? Framing{false, *Length} : Framing{true, {}};
-  if (IsToHead)
-    return Length ? Framing{false, *Length} : Framing{};
-  const bool HasNoBody = Status == 204 || Status == 304;
-  return HasNoBody ? Framing{} : Framing{false, Reply.m_body.size()};
-}
-
 } // namespace
 
 bool mayRetry(RequestKind Kind, DispatchResult Result, bool MayHaveRun,
@@ -73,8 +57,8 @@
   if (!Request.m_isBodyWhole)
     return Length ? Framing{false, *Length} : Framing{true, {}};
   const bool HasBody =
-      !Request.m_body.empty() || Request.m_parser->chunked() || Length;
-  return HasBody ? Framing{false, Request.m_body.size()} : Framing{};
+      !Request.m_body->empty() || Request.m_parser->chunked() || Length;
+  return HasBody ? Framing{false, Request.m_body->size()} : Framing{};
 }
 
 asio::awaitable<void>
@@ -157,7 +141,7 @@
                               const AnswerReport &Report) {
     m_admission.finish(Service, Taken, Result, ServiceTime, Report);
   };
-  const std::size_t SentBytes = Upstream.m_head.size() + Upstream.m_body.size();
+  const std::size_t SentBytes = Upstream.m_head.size() + Upstream.bodySize();
   UpstreamReply Reply = co_await sendUpstream(std::move(Upstream), Request);
   // The loss of a peer tells nothing about the server.
   m_admission.finish(Request->m_service->m_name, Taken,
@@ -307,38 +291,6 @@
   co_await sendAnswer(Client, Request, 503, Reason, ServerRetryAfter);
 }
 
-BodySource
-EdgeServer::makeBodySource(SessionPtr Client,
-                           std::shared_ptr<ClientRequest> Request) const {
-  const bool IsChunked = !Request->m_parser->content_length();
-  const std::shared_ptr<bool> IsEnded = std::make_shared<bool>(false);
-  return [Client, Request, IsChunked,
-          IsEnded]() -> asio::awaitable<Result<std::string>> {
-    RequestParser &Parser = *Request->m_parser;
-    Request->m_isStreaming = true;
-    std::string Piece(PieceBytes, '\0');
-    std::size_t Length = 0;
-    while (!Parser.is_done() && Length == 0) {
-      Parser.get().body().data = Piece.data();
-      Parser.get().body().size = Piece.size();
-      const auto [Error, Count] = co_await http::async_read_some(
-          Client->m_stream, Client->m_buffer, Parser, UseTuple);
-      Length = Piece.size() - Parser.get().body().size;
-      if (Error && Error != http::error::need_buffer)
-        co_return HttpErrc::SendFailed;
-    }
-    Piece.resize(Length);
-    if (!IsChunked)
-      co_return Piece;
-    if (Length > 0)
-      co_return makeChunk(Piece);
-    if (*IsEnded)
-      co_return std::string();
-    *IsEnded = true;
-    co_return std::string("0\r\n\r\n");
-  };
-}
-
 UpstreamRequest EdgeServer::makeRequest(SessionPtr Client,
                                         std::shared_ptr<ClientRequest> Request,
                                         const ServerEntry &Server) const {
@@ -347,7 +299,12 @@
   const Framing Body = requestFraming(*Request);
   Out.m_head = makeRequestHead(Request->head(), Body, m_settings.m_headers,
                                Server, timeLeft(Request->m_deadline));
-  Out.m_body = Body.m_isChunked ? makeChunk(Request->m_body) : Request->m_body;
+  // The body source ends the chunk.
+  if (Body.m_isChunked)
+    Out.m_head += fmt::format("{:x}\r\n", Request->m_body->size());
+  if (!Request->m_body->empty())
+    Out.m_body = Request->m_body;
+  Out.m_canStreamAnswer = true;
   if (!Request->m_isBodyWhole)
     Out.m_bodySource = makeBodySource(std::move(Client), Request);
   Out.m_requestId = Request->m_id;
@@ -374,51 +331,4 @@
     m_callbacks.m_onCrash(Fingerprint, Server);
 }
 
-asio::awaitable<void>
-EdgeServer::forwardReply(SessionPtr Client,
-                         std::shared_ptr<ClientRequest> Request,
-                         UpstreamReply &Reply) {
-  Request->m_isAnswered = true;
-  const ReplyHead &Head = Reply.m_parser->get();
-  unsigned Status = Head.result_int();
-  // A 503 answer promises that the request has not run. The server has not said
-  // so, so the client gets a 502.
-  if (Reply.m_result == DispatchResult::Failed && Status == 503) {
-    co_await sendAnswer(Client, Request, 502, "server failed with 503",
-                        Millis(0));
-    co_return;
-  }
-  if (m_isDraining)
-    Client->m_mustClose = true;
-  const Framing Body =
-      replyFraming(Reply, Request->head().method() == http::verb::head);
-  std::string Out = makeReplyHead(Head, Body, Client->m_mustClose);
-  Out.append(Body.m_isChunked ? makeChunk(Reply.m_body) : Reply.m_body);
-  bool IsSent = co_await write(Client, std::move(Out));
-  while (IsSent && Reply.m_hasMore) {
-    Result<std::string> Piece = co_await m_upstreamClient.readMore(Reply);
-    if (!Piece) {
-      // Closing the connection without the end of the body lets the client
-      // detect the truncated answer.
-      recordOutcome(*Request, Status, "torn answer");
-      Client->m_mustClose = true;
-      Client->m_stream.close();
-      co_return;
-    }
-    const bool IsLast = Piece.value().empty();
-    if (IsLast && Body.m_isChunked) {
-      std::string End = "0\r\n\r\n";
-      IsSent = co_await write(Client, std::move(End));
-    }
-    if (IsLast)
-      break;
-    std::string Bytes =
-        Body.m_isChunked ? makeChunk(Piece.value()) : Piece.value();
-    IsSent = co_await write(Client, std::move(Bytes));
-  }
-  if (!IsSent)
-    Request->m_isClientGone = true;
-  recordOutcome(*Request, Status, "");
-}
-
 } // namespace tamarackdrum::gateway
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -21,9 +21,10 @@
 using asio::ip::tcp;
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t PieceBytes = 16U << 10U;
 constexpr std::size_t ReadBytes = 4U << 10U;
 constexpr Millis AcceptPause{20};
+/// Unsent bytes that the kernel holds for a client.
+constexpr std::size_t UnsentBytes = 16U << 10U;
 
 std::optional<std::int64_t> parseNumber(std::string_view Text) {
   std::int64_t Value = 0;
@@ -41,11 +42,12 @@
                        UpstreamClient &Upstreams, PoisonRegistry &Poison,
                        EventLog &Log, GatewayMetrics &Metrics, Roster &Hosts,
                        ContactMonitor &Contacts, RequestRelay &Relay,
-                       Callbacks Context)
+                       std::shared_ptr<BodyMemory> Memory, Callbacks Context)
     : m_executor(std::move(Executor)), m_policy(Policy), m_settings(Settings),
       m_admission(Slots), m_upstreamClient(Upstreams), m_poison(Poison),
       m_log(Log), m_metrics(Metrics), m_hosts(Hosts), m_contacts(Contacts),
-      m_relay(Relay), m_callbacks(std::move(Context)), m_acceptor(m_executor) {}
+      m_relay(Relay), m_bodyMemory(std::move(Memory)),
+      m_callbacks(std::move(Context)), m_acceptor(m_executor) {}
 
 std::error_code EdgeServer::start() {
   const Result<Endpoint> Address = parseEndpoint(m_settings.m_clientAddress);
@@ -70,6 +72,7 @@
     boost::system::error_code Ignored; // Failure only costs latency.
     Socket.set_option(tcp::no_delay(true), Ignored);
     setTcpUserTimeout(Socket, m_policy.m_writeTimeout);
+    setUnsentLimit(Socket, UnsentBytes);
     const SessionPtr Client = std::make_shared<Session>(std::move(Socket));
     m_sessions.push_back(Client);
     asio::co_spawn(m_executor, serve(Client), asio::detached);
@@ -105,7 +108,7 @@
     Client->m_isIdle = false;
     Client->m_request = Request;
     co_await handle(Client, Request);
-    m_bufferedBytes -= std::min(m_bufferedBytes, Request->m_body.size());
+    Request->releaseBody(0);
     Client->m_isIdle = true;
     --m_activeRequests;
     if (Request->m_isClientGone || !Request->m_parser->is_done())
@@ -114,18 +117,8 @@
   // Fails if the client has closed the connection.
   boost::system::error_code Ignored;
   Client->m_stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
-  if (Client->m_mustClose && !Ignored) {
-    // Closing a socket with unread bytes resets the connection, and the client
-    // may lose the answer.
-    std::string Rest(ReadBytes, '\0');
-    Client->m_stream.expires_after(Millis(300));
-    while (true) {
-      const auto [Error, Count] = co_await Client->m_stream.async_read_some(
-          asio::buffer(Rest), UseTuple);
-      if (Error)
-        break;
-    }
-  }
+  if (Client->m_mustClose && !Ignored)
+    co_await discardInput(Client);
   Client->m_stream.close();
   m_sessions.remove(Client);
 }
@@ -187,43 +180,6 @@
   return Request.m_service != nullptr;
 }
 
-asio::awaitable<bool>
-EdgeServer::readBody(SessionPtr Client,
-                     std::shared_ptr<ClientRequest> Request) {
-  RequestParser &Parser = *Request->m_parser;
-  std::string Piece;
-  while (!Parser.is_done() &&
-         Request->m_body.size() < m_policy.m_bufferedBodyBytes) {
-    Piece.resize(PieceBytes);
-    Parser.get().body().data = Piece.data();
-    Parser.get().body().size = Piece.size();
-    Client->m_stream.expires_after(
-        std::max(Millis(1), timeLeft(Request->m_deadline)));
-    const auto [Error, Count] = co_await http::async_read_some(
-        Client->m_stream, Client->m_buffer, Parser, UseTuple);
-    const std::size_t Length = Piece.size() - Parser.get().body().size;
-    Request->m_body.append(Piece.data(), Length);
-    m_bufferedBytes += Length;
-    if (!Error || Error == http::error::need_buffer)
-      continue;
-    Client->m_mustClose = true;
-    if (Error == http::error::body_limit)
-      co_await sendAnswer(Client, Request, 413, "body too long", Millis(0));
-    else if (Error == beast::error::timeout)
-      co_await sendAnswer(Client, Request, 408, "body not sent in time",
-                          Millis(0));
-    else if (Error.category() ==
-                 http::make_error_code(http::error::bad_chunk).category() &&
-             Error != http::error::partial_message)
-      co_await sendAnswer(Client, Request, 400, Error.message(), Millis(0));
-    else
-      Request->m_isClientGone = true;
-    co_return false;
-  }
-  Request->m_isBodyWhole = Parser.is_done();
-  co_return true;
-}
-
 bool EdgeServer::hasRoutesAndServers() const {
   return m_callbacks.m_routes() != nullptr && m_callbacks.m_hasServers();
 }
@@ -262,6 +218,9 @@
         Request->m_startedAt + Request->m_route->m_objective - (Full - Asked);
   }
   Request->m_deadline = Request->m_startedAt + Wait;
+  const bool IsReserved = co_await reserveBody(Client, Request);
+  if (!IsReserved)
+    co_return;
   if (Head.count(http::field::expect) > 0 && !Request->m_parser->is_done()) {
     std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
     const bool IsSent = co_await write(Client, std::move(Continue));
@@ -283,10 +242,6 @@
     co_await sendAnswer(Client, Request, 404, "no route", Millis(0));
     co_return;
   }
-  if (m_bufferedBytes > m_policy.m_maxBufferedBytes) {
-    co_await sendAnswer(Client, Request, 503, "memory", Millis(500));
-    co_return;
-  }
   if (Request->m_service->m_isKeyed) {
     const std::optional<std::int64_t> Value =
         parseNumber(Head[m_settings.m_headers.m_key]);
@@ -297,7 +252,7 @@
     Request->m_key = static_cast<Key>(*Value);
   }
   Request->m_fingerprint =
-      fingerprintOf(Head.method_string(), Head.target(), Request->m_body);
+      fingerprintOf(Head.method_string(), Head.target(), *Request->m_body);
   if (m_poison.isPoisoned(Request->m_fingerprint, bootMillis())) {
     co_await sendAnswer(Client, Request, 502, "crashes servers", Millis(0));
     co_return;
@@ -330,13 +285,6 @@
       });
 }
 
-asio::awaitable<bool> EdgeServer::write(SessionPtr Client, std::string Bytes) {
-  Client->m_stream.expires_after(m_policy.m_writeTimeout);
-  const auto [Error, Count] = co_await asio::async_write(
-      Client->m_stream, asio::buffer(Bytes), UseTuple);
-  co_return !Error;
-}
-
 asio::awaitable<void>
 EdgeServer::sendAnswer(SessionPtr Client,
                        std::shared_ptr<ClientRequest> Request, unsigned Status,
--- a/src/edge/gateway-host-metrics.cc
+++ b/src/edge/gateway-host-metrics.cc
@@ -31,6 +31,12 @@
   m_metrics.setGauge("known_servers", static_cast<double>(servers().size()));
   m_metrics.setGauge("evacuated_zones",
                      static_cast<double>(m_feed.evacuatedZones().size()));
+  std::map<std::string, double> Bodies;
+  for (const BodyDirection Item :
+       {BodyDirection::Request, BodyDirection::Answer, BodyDirection::Relayed})
+    Bodies[fmt::format("direction=\"{}\"", toText(Item))] =
+        static_cast<double>(m_bodyMemory->held(Item));
+  m_metrics.setGauges("body_bytes", std::move(Bodies));
   m_metrics.setGauge("cut_off", m_contacts.isCutOff() ? 1 : 0);
   m_metrics.setGauge("store_lost_ms",
                      static_cast<double>(m_feed.storeLostFor().count()));
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -47,10 +47,12 @@
   return Out;
 }
 
-EdgePolicy edgePolicy(EdgePolicy Out, const GatewaySettings &Settings) {
-  Out.m_maxBufferedBytes = std::min(
-      Out.m_maxBufferedBytes, Settings.m_memoryLimitBytes / BodyMemoryDivisor);
-  return Out;
+std::shared_ptr<BodyMemory> makeBodyMemory(const EdgePolicy &Policy,
+                                           const GatewaySettings &Settings) {
+  BodyMemoryPolicy Out;
+  Out.m_limitBytes = std::min(Policy.m_maxBufferedBytes,
+                              Settings.m_memoryLimitBytes / BodyMemoryDivisor);
+  return std::make_shared<BodyMemory>(Out);
 }
 
 } // namespace
@@ -63,7 +65,9 @@
       m_poison(poisonPolicy()), m_hosts(RosterPolicy{}, m_settings.m_host),
       m_feed(Executor, Policy.m_feed, m_settings, Store, m_hosts, Log,
              m_metrics, feedEvents()),
-      m_pool(PoolPolicy{}), m_upstreams(m_pool, m_settings.m_headers),
+      m_pool(PoolPolicy{}),
+      m_bodyMemory(makeBodyMemory(Policy.m_edge, m_settings)),
+      m_upstreams(m_pool, m_settings.m_headers, m_bodyMemory),
       m_contacts(Executor, m_settings.m_contactBound > Millis(0), m_hosts,
                  m_upstreams, Log, m_metrics,
                  [this]() -> const Reachability::Servers & {
@@ -73,12 +77,14 @@
                   m_hosts, Log),
       m_network(Executor, PeerNetworkPolicy{}, m_hosts, m_settings.m_peerPort,
                 Log, m_metrics, peerEvents()),
-      m_relay(Executor, relayPolicy(m_settings), m_hosts, m_upstreams,
-              m_contacts, Log, m_metrics,
-              [this](const std::string &Id) { return findServer(Id); }),
-      m_edge(Executor, edgePolicy(Policy.m_edge, m_settings), m_settings,
-             m_admission, m_upstreams, m_poison, Log, m_metrics, m_hosts,
-             m_contacts, m_relay, edgeView()),
+      m_relay(
+          Executor, relayPolicy(m_settings), m_hosts, m_upstreams, m_contacts,
+          Log, m_metrics,
+          [this](const std::string &Id) { return findServer(Id); },
+          m_bodyMemory),
+      m_edge(Executor, Policy.m_edge, m_settings, m_admission, m_upstreams,
+             m_poison, Log, m_metrics, m_hosts, m_contacts, m_relay,
+             m_bodyMemory, edgeView()),
       m_readinessServer(Executor, [this](std::string_view) {
         return isReady() ? TextResponse{200, "ready\n"}
                          : TextResponse{503, "not ready\n"};
@@ -261,32 +267,6 @@
   return *m_granterRunners.emplace(Service, std::move(Runner)).first->second;
 }
 
-void GatewayHost::sendKeyMap(std::uint32_t Link, const std::string &Service) {
-  const KeyMap &Known = m_admission.keyMap(Service);
-  if (Known.version() > 0)
-    m_network.reply(Link, KeyMapMessage{Service, fullUpdate(Known)});
-}
-
-void GatewayHost::sendKeyMapChanges() {
-  const TimePoint Now = BootClock::now();
-  for (const auto &[Service, Runner] : m_granterRunners) {
-    const KeyMap &Current = m_admission.keyMap(Service);
-    KeyMapFeed &ToCandidates =
-        m_candidateFeeds.emplace(Service, Millis(0)).first->second;
-    if (Runner->isGranter())
-      if (const std::optional<KeyMapUpdate> Change =
-              ToCandidates.nextUpdate(Current, Now))
-        m_network.sendToCandidates(KeyMapMessage{Service, *Change});
-    KeyMapFeed &ToFollowers =
-        m_followerFeeds.emplace(Service, m_policy.m_keyMapInterval)
-            .first->second;
-    if (m_network.hasFollowers())
-      if (const std::optional<KeyMapUpdate> Change =
-              ToFollowers.nextUpdate(Current, Now))
-        m_network.sendToFollowers(KeyMapMessage{Service, *Change});
-  }
-}
-
 void GatewayHost::updateCoordinators() {
   if (m_feed.routes() == nullptr)
     return;
@@ -438,6 +418,7 @@
     m_admission.tick();
     m_feed.tick();
     m_relay.tick();
+    m_edge.logBodyMemory();
     updateCoordinators();
     sendKeyMapChanges();
     co_await sleepFor(m_policy.m_tickInterval);
--- a/src/edge/request-relay.cc
+++ b/src/edge/request-relay.cc
@@ -37,7 +37,7 @@
   return makeReplyHead(Head, HasNoBody && !IsToHead ? Framing{} : Body, false);
 }
 
-RelayAnswerMessage makeAnswer(std::uint32_t Number, const UpstreamReply &Reply,
+RelayAnswerMessage makeAnswer(std::uint32_t Number, UpstreamReply &Reply,
                               bool IsToHead) {
   RelayAnswerMessage Out;
   Out.m_number = Number;
@@ -57,7 +57,7 @@
     Out.m_result = DispatchResult::ConnectionLost;
   } else if (HasAnswer && Reply.m_parser != nullptr) {
     Out.m_head = headOf(Reply, IsToHead);
-    Out.m_body = Reply.m_body;
+    Out.m_body = std::move(Reply.m_body);
   }
   return Out;
 }
@@ -92,10 +92,12 @@
 RequestRelay::RequestRelay(asio::any_io_executor Executor, RelayPolicy Policy,
                            Roster &Hosts, UpstreamClient &Upstreams,
                            ContactMonitor &Contacts, EventLog &Log,
-                           GatewayMetrics &Metrics, FindServer Find)
+                           GatewayMetrics &Metrics, FindServer Find,
+                           std::shared_ptr<BodyMemory> Memory)
     : m_executor(std::move(Executor)), m_policy(Policy), m_hosts(Hosts),
       m_upstreams(Upstreams), m_contacts(Contacts), m_log(Log),
-      m_metrics(Metrics), m_findServer(std::move(Find)) {}
+      m_metrics(Metrics), m_findServer(std::move(Find)),
+      m_memory(std::move(Memory)) {}
 
 std::size_t RequestRelay::pendingAt(const std::string &Peer) const {
   return static_cast<std::size_t>(
@@ -125,6 +127,34 @@
   return Out;
 }
 
+bool RequestRelay::tryHold(HeldBytes &Held, std::size_t Bytes, bool HasBody) {
+  Held = HeldBytes(m_memory, BodyDirection::Relayed);
+  if (Held.tryGrowTo(Bytes))
+    return true;
+  if (HasBody) {
+    m_memory->refuse(BodyDirection::Relayed, Bytes, BootClock::now());
+    m_metrics.count("body_memory_refused", "direction=\"relayed\"");
+    return false;
+  }
+  Held.growTo(Bytes);
+  return true;
+}
+
+std::uint32_t RequestRelay::sendTo(const std::string &Peer,
+                                   std::uint32_t Number,
+                                   const UpstreamRequest &Request) {
+  const RelayMessage Message{Number,
+                             Request.m_server.m_id,
+                             Request.m_head,
+                             Request.m_body == nullptr ? std::string()
+                                                       : *Request.m_body,
+                             Request.m_requestId,
+                             Request.m_isHeadRequest,
+                             Request.m_isSafe,
+                             timeUntil(Request.m_deadline)};
+  return m_network->send(Peer, Message);
+}
+
 asio::awaitable<RequestRelay::PendingPtr>
 RequestRelay::passOn(std::string Peer,
                      std::shared_ptr<const UpstreamRequest> Request,
@@ -132,15 +162,12 @@
   const std::uint32_t Number = ++m_lastNumber;
   const PendingPtr Item = std::make_shared<Pending>(m_executor);
   Item->m_peer = Peer;
-  const RelayMessage Message{Number,
-                             Request->m_server.m_id,
-                             Request->m_head,
-                             Request->m_body,
-                             Request->m_requestId,
-                             Request->m_isHeadRequest,
-                             Request->m_isSafe,
-                             timeUntil(Request->m_deadline)};
-  Item->m_link = m_network->send(Peer, Message);
+  // The copy that waits for the link.
+  HeldBytes Held;
+  const std::size_t Bytes = Request->m_head.size() + Request->bodySize();
+  if (!tryHold(Held, Bytes, Request->bodySize() > 0))
+    co_return nullptr;
+  Item->m_link = sendTo(Peer, Number, *Request);
   if (Item->m_link == 0)
     co_return nullptr;
   m_pending[Number] = Item;
@@ -181,6 +208,8 @@
     }
     if (Item->m_answer) {
       Reply = makeReply(std::move(*Item->m_answer), Shared->m_isHeadRequest);
+      Reply.m_held = HeldBytes(m_memory, BodyDirection::Relayed);
+      Reply.m_held.growTo(Reply.m_body.size());
     } else {
       Reply.m_isSent = true;
       Reply.m_isPeerLost = Item->m_isLost;
@@ -244,11 +273,13 @@
 void RequestRelay::onRelay(std::uint32_t Link, RelayMessage &Message) {
   const ServerEntry *Server = m_findServer(Message.m_server);
   const std::size_t Bytes = Message.m_head.size() + Message.m_body.size();
+  HeldBytes Held;
   const bool IsTaken = Server != nullptr && mayGetRequests(*Server) &&
                        !m_contacts.isSuspected() &&
                        Message.m_timeLeft > Millis(0) &&
                        m_served.size() < m_policy.m_maxServed &&
-                       m_servedBytes + Bytes <= m_policy.m_maxServedBytes;
+                       m_servedBytes + Bytes <= m_policy.m_maxServedBytes &&
+                       tryHold(Held, Bytes, !Message.m_body.empty());
   m_metrics.count("relay_requests",
                   IsTaken ? "result=\"taken\"" : "result=\"refused\"");
   if (!IsTaken) {
@@ -258,13 +289,15 @@
     return;
   }
   ServerEntry Target = *Server;
-  asio::co_spawn(m_executor, serve(Link, std::move(Message), std::move(Target)),
-                 asio::detached);
+  asio::co_spawn(
+      m_executor,
+      serve(Link, std::move(Message), std::move(Target), std::move(Held)),
+      asio::detached);
 }
 
 asio::awaitable<void> RequestRelay::serve(std::uint32_t Link,
                                           RelayMessage Message,
-                                          ServerEntry Server) {
+                                          ServerEntry Server, HeldBytes Held) {
   const std::size_t Bytes = Message.m_head.size() + Message.m_body.size();
   const ServedId Id{Link, Message.m_number};
   const auto Token = std::make_shared<CancelToken>();
@@ -274,15 +307,19 @@
   UpstreamRequest Request;
   Request.m_server = Server;
   Request.m_head = std::move(Message.m_head);
-  Request.m_body = std::move(Message.m_body);
+  if (!Message.m_body.empty())
+    Request.m_body =
+        std::make_shared<const std::string>(std::move(Message.m_body));
+  Request.m_answerDirection = BodyDirection::Relayed;
   Request.m_requestId = Message.m_requestId;
   Request.m_isHeadRequest = Message.m_isHeadRequest;
   Request.m_isSafe = Message.m_isSafe;
   Request.m_deadline = End;
   Request.m_maxIdleConnections = MaxIdleConnections;
   const std::uint32_t Attempt = m_contacts.begin(nullptr);
-  const UpstreamReply Reply =
+  UpstreamReply Reply =
       co_await m_upstreams.execute(std::move(Request), *Token);
+  Held.shrinkTo(0);
   m_contacts.end(Attempt, Server.m_id, Reply);
   const RelayAnswerMessage Answer =
       makeAnswer(Message.m_number, Reply, Message.m_isHeadRequest);
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -83,7 +83,8 @@
 /// State of writing a request, shared by the writer and the reader.
 struct UpstreamClient::WriteState {
   beast::tcp_stream *m_stream = nullptr;
-  std::string m_bytes;
+  std::string m_bytes; ///< Head, or a piece of the body.
+  SharedBody m_body;   ///< Follows the head.
   BodySource m_bodySource;
   bool m_isDone = false;
   bool m_isAbandoned = false;
@@ -92,8 +93,12 @@
 asio::awaitable<void>
 UpstreamClient::writeRequest(std::shared_ptr<WriteState> State) {
   while (!State->m_isAbandoned) {
+    std::array<asio::const_buffer, 2> Buffers{asio::buffer(State->m_bytes)};
+    if (State->m_body != nullptr)
+      Buffers[1] = asio::buffer(*State->m_body);
     const auto [Error, Count] = co_await asio::async_write(
-        State->m_stream->socket(), asio::buffer(State->m_bytes), UseTuple);
+        State->m_stream->socket(), Buffers, UseTuple);
+    State->m_body = nullptr;
     if (Error || State->m_isAbandoned)
       co_return;
     if (!State->m_bodySource)
@@ -140,7 +145,7 @@
         (Echo.empty() && Head.result_int() / 100 != 2))
       co_return true;
     // An answer to an earlier request: skips it and reads the next one.
-    const bool IsRead = co_await readBody(Used, Reply);
+    const bool IsRead = co_await readBody(Used, Request, Reply);
     if (!IsRead || Reply.m_hasMore)
       co_return false;
     Reply.m_parser = nullptr;
@@ -150,11 +155,15 @@
 }
 
 asio::awaitable<bool> UpstreamClient::readBody(Connection &Used,
+                                               const UpstreamRequest &Request,
                                                UpstreamReply &Reply) {
   ResponseParser &Parser = *Reply.m_parser;
   std::string Piece(PieceBytes, '\0');
+  Reply.m_held = HeldBytes(m_memory, Request.m_answerDirection);
   while (!Parser.is_done()) {
-    if (Reply.m_body.size() >= MaxBufferedReplyBytes) {
+    const bool IsShort = Request.m_canStreamAnswer && m_memory->isFull() &&
+                         Reply.m_body.size() >= PieceBytes;
+    if (IsShort || Reply.m_body.size() >= MaxBufferedReplyBytes) {
       Reply.m_hasMore = true;
       co_return true;
     }
@@ -162,6 +171,7 @@
       Reply.m_result = DispatchResult::TimedOut;
       co_return false;
     }
+    Reply.m_held.growTo(Reply.m_body.size() + PieceBytes);
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
     const auto [Error, Count] = co_await http::async_read(
@@ -173,6 +183,7 @@
       co_return false;
     }
   }
+  Reply.m_held.shrinkTo(Reply.m_body.size());
   co_return true;
 }
 
@@ -260,10 +271,12 @@
   const std::shared_ptr<WriteState> State = std::make_shared<WriteState>();
   State->m_stream = &Used->m_stream;
   State->m_bytes = std::move(Request.m_head);
-  State->m_bytes += Request.m_body;
+  State->m_body = std::move(Request.m_body);
   State->m_bodySource = Request.m_bodySource;
-  const bool IsShort =
-      !Request.m_bodySource && State->m_bytes.size() < ShortRequestBytes;
+  const std::size_t BodyBytes =
+      State->m_body == nullptr ? 0 : State->m_body->size();
+  const bool IsShort = !Request.m_bodySource &&
+                       State->m_bytes.size() + BodyBytes < ShortRequestBytes;
   Used->setDeadline(Request.m_deadline + AnswerGrace);
   if (IsShort)
     co_await writeRequest(State);
@@ -275,7 +288,7 @@
   Reply.m_serviceTime = elapsed(StartedAt);
   if (IsWhole) {
     handleHead(Request, Reply);
-    IsWhole = co_await readBody(*Used, Reply);
+    IsWhole = co_await readBody(*Used, Request, Reply);
   }
   Token.m_stream = nullptr;
   const bool CanKeep = IsWhole && !Reply.m_hasMore && State->m_isDone &&
--- a/test/gateway/upstream-client-test.cc
+++ b/test/gateway/upstream-client-test.cc
@@ -26,7 +26,7 @@
     Out.m_server.m_address = m_server.address();
     Out.m_head = "POST /work HTTP/1.1\r\nHost: a\r\nContent-Length: " +
                  std::to_string(BodyBytes) + "\r\n\r\n";
-    Out.m_body = std::string(BodyBytes, 'x');
+    Out.m_body = std::make_shared<const std::string>(BodyBytes, 'x');
     Out.m_requestId = "id";
     Out.m_isSafe = false;
     Out.m_deadline = BootClock::now() + Millis(100);
@@ -42,7 +42,8 @@
   WorkerContext m_context{1};
   LateReader m_server;
   ConnectionPool m_pool{PoolPolicy{}};
-  UpstreamClient m_subject{m_pool, HeaderNames{}};
+  UpstreamClient m_subject{m_pool, HeaderNames{},
+                           std::make_shared<BodyMemory>(BodyMemoryPolicy{})};
   CancelToken m_token;
 };
 
