Cut hosts off from all servers in the soak

Each server stands behind one proxy for all hosts. On loopback all hosts connect from 127.0.0.1, so that a listener cannot tell them apart, and it could not leave one host's connects without an answer either.

A library that the soak preloads into the hosts (soak/preload) replaces the servers' network by the host's. Links of one host, most of a zone or a zone hang (connects get no answer), are reset and refused, or refuse new connections. The check cut-off-served counts failed connects as failed attempts. Attempts at a host with a fault of its own, or of its link to the store, until 3 s after it are left out: clients or the store do not reach it then. Clients also use hosts that are cut off and not ready.

Child closes inherited descriptors: a restarted host kept the listeners of the proxies, so that they could not be closed or opened again.

The unit tests of soak/ (37) passed before the change of Child and were not run again; tests in test/process were not run.

--- a/soak/fault-proxy.cc
+++ b/soak/fault-proxy.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
+#include <linux/filter.h>
 #include <set>
 
 namespace tamarackdrum::soak {
@@ -27,6 +28,19 @@
   Socket.close(Ignored);
 }
 
+/// Lets the kernel drop all segments that reach \p Listening, or none.
+void setDropsConnects(tcp::acceptor &Listening, bool IsDropping) {
+  sock_filter Drop{BPF_RET | BPF_K, 0, 0, 0};
+  const sock_fprog Program{1, &Drop};
+  const int Unused = 0;
+  if (IsDropping)
+    ::setsockopt(Listening.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER,
+                 &Program, sizeof(Program));
+  else
+    ::setsockopt(Listening.native_handle(), SOL_SOCKET, SO_DETACH_FILTER,
+                 &Unused, sizeof(Unused));
+}
+
 } // namespace
 
 struct FaultProxy::State {
@@ -39,17 +53,19 @@
 
   State(asio::io_context &Context, const Endpoint &Listen,
         const Endpoint &Target)
-      : m_context(Context), m_acceptor(Context, Listen), m_target(Target) {}
+      : m_context(Context), m_acceptor(Context, Listen),
+        m_address(m_acceptor.local_endpoint()), m_target(Target) {}
 
   asio::io_context &m_context;
   tcp::acceptor m_acceptor;
+  const Endpoint m_address; ///< Also while nothing listens.
   Endpoint m_target;
   LinkFault m_fault = LinkFault::None;
   Millis m_delay{0};
   std::set<std::shared_ptr<Connection>> m_connections;
 
   bool dropsBytes(bool IsToTarget) const {
-    return m_fault == LinkFault::Silent ||
+    return m_fault == LinkFault::Silent || m_fault == LinkFault::Hanging ||
            m_fault == (IsToTarget ? LinkFault::DropToTarget
                                   : LinkFault::DropFromTarget);
   }
@@ -142,6 +158,16 @@
 void FaultProxy::setFault(LinkFault Fault, Millis Delay) {
   m_state->m_fault = Fault;
   m_state->m_delay = Delay;
+  boost::system::error_code Ignored;
+  if (Fault == LinkFault::Closed) {
+    m_state->m_acceptor.close(Ignored);
+  } else if (!m_state->m_acceptor.is_open()) {
+    m_state->m_acceptor = tcp::acceptor(m_state->m_context, m_state->m_address);
+    asio::co_spawn(m_state->m_context, State::acceptConnections(m_state),
+                   asio::detached);
+  }
+  if (m_state->m_acceptor.is_open())
+    setDropsConnects(m_state->m_acceptor, Fault == LinkFault::Hanging);
   const std::set<std::shared_ptr<State::Connection>> Open =
       m_state->m_connections;
   for (const std::shared_ptr<State::Connection> &Pair : Open)
@@ -160,8 +186,6 @@
     State::resetConnection(m_state, Pair);
 }
 
-Endpoint FaultProxy::address() const {
-  return m_state->m_acceptor.local_endpoint();
-}
+Endpoint FaultProxy::address() const { return m_state->m_address; }
 
 } // namespace tamarackdrum::soak
--- a/soak/fault-proxy.h
+++ b/soak/fault-proxy.h
@@ -14,11 +14,14 @@
 /// Fault of a link.
 enum class LinkFault {
   None,
-  Refused,       ///< New connections are reset.
-  Delayed,       ///< Bytes in both directions are delayed.
-  Silent,        ///< Bytes in both directions are dropped, without a close.
-  DropToTarget,  ///< Bytes to the target are dropped.
-  DropFromTarget ///< Bytes from the target are dropped.
+  Refused,        ///< New connections are reset.
+  Delayed,        ///< Bytes in both directions are delayed.
+  Silent,         ///< Bytes in both directions are dropped, without a close.
+  DropToTarget,   ///< Bytes to the target are dropped.
+  DropFromTarget, ///< Bytes from the target are dropped.
+  /// New connections get no answer at all; bytes of open ones are dropped.
+  Hanging,
+  Closed ///< Nothing listens; open connections work.
 };
 
 /// Forwards connections to a target. A connection that has dropped bytes is
--- a/soak/soak-clients.cc
+++ b/soak/soak-clients.cc
@@ -95,7 +95,7 @@
 std::optional<std::size_t> SoakClients::drawReadyHost() {
   std::vector<std::size_t> Ready;
   for (std::size_t I = 0; I < m_isReady.size(); ++I)
-    if (m_isReady[I])
+    if (m_isReady[I] || m_site.isCutOff(I))
       Ready.push_back(I);
   if (Ready.empty())
     return std::nullopt;
@@ -143,11 +143,14 @@
   To.m_host = *Host;
   To.m_hostIncarnation = m_site.incarnationOf(*Host);
   To.m_requestCount = 0;
+  const TimePoint From = BootClock::now();
   To.m_stream->expires_after(ConnectTimeout);
   const auto [Error] = co_await To.m_stream->async_connect(
       m_site.clientEndpoint(*Host), UseTuple);
-  if (Error)
+  if (Error) {
     To.m_stream.reset();
+    m_history.m_failedConnects.push_back({To.m_host, From, BootClock::now()});
+  }
   co_return !Error;
 }
 
@@ -168,6 +171,7 @@
   Record.m_isConnectionReused = To.m_requestCount > 0;
   // Recorded before sending, since a server may run the request while the write
   // is pending.
+  Record.m_startedAt = BootClock::now();
   const std::size_t Index = m_history.m_requests.size();
   m_history.m_requests.push_back(Record);
   To.m_stream->expires_after(ClientTimeout);
--- a/soak/soak-clients.h
+++ b/soak/soak-clients.h
@@ -53,7 +53,8 @@
   boost::asio::awaitable<void> sendRequest(Connection &To, PlannedRequest Item);
   boost::asio::awaitable<void> pollReadiness(std::size_t Host);
   PlannedRequest makeRequest(std::size_t Index);
-  /// Returns the index of a random ready host.
+  /// Returns the index of a random host that is ready or cut off from the
+  /// servers, which is no reason not to be ready.
   std::optional<std::size_t> drawReadyHost();
   /// Returns a random number less than \p Below.
   std::uint64_t draw(std::uint64_t Below) { return m_random() % Below; }
--- a/soak/soak-history.cc
+++ b/soak/soak-history.cc
@@ -54,6 +54,7 @@
     checkCutRequests();
     checkLimits();
     checkEvacuations();
+    checkCuts();
     return std::move(m_violations);
   }
 
@@ -82,6 +83,11 @@
                           return !isPlanned(Item.m_kind) &&
                                  overlaps(Item, From - m_bounds.m_faultFree,
                                           To);
+                        }) &&
+           std::none_of(m_history.m_cuts.begin(), m_history.m_cuts.end(),
+                        [&](const CutOffRecord &Item) {
+                          return Item.m_from <= To &&
+                                 From - m_bounds.m_faultFree <= Item.m_to;
                         });
   }
 
@@ -357,6 +363,34 @@
                                Item.m_server, Item.m_count, Item.m_allowed));
   }
 
+  void checkCuts() {
+    std::vector<FirstAttempt> Attempts;
+    for (const RequestRecord &Item : m_history.m_requests)
+      if (Item.m_probedVersion == 0 && Item.m_endedAt != TimePoint{})
+        Attempts.push_back({Item.m_host, Item.m_startedAt, Item.m_endedAt,
+                            Item.m_status == 200});
+    for (const FailedConnect &Item : m_history.m_failedConnects)
+      Attempts.push_back({Item.m_host, Item.m_from, Item.m_to, false});
+    const HostFaultCheck HasFault = [this](std::size_t Host, TimePoint From,
+                                           TimePoint To) {
+      return std::any_of(m_history.m_faults.begin(), m_history.m_faults.end(),
+                         [&](const InjectedFault &Item) {
+                           return (isHostOutage(Item, Host) ||
+                                   (Item.m_kind == FaultKind::HostStop &&
+                                    Item.m_target == Host)) &&
+                                  overlaps(Item, From, To);
+                         });
+    };
+    for (const CutOffFailure &Item :
+         findCutOffFailures(Attempts, m_history.m_cuts, HasFault))
+      addViolation(Guarantee::CutOffServed, "",
+                   fmt::format("{}: {} of {} first attempts at {} hosts were "
+                               "served, {:.3f} at the others",
+                               Item.m_cut.m_kind, Item.m_served,
+                               Item.m_attempts, Item.m_cut.m_hosts.size(),
+                               Item.m_otherShare));
+  }
+
   const History &m_history;
   const GuaranteeBounds m_bounds;
   RunsByRequest m_runsByRequest;
@@ -392,6 +426,8 @@
     return "within-limit";
   case Guarantee::EvacuatedOut:
     return "evacuated-out";
+  case Guarantee::CutOffServed:
+    return "cut-off-served";
   }
   return "unknown";
 }
--- a/soak/soak-history.h
+++ b/soak/soak-history.h
@@ -4,6 +4,7 @@
 #ifndef TAMARACKDRUM_SOAK_HISTORY_H
 #define TAMARACKDRUM_SOAK_HISTORY_H
 
+#include "cut-off-check.h"
 #include "fault-schedule.h"
 #include "platform/standin/key-server.h"
 
@@ -21,7 +22,8 @@
   bool m_isUnsafe = false;
   /// Configuration version whose own route is requested; 0: none.
   std::uint64_t m_probedVersion = 0;
-  TimePoint m_sentAt; ///< When the whole request was sent.
+  TimePoint m_startedAt; ///< When writing the request began.
+  TimePoint m_sentAt;    ///< When the whole request was sent.
   TimePoint m_endedAt;
   unsigned m_status = 0;             ///< 0: no whole answer.
   bool m_hasTimedOut = false;        ///< The client closed the connection.
@@ -62,6 +64,14 @@
   bool operator==(const EvacuationRecord &) const = default;
 };
 
+/// A connection to a host that a client could not open.
+struct FailedConnect {
+  std::size_t m_host = 0;
+  TimePoint m_from;
+  TimePoint m_to;
+  bool operator==(const FailedConnect &) const = default;
+};
+
 /// Everything that is recorded in a soak run.
 struct History {
   std::vector<RequestRecord> m_requests;
@@ -70,23 +80,26 @@
   std::vector<LeaveRecord> m_leaves;
   std::vector<VersionRecord> m_versions;
   std::vector<EvacuationRecord> m_evacuations;
+  std::vector<CutOffRecord> m_cuts;
+  std::vector<FailedConnect> m_failedConnects;
   std::map<std::string, std::string> m_zones; ///< Of the servers, by id.
 };
 
 /// Guarantees to clients and backend servers.
 enum class Guarantee {
-  OwnAnswer,   ///< An answer belongs to its request, and a success is whole.
-  AskedFor,    ///< Servers run only requests that clients sent, unchanged.
-  RunOnce,     ///< An unsafe request runs at most once.
-  NotRun,      ///< An unsafe request that is answered as not run has not run.
-  OneHolder,   ///< Two servers hold a key at most for m_holdOverlap.
-  OneOwner,    ///< Runs of a key on two servers don't overlap; tokens rise.
-  LeavingOut,  ///< A leaving server gets no request after m_leave.
-  NoRevert,    ///< A host process never reverts to an older configuration.
-  InForce,     ///< A configuration is in force after m_configuration.
-  NothingCut,  ///< Planned work cuts no request.
-  WithinLimit, ///< Servers get no more requests than the limits they name.
-  EvacuatedOut ///< No request reaches an evacuated zone after m_evacuation.
+  OwnAnswer,    ///< An answer belongs to its request, and a success is whole.
+  AskedFor,     ///< Servers run only requests that clients sent, unchanged.
+  RunOnce,      ///< An unsafe request runs at most once.
+  NotRun,       ///< An unsafe request that is answered as not run has not run.
+  OneHolder,    ///< Two servers hold a key at most for m_holdOverlap.
+  OneOwner,     ///< Runs of a key on two servers don't overlap; tokens rise.
+  LeavingOut,   ///< A leaving server gets no request after m_leave.
+  NoRevert,     ///< A host process never reverts to an older configuration.
+  InForce,      ///< A configuration is in force after m_configuration.
+  NothingCut,   ///< Planned work cuts no request.
+  WithinLimit,  ///< Servers get no more requests than the limits they name.
+  EvacuatedOut, ///< No request reaches an evacuated zone after m_evacuation.
+  CutOffServed  ///< Hosts cut off from all servers serve; see CutOffBounds.
 };
 
 const char *toText(Guarantee Value) noexcept;
--- a/soak/soak-site.cc
+++ b/soak/soak-site.cc
@@ -77,6 +77,8 @@
     addBackend(ResettingService);
   for (std::size_t I = 0; I < KeyedServerCount; ++I)
     addBackend(KeyedService);
+  if (m_options.m_cutsOff)
+    addLinks(Seed);
   for (const char *Name : {PlainService, ResettingService, KeyedService}) {
     Service &Made = m_config.m_services[Name];
     Made.m_name = Name;
@@ -110,6 +112,8 @@
   Settings.m_evacuationBound = GuaranteeBounds{}.m_evacuation;
   if (!m_hosts.empty())
     Settings.m_seedIps = {m_hosts.front().m_settings.m_host.m_ip};
+  if (m_options.m_cutsOff && m_options.m_handlesCuts)
+    Settings.m_contactBound = CutOffBounds{}.m_contact;
   Made.m_storeProxy = std::make_unique<FaultProxy>(
       m_context, endpointOf(Ip, StorePort), m_store.address());
   m_hosts.push_back(std::move(Made));
@@ -138,6 +142,19 @@
     asio::co_spawn(m_context, nameLimits(), asio::detached);
   if (m_options.m_evacuates)
     asio::co_spawn(m_context, evacuateZones(), asio::detached);
+  if (m_cutOffs)
+    asio::co_spawn(m_context, m_cutOffs->run(), asio::detached);
+}
+
+void SoakSite::addLinks(std::uint64_t Seed) {
+  std::vector<std::string> Zones;
+  for (const Host &Item : m_hosts)
+    Zones.push_back(Item.m_settings.m_host.m_zone);
+  std::vector<Endpoint> Servers;
+  for (const Backend &Item : m_backends)
+    Servers.push_back(Item.m_proxy->address());
+  m_cutOffs = std::make_unique<CutOffFaults>(m_context, m_options.m_network,
+                                             Zones, Servers, Seed, m_history);
 }
 
 asio::awaitable<void> SoakSite::evacuateZones() {
@@ -227,8 +244,11 @@
   std::ofstream(File) << encodeSettings(Item.m_settings,
                                         toText(Item.m_storeProxy->address()));
   ++Item.m_incarnation;
-  Item.m_child.emplace(std::vector<std::string>{m_options.m_program,
-                                                "--settings", File.string()},
+  std::vector<std::string> Words;
+  if (m_cutOffs)
+    Words = m_cutOffs->commandPrefix(Index, m_options.m_linkLibrary);
+  Words.insert(Words.end(), {m_options.m_program, "--settings", File.string()});
+  Item.m_child.emplace(std::move(Words),
                        (m_options.m_directory / (Name + ".log")).string());
 }
 
--- a/soak/soak-site.h
+++ b/soak/soak-site.h
@@ -6,6 +6,7 @@
 #define TAMARACKDRUM_SOAK_SITE_H
 
 #include "child-process.h"
+#include "cut-off-faults.h"
 #include "fault-proxy.h"
 #include "platform/standin/row-store.h"
 #include "soak-history.h"
@@ -25,6 +26,9 @@
   std::size_t m_zoneCount = 3;
   bool m_namesLimits = false; ///< Servers name rate limits at times.
   bool m_evacuates = false;   ///< The operator evacuates zones, one at a time.
+  bool m_cutsOff = false;     ///< Hosts are cut off from all servers at times.
+  bool m_handlesCuts = true;  ///< The hosts' settings name the contact bound.
+  std::string m_linkLibrary;  ///< Built from soak/preload; for m_cutsOff.
 };
 
 /// Services of the site.
@@ -57,6 +61,9 @@
   unsigned incarnationOf(std::size_t Host) const {
     return m_hosts[Host].m_incarnation;
   }
+  bool isCutOff(std::size_t Host) const {
+    return m_cutOffs && m_cutOffs->isCutOff(Host);
+  }
   std::uint64_t newestVersion() const { return m_config.m_version; }
 
 private:
@@ -80,6 +87,7 @@
 
   void addHost(std::size_t Index);
   void addBackend(const char *Service);
+  void addLinks(std::uint64_t Seed);
   void startHost(std::size_t Index);
   void startServer(std::size_t Index, bool KeepsId);
   /// Writes the registry entry of a running server.
@@ -121,6 +129,7 @@
   std::vector<Backend> m_backends;
   std::set<std::string> m_removedIds; ///< Servers removed from the registry.
   std::string m_evacuatedZone;        ///< Empty: none.
+  std::unique_ptr<CutOffFaults> m_cutOffs; ///< Null without m_cutsOff.
 };
 
 } // namespace tamarackdrum::soak
--- a/soak/tamarack-soak.cc
+++ b/soak/tamarack-soak.cc
@@ -36,6 +36,7 @@
 constexpr Millis DrainTimeout{6000}; ///< For pending requests.
 constexpr Millis PollInterval{50};
 constexpr double MinServedShare = 0.9;
+constexpr const char *LinkLibraryName = "libtamarack-soak-links.so";
 
 struct Options {
   std::uint64_t m_firstSeed = 1;
@@ -52,6 +53,7 @@
 
 Options parse(int Argc, char **Argv) {
   Options Out;
+  bool WithoutContact = false;
   po::options_description Known("Usage: tamarack-soak [options]");
   Known.add_options()("help", "print this help")(
       "seed", po::value(&Out.m_firstSeed)->default_value(Out.m_firstSeed),
@@ -72,6 +74,12 @@
       "let servers name rate limits")("evacuations",
                                       po::bool_switch(&Out.m_site.m_evacuates),
                                       "let the operator evacuate zones")(
+      "cut-off", po::bool_switch(&Out.m_site.m_cutsOff),
+      "cut hosts off from all servers at times")(
+      "links", po::value(&Out.m_site.m_linkLibrary),
+      "path of libtamarack-soak-links.so; default: beside the program")(
+      "no-contact", po::bool_switch(&WithoutContact),
+      "leave contact_ms out of the hosts' settings, to test the check")(
       "recovery", po::bool_switch(&Out.m_checksRecovery),
       "also check that requests are served again after the faults")(
       "keep", po::bool_switch(&Out.m_keepsAllLogs),
@@ -90,6 +98,10 @@
     std::cout << Known;
   else
     po::notify(Values);
+  Out.m_site.m_handlesCuts = !WithoutContact;
+  if (Out.m_site.m_linkLibrary.empty())
+    Out.m_site.m_linkLibrary = std::filesystem::absolute(Out.m_site.m_program)
+                                   .replace_filename(LinkLibraryName);
   return Out;
 }
 
@@ -139,6 +151,14 @@
                               ? -1
                               : millisBetween(Start, Item.m_to)}}
         << '\n';
+  for (const CutOffRecord &Item : Recorded.m_cuts)
+    Out << Json{{"cut_off", Item.m_kind},
+                {"hosts", Item.m_hosts},
+                {"from_ms", millisBetween(Start, Item.m_from)},
+                {"to_ms", Item.m_to == TimePoint::max()
+                              ? -1
+                              : millisBetween(Start, Item.m_to)}}
+        << '\n';
   for (const LeaveRecord &Item : Recorded.m_leaves)
     Out << Json{{"leave", Item.m_server},
                 {"at_ms", millisBetween(Start, Item.m_at)}}
--- a/standin/child-process.h
+++ b/standin/child-process.h
@@ -28,6 +28,9 @@
     posix_spawn_file_actions_addopen(&Actions, 1, LogFile.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&Actions, 1, 2);
+    // Sockets of this process would stay open in the child after their close
+    // here.
+    posix_spawn_file_actions_addclosefrom_np(&Actions, 3);
     if (::posix_spawn(&m_pid, Pointers[0], &Actions, nullptr, Pointers.data(),
                       environ) != 0)
       m_pid = -1;
