--- a/test/gateway/key-placement-test.cc
+++ b/test/gateway/key-placement-test.cc
@@ -269,7 +269,7 @@
 // Small differences in steady load must leave ranges for a demand that comes
 // later; without any, a hot range could not be split.
 TEST_F(HotWindowTest, Plan_ManyRanges_HotRangeIsStillSplit) {
-  m_policy.m_maxRanges = 4 * Servers;
+  m_policy.m_maxRanges = std::size_t{4} * Servers;
   m_policy.m_ordinaryRangeShare = 0.25;
   for (int Round = 0; Round < 10; ++Round)
     playRound(Round);
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -51,8 +51,9 @@
           StateMessage{"{}", {Server}, {{1, 12}, {"zone-a", "zone-b"}}},
           EvacuationsMessage{{{0, 7}, {}}},
           CrashMessage{~0ULL, "s-1@5"},
-          RelayMessage{9, "s-1", "GET / HTTP/1.1\r\n\r\n", "\xff\0x", "id",
-                       true, false, Millis(700)},
+          RelayMessage{9, "s-1", "GET / HTTP/1.1\r\n\r\n",
+                       std::string{'\xff', '\0', 'x'}, "id", true, false,
+                       Millis(700)},
           RelayAnswerMessage{
               9, DispatchResult::Served, true, true, Millis(160),
               AnswerReport{NamedLimit{2.5}, ReportedLoad{4, 1, 4}, Millis(3)},
--- a/test/gateway/relay-peers-test.cc
+++ b/test/gateway/relay-peers-test.cc
@@ -1,8 +1,9 @@
 #include "tamarackdrum/gateway/relay-peers.h"
 
-#include <algorithm>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace tamarackdrum::gateway {
 namespace {
 
