--- a/include/tamarackdrum/gateway/granter-runner.h
+++ b/include/tamarackdrum/gateway/granter-runner.h
@@ -26,14 +26,6 @@
   /// the host learns the granter, or that its own earlier process has ended.
   Millis m_startDelay{1000};
   Millis m_minStartDelay{500};
-  /// Pause after a term is lost. The last heartbeats of the next granter may be
-  /// older than its takeover, and say that it does not reach the store.
-  Millis m_lostDelay{1000};
-  /// Shortest time from the start of the process to a takeover from a host that
-  /// has not been heard yet: a new host has no link to some of the others.
-  Millis m_unheardDelay{3000};
-  /// Interval at which the listed servers are recorded.
-  Millis m_noteInterval{300};
   /// Pause after a failed takeover or write.
   Millis m_retryDelay{400};
 
@@ -139,7 +131,6 @@
   bool m_isWriting = false;
   TimePoint m_validatedAt{};
   TimePoint m_nextTakeOverAt;
-  TimePoint m_nextNoteAt{};
   TimePoint m_nextLookupAt{};
   bool m_hasReadRecord = false; ///< By readRecordedHolders().
   /// As last logged; see logPlacement().
--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -228,13 +228,6 @@
 
   void setServers(const std::vector<ServerEntry> &Servers, TimePoint Now);
 
-  /// Records all listed servers, also before this host becomes the granter.
-  /// \p Service is the service of this granter. A later server at the address
-  /// of an earlier one proves that the earlier one has ended, without a wait
-  /// for its holds.
-  void noteServers(const std::map<std::string, ServerEntry> &Listed,
-                   const std::string &Service);
-
   /// Makes a renewal for \p Value due at once. Called when a server has
   /// answered that it does not hold the key.
   void renewNow(Key Value);
@@ -319,11 +312,6 @@
   bool isPersisted(const Range &Item) const;
   /// Returns the latest time at which a hold of the owner of \p Item can end.
   TimePoint lastHoldEnd(const Range &Item) const;
-  /// Keeps the last entry of a server. Earlier failures of its calls do not
-  /// count for another instance.
-  void rememberServer(const ServerEntry &Entry);
-  /// Returns whether a later server is listed at the address of \p Instance.
-  bool hasEnded(const ServerInstance &Instance) const;
   /// Returns whether the previous owner of \p Item can no longer hold the keys.
   bool mayClearPreviousOwner(const Range &Item, TimePoint Now) const;
   std::int64_t toStoreMs(TimePoint At) const;
@@ -393,8 +381,6 @@
   /// The last entry of each server ever listed, for releases to servers that
   /// are no longer listed.
   std::map<std::string, ServerEntry> m_knownServers;
-  /// The last server that started at each address, of all services.
-  std::map<std::string, ServerInstance> m_addressUsers;
   std::map<std::string, Reachability> m_reachability;
   std::map<std::uint64_t, Call> m_calls;
   std::uint64_t m_lastCall = 0;
--- a/src/edge/granter-runner.cc
+++ b/src/edge/granter-runner.cc
@@ -77,8 +77,6 @@
 void GranterRunner::stepDown(std::string_view Reason,
                              const KnownGranter &Winner) {
   m_granter.stepDown();
-  m_nextTakeOverAt =
-      std::max(m_nextTakeOverAt, BootClock::now() + m_policy.m_lostDelay);
   m_log.write("granter-lost", {{"service", m_service},
                                {"reason", Reason},
                                {"term", Winner.m_term},
@@ -195,11 +193,6 @@
         m_hosts.processStartMs(Old.m_granter) == Old.m_granterStartMs)
       co_return;
   }
-  const bool IsHeard = Old.m_granter == m_hosts.self().m_name ||
-                       m_hosts.lastHeartbeat(Old.m_granter) != nullptr;
-  if (Old.m_term > 0 && !IsHeard &&
-      Now - m_context.m_startedAt < m_policy.m_unheardDelay)
-    co_return;
   m_version = Read.value().m_version;
   const auto State = [this](const EarlierGranter &Item) {
     return earlierGranterState(Item);
@@ -364,10 +357,6 @@
 asio::awaitable<void> GranterRunner::run() {
   while (!m_isEnded) {
     const TimePoint Now = BootClock::now();
-    if (Now >= m_nextNoteAt) {
-      m_nextNoteAt = Now + m_policy.m_noteInterval;
-      m_granter.noteServers(m_context.m_servers(), m_service);
-    }
     if (shouldTakeOver(Now))
       co_await takeOver();
     if (m_granter.isGranter()) {
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -289,42 +289,16 @@
   markChanged(Item);
 }
 
-void KeyGranter::rememberServer(const ServerEntry &Entry) {
-  const auto Known = m_knownServers.find(Entry.m_id);
-  if (Known != m_knownServers.end() &&
-      Known->second.m_startMs != Entry.m_startMs)
-    m_reachability.erase(Entry.m_id);
-  m_knownServers[Entry.m_id] = Entry;
-}
-
-void KeyGranter::noteServers(const std::map<std::string, ServerEntry> &Listed,
-                             const std::string &Service) {
-  m_addressUsers.clear();
-  for (const auto &[Id, Entry] : Listed) {
-    if (Entry.m_service == Service)
-      rememberServer(Entry);
-    ServerInstance &User = m_addressUsers[Entry.m_address];
-    if (Entry.m_startMs > User.m_startMs)
-      User = {Id, Entry.m_startMs};
-  }
-}
-
-bool KeyGranter::hasEnded(const ServerInstance &Instance) const {
-  const auto Known = m_knownServers.find(Instance.m_id);
-  if (Known == m_knownServers.end() ||
-      Known->second.m_startMs != Instance.m_startMs)
-    return false;
-  const auto User = m_addressUsers.find(Known->second.m_address);
-  return User != m_addressUsers.end() && User->second.m_id != Instance.m_id &&
-         User->second.m_startMs > Instance.m_startMs;
-}
-
 void KeyGranter::setServers(const std::vector<ServerEntry> &Servers,
                             TimePoint) {
   m_servers.clear();
   for (const ServerEntry &Entry : Servers) {
     m_servers[Entry.m_id] = Entry;
-    rememberServer(Entry);
+    const auto Known = m_knownServers.find(Entry.m_id);
+    if (Known != m_knownServers.end() &&
+        Known->second.m_startMs != Entry.m_startMs)
+      m_reachability.erase(Entry.m_id);
+    m_knownServers[Entry.m_id] = Entry;
   }
   if (!m_isGranter)
     return;
@@ -561,8 +535,6 @@
 }
 
 bool KeyGranter::mayClearPreviousOwner(const Range &Item, TimePoint Now) const {
-  if (hasEnded(Item.m_record.m_previousOwner))
-    return true;
   if (Item.m_isPreviousInherited && Now < m_inheritedHoldsEndAt)
     return false;
   return (Item.m_isReleased && Now >= Item.m_releaseValidFrom) ||
@@ -642,8 +614,7 @@
     const RangeRecord &Record = Item.m_record;
     if (Record.m_previousOwner.isNone() || !isPersisted(Item) ||
         mayUnknownGranterHold(Item, Now) || Item.m_isReleasePending ||
-        Item.m_isReleased || Now < Item.m_nextReleaseAt ||
-        hasEnded(Record.m_previousOwner))
+        Item.m_isReleased || Now < Item.m_nextReleaseAt)
       continue;
     const auto Known = m_knownServers.find(Record.m_previousOwner.m_id);
     if (Known == m_knownServers.end() ||
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -197,37 +197,6 @@
   EXPECT_EQ(holderOf(0), "b");
 }
 
-// A later server at the address of the previous owner proves that it has ended.
-// Without that, keys wait for holds that a silent granter may have given.
-TEST_F(KeyGranterTest, Move_AddressOfOwnerIsUsedAgain_DoesNotWaitForHolds) {
-  ServerEntry Ended = makeServer("a", 1);
-  m_subject.noteServers({{"a", Ended}}, "stock");
-  takeOver({4, "h0", 5, {}, {makeRange(0, 65535, "a", 77)}}, false);
-  ServerEntry Other = makeServer("x", 2);
-  Other.m_service = "orders";
-  ServerEntry Next = makeServer("b");
-  Next.m_address = "10.0.0.2:80";
-  m_subject.noteServers({{"x", Other}, {"b", Next}}, "stock");
-  setServers({Next});
-  run(Millis(3000));
-  EXPECT_EQ(holderOf(0), "b");
-}
-
-// An earlier server at the address, whose entry has not lapsed yet, proves
-// nothing.
-TEST_F(KeyGranterTest, Move_EarlierServerAtTheAddress_WaitsForHolds) {
-  m_subject.noteServers({{"a", makeServer("a", 5)}}, "stock");
-  OwnershipRecord Read{4, "h0", 5, {}, {makeRange(0, 65535, "a", 77)}};
-  Read.m_ranges[0].m_owner.m_startMs = 5;
-  takeOver(Read, false);
-  ServerEntry Next = makeServer("b");
-  Next.m_address = "10.0.0.2:80";
-  m_subject.noteServers({{"x", makeServer("x", 2)}, {"b", Next}}, "stock");
-  setServers({Next});
-  run(Millis(3000));
-  EXPECT_EQ(holderOf(0), "");
-}
-
 // Two takeovers in a row while a range moves: the range must not wait for the
 // second-to-last granter, which has stepped down.
 TEST_F(KeyGranterTest, TakeOver_EarlierGrantersSteppedDown_WaitsForOneHold) {
