Let the fault proxy hold bytes back

A path that fails keeps bytes and delivers them when it heals, unless their sender resets the connection. The proxy could only drop or delay bytes, so that no test and no soak could play a call that arrives after it has been given up.

Two tests: bytes of a closed connection arrive after the fault, those of a reset connection do not.

--- a/soak/fault-proxy.cc
+++ b/soak/fault-proxy.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
+#include <poll.h>
 #include <set>
 
 namespace tamarackdrum::soak {
@@ -19,6 +20,8 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t BufferBytes = 16384;
+/// Interval at which held bytes are looked at again.
+constexpr Millis HeldPollInterval{2};
 
 void resetSocket(tcp::socket &Socket) {
   // Errors are ignored: the socket is discarded in any case.
@@ -27,6 +30,13 @@
   Socket.close(Ignored);
 }
 
+/// Returns whether the peer of \p Socket has reset the connection. Unread bytes
+/// before the reset do not hide it.
+bool isReset(tcp::socket &Socket) {
+  pollfd Wanted{Socket.native_handle(), 0, 0};
+  return ::poll(&Wanted, 1, 0) > 0 && (Wanted.revents & POLLERR) != 0;
+}
+
 } // namespace
 
 struct FaultProxy::State {
@@ -61,6 +71,18 @@
     Self->m_connections.erase(Pair);
   }
 
+  /// Waits until the bytes read from \p From may go on. Returns false if they
+  /// are lost, because \p From has been reset or closed meanwhile.
+  static asio::awaitable<bool> waitWhileHeld(std::shared_ptr<State> Self,
+                                             tcp::socket &From) {
+    while (Self->m_fault == LinkFault::Held) {
+      co_await sleepFor(HeldPollInterval);
+      if (!From.is_open() || isReset(From))
+        co_return false;
+    }
+    co_return true;
+  }
+
   static asio::awaitable<void> forwardBytes(std::shared_ptr<State> Self,
                                             std::shared_ptr<Connection> Pair,
                                             bool IsToTarget) {
@@ -73,6 +95,11 @@
           co_await From.async_read_some(asio::buffer(Buffer), UseTuple);
       if (Self->m_fault == LinkFault::Delayed)
         co_await sleepFor(Self->m_delay);
+      const bool HasArrived = co_await waitWhileHeld(Self, From);
+      if (!HasArrived) {
+        resetConnection(Self, Pair);
+        co_return;
+      }
       if (Self->dropsBytes(IsToTarget)) {
         // The end of the stream is dropped like its bytes.
         Pair->m_hasLostBytes = true;
--- a/soak/fault-proxy.h
+++ b/soak/fault-proxy.h
@@ -15,6 +15,7 @@
 enum class LinkFault {
   None,
   Refused,       ///< New connections are reset.
+  Held,          ///< Bytes and ends of streams wait until the fault changes.
   Delayed,       ///< Bytes in both directions are delayed.
   Silent,        ///< Bytes in both directions are dropped, without a close.
   DropToTarget,  ///< Bytes to the target are dropped.
@@ -22,7 +23,9 @@
 };
 
 /// Forwards connections to a target. A connection that has dropped bytes is
-/// reset when the fault changes, since its stream has a gap.
+/// reset when the fault changes, since its stream has a gap. Bytes that are
+/// held are lost if their sender resets the connection, as on a path that
+/// fails.
 class FaultProxy {
 public:
   /// Listens on \p Listen; throws boost::system::system_error on failure.
--- a/test/soak/fault-proxy-test.cc
+++ b/test/soak/fault-proxy-test.cc
@@ -103,6 +103,28 @@
   EXPECT_GE(BootClock::now() - Sent, Millis(140));
 }
 
+TEST_F(FaultProxyTest, Held_SenderCloses_BytesArriveAfterTheFault) {
+  connect();
+  inContext([this] { m_subject->setFault(LinkFault::Held); });
+  send(m_clientSocket, "late");
+  m_clientSocket.close();
+  std::this_thread::sleep_for(Millis(100));
+  EXPECT_EQ(m_targetSocket.available(), 0U);
+  inContext([this] { m_subject->setFault(LinkFault::None); });
+  EXPECT_EQ(receive(m_targetSocket, 4), "late");
+}
+
+TEST_F(FaultProxyTest, Held_SenderResets_BytesAreLost) {
+  connect();
+  inContext([this] { m_subject->setFault(LinkFault::Held); });
+  send(m_clientSocket, "lost");
+  m_clientSocket.set_option(asio::socket_base::linger(true, 0));
+  m_clientSocket.close();
+  std::this_thread::sleep_for(Millis(100));
+  inContext([this] { m_subject->setFault(LinkFault::None); });
+  EXPECT_EQ(receive(m_targetSocket, 4), "");
+}
+
 TEST_F(FaultProxyTest, Refused_NewConnectionsAreReset) {
   inContext([this] { m_subject->setFault(LinkFault::Refused); });
   m_clientSocket.connect(m_address);
