Add a failing test of a grant that is sent after its timeout

The client of the key servers has two timeouts one after the other, and checks neither before it writes: a process that is frozen while it connects writes the grant when it wakes, however late, and the granter counts its hold from an earlier time.

Fails on this code: no-answer instead of not-sent, and the server has received the whole call.

--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <thread>
 
 namespace tamarackdrum::platform {
 namespace {
@@ -135,5 +136,31 @@
   }
 }
 
+// A process that is frozen while it connects must not send a grant that its
+// granter no longer waits for.
+TEST_F(KeyServerClientTest, Grant_TimeoutPassesWhileConnecting_IsNotSent) {
+  for (const bool IsRelease : {false, true}) {
+    LateReader Server;
+    GrantCall Call;
+    Call.m_isRelease = IsRelease;
+    Call.m_address = Server.address();
+    std::optional<GrantReply> Reply;
+    asio::co_spawn(
+        m_context,
+        [&]() -> asio::awaitable<void> {
+          Reply = co_await m_subject.call(Call, Millis(100));
+        },
+        asio::detached);
+    m_context.run_one();
+    std::this_thread::sleep_for(Millis(150));
+    while (!Reply)
+      m_context.run_one();
+    EXPECT_EQ(Reply->m_result, GrantResult::NotSent);
+    Server.accept();
+    Server.readToEnd();
+    EXPECT_EQ(Server.m_text, "");
+  }
+}
+
 } // namespace
 } // namespace tamarackdrum::platform
