Send no grant or release after its timeout

What callers could see: two servers with the same keys for up to a hold time. A process that is frozen after its granter has decided on a grant, e.g. while it connects, wrote the grant when it woke. The granter counts the hold from the decision, and the keys may have moved meanwhile.

Cause: the client took a timeout, counted it from the moment at which the connection was open, and never compared it with the clock before the write; the runner did not pass on when the call was decided on.

Change: the call has a deadline, counted from the step that decided on it.

--- a/include/tamarackdrum/gateway/granter-runner.h
+++ b/include/tamarackdrum/gateway/granter-runner.h
@@ -103,7 +103,8 @@
   boost::asio::awaitable<void> writeRecord(OwnershipRecord Record);
   /// Reads the record and steps down if another granter has taken over.
   boost::asio::awaitable<void> validateTerm();
-  boost::asio::awaitable<void> executeCall(GrantCall Call);
+  /// \p DecidedAt is when the granter returned \p Call.
+  boost::asio::awaitable<void> executeCall(GrantCall Call, TimePoint DecidedAt);
   void stepDown(std::string_view Reason, const KnownGranter &Winner);
   void publishKeyMap();
   /// Counts rounds of placement by what ends them. Logs a change of what ends
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -147,8 +147,11 @@
 class KeyServers {
 public:
   virtual ~KeyServers() = default;
+  /// Sends \p Call and waits for the answer until \p Deadline. Nothing is sent
+  /// after that, because the granter no longer waits for the hold that would
+  /// begin.
   virtual boost::asio::awaitable<GrantReply> call(GrantCall Call,
-                                                  Millis Timeout) = 0;
+                                                  TimePoint Deadline) = 0;
 };
 
 } // namespace tamarackdrum::gateway
--- a/src/edge/granter-runner.cc
+++ b/src/edge/granter-runner.cc
@@ -293,11 +293,11 @@
   m_granter.onValidated(SentAt);
 }
 
-asio::awaitable<void> GranterRunner::executeCall(GrantCall Call) {
+asio::awaitable<void> GranterRunner::executeCall(GrantCall Call,
+                                                 TimePoint DecidedAt) {
   const Millis Timeout = Call.m_isRelease ? m_grantPolicy.m_releaseTimeout
                                           : m_grantPolicy.m_callTimeout;
-  const TimePoint StartedAt = BootClock::now();
-  const GrantReply Reply = co_await m_servers.call(Call, Timeout);
+  const GrantReply Reply = co_await m_servers.call(Call, DecidedAt + Timeout);
   const TimePoint Now = BootClock::now();
   m_metrics.count("grant_calls",
                   std::string("result=\"") + toText(Reply.m_result) + "\"");
@@ -305,7 +305,7 @@
     m_context.m_onContact(Call.m_server.m_id,
                           Reply.m_result == GrantResult::Done ||
                               Reply.m_result == GrantResult::HigherFence);
-  const Millis Took = std::chrono::duration_cast<Millis>(Now - StartedAt);
+  const Millis Took = std::chrono::duration_cast<Millis>(Now - DecidedAt);
   if (Reply.m_result != GrantResult::Done || Call.m_isRelease)
     m_log.write(Call.m_isRelease ? "keys-released" : "grant-failed",
                 {{"service", m_service},
@@ -369,9 +369,10 @@
       if (m_granter.plan(m_context.m_keyDemand, m_context.m_serverCapacity,
                          Now))
         notePlacement();
-      GrantActions Actions = m_granter.step(BootClock::now());
+      const TimePoint SteppedAt = BootClock::now();
+      GrantActions Actions = m_granter.step(SteppedAt);
       for (GrantCall &Call : Actions.m_calls)
-        asio::co_spawn(m_executor, executeCall(std::move(Call)),
+        asio::co_spawn(m_executor, executeCall(std::move(Call), SteppedAt),
                        asio::detached);
       if (Actions.m_write)
         asio::co_spawn(m_executor, writeRecord(std::move(*Actions.m_write)),
--- a/test/gateway/cut-off-host-test.cc
+++ b/test/gateway/cut-off-host-test.cc
@@ -15,12 +15,13 @@
 /// Key servers that one host reaches or not.
 class LinkedKeyServers : public FakeKeyServers {
 public:
-  asio::awaitable<GrantReply> call(GrantCall Call, Millis Timeout) override {
+  asio::awaitable<GrantReply> call(GrantCall Call,
+                                   TimePoint Deadline) override {
     if (m_isCut) {
       co_await sleepFor(Millis(20));
       co_return GrantReply{GrantResult::NotSent, ""};
     }
-    GrantReply Out = co_await FakeKeyServers::call(std::move(Call), Timeout);
+    GrantReply Out = co_await FakeKeyServers::call(std::move(Call), Deadline);
     co_return Out;
   }
 
--- a/test/gateway/fake-platform.h
+++ b/test/gateway/fake-platform.h
@@ -111,7 +111,7 @@
 /// Key servers that accept every grant.
 class FakeKeyServers : public KeyServers {
 public:
-  asio::awaitable<GrantReply> call(GrantCall Call, Millis) override {
+  asio::awaitable<GrantReply> call(GrantCall Call, TimePoint) override {
     m_calls.push_back(std::move(Call));
     co_await sleepFor(Millis(1));
     co_return GrantReply{GrantResult::Done, ""};
--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -52,7 +52,7 @@
     Call.m_to = To;
     Call.m_fence = Fence;
     Call.m_hold = Hold;
-    return await(m_subject.call(Call, Millis(600)));
+    return await(m_subject.call(Call, BootClock::now() + Millis(600)));
   }
 
   /// Returns the status of a request for key \p Wanted.
@@ -128,7 +128,8 @@
     Call.m_isRelease = IsRelease;
     Call.m_address = Server.address();
     Call.m_handover = std::string(LateReader::LongBytes, 'x');
-    const GrantReply Reply = await(m_subject.call(Call, Millis(100)));
+    const GrantReply Reply =
+        await(m_subject.call(Call, BootClock::now() + Millis(100)));
     EXPECT_EQ(Reply.m_result, GrantResult::NoAnswer);
     Server.accept();
     EXPECT_EQ(Server.readToEnd(), asio::error::connection_reset);
@@ -145,10 +146,11 @@
     Call.m_isRelease = IsRelease;
     Call.m_address = Server.address();
     std::optional<GrantReply> Reply;
+    const TimePoint Deadline = BootClock::now() + Millis(100);
     asio::co_spawn(
         m_context,
         [&]() -> asio::awaitable<void> {
-          Reply = co_await m_subject.call(Call, Millis(100));
+          Reply = co_await m_subject.call(Call, Deadline);
         },
         asio::detached);
     m_context.run_one();
