--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -74,6 +74,36 @@
   EXPECT_FALSE(Rows[1].m_isReadable);
 }
 
+// An odd entry of another writer must not hide the others or stop the reader.
+TEST_F(StoreClientTest, ReadServers_OddEntries_OthersAreFollowed) {
+  ServerEntry Entry;
+  Entry.m_id = "m";
+  Entry.m_service = "shop";
+  Entry.m_address = "127.0.0.1:9000";
+  Entry.m_zone = "zone";
+  Entry.m_startMs = 17;
+  const std::string Valid = encodeServer(Entry);
+  constexpr std::size_t Depth = 20000;
+  std::string Huge = Valid;
+  Huge.replace(Huge.find("\"slots\":") + 8, 1, "2147483648");
+  std::string Nested(Depth, '[');
+  Nested.append(Depth, ']');
+  m_store.put(ServerTable, "a", Nested);
+  m_store.put(ServerTable, "b", "{\"address\":\"127.0.0.1:99999\"}");
+  m_store.put(ServerTable, "c", "\xff\xfe");
+  m_store.put(ServerTable, "d", Huge);
+  for (const std::uint64_t Count : {1U, 2U}) {
+    Entry.m_reportNumber = Count;
+    m_store.put(ServerTable, "m", encodeServer(Entry));
+    const Result<ServerListing> Read = await(m_subject.readServers());
+    ASSERT_TRUE(Read);
+    ASSERT_EQ(Read.value().m_rows.size(), 5U);
+    for (const ServerRow &Row : Read.value().m_rows)
+      EXPECT_EQ(Row.m_isReadable, Row.m_id == "m") << Row.m_id;
+    EXPECT_EQ(Read.value().m_rows.back().m_entry.m_reportNumber, Count);
+  }
+}
+
 TEST_F(StoreClientTest, ReadServers_ManyPages_AllAreRead) {
   for (int I = 0; I < 1200; ++I)
     m_store.put(ServerTable, "server-" + std::to_string(I), "unreadable");
--- a/test/platform/wire-decode-test.cc
+++ b/test/platform/wire-decode-test.cc
@@ -106,6 +106,88 @@
   }
 }
 
+/// An entry of the server registry with one changed member.
+class DecodeServerTest : public testing::Test {
+protected:
+  DecodeServerTest() {
+    m_value = Json::parse(R"({
+      "address": "10.0.0.1:9000", "born": 1772253264373,
+      "info": {"service": "sheets", "version": "v1", "zone": "a", "slots": 4},
+      "status": {"state": "ready", "seq": 3, "cold_left_ms": 250}})");
+  }
+
+  /// Returns whether the entry is readable with \p Text as its member at
+  /// \p Path.
+  bool isReadable(const char *Path, const std::string &Text) const {
+    const char *Marker = "MARKER";
+    Json Changed = m_value;
+    Changed[Json::json_pointer(Path)] = Marker;
+    std::string Out = Changed.dump();
+    const std::string Quoted = quote(Marker);
+    Out.replace(Out.find(Quoted), Quoted.size(), Text);
+    return decodeServer("a", Out).m_isReadable;
+  }
+
+  static std::string quote(const std::string &Text) {
+    return Json(Text).dump();
+  }
+
+  Json m_value;
+};
+
+TEST_F(DecodeServerTest, Entry_Valid_IsRead) {
+  const ServerRow Row = decodeServer("a", m_value.dump());
+  ASSERT_TRUE(Row.m_isReadable);
+  EXPECT_EQ(Row.m_entry.m_slots, 4U);
+  EXPECT_EQ(Row.m_entry.m_warmUpLeft, Millis(250));
+  EXPECT_EQ(Row.m_entry.m_startMs, 1772253264373);
+}
+
+// An entry with 2^31 slots would draw all requests of its service.
+TEST_F(DecodeServerTest, Slots_OutOfRange_IsUnreadable) {
+  EXPECT_TRUE(isReadable("/info/slots", "65535"));
+  for (const char *Text : {"0", "-1", "65536", "2147483648", "4294967296",
+                           "4294967297", "18446744073709551615", "1e9"})
+    EXPECT_FALSE(isReadable("/info/slots", Text)) << Text;
+}
+
+// The conversion of such a number to an integer is undefined.
+TEST_F(DecodeServerTest, ColdTime_OutOfRange_IsUnreadable) {
+  EXPECT_TRUE(isReadable("/status/cold_left_ms", "0"));
+  EXPECT_TRUE(isReadable("/status/cold_left_ms", "1500.5"));
+  for (const char *Text : {"-1", "1e300", "-1e300", "1e18", "600001"})
+    EXPECT_FALSE(isReadable("/status/cold_left_ms", Text)) << Text;
+}
+
+// A negative count or start would count as newer or older than all others.
+TEST_F(DecodeServerTest, CountOrStart_OutOfRange_IsUnreadable) {
+  for (const char *Path : {"/status/seq", "/born"})
+    for (const char *Text : {"-1", "-9223372036854775808",
+                             "18446744073709551615", "1e30", "1.5", "\"7\""})
+      EXPECT_FALSE(isReadable(Path, Text)) << Path << ' ' << Text;
+  EXPECT_FALSE(isReadable("/born", "9223372036854775807"));
+}
+
+TEST_F(DecodeServerTest, Address_NamesNoServer_IsUnreadable) {
+  for (const char *Text : {"10.0.0.1:0", "10.0.0.1:70000", "10.0.0.1:-1",
+                           "0.0.0.0:9000", "224.0.0.1:9000", "name:9000", ""})
+    EXPECT_FALSE(isReadable("/address", quote(Text))) << Text;
+}
+
+TEST_F(DecodeServerTest, Name_TooLong_IsUnreadable) {
+  const std::string Long = quote(std::string(201, 'x'));
+  EXPECT_FALSE(isReadable("/info/service", Long));
+  EXPECT_FALSE(isReadable("/info/zone", Long));
+}
+
+TEST_F(DecodeServerTest, Member_DeeplyNested_IsUnreadable) {
+  constexpr std::size_t Depth = 200000;
+  std::string Nested(Depth, '[');
+  Nested.append(Depth, ']');
+  for (const char *Path : {"/info/slots", "/status", "/born"})
+    EXPECT_FALSE(isReadable(Path, Nested)) << Path;
+}
+
 TEST(DecodeSettingsTest, EvacuationBound_NotSet_ShortensNoOtherBound) {
   GatewaySettings Settings;
   const auto Decode = [&Settings] {
