Reject configured numbers that are out of range

A configuration with a time of 1e300 was converted to an integer without a defined result, a priority or number of attempts of -1 became the largest, and a body limit of -1 became no limit. Bounds of the settings had the same conversions. The store checks configurations, so that nobody has seen this.

Change: each of these numbers has a bound; the reason in the log names the member, and a bound of the settings out of range is a fault at the start. Bounds with unknown names are passed over, whatever their value.

--- a/test/platform/wire-decode-test.cc
+++ b/test/platform/wire-decode-test.cc
@@ -99,6 +99,27 @@
   EXPECT_EQ(m_reason, "service of route one");
 }
 
+// The conversion of such a number to an integer is undefined, or makes a bound
+// unlimited.
+TEST_F(DecodeConfigurationTest, Number_OutOfRange_IsNamed) {
+  const Json Valid = m_value;
+  for (const char *Path :
+       {"/routes/one/timeout_ms", "/routes/one/slo_ms", "/routes/one/priority",
+        "/routes/one/attempts", "/services/sheets/max_conns",
+        "/limits/max_header_bytes", "/limits/max_body_bytes",
+        "/limits/header_timeout_ms", "/limits/idle_timeout_ms"})
+    for (const char *Text :
+         {"-1", "1e300", "-1e300", "1e18", "18446744073709551615"}) {
+      const Json::json_pointer Member(Path);
+      m_value = Valid;
+      m_value[Member] = Json::parse(Text);
+      EXPECT_FALSE(decode()) << Path << ' ' << Text;
+      EXPECT_EQ(m_reason, Member.back()) << Text;
+      m_value[Member] = 10;
+      EXPECT_TRUE(decode()) << Path << ' ' << m_reason;
+    }
+}
+
 TEST_F(DecodeConfigurationTest, Version_NoNumber_IsMalformed) {
   for (const char *Version : {"r", "7", "r7x", ""}) {
     m_value["version"] = Version;
@@ -188,6 +209,24 @@
     EXPECT_FALSE(isReadable(Path, Nested)) << Path;
 }
 
+TEST(DecodeSettingsTest, Bound_OutOfRange_IsAFault) {
+  const Json Valid =
+      Json::parse(standin::encodeSettings(GatewaySettings{}, "127.0.0.1:1"));
+  ASSERT_TRUE(decodeSettings(Valid.dump()).m_faults.empty());
+  Json Unknown = Valid;
+  Unknown["bounds"].push_back("unknown=-1");
+  EXPECT_TRUE(decodeSettings(Unknown.dump()).m_faults.empty());
+  for (const char *Text : {"grace_s=1e300", "grace_s=-1", "drain_ms=inf",
+                           "contact_ms=nan", "evac_ms=1e19"}) {
+    Json Changed = Valid;
+    Changed["bounds"].push_back(Text);
+    const DecodedSettings Read = decodeSettings(Changed.dump());
+    ASSERT_EQ(Read.m_faults.size(), 1U) << Text;
+    EXPECT_EQ(Read.m_faults[0].m_path, "$.bounds");
+    EXPECT_EQ(Read.m_faults[0].m_found, Text);
+  }
+}
+
 TEST(DecodeSettingsTest, EvacuationBound_NotSet_ShortensNoOtherBound) {
   GatewaySettings Settings;
   const auto Decode = [&Settings] {
