Take no failure without an id for the answer on a reused connection

What callers saw: "not run, try again" for a request that the server was running (REFUSED), or the request at a second server (TWICE). A 503, 429 or 421 without an id, left over from an earlier request of a kept connection, was taken for the answer to the next one; a leftover 400 or 500 was passed on as its answer.

Change: an answer without an id is only accepted on the first request of a connection.

StaleAnswerTest.KeptConnection_RefusalWithoutId_IsSkipped (503, 429, 421) and KeptConnection_OnlyRefusalWithoutId_ProvesNothing failed before and pass.

--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -136,8 +136,11 @@
     }
     const std::string_view Echo = Head[m_headers.m_requestId];
     Reply.m_parser = Parser;
-    if (Echo == Request.m_requestId ||
-        (Echo.empty() && Head.result_int() / 100 != 2))
+    // Without an id, it can be the answer to an earlier request of a reused
+    // connection.
+    const bool IsOwnFailure =
+        Echo.empty() && !Used.m_isReused && Head.result_int() / 100 != 2;
+    if (Echo == Request.m_requestId || IsOwnFailure)
       co_return true;
     // An answer to an earlier request: skips it and reads the next one.
     const bool IsRead = co_await readBody(Used, Reply);
--- /dev/null
+++ b/test/gateway/stale-answer-test.cc
@@ -0,0 +1,105 @@
+#include "fake-platform.h"
+#include "tamarackdrum/blocking.h"
+#include "tamarackdrum/worker-context.h"
+
+#include <gtest/gtest.h>
+
+namespace tamarackdrum::gateway {
+namespace {
+
+using namespace test;
+
+/// A server that repeats an earlier refusal on a kept connection. Taking it for
+/// the answer to a later request would say "not run" of work that runs.
+class StaleAnswerTest : public testing::Test {
+protected:
+  ~StaleAnswerTest() override { m_context.dropPending(); }
+
+  DispatchResult execute(const std::string &Id) {
+    UpstreamRequest Request;
+    Request.m_server.m_id = "server";
+    Request.m_server.m_address = m_server.address();
+    Request.m_head = "POST /work HTTP/1.1\r\nHost: a\r\nTest-Id: ";
+    Request.m_head += Id;
+    Request.m_head += "\r\nContent-Length: 0\r\n\r\n";
+    Request.m_requestId = Id;
+    Request.m_isSafe = false;
+    Request.m_maxIdleConnections = 4;
+    Request.m_deadline = BootClock::now() + Millis(2000);
+    asio::awaitable<UpstreamReply> Task =
+        m_subject.execute(std::move(Request), m_token);
+    const UpstreamReply Reply = runBlocking(m_context, std::move(Task));
+    m_status =
+        Reply.m_parser == nullptr ? 0 : Reply.m_parser->get().result_int();
+    return Reply.m_result;
+  }
+
+  /// Answers with \p Before in front of the usual answer. Every "ID" in it is
+  /// replaced by the id of the request.
+  void sendFirst(const std::string &Before) {
+    m_server.m_script =
+        [Before](ScriptedServer::Stream &To,
+                 const ReceivedRequest &Seen) -> asio::awaitable<bool> {
+      std::string Text = Before;
+      const std::size_t Found = Text.find("ID");
+      if (Found != std::string::npos)
+        Text.replace(Found, 2, Seen.m_id);
+      Text += ScriptedServer::okResponse(Seen.m_id, "hello");
+      co_return co_await ScriptedServer::send(To, std::move(Text));
+    };
+  }
+
+  WorkerContext m_context{1};
+  ScriptedServer m_server{m_context};
+  ConnectionPool m_pool{PoolPolicy{}};
+  UpstreamClient m_subject{m_pool, Headers};
+  CancelToken m_token;
+  unsigned m_status = 0; ///< Of the last answer; 0: there was none.
+};
+
+TEST_F(StaleAnswerTest, KeptConnection_RefusalWithoutId_IsSkipped) {
+  for (const char *Status : {"503 Busy", "429 Many", "421 Other", "400 Bad"}) {
+    m_server.m_script = ScriptedServer::answerOk;
+    ASSERT_EQ(execute("first"), DispatchResult::Served);
+    std::string Refusal("HTTP/1.1 ");
+    Refusal += Status;
+    Refusal += "\r\nTest-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy";
+    sendFirst(Refusal);
+    EXPECT_EQ(execute("second"), DispatchResult::Served) << Status;
+    EXPECT_EQ(m_status, 200U) << Status;
+  }
+  EXPECT_EQ(m_server.m_connections, 1U);
+}
+
+TEST_F(StaleAnswerTest, KeptConnection_OnlyRefusalWithoutId_ProvesNothing) {
+  ASSERT_EQ(execute("first"), DispatchResult::Served);
+  m_server.m_script = [](ScriptedServer::Stream &To,
+                         const ReceivedRequest &) -> asio::awaitable<bool> {
+    std::string Text("HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\n"
+                     "Content-Length: 0\r\n\r\n");
+    co_await ScriptedServer::send(To, std::move(Text));
+    co_return false;
+  };
+  EXPECT_EQ(execute("second"), DispatchResult::ConnectionLost);
+}
+
+TEST_F(StaleAnswerTest, RefusedRequest_AnotherFollows_ConnectionIsKept) {
+  m_server.m_script = ScriptedServer::refuse;
+  ASSERT_EQ(execute("first"), DispatchResult::Refused);
+  ASSERT_EQ(execute("second"), DispatchResult::Refused);
+  EXPECT_EQ(m_server.m_connections, 1U);
+}
+
+// A server that rejects before it has read the id has no id to echo.
+TEST_F(StaleAnswerTest, NewConnection_RefusalWithoutId_IsTheAnswer) {
+  m_server.m_script = [](ScriptedServer::Stream &To,
+                         const ReceivedRequest &) -> asio::awaitable<bool> {
+    std::string Text("HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\n"
+                     "Content-Length: 0\r\n\r\n");
+    co_return co_await ScriptedServer::send(To, std::move(Text));
+  };
+  EXPECT_EQ(execute("first"), DispatchResult::Refused);
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
