Send a request again on another connection than that of its refusal

What callers saw: "not run" for a request that ran. A request that a server has refused is sent again under the same id; on the same connection, a second copy of the refusal bears that id and was taken for the answer to the new attempt.

Change: a connection remembers the id of its last request, and the pool leaves it out for a request with that id. Other requests go on using it, so that refusals under load cost no new connections.

StaleAnswerTest.RefusedRequest_SentAgain_CopyOfRefusalIsNotItsAnswer failed before (refused instead of served) and passes, as do the 36 tests of the clients that use the pool.

--- a/include/tamarackdrum/gateway/connection.h
+++ b/include/tamarackdrum/gateway/connection.h
@@ -62,6 +62,8 @@
   /// Idle timeout that the peer announced; 0: none.
   Millis m_keepAliveTimeout{0};
   bool m_isReused = false;
+  /// Id of the last request. Its answer may arrive a second time.
+  std::string m_lastRequestId;
 };
 
 /// Timeouts of pooled connections.
@@ -93,8 +95,10 @@
   void setAddressMap(AddressMap Map) { m_addressMap = std::move(Map); }
 
   /// Removes and returns an open connection to \p Peer that has been idle for
-  /// at most \p MaxIdle, or returns null.
-  ConnectionPtr takeIdle(const std::string &Peer, Millis MaxIdle);
+  /// at most \p MaxIdle, or returns null. Leaves out connections whose last
+  /// request was \p RequestId, unless that is empty.
+  ConnectionPtr takeIdle(const std::string &Peer, Millis MaxIdle,
+                         const std::string &RequestId = {});
 
   /// Opens a connection. Errors: HttpErrc::ConnectFailed,
   /// HttpErrc::ConnectTimedOut.
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -43,18 +43,22 @@
                            Item.m_keepAliveTimeout / 2));
 }
 
-ConnectionPool::ConnectionPtr ConnectionPool::takeIdle(const std::string &Peer,
-                                                       Millis MaxIdle) {
+ConnectionPool::ConnectionPtr
+ConnectionPool::takeIdle(const std::string &Peer, Millis MaxIdle,
+                         const std::string &RequestId) {
   const auto Found = m_idle.find(Peer);
   if (Found == m_idle.end())
     return nullptr;
   std::vector<ConnectionPtr> &Idle = Found->second;
   const TimePoint Now = BootClock::now();
-  while (!Idle.empty()) {
-    if (Now - Idle.back()->m_idleSince > MaxIdle)
+  for (auto Item = Idle.end(); Item != Idle.begin();) {
+    --Item;
+    if (Now - (*Item)->m_idleSince > MaxIdle)
       return nullptr;
-    ConnectionPtr Taken = std::move(Idle.back());
-    Idle.pop_back();
+    if (!RequestId.empty() && (*Item)->m_lastRequestId == RequestId)
+      continue;
+    ConnectionPtr Taken = std::move(*Item);
+    Item = Idle.erase(Item);
     if (Now - Taken->m_idleSince < idleLimit(*Taken) &&
         peek(Taken->m_stream.socket().native_handle()) == PeekResult::Silent) {
       Taken->m_isReused = true;
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -241,7 +241,8 @@
   const std::string Peer = Request.m_server.m_id;
   const Millis MaxIdle =
       Request.m_isSafe ? m_pool.policy().m_maxIdleTime : UnsafeMaxIdle;
-  ConnectionPool::ConnectionPtr Used = m_pool.takeIdle(Peer, MaxIdle);
+  ConnectionPool::ConnectionPtr Used =
+      m_pool.takeIdle(Peer, MaxIdle, Request.m_requestId);
   if (Used == nullptr) {
     const Millis Left =
         std::chrono::duration_cast<Millis>(Request.m_deadline - StartedAt);
@@ -258,6 +259,7 @@
   }
   Reply.m_isSent = true;
   Reply.m_result = DispatchResult::ConnectionLost;
+  Used->m_lastRequestId = Request.m_requestId;
   Token.m_stream = &Used->m_stream;
 
   const std::shared_ptr<WriteState> State = std::make_shared<WriteState>();
--- a/test/gateway/stale-answer-test.cc
+++ b/test/gateway/stale-answer-test.cc
@@ -83,6 +83,20 @@
   EXPECT_EQ(execute("second"), DispatchResult::ConnectionLost);
 }
 
+// The copy bears the id of the request, since that is sent again.
+TEST_F(StaleAnswerTest, RefusedRequest_SentAgain_CopyOfRefusalIsNotItsAnswer) {
+  m_server.m_script = ScriptedServer::refuse;
+  ASSERT_EQ(execute("same"), DispatchResult::Refused);
+  m_server.m_script =
+      [this](ScriptedServer::Stream &To,
+             const ReceivedRequest &Seen) -> asio::awaitable<bool> {
+    if (m_server.m_connections == 1)
+      co_await ScriptedServer::refuse(To, Seen);
+    co_return co_await ScriptedServer::answerOk(To, Seen);
+  };
+  EXPECT_EQ(execute("same"), DispatchResult::Served);
+}
+
 TEST_F(StaleAnswerTest, RefusedRequest_AnotherFollows_ConnectionIsKept) {
   m_server.m_script = ScriptedServer::refuse;
   ASSERT_EQ(execute("first"), DispatchResult::Refused);
