Add a failing test of a host that reaches one service of three

What is left of it: a host that has lost the servers of two services counts as cut off from all, since three failures without a success in between are enough, and the servers of the third service end that. Its duties and relayed requests follow each change.

Fails on this code at each of three request rates.

--- a/test/gateway/reachability-test.cc
+++ b/test/gateway/reachability-test.cc
@@ -95,6 +95,22 @@
                    [](const ServerEntry &) { return false; }));
 }
 
+// Duties and relayed requests follow the state, so a host that reaches some
+// servers must not begin and end it again and again.
+TEST_F(ReachabilityTest, OneServiceOfThreeIsReached_Always_IsNotCutOff) {
+  for (const char *Zone : {"a", "b", "c"}) {
+    ServerEntry Entry;
+    Entry.m_id = std::string(Zone) + "web";
+    Entry.m_zone = Zone;
+    Entry.m_service = "web";
+    m_servers[Entry.m_id] = Entry;
+  }
+  for (const Millis Interval : {Millis(50), Millis(250), Millis(1000)})
+    EXPECT_FALSE(run(Millis(10000), Interval, [](const ServerEntry &Item) {
+      return Item.m_service == "web";
+    })) << Interval.count();
+}
+
 TEST_F(ReachabilityTest, CutOff_ServersAnswerAgain_EndsAfterTwo) {
   ASSERT_TRUE(
       run(Millis(3000), Millis(50), [](const ServerEntry &) { return false; }));
