--- a/include/tamarackdrum/gateway/reachability.h
+++ b/include/tamarackdrum/gateway/reachability.h
@@ -30,9 +30,6 @@
   Millis m_silentAfter{500};
   /// Least time between two rounds of probes.
   Millis m_probeInterval{250};
-  /// Time without any success before the host counts as cut off: a whole round
-  /// of probes has reached no service and no zone.
-  Millis m_minSilence{400};
   /// A host that has reached no server for this long probes one, so that its
   /// peers know whether it can relay.
   Millis m_idleProbeAfter{3000};
--- a/src/gateway/reachability.cc
+++ b/src/gateway/reachability.cc
@@ -86,8 +86,7 @@
     m_isCutOff = m_recovered.size() <
                  std::min(m_policy.m_serversToRecover, Known.size());
   else
-    m_isCutOff = OthersReach && Now - m_reachedAt >= m_policy.m_minSilence &&
-                 haveAllFailed(Known);
+    m_isCutOff = OthersReach && haveAllFailed(Known);
   if (m_isCutOff && !WasCutOff)
     m_recovered.clear();
   return m_isCutOff != WasCutOff;
