Log requests that a client has not sent whole, count ends of idle connections

Three ends of a request left no line in the log: a head or a body that ends with the connection, and an interim answer that cannot be written. A request that no host has read could not be told from one that was read and dropped. client_connections_ended has the reason for which a connection without a request ends: idle-limit, stop or client.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -167,6 +167,10 @@
   /// Cancels the current request if the client closes its connection. An unsafe
   /// request that has been sent to a server is not cancelled.
   void watchForDisconnect(const SessionPtr &Client);
+  /// Records a request that the client has not sent whole.
+  void leaveUnread(ClientRequest &Request, std::string_view Reason);
+  /// Counts a connection that ends without a request on it.
+  void recordConnectionEnd(std::string_view Reason);
   /// Counts and logs a request that has ended. \p Status is 0 if the client
   /// disconnected before an answer.
   void recordOutcome(const ClientRequest &Request, unsigned Status,
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -142,8 +142,12 @@
     Client->m_stream.expires_after(Limits.m_idleTimeout);
     const auto [Error, Count] = co_await Client->m_stream.async_read_some(
         Client->m_buffer.prepare(ReadBytes), UseTuple);
-    if (Error)
+    if (Error) {
+      recordConnectionEnd(Error == beast::error::timeout ? "idle-limit"
+                          : Error == asio::error::operation_aborted ? "stop"
+                                                                    : "client");
       co_return false;
+    }
     Client->m_buffer.commit(Count);
     Request->m_routeTable = m_callbacks.m_routes();
   }
@@ -161,8 +165,10 @@
   if (Error == http::error::end_of_stream || Error == asio::error::eof ||
       Error == asio::error::connection_reset ||
       Error == asio::error::operation_aborted ||
-      Error == http::error::partial_message)
+      Error == http::error::partial_message) {
+    recordOutcome(*Request, 0, "head not whole");
     co_return false;
+  }
   unsigned Status = 400;
   if (Error == beast::error::timeout)
     Status = 408;
@@ -217,7 +223,7 @@
              Error != http::error::partial_message)
       co_await sendAnswer(Client, Request, 400, Error.message(), Millis(0));
     else
-      Request->m_isClientGone = true;
+      leaveUnread(*Request, "body not whole");
     co_return false;
   }
   Request->m_isBodyWhole = Parser.is_done();
@@ -265,8 +271,10 @@
   if (Head.count(http::field::expect) > 0 && !Request->m_parser->is_done()) {
     std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
     const bool IsSent = co_await write(Client, std::move(Continue));
-    if (!IsSent)
+    if (!IsSent) {
+      leaveUnread(*Request, "client left");
       co_return;
+    }
   }
   const bool IsRead = co_await readBody(Client, Request);
   if (!IsRead)
@@ -353,6 +361,16 @@
   recordOutcome(*Request, Status, Reason);
 }
 
+void EdgeServer::leaveUnread(ClientRequest &Request, std::string_view Reason) {
+  Request.m_isClientGone = true;
+  recordOutcome(Request, 0, Reason);
+}
+
+void EdgeServer::recordConnectionEnd(std::string_view Reason) {
+  m_metrics.count("client_connections_ended",
+                  fmt::format("reason=\"{}\"", Reason));
+}
+
 void EdgeServer::recordOutcome(const ClientRequest &Request, unsigned Status,
                                std::string_view Reason) {
   const Millis Took = std::chrono::duration_cast<Millis>(BootClock::now() -
