--- /dev/null
+++ b/test/gateway/client-connection-test.cc
@@ -0,0 +1,97 @@
+// When the gateway closes the connections of its clients.
+
+#include "gateway-host-fixture.h"
+
+namespace tamarackdrum::gateway {
+namespace {
+
+using namespace test;
+
+class ClientConnectionTest : public GatewayHostTest {
+protected:
+  static constexpr Millis IdleLimit{400};
+  /// A request that is sent at the limit arrives later by this.
+  static constexpr Millis TravelTime{100};
+
+  ClientConnectionTest() {
+    m_store.m_configuration.m_limits.m_idleTimeout = IdleLimit;
+  }
+
+  /// Sends a request on a connection that stays open. Returns the status of the
+  /// answer, or 0 if the gateway has closed the connection.
+  unsigned sendOn(asio::ip::tcp::socket &Client) {
+    const std::shared_ptr<unsigned> Status = std::make_shared<unsigned>(0);
+    const std::shared_ptr<bool> IsDone = std::make_shared<bool>(false);
+    asio::co_spawn(
+        m_context,
+        [](asio::ip::tcp::socket &To, std::string Bytes,
+           std::shared_ptr<unsigned> Out,
+           std::shared_ptr<bool> HasEnded) -> asio::awaitable<void> {
+          co_await asio::async_write(To, asio::buffer(Bytes), UseTuple);
+          boost::beast::flat_buffer Buffer;
+          http::response<http::string_body> Answer;
+          const auto [Error, Count] =
+              co_await http::async_read(To, Buffer, Answer, UseTuple);
+          *Out = Error ? 0 : Answer.result_int();
+          *HasEnded = true;
+        }(Client, get("/web/"), Status, IsDone),
+        asio::detached);
+    EXPECT_TRUE(runUntil([IsDone] { return *IsDone; }));
+    return *Status;
+  }
+
+  /// Returns whether the gateway closes \p Client while it is idle.
+  bool isClosed(asio::ip::tcp::socket &Client) {
+    const std::shared_ptr<bool> HasEnded = std::make_shared<bool>(false);
+    Client.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [HasEnded](boost::system::error_code) { *HasEnded = true; });
+    return runUntil([HasEnded] { return *HasEnded; });
+  }
+
+  asio::ip::tcp::socket connect() {
+    asio::ip::tcp::socket Out(m_context);
+    Out.connect(m_addresses[0]);
+    return Out;
+  }
+};
+
+// Clients may count on the configured limit. A host that closed the connection
+// at that very time lost requests that were on their way.
+TEST_F(ClientConnectionTest, Request_SentAtTheIdleLimit_IsServed) {
+  startAll();
+  asio::ip::tcp::socket Client = connect();
+  ASSERT_EQ(sendOn(Client), 200U);
+  wait(IdleLimit + TravelTime);
+  EXPECT_EQ(sendOn(Client), 200U);
+}
+
+TEST_F(ClientConnectionTest, FirstRequest_SentAtTheIdleLimit_IsServed) {
+  startAll();
+  asio::ip::tcp::socket Client = connect();
+  wait(IdleLimit + TravelTime);
+  EXPECT_EQ(sendOn(Client), 200U);
+}
+
+// A connection that waits already has the limit of the newest configuration.
+TEST_F(ClientConnectionTest, Request_LimitWasRaisedMeanwhile_IsServed) {
+  startAll();
+  asio::ip::tcp::socket Client = connect();
+  ASSERT_EQ(sendOn(Client), 200U);
+  Configuration Next = m_store.m_configuration;
+  ++Next.m_version;
+  Next.m_limits.m_idleTimeout = Millis(60000);
+  m_store.m_configuration = Next;
+  wait(IdleLimit + Millis(5000));
+  EXPECT_EQ(sendOn(Client), 200U);
+}
+
+TEST_F(ClientConnectionTest, Connection_IdleForLong_IsClosed) {
+  startAll();
+  asio::ip::tcp::socket Client = connect();
+  ASSERT_EQ(sendOn(Client), 200U);
+  EXPECT_TRUE(isClosed(Client));
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
--- a/test/gateway/gateway-host-fixture.h
+++ b/test/gateway/gateway-host-fixture.h
@@ -104,6 +104,7 @@
     Settings.m_readyAddress = Ready;
     Settings.m_peerPort = m_peerPort;
     Settings.m_headers = Headers;
+    Settings.m_stopTimeout = m_stopTimeout;
     m_addresses.push_back(parseEndpoint(Client).value());
     m_hosts.push_back(
         std::make_unique<GatewayHost>(m_context.get_executor(), m_policy,
@@ -159,6 +160,25 @@
     return *Out;
   }
 
+  /// A request that was sent and, once it has ended, its answer.
+  struct Sent {
+    std::shared_ptr<Answer> m_answer = std::make_shared<Answer>();
+    std::shared_ptr<bool> m_isDone = std::make_shared<bool>(false);
+  };
+
+  /// Sends \p Bytes on a new connection.
+  Sent sendLater(const std::string &Bytes) {
+    Sent Out;
+    asio::co_spawn(m_context, exchange(Bytes, 0, Out.m_answer, Out.m_isDone),
+                   asio::detached);
+    return Out;
+  }
+
+  void wait(Millis Time) {
+    const TimePoint End = BootClock::now() + Time;
+    runUntil([End] { return BootClock::now() >= End; });
+  }
+
   static std::string get(const std::string &Path,
                          const std::string &More = "") {
     std::string Out("GET ");
@@ -212,6 +232,7 @@
   HostPolicy m_policy;
   std::vector<std::string> m_seedIps;
   std::uint16_t m_peerPort = 0;
+  Millis m_stopTimeout{6000};
   std::set<std::uint16_t> m_usedPorts;
   std::vector<Endpoint> m_addresses;
   std::vector<std::unique_ptr<GatewayHost>> m_hosts;
--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -137,6 +137,22 @@
             4U);
 }
 
+// A feed that is far behind names every change, each with a whole
+// configuration. While its answer did not arrive in time, the same feed was
+// asked for again and again, and the host stayed on its old configuration.
+TEST_F(StoreClientTest, AwaitConfiguration_FeedIsTooSlow_IsReadFromTheTable) {
+  putConfiguration(3);
+  ASSERT_TRUE(await(m_subject.awaitConfiguration(Millis(50))));
+  m_store.m_faults.m_feedDelay = std::chrono::hours(1);
+  putConfiguration(4);
+  EXPECT_EQ(await(m_subject.awaitConfiguration(Millis(50))).error(),
+            TableErrc::Unavailable);
+  EXPECT_EQ(await(m_subject.awaitConfiguration(Millis(50)))
+                .value()
+                .m_configuration.m_version,
+            4U);
+}
+
 // The operator's requests to evacuate a zone come by the same feed.
 TEST_F(StoreClientTest, AwaitConfiguration_ZoneIsEvacuated_EndsWithItsRow) {
   m_store.put(OperatorTable, "evacuate/zone-a", "null");
