Keep the dispatcher of a dropped service until its requests have ended

Callers saw: a request that waited for a slot when a configuration dropped its service got neither an answer nor a refusal, until they left at their deadline.

Cause: DispatcherRegistry::retain() destroyed the dispatchers of services that the new configuration does not name, with the requests that waited in them, and Admission::acquire() waited without a limit of its own for a decision that nobody was left to make. Class: a wait whose end depends on a state that others may drop.

Change: such a dispatcher serves the requests that it has, which were allowed when they were sent, and is removed once none waits or runs. acquire() ends at the request's deadline whoever should have decided, refuses with the reason no-decision and logs dispatch-undecided.

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -49,8 +49,9 @@
 
   void setNetwork(PeerNetwork &Network) { m_network = &Network; }
 
-  /// Waits for the decision on \p Ask. Passing \p Handle to cancel() meanwhile
-  /// ends the wait with a refusal whose reason is RefusalReason::None.
+  /// Waits for the decision on \p Ask, at most until its time ends. Passing
+  /// \p Handle to cancel() meanwhile ends the wait with a refusal whose reason
+  /// is RefusalReason::None.
   boost::asio::awaitable<AdmissionResult>
   acquire(std::string Service, DispatchRequest Ask, AdmissionHandle &Handle);
   void cancel(AdmissionHandle &Handle);
@@ -145,6 +146,8 @@
     TimePoint m_deadline;
   };
 
+  /// Refuses a request whose time has ended without a decision.
+  void endUndecided(PendingRequest &Item);
   /// Sends a request to the coordinator of its service, or to the fallback if
   /// no coordinator can be reached.
   void submit(const PendingRequestPtr &Item);
--- a/include/tamarackdrum/gateway/dispatcher-registry.h
+++ b/include/tamarackdrum/gateway/dispatcher-registry.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace tamarackdrum::gateway {
 
@@ -30,7 +31,8 @@
   void setServers(const std::map<std::string, ServerEntry> &Servers,
                   TimePoint Now);
   void setKeyMap(const std::string &Service, const KeyMap &Map, TimePoint Now);
-  /// Removes the dispatchers of all services but \p Known.
+  /// Removes the dispatchers of all services but \p Known once none of their
+  /// requests waits or runs any more.
   void retain(const std::vector<std::string> &Known);
 
   /// Submits a request. Returns true if it waits, false if it is decided.
@@ -74,6 +76,8 @@
 
 private:
   void deliver(const std::string &Service, const DispatchDecisions &Decisions);
+  /// Removes the dispatchers of m_retired that have become idle.
+  void removeRetired();
 
   DispatchPolicy m_policy;
   const DecisionHandler m_onDecision;
@@ -82,6 +86,8 @@
   std::map<std::string, ColdPolicy> m_coldPolicies;          ///< By service.
   double m_heardShare = 1;
   std::map<std::string, std::unique_ptr<Dispatcher>> m_dispatchers;
+  /// Services that the configuration does not name and that have dispatchers.
+  std::set<std::string> m_retired;
 };
 
 } // namespace tamarackdrum::gateway
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -76,7 +76,8 @@
   Overloaded,    ///< It would wait longer than its time allows.
   NoRetryBudget, ///< The service's retry budget is used up.
   ServerBackoff, ///< Its host must not send to any server that could run it.
-  ServerLimit    ///< The limits of the servers that could run it are used up.
+  ServerLimit,   ///< The limits of the servers that could run it are used up.
+  NoDecision     ///< Its time ended while it waited. Not sent to other hosts.
 };
 
 /// Returns the name of \p Value for answers and logs.
@@ -269,6 +270,9 @@
   /// also of servers whose pause has ended.
   void tick(TimePoint Now, DispatchDecisions &Out);
 
+  /// Returns whether no request waits or runs.
+  bool isIdle() const { return m_waiting.empty() && m_running.empty(); }
+
   /// Returns the requests per second that \p Server is expected to serve.
   double capacityOf(const std::string &Server) const;
 
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -68,7 +68,7 @@
   Ask.m_zone = m_hosts.self().m_zone;
   Item->m_service = std::move(Service);
   Item->m_ask = std::move(Ask);
-  Item->m_decisionEvent.expires_at(asio::steady_timer::time_point::max());
+  Item->m_decisionEvent.expires_after(Item->m_ask.m_timeLeft);
   m_pending[Number] = Item;
   Handle.m_number = Number;
   submit(Item);
@@ -76,6 +76,8 @@
     co_await Item->m_decisionEvent.async_wait(
         asio::as_tuple(asio::use_awaitable));
   Handle.m_number = 0;
+  if (!Item->m_isDecided)
+    endUndecided(*Item);
   m_pending.erase(Number);
   AdmissionResult Out{Item->m_decision, Number, Item->m_place};
   if (!Out.m_decision.m_server.empty())
@@ -89,6 +91,17 @@
   co_return Out;
 }
 
+void Admission::endUndecided(PendingRequest &Item) {
+  m_log.write("dispatch-undecided", {{"service", Item.m_service},
+                                     {"number", Item.m_ask.m_id.m_number},
+                                     {"place", toText(Item.m_place)},
+                                     {"acknowledged", Item.m_isAcknowledged}});
+  withdraw(Item);
+  Item.m_isDecided = true;
+  Item.m_decision = {Item.m_ask.m_id, "", RefusalReason::NoDecision,
+                     m_dispatchPolicy.m_defaultRetryAfter};
+}
+
 void Admission::submit(const PendingRequestPtr &Item) {
   const auto Found = m_coordinators.find(Item->m_service);
   const TimePoint Now = BootClock::now();
--- a/src/gateway/dispatcher-registry.cc
+++ b/src/gateway/dispatcher-registry.cc
@@ -62,11 +62,23 @@
 }
 
 void DispatcherRegistry::retain(const std::vector<std::string> &Known) {
-  for (auto Item = m_dispatchers.begin(); Item != m_dispatchers.end();) {
-    const bool IsKnown =
-        std::find(Known.begin(), Known.end(), Item->first) != Known.end();
-    Item = IsKnown ? std::next(Item) : m_dispatchers.erase(Item);
-  }
+  m_retired.clear();
+  for (const auto &[Service, Item] : m_dispatchers)
+    if (std::find(Known.begin(), Known.end(), Service) == Known.end())
+      m_retired.insert(Service);
+  removeRetired();
+}
+
+void DispatcherRegistry::removeRetired() {
+  std::erase_if(m_retired, [this](const std::string &Service) {
+    const auto Found = m_dispatchers.find(Service);
+    if (Found == m_dispatchers.end())
+      return true;
+    if (!Found->second->isIdle())
+      return false;
+    m_dispatchers.erase(Found);
+    return true;
+  });
 }
 
 bool DispatcherRegistry::submit(const std::string &Service,
@@ -167,6 +179,7 @@
     Item->tick(Now, Decisions);
     deliver(Service, Decisions);
   }
+  removeRetired();
 }
 
 } // namespace tamarackdrum::gateway
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -18,6 +18,8 @@
     return "server-rests";
   case RefusalReason::ServerLimit:
     return "server-limit";
+  case RefusalReason::NoDecision:
+    return "no-decision";
   }
   return "unknown";
 }
