Read on after an answer that came before the end of the request

Callers saw: a server may answer a long request before it has read its body. The gateway passed the answer on without "Connection: close", left the connection and closed it with unread bytes in its socket: a reset, in which the client can lose the answer.

Cause: only answers of the gateway's own marked the connection as ending, and the rest of the request was read for 300 ms at most, which is less than an upload needs on a link of 10 Mbit/s. The read of the body that belonged to the server's connection went on beside later reads of the client's.

Change: every answer before the end of the request says that the connection ends; the pending read is cancelled before anything else uses the connection; the rest is discarded until the client has sent it or its time has ended.

EarlyAnswerTest.Answer_ClientStillSendsTheBody_ReachesTheClient failed before and passes.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -28,6 +28,10 @@
   /// Limit of a write to a client, and of the time for which sent data may
   /// stay unacknowledged.
   Millis m_writeTimeout{10000};
+  /// Time for which a connection that ends after an answer waits for the client
+  /// to close it. After an answer that came before the end of the request's
+  /// body, it is the time that the request has left, if that is longer.
+  Millis m_closeTime{300};
   /// Number of dispatches that reach no usable server after which a request is
   /// refused.
   unsigned m_maxUnreachableAttempts = 3;
@@ -100,6 +104,10 @@
   boost::asio::awaitable<void> acceptLoop();
   /// Serves the requests of one connection until it ends.
   boost::asio::awaitable<void> serve(SessionPtr Client);
+  /// Reads and discards what the client still sends until it closes the
+  /// connection, at most until \p End: closing a socket with unread bytes
+  /// resets the connection, and the client may lose the answer.
+  boost::asio::awaitable<void> discardRest(SessionPtr Client, TimePoint End);
   /// Reads the head of the next request. Returns false if there is none; the
   /// connection then ends.
   boost::asio::awaitable<bool>
@@ -162,6 +170,10 @@
   static Framing requestFraming(const ClientRequest &Request);
   BodySource makeBodySource(SessionPtr Client,
                             std::shared_ptr<ClientRequest> Request) const;
+  /// Ends a read of the request's body that goes on after the server has
+  /// answered.
+  static boost::asio::awaitable<void>
+  stopBodySource(SessionPtr Client, std::shared_ptr<ClientRequest> Request);
   /// Returns whether the client has closed its connection.
   static bool isDisconnected(Session &Client);
   /// Cancels the current request if the client closes its connection. An unsafe
--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -47,6 +47,7 @@
   std::string m_body;
   bool m_isBodyWhole = true;
   bool m_isStreaming = false; ///< Part of the body has been sent unbuffered.
+  bool m_isBodyBeingRead = false; ///< A body source waits for the client.
   std::shared_ptr<RouteTable> m_routeTable;
   const Route *m_route = nullptr;
   const Service *m_service = nullptr;
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -159,6 +159,7 @@
   };
   const std::size_t SentBytes = Upstream.m_head.size() + Upstream.m_body.size();
   UpstreamReply Reply = co_await sendUpstream(std::move(Upstream), Request);
+  co_await stopBodySource(Client, Request);
   // The loss of a peer tells nothing about the server.
   m_admission.finish(Request->m_service->m_name, Taken,
                      Reply.m_isPeerLost ? DispatchResult::Withdrawn
@@ -321,8 +322,10 @@
     while (!Parser.is_done() && Length == 0) {
       Parser.get().body().data = Piece.data();
       Parser.get().body().size = Piece.size();
+      Request->m_isBodyBeingRead = true;
       const auto [Error, Count] = co_await http::async_read_some(
           Client->m_stream, Client->m_buffer, Parser, UseTuple);
+      Request->m_isBodyBeingRead = false;
       Length = Piece.size() - Parser.get().body().size;
       if (Error && Error != http::error::need_buffer)
         co_return HttpErrc::SendFailed;
@@ -339,6 +342,15 @@
   };
 }
 
+asio::awaitable<void>
+EdgeServer::stopBodySource(SessionPtr Client,
+                           std::shared_ptr<ClientRequest> Request) {
+  while (Request->m_isBodyBeingRead) {
+    Client->m_stream.cancel();
+    co_await sleepFor(Millis(1));
+  }
+}
+
 UpstreamRequest EdgeServer::makeRequest(SessionPtr Client,
                                         std::shared_ptr<ClientRequest> Request,
                                         const ServerEntry &Server) const {
@@ -388,7 +400,7 @@
                         Millis(0));
     co_return;
   }
-  if (m_isDraining)
+  if (m_isDraining || !Request->m_parser->is_done())
     Client->m_mustClose = true;
   const Framing Body =
       replyFraming(Reply, Request->head().method() == http::verb::head);
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -94,7 +94,20 @@
   }
 }
 
+asio::awaitable<void> EdgeServer::discardRest(SessionPtr Client,
+                                              TimePoint End) {
+  std::string Rest(ReadBytes, '\0');
+  while (BootClock::now() < End) {
+    Client->m_stream.expires_after(std::max(Millis(1), timeLeft(End)));
+    const auto [Error, Count] =
+        co_await Client->m_stream.async_read_some(asio::buffer(Rest), UseTuple);
+    if (Error)
+      co_return;
+  }
+}
+
 asio::awaitable<void> EdgeServer::serve(SessionPtr Client) {
+  TimePoint BodyEnd{};
   while (!Client->m_mustClose) {
     const std::shared_ptr<ClientRequest> Request =
         std::make_shared<ClientRequest>();
@@ -108,24 +121,18 @@
     m_bufferedBytes -= std::min(m_bufferedBytes, Request->m_body.size());
     Client->m_isIdle = true;
     --m_activeRequests;
+    if (!Request->m_parser->is_done())
+      BodyEnd = Request->m_deadline;
     if (Request->m_isClientGone || !Request->m_parser->is_done())
       break;
   }
+  Client->m_isIdle = false;
   // Fails if the client has closed the connection.
   boost::system::error_code Ignored;
   Client->m_stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
-  if (Client->m_mustClose && !Ignored) {
-    // Closing a socket with unread bytes resets the connection, and the client
-    // may lose the answer.
-    std::string Rest(ReadBytes, '\0');
-    Client->m_stream.expires_after(Millis(300));
-    while (true) {
-      const auto [Error, Count] = co_await Client->m_stream.async_read_some(
-          asio::buffer(Rest), UseTuple);
-      if (Error)
-        break;
-    }
-  }
+  if (Client->m_mustClose && !Ignored)
+    co_await discardRest(
+        Client, std::max(BootClock::now() + m_policy.m_closeTime, BodyEnd));
   Client->m_stream.close();
   m_sessions.remove(Client);
 }
