Keep idle client connections for longer than clients may count on

Callers saw: a request that was sent within the idle limit of the configuration was cut without an answer: the host closed the connection at that very limit while the request was on its way or waited in the socket.

Cause: the limit that clients are promised was the timeout of the read. It was taken once, before the wait, so that a limit which a later configuration raised did not reach connections that waited already. Class: both ends act on the same limit at the same time, without room for the way between them.

Change: a connection is closed once it has been idle for the longest limit that was in force meanwhile and an allowance for the way and for slow hosts, and never while bytes of its client wait to be read. The same check is made when a stopping host closes idle connections.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -32,6 +32,10 @@
   /// to close it. After an answer that came before the end of the request's
   /// body, it is the time that the request has left, if that is longer.
   Millis m_closeTime{300};
+  /// Time beyond the configured limit for which an idle connection stays open:
+  /// a request that was sent within the limit may be on its way, e.g. be sent
+  /// again after a loss, or wait for a host that is short of processor time.
+  Millis m_idleAllowance{3000};
   /// Number of dispatches that reach no usable server after which a request is
   /// refused.
   unsigned m_maxUnreachableAttempts = 3;
@@ -93,6 +97,9 @@
   void refuseWaitingRequests();
   /// Stops accepting connections and closes those without a request.
   void closeIdleConnections();
+  /// Closes the connections that have been idle for longer than clients may
+  /// count on.
+  void closeExpiredConnections();
   std::size_t activeRequests() const { return m_activeRequests; }
   std::size_t connectionCount() const { return m_sessions.size(); }
 
@@ -116,6 +123,8 @@
   /// request has been answered or the client has disconnected.
   boost::asio::awaitable<bool> readBody(SessionPtr Client,
                                         std::shared_ptr<ClientRequest> Request);
+  /// Returns the limits that the configuration in force sets.
+  ClientLimits clientLimits() const;
   /// Returns whether both routes and servers are known.
   bool hasRoutesAndServers() const;
   /// Waits for routes and servers, at most until the startup timeout.
@@ -176,6 +185,8 @@
   stopBodySource(SessionPtr Client, std::shared_ptr<ClientRequest> Request);
   /// Returns whether the client has closed its connection.
   static bool isDisconnected(Session &Client);
+  /// Returns whether the client has sent bytes that are not read yet.
+  static bool hasBytes(Session &Client);
   /// Cancels the current request if the client closes its connection. An unsafe
   /// request that has been sent to a server is not cancelled.
   void watchForDisconnect(const SessionPtr &Client);
--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -35,7 +35,9 @@
 
   boost::beast::tcp_stream m_stream;
   boost::beast::flat_buffer m_buffer{ClientBufferBytes};
-  bool m_isIdle = true;     ///< There is no request on it.
+  bool m_isIdle = true; ///< There is no request on it.
+  TimePoint m_idleSince = BootClock::now();
+  Millis m_idleLimit{0};    ///< The longest one in force while it was idle.
   bool m_isWatched = false; ///< See watchForDisconnect().
   bool m_mustClose = false; ///< Ends after the current answer.
   std::weak_ptr<ClientRequest> m_request;
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -80,10 +80,25 @@
   boost::system::error_code Ignored; // The acceptor is closed in any case.
   m_acceptor.close(Ignored);
   for (const SessionPtr &Client : m_sessions)
-    if (Client->m_isIdle)
+    if (Client->m_isIdle && !hasBytes(*Client))
       Client->m_stream.cancel();
 }
 
+void EdgeServer::closeExpiredConnections() {
+  const TimePoint Now = BootClock::now();
+  const Millis Limit = clientLimits().m_idleTimeout;
+  for (const SessionPtr &Client : m_sessions) {
+    if (!Client->m_isIdle)
+      continue;
+    Client->m_idleLimit = std::max(Client->m_idleLimit, Limit);
+    const bool IsExpired = Now - Client->m_idleSince >
+                           Client->m_idleLimit + m_policy.m_idleAllowance;
+    // A request that has arrived is read next.
+    if (IsExpired && !hasBytes(*Client))
+      Client->m_stream.cancel();
+  }
+}
+
 void EdgeServer::refuseWaitingRequests() {
   for (const SessionPtr &Client : m_sessions) {
     const std::shared_ptr<ClientRequest> Request = Client->m_request.lock();
@@ -120,6 +135,8 @@
     co_await handle(Client, Request);
     m_bufferedBytes -= std::min(m_bufferedBytes, Request->m_body.size());
     Client->m_isIdle = true;
+    Client->m_idleSince = BootClock::now();
+    Client->m_idleLimit = Millis(0);
     --m_activeRequests;
     if (!Request->m_parser->is_done())
       BodyEnd = Request->m_deadline;
@@ -140,13 +157,9 @@
 asio::awaitable<bool>
 EdgeServer::readRequest(SessionPtr Client,
                         std::shared_ptr<ClientRequest> Request) {
-  Request->m_routeTable = m_callbacks.m_routes();
-  const ClientLimits Limits =
-      Request->m_routeTable == nullptr
-          ? ClientLimits{}
-          : Request->m_routeTable->configuration().m_limits;
   if (Client->m_buffer.size() == 0) {
-    Client->m_stream.expires_after(Limits.m_idleTimeout);
+    // closeExpiredConnections() ends the wait.
+    Client->m_stream.expires_never();
     const auto [Error, Count] = co_await Client->m_stream.async_read_some(
         Client->m_buffer.prepare(ReadBytes), UseTuple);
     if (Error) {
@@ -156,8 +169,9 @@
       co_return false;
     }
     Client->m_buffer.commit(Count);
-    Request->m_routeTable = m_callbacks.m_routes();
   }
+  Request->m_routeTable = m_callbacks.m_routes();
+  const ClientLimits Limits = clientLimits();
   Client->m_isIdle = false;
   Request->m_startedAt = BootClock::now();
   Request->m_parser = std::make_shared<RequestParser>();
@@ -187,6 +201,11 @@
   co_return false;
 }
 
+ClientLimits EdgeServer::clientLimits() const {
+  const std::shared_ptr<RouteTable> Routes = m_callbacks.m_routes();
+  return Routes == nullptr ? ClientLimits{} : Routes->configuration().m_limits;
+}
+
 bool EdgeServer::selectRoute(ClientRequest &Request) const {
   const RequestHead &Head = Request.head();
   if (Request.m_routeTable == nullptr)
@@ -325,6 +344,10 @@
   return peek(Client.m_stream.socket().native_handle()) == PeekResult::Closed;
 }
 
+bool EdgeServer::hasBytes(Session &Client) {
+  return peek(Client.m_stream.socket().native_handle()) == PeekResult::Bytes;
+}
+
 void EdgeServer::watchForDisconnect(const SessionPtr &Client) {
   if (Client->m_isWatched || Client->m_buffer.size() > 0)
     return;
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -455,6 +455,7 @@
   while (true) {
     m_log.flush();
     m_pool.closeExpired(BootClock::now());
+    m_edge.closeExpiredConnections();
     co_await sleepFor(m_policy.m_flushInterval);
   }
 }
