Send to servers only what can end before a planned stop

Operators of a like system saw, and PlannedStopTest shows here: requests that a stopping host had accepted were dispatched until 0.4 s before the end of the grace time, and cut there without an answer, unsafe ones among them. With a grace time of 3 s the host was killed before it refused anything.

Cause: the check for new requests (2.9 s after the signal) was the only place that looked at the stop. A request that had passed it could wait for a slot, be refused by a server and be sent again at any later time. All times were fixed and did not depend on the grace time of the settings.

Change: a stopping host compares the usual time of the route on servers, with more reserve for unsafe requests, with the time that is left: before it asks for a slot, when it gets one and while it waits. What cannot end is refused as not run while that is true. Deadlines of what is sent end before the stop, so that servers end their work and answer in time. What still runs at the end is answered with 502 instead of a closed connection. The times of the stop shrink with a short grace time. New connections are accepted, and refused, as long as the process runs: a client repeats an unsafe request after a refusal, but not if it could not connect. The host also waits for requests that it sends for others.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -7,6 +7,7 @@
 
 #include "tamarackdrum/gateway/admission.h"
 #include "tamarackdrum/gateway/backoff-tracker.h"
+#include "tamarackdrum/gateway/duration-estimate.h"
 #include "tamarackdrum/gateway/gateway-metrics.h"
 #include "tamarackdrum/gateway/message-head.h"
 #include "tamarackdrum/gateway/request-relay.h"
@@ -88,15 +89,22 @@
   /// Opens the client port. Errors: those of parseEndpoint() and of the system.
   std::error_code start();
 
-  /// Adds "Connection: close" to all answers from now on.
-  void beginDrain() { m_isDraining = true; }
+  /// Adds "Connection: close" to all answers from now on, and sends to servers
+  /// only what can be expected to end before \p End.
+  void beginDrain(TimePoint End) {
+    m_isDraining = true;
+    m_drainEnd = End;
+  }
   /// Refuses requests that arrive from now on.
   void refuseNewRequests() { m_isRefusing = true; }
-  /// Refuses the requests that wait for a slot; clients may send them to other
-  /// hosts.
-  void refuseWaitingRequests();
-  /// Stops accepting connections and closes those without a request.
+  /// Refuses the requests that wait for a slot and can no longer end in time;
+  /// clients may send them to other hosts.
+  void refuseLateRequests();
+  /// Closes the connections on which no client has sent a request lately.
   void closeIdleConnections();
+  /// Stops accepting connections, and answers the requests that still run: the
+  /// process is about to end.
+  void endAllRequests();
   /// Closes the connections that have been idle for longer than clients may
   /// count on.
   void closeExpiredConnections();
@@ -174,6 +182,12 @@
   /// \p Server.
   void recordReply(ClientRequest &Request, const ServerEntry &Server,
                    const UpstreamReply &Reply, std::size_t SentBytes);
+  /// Returns whether a request can be expected to end before this host stops,
+  /// by the usual time of its route on a server.
+  bool canEndBeforeStop(const ClientRequest &Request) const;
+  /// Lets the deadline of a request pass before this host stops, so that the
+  /// server ends its work and answers in time.
+  void limitToStop(ClientRequest &Request) const;
   /// Returns whether a request whose last dispatch failed is dispatched again.
   bool shouldRetry(ClientRequest &Request) const;
   static Framing requestFraming(const ClientRequest &Request);
@@ -217,7 +231,10 @@
   std::size_t m_activeRequests = 0;
   std::size_t m_bufferedBytes = 0;
   bool m_isDraining = false;
+  TimePoint m_drainEnd{}; ///< Only if m_isDraining is set.
   bool m_isRefusing = false;
+  /// Times on servers, by route.
+  std::map<std::string, DurationEstimate> m_serviceTimes;
   std::map<std::string, Millis> m_longestDeadlines; ///< By route.
   BackoffTracker m_restingServers;
 };
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -18,18 +18,17 @@
   Millis m_heartbeatPollInterval{100};
   /// Interval at which the log is flushed and idle connections expire.
   Millis m_flushInterval{200};
-  /// Time from the stop signal until new requests are refused. A client with
-  /// an open connection may still send one before it learns of the stop; a
-  /// later one might not end in time.
+  /// Time from the stop signal until new requests are refused, unless the stop
+  /// timeout is short. A client with an open connection may still send one
+  /// before it learns of the stop; a later one might not end in time.
   Millis m_refuseNewAfter{2900};
-  /// Time from the stop signal until idle connections are closed. The platform
-  /// sends no new ones after two failed readiness checks, 1 s apart.
+  /// Time from the stop signal until idle connections are closed, unless the
+  /// stop timeout is short. The platform sends no new ones after two failed
+  /// readiness checks, 1 s apart.
   Millis m_closeIdleAfter{3300};
   /// Subtracted from the stop timeout, so that the process ends before it is
   /// killed.
   Millis m_stopMargin{400};
-  /// Time before that end at which waiting requests are refused.
-  Millis m_refuseWaitingMargin{400};
   /// Time for the last calls before the process ends.
   Millis m_finalCallTime{120};
   /// Least time between two key maps sent to followers, which need them only if
@@ -73,7 +72,10 @@
   boost::asio::awaitable<void> tickLoop();
   boost::asio::awaitable<void> heartbeatLoop();
   boost::asio::awaitable<void> flushLoop();
-  boost::asio::awaitable<void> stopSequence(std::function<void()> OnStopped);
+  boost::asio::awaitable<void> stopSequence(TimePoint End,
+                                            std::function<void()> OnStopped);
+  /// Returns whether a client or a peer still uses this host.
+  bool isInUse() const;
 
   void onConfiguration();
   void onServers(const DirectoryChange &Change);
--- a/include/tamarackdrum/gateway/request-relay.h
+++ b/include/tamarackdrum/gateway/request-relay.h
@@ -57,6 +57,8 @@
   void onCancel(std::uint32_t Link, const RelayCancelMessage &Message);
   void onLinkDown(std::uint32_t Link);
 
+  /// Returns the number of requests that this host sends for others.
+  std::size_t servedCount() const { return m_served.size(); }
   /// Ends the waits for peers that count as dead.
   void tick();
 
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -31,6 +31,15 @@
 /// Time that this host waits for an answer beyond the deadline that it sends to
 /// the server: the server ends its work at the deadline and then answers.
 constexpr Millis TimeoutGrace{60};
+/// Time before the end of a stop at which the last answers have to be there.
+constexpr Millis StopAnswerTime{150};
+/// Mean deviations by which a request may take longer than usual and still has
+/// to end before a stop. An unsafe request that is cut cannot be repeated.
+constexpr double UnsafeDeviations = 4;
+constexpr double SafeDeviations = 2;
+/// Time that a request may need on a server if neither its route's objective
+/// nor its usual time is known.
+constexpr Millis UnknownServiceTime{1000};
 /// Servers that a request has not reached before it is sent through a peer.
 constexpr unsigned UnreachableBeforeRelay = 2;
 
@@ -101,6 +110,25 @@
   return Out;
 }
 
+bool EdgeServer::canEndBeforeStop(const ClientRequest &Request) const {
+  if (!m_isDraining)
+    return true;
+  const Route &Item = *Request.m_route;
+  const auto Found = m_serviceTimes.find(Item.m_name);
+  Millis Needed = UnknownServiceTime;
+  if (Found != m_serviceTimes.end())
+    Needed = upperBound(Found->second, Item.m_kind == RequestKind::Safe
+                                           ? SafeDeviations
+                                           : UnsafeDeviations);
+  return timeLeft(m_drainEnd) >= Needed + StopAnswerTime;
+}
+
+void EdgeServer::limitToStop(ClientRequest &Request) const {
+  if (m_isDraining)
+    Request.m_deadline =
+        std::min(Request.m_deadline, m_drainEnd - StopAnswerTime);
+}
+
 const ServerEntry *EdgeServer::findUsableServer(ClientRequest &Request,
                                                 const AdmissionResult &Taken) {
   const std::string &Id = Taken.m_decision.m_server;
@@ -128,8 +156,10 @@
 asio::awaitable<bool>
 EdgeServer::attemptDispatch(SessionPtr Client,
                             std::shared_ptr<ClientRequest> Request) {
+  limitToStop(*Request);
+  Request->m_isHostStopping = !canEndBeforeStop(*Request);
   DispatchRequest Ask = makeAsk(*Request);
-  if (Ask.m_timeLeft < MinTimeToDispatch)
+  if (Request->m_isHostStopping || Ask.m_timeLeft < MinTimeToDispatch)
     co_return false;
   const TimePoint AskedAt = BootClock::now();
   const AdmissionResult Taken = co_await m_admission.acquire(
@@ -144,6 +174,13 @@
     Request->m_refusal = Taken.m_decision;
     co_return false;
   }
+  limitToStop(*Request);
+  Request->m_isHostStopping = !canEndBeforeStop(*Request);
+  if (Request->m_isHostStopping) {
+    m_admission.finish(Request->m_service->m_name, Taken,
+                       DispatchResult::Withdrawn, Millis(0));
+    co_return false;
+  }
   // On a host short of processor time, watchForDisconnect() may run late.
   Request->m_isClientGone = Request->m_isClientGone || isDisconnected(*Client);
   const ServerEntry *Server = findUsableServer(*Request, Taken);
@@ -255,6 +292,11 @@
                         {"server", Server.m_id},
                         {"service", Service},
                         {"text", Reply.m_unreadableLoad}});
+  if (Reply.m_result == DispatchResult::Served ||
+      Reply.m_result == DispatchResult::Failed) {
+    DurationEstimate &Known = m_serviceTimes[Request.m_route->m_name];
+    Known = withSample(Known, Reply.m_serviceTime);
+  }
   if (Reply.m_result == DispatchResult::Served)
     m_poison.noteAnswered(Request.m_fingerprint, bootMillis());
   else
@@ -286,8 +328,10 @@
   if (Request->m_mayHaveRun) {
     const bool IsLate = Request->m_lastResult == DispatchResult::TimedOut;
     const unsigned Status = IsLate ? 504 : 502;
-    const std::string_view Reason =
-        IsLate ? "no answer in time" : "connection broke";
+    const std::string_view Reason = IsLate ? "no answer in time"
+                                    : Request->m_isHostStopping
+                                        ? "stopped before the answer"
+                                        : "connection broke";
     co_await sendAnswer(Client, Request, Status, Reason, Millis(0));
     co_return;
   }
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -24,6 +24,9 @@
 constexpr std::size_t PieceBytes = 16U << 10U;
 constexpr std::size_t ReadBytes = 4U << 10U;
 constexpr Millis AcceptPause{20};
+/// A connection without a request for less time may be new: its first request
+/// is on its way.
+constexpr Millis MinIdleToClose{250};
 
 std::optional<std::int64_t> parseNumber(std::string_view Text) {
   std::int64_t Value = 0;
@@ -77,10 +80,10 @@
 }
 
 void EdgeServer::closeIdleConnections() {
-  boost::system::error_code Ignored; // The acceptor is closed in any case.
-  m_acceptor.close(Ignored);
+  const TimePoint Now = BootClock::now();
   for (const SessionPtr &Client : m_sessions)
-    if (Client->m_isIdle && !hasBytes(*Client))
+    if (Client->m_isIdle && Now - Client->m_idleSince > MinIdleToClose &&
+        !hasBytes(*Client))
       Client->m_stream.cancel();
 }
 
@@ -99,16 +102,32 @@
   }
 }
 
-void EdgeServer::refuseWaitingRequests() {
+void EdgeServer::refuseLateRequests() {
   for (const SessionPtr &Client : m_sessions) {
     const std::shared_ptr<ClientRequest> Request = Client->m_request.lock();
-    if (Request == nullptr || Request->m_admissionHandle.m_number == 0)
+    if (Request == nullptr || Request->m_admissionHandle.m_number == 0 ||
+        canEndBeforeStop(*Request))
       continue;
     Request->m_isHostStopping = true;
     m_admission.cancel(Request->m_admissionHandle);
   }
 }
 
+void EdgeServer::endAllRequests() {
+  boost::system::error_code Ignored; // The process ends in any case.
+  m_acceptor.close(Ignored);
+  for (const SessionPtr &Client : m_sessions) {
+    const std::shared_ptr<ClientRequest> Request = Client->m_request.lock();
+    if (Request == nullptr || Request->m_isAnswered)
+      continue;
+    Request->m_isHostStopping = true;
+    if (Request->m_admissionHandle.m_number != 0)
+      m_admission.cancel(Request->m_admissionHandle);
+    else
+      Request->m_cancelToken.cancel();
+  }
+}
+
 asio::awaitable<void> EdgeServer::discardRest(SessionPtr Client,
                                               TimePoint End) {
   std::string Rest(ReadBytes, '\0');
