--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -29,11 +29,30 @@
     boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
 /// A client connection.
-struct EdgeServer::Session {
+struct EdgeServer::Session : std::enable_shared_from_this<Session> {
   explicit Session(boost::asio::ip::tcp::socket Socket)
-      : m_stream(std::move(Socket)) {}
+      : m_stream(std::move(Socket)), m_readTimer(m_stream.get_executor()) {}
+
+  /// Cancels the reads that are pending after \p Time. The timeout of the
+  /// stream would close the socket, and no refusal could be sent.
+  void limitReads(Millis Time) {
+    m_hasReadTimedOut = false;
+    m_stream.expires_never();
+    m_readTimer.expires_after(Time);
+    m_readTimer.async_wait(
+        [Weak = weak_from_this()](boost::system::error_code Error) {
+          const std::shared_ptr<Session> Client = Weak.lock();
+          if (Error || Client == nullptr)
+            return;
+          Client->m_hasReadTimedOut = true;
+          Client->m_stream.cancel();
+        });
+  }
+  void endReadLimit() { m_readTimer.cancel(); }
 
   boost::beast::tcp_stream m_stream;
+  boost::asio::steady_timer m_readTimer; ///< See limitReads().
+  bool m_hasReadTimedOut = false;
   boost::beast::flat_buffer m_buffer{ClientBufferBytes};
   bool m_isIdle = true; ///< There is no request on it.
   TimePoint m_idleSince = BootClock::now();
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -37,6 +37,15 @@
   return Value;
 }
 
+/// Returns whether a read failed because of the connection, not because of what
+/// the client sent.
+bool isConnectionError(const boost::system::error_code &Error) {
+  return Error == http::error::end_of_stream || Error == asio::error::eof ||
+         Error == asio::error::connection_reset ||
+         Error == asio::error::operation_aborted ||
+         Error == http::error::partial_message;
+}
+
 } // namespace
 
 EdgeServer::EdgeServer(asio::any_io_executor Executor, EdgePolicy Policy,
@@ -196,21 +205,19 @@
   Request->m_parser = std::make_shared<RequestParser>();
   Request->m_parser->header_limit(Limits.m_maxHeaderBytes);
   Request->m_parser->body_limit(Limits.m_maxBodyBytes);
-  Client->m_stream.expires_after(Limits.m_headerTimeout);
+  Client->limitReads(Limits.m_headerTimeout);
   const auto [Error, Count] = co_await http::async_read_header(
       Client->m_stream, Client->m_buffer, *Request->m_parser, UseTuple);
+  Client->endReadLimit();
   if (!Error)
     co_return true;
   Client->m_mustClose = true;
-  if (Error == http::error::end_of_stream || Error == asio::error::eof ||
-      Error == asio::error::connection_reset ||
-      Error == asio::error::operation_aborted ||
-      Error == http::error::partial_message) {
+  if (isConnectionError(Error) && !Client->m_hasReadTimedOut) {
     recordOutcome(*Request, 0, "head not whole");
     co_return false;
   }
   unsigned Status = 400;
-  if (Error == beast::error::timeout)
+  if (Client->m_hasReadTimedOut)
     Status = 408;
   else if (Error == http::error::header_limit)
     Status = 431;
@@ -248,10 +255,10 @@
     Piece.resize(PieceBytes);
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
-    Client->m_stream.expires_after(
-        std::max(Millis(1), timeLeft(Request->m_deadline)));
+    Client->limitReads(std::max(Millis(1), timeLeft(Request->m_deadline)));
     const auto [Error, Count] = co_await http::async_read_some(
         Client->m_stream, Client->m_buffer, Parser, UseTuple);
+    Client->endReadLimit();
     const std::size_t Length = Piece.size() - Parser.get().body().size;
     Request->m_body.append(Piece.data(), Length);
     m_bufferedBytes += Length;
@@ -260,7 +267,7 @@
     Client->m_mustClose = true;
     if (Error == http::error::body_limit)
       co_await sendAnswer(Client, Request, 413, "body too long", Millis(0));
-    else if (Error == beast::error::timeout)
+    else if (Client->m_hasReadTimedOut)
       co_await sendAnswer(Client, Request, 408, "body not sent in time",
                           Millis(0));
     else if (Error.category() ==
