Log requests that cross the close of their connection

Bytes that still come are a request that is lost with the connection: request-crossed-close says how long the connection was idle and why it was ended.

--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -60,6 +60,14 @@
   bool m_isWatched = false; ///< See watchForDisconnect().
   bool m_mustClose = false; ///< Ends after the current answer.
   std::weak_ptr<ClientRequest> m_request;
+  /// Why the gateway ends it; empty if the client does.
+  std::string_view m_endReason;
+
+  /// Ends the wait for the next request.
+  void endIdle(std::string_view Reason) {
+    m_endReason = Reason;
+    m_stream.cancel();
+  }
 };
 
 /// A request of a client and the state of its processing.
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -93,7 +93,7 @@
   for (const SessionPtr &Client : m_sessions)
     if (Client->m_isIdle && Now - Client->m_idleSince > MinIdleToClose &&
         !hasBytes(*Client))
-      Client->m_stream.cancel();
+      Client->endIdle("stop");
 }
 
 void EdgeServer::closeExpiredConnections() {
@@ -107,7 +107,7 @@
                            Client->m_idleLimit + m_policy.m_idleAllowance;
     // A request that has arrived is read next.
     if (IsExpired && !hasBytes(*Client))
-      Client->m_stream.cancel();
+      Client->endIdle("idle-limit");
   }
 }
 
@@ -137,16 +137,19 @@
   }
 }
 
-asio::awaitable<void> EdgeServer::discardRest(SessionPtr Client,
-                                              TimePoint End) {
+asio::awaitable<std::size_t> EdgeServer::discardRest(SessionPtr Client,
+                                                     TimePoint End) {
   std::string Rest(ReadBytes, '\0');
+  std::size_t Bytes = 0;
   while (BootClock::now() < End) {
     Client->m_stream.expires_after(std::max(Millis(1), timeLeft(End)));
     const auto [Error, Count] =
         co_await Client->m_stream.async_read_some(asio::buffer(Rest), UseTuple);
+    Bytes += Count;
     if (Error)
-      co_return;
+      break;
   }
+  co_return Bytes;
 }
 
 asio::awaitable<void> EdgeServer::serve(SessionPtr Client) {
@@ -173,15 +176,33 @@
   }
   Client->m_isIdle = false;
   // Fails if the client has closed the connection.
-  boost::system::error_code Ignored;
-  Client->m_stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
-  if (Client->m_mustClose && !Ignored)
-    co_await discardRest(
+  boost::system::error_code Error;
+  Client->m_stream.socket().shutdown(tcp::socket::shutdown_send, Error);
+  if (!Error && (Client->m_mustClose || !Client->m_endReason.empty())) {
+    const std::size_t Bytes = co_await discardRest(
         Client, std::max(BootClock::now() + m_policy.m_closeTime, BodyEnd));
+    recordConnectionEnd(*Client, Bytes);
+  }
   Client->m_stream.close();
   m_sessions.remove(Client);
 }
 
+void EdgeServer::recordConnectionEnd(const Session &Client,
+                                     std::size_t Discarded) {
+  if (Client.m_endReason.empty())
+    return;
+  m_metrics.count("client_connections_ended",
+                  fmt::format("reason=\"{}\",crossed=\"{}\"",
+                              Client.m_endReason, Discarded > 0));
+  if (Discarded > 0)
+    m_log.writeRequest(
+        "request-crossed-close",
+        {{"reason", Client.m_endReason},
+         {"bytes", Discarded},
+         {"idle_ms", std::chrono::duration_cast<Millis>(BootClock::now() -
+                                                        Client.m_idleSince)}});
+}
+
 asio::awaitable<bool>
 EdgeServer::readRequest(SessionPtr Client,
                         std::shared_ptr<ClientRequest> Request) {
@@ -190,12 +211,8 @@
     Client->m_stream.expires_never();
     const auto [Error, Count] = co_await Client->m_stream.async_read_some(
         Client->m_buffer.prepare(ReadBytes), UseTuple);
-    if (Error) {
-      recordConnectionEnd(Error == beast::error::timeout ? "idle-limit"
-                          : Error == asio::error::operation_aborted ? "stop"
-                                                                    : "client");
+    if (Error)
       co_return false;
-    }
     Client->m_buffer.commit(Count);
   }
   Request->m_routeTable = m_callbacks.m_routes();
@@ -422,11 +439,6 @@
   recordOutcome(Request, 0, Reason);
 }
 
-void EdgeServer::recordConnectionEnd(std::string_view Reason) {
-  m_metrics.count("client_connections_ended",
-                  fmt::format("reason=\"{}\"", Reason));
-}
-
 void EdgeServer::recordOutcome(const ClientRequest &Request, unsigned Status,
                                std::string_view Reason) {
   const Millis Took = std::chrono::duration_cast<Millis>(BootClock::now() -
