--- a/test/gateway/client-connection-test.cc
+++ b/test/gateway/client-connection-test.cc
@@ -93,5 +93,32 @@
   EXPECT_TRUE(isClosed(Client));
 }
 
+// The timeout of the read closed the socket, and the refusal was never sent.
+TEST_F(ClientConnectionTest, Request_HeadIsNotSentInTime_IsRefused) {
+  m_store.m_configuration.m_limits.m_headerTimeout = IdleLimit;
+  startAll();
+  const Answer Got = send("GET /web/ HTTP/1.1\r\nHost: shop.example\r\n");
+  EXPECT_EQ(Got.m_status, 408U);
+  EXPECT_EQ(Got.m_head[http::field::connection], "close");
+}
+
+TEST_F(ClientConnectionTest, Request_BodyIsNotSentInTime_IsRefused) {
+  m_store.m_configuration.m_routes[1].m_timeout = IdleLimit;
+  startAll();
+  std::string Bytes = post("/pay/", "card");
+  Bytes.pop_back();
+  EXPECT_EQ(send(Bytes).m_status, 408U);
+  EXPECT_EQ(webRequests(), 0U);
+}
+
+// The rest of a long body is read while the server waits for it.
+TEST_F(ClientConnectionTest, Request_LongBodyIsNotSentInTime_IsAnswered) {
+  m_store.m_configuration.m_routes[1].m_timeout = IdleLimit;
+  startAll();
+  std::string Bytes = post("/pay/", std::string(1U << 20U, 'x'));
+  Bytes.pop_back();
+  EXPECT_EQ(send(Bytes).m_status, 504U);
+}
+
 } // namespace
 } // namespace tamarackdrum::gateway
