--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -17,22 +17,12 @@
 constexpr unsigned CrashesToRefuse = 3;
 /// Number of remembered crash reports at which all are discarded.
 constexpr std::size_t MaxSeenCrashes = 4096;
-/// Interval at which a stopping host checks whether its requests have ended.
-constexpr Millis DrainPollInterval{50};
-/// Largest parts of the stop timeout for which a stopping host accepts requests
-/// and keeps idle connections.
-constexpr double MaxAcceptShare = 0.5;
-constexpr double MaxIdleShare = 0.55;
 /// Bodies may take the process's memory divided by this. Without bodies, a
 /// process needs less than half of its memory.
 constexpr std::size_t BodyMemoryDivisor = 4;
 /// As above, for the bodies of requests of other hosts.
 constexpr std::size_t RelayMemoryDivisor = 32;
 
-Millis share(Millis Whole, double Part) {
-  return std::chrono::duration_cast<Millis>(Whole * Part);
-}
-
 PoisonPolicy poisonPolicy() {
   PoisonPolicy Out;
   Out.m_crashesToRefuse = CrashesToRefuse;
@@ -468,53 +458,4 @@
   }
 }
 
-void GatewayHost::stop(std::function<void()> OnStopped) {
-  if (m_isStopping)
-    return;
-  m_isStopping = true;
-  m_hosts.setStopping();
-  const TimePoint End =
-      BootClock::now() + m_settings.m_stopTimeout - m_policy.m_stopMargin;
-  m_edge.beginDrain(End);
-  for (const auto &[Service, Runner] : m_granterRunners)
-    Runner->stop();
-  m_network.sendDueHeartbeats();
-  m_log.write("stopping", {{"active", m_edge.activeRequests()},
-                           {"connections", m_edge.connectionCount()}});
-  asio::co_spawn(m_executor, stopSequence(End, std::move(OnStopped)),
-                 asio::detached);
-}
-
-bool GatewayHost::isInUse() const {
-  return m_edge.activeRequests() > 0 || m_edge.connectionCount() > 0 ||
-         m_relay.servedCount() > 0;
-}
-
-asio::awaitable<void>
-GatewayHost::stopSequence(TimePoint End, std::function<void()> OnStopped) {
-  const TimePoint Begin = BootClock::now();
-  const Millis Grace = m_settings.m_stopTimeout;
-  const TimePoint RefuseAt =
-      Begin + std::min(m_policy.m_refuseNewAfter, share(Grace, MaxAcceptShare));
-  const TimePoint CloseAt =
-      Begin + std::min(m_policy.m_closeIdleAfter, share(Grace, MaxIdleShare));
-  for (TimePoint Now = Begin; Now < End && (Now < CloseAt || isInUse());
-       Now = BootClock::now()) {
-    if (Now >= RefuseAt)
-      m_edge.refuseNewRequests();
-    if (Now >= CloseAt)
-      m_edge.closeIdleConnections();
-    m_edge.refuseLateRequests();
-    co_await sleepFor(DrainPollInterval);
-  }
-  m_edge.endAllRequests();
-  for (const auto &[Service, Runner] : m_granterRunners)
-    Runner->prepareExit();
-  co_await sleepFor(m_policy.m_finalCallTime);
-  m_log.write("stopped", {{"active", m_edge.activeRequests()},
-                          {"connections", m_edge.connectionCount()}});
-  m_log.flush();
-  OnStopped();
-}
-
 } // namespace tamarackdrum::gateway
