--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -120,11 +120,12 @@
   /// Serves the requests of one connection until it ends.
   boost::asio::awaitable<void> serve(SessionPtr Client);
   /// Reads and discards what the client still sends until it closes the
-  /// connection, at most until \p End, and returns its size: closing a socket
-  /// with unread bytes resets the connection, and the client may lose the
-  /// answer.
-  boost::asio::awaitable<std::size_t> discardRest(SessionPtr Client,
-                                                  TimePoint End);
+  /// connection, at most until \p End: closing a socket with unread bytes
+  /// resets the connection, and the client may lose the answer.
+  boost::asio::awaitable<void> discardRest(SessionPtr Client, TimePoint End);
+  /// Waits for requests that cross the end of an idle connection, and counts
+  /// and logs them.
+  boost::asio::awaitable<void> awaitIdleEnd(SessionPtr Client);
   /// Reads the head of the next request. Returns false if there is none; the
   /// connection then ends.
   boost::asio::awaitable<bool>
@@ -208,9 +209,6 @@
   void watchForDisconnect(const SessionPtr &Client);
   /// Records a request that the client has not sent whole.
   void leaveUnread(ClientRequest &Request, std::string_view Reason);
-  /// Counts a connection that this host ended while it was idle. \p Discarded
-  /// bytes came after that: a request that crossed the close is lost.
-  void recordConnectionEnd(const Session &Client, std::size_t Discarded);
   /// Counts and logs a request that has ended. \p Status is 0 if the client
   /// disconnected before an answer.
   void recordOutcome(const ClientRequest &Request, unsigned Status,
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -137,19 +137,16 @@
   }
 }
 
-asio::awaitable<std::size_t> EdgeServer::discardRest(SessionPtr Client,
-                                                     TimePoint End) {
+asio::awaitable<void> EdgeServer::discardRest(SessionPtr Client,
+                                              TimePoint End) {
   std::string Rest(ReadBytes, '\0');
-  std::size_t Bytes = 0;
   while (BootClock::now() < End) {
     Client->m_stream.expires_after(std::max(Millis(1), timeLeft(End)));
     const auto [Error, Count] =
         co_await Client->m_stream.async_read_some(asio::buffer(Rest), UseTuple);
-    Bytes += Count;
     if (Error)
-      break;
+      co_return;
   }
-  co_return Bytes;
 }
 
 asio::awaitable<void> EdgeServer::serve(SessionPtr Client) {
@@ -178,29 +175,29 @@
   // Fails if the client has closed the connection.
   boost::system::error_code Error;
   Client->m_stream.socket().shutdown(tcp::socket::shutdown_send, Error);
-  if (!Error && (Client->m_mustClose || !Client->m_endReason.empty())) {
-    const std::size_t Bytes = co_await discardRest(
+  if (!Error && Client->m_mustClose)
+    co_await discardRest(
         Client, std::max(BootClock::now() + m_policy.m_closeTime, BodyEnd));
-    recordConnectionEnd(*Client, Bytes);
-  }
+  else if (!Error && !Client->m_endReason.empty())
+    co_await awaitIdleEnd(Client);
   Client->m_stream.close();
   m_sessions.remove(Client);
 }
 
-void EdgeServer::recordConnectionEnd(const Session &Client,
-                                     std::size_t Discarded) {
-  if (Client.m_endReason.empty())
-    return;
+asio::awaitable<void> EdgeServer::awaitIdleEnd(SessionPtr Client) {
+  // Bytes that come now are left unread: a client may repeat an unsafe request
+  // that the host has not read.
+  co_await sleepFor(m_policy.m_closeTime);
+  const bool HasCrossed = hasBytes(*Client);
   m_metrics.count("client_connections_ended",
                   fmt::format("reason=\"{}\",crossed=\"{}\"",
-                              Client.m_endReason, Discarded > 0));
-  if (Discarded > 0)
+                              Client->m_endReason, HasCrossed));
+  if (HasCrossed)
     m_log.writeRequest(
         "request-crossed-close",
-        {{"reason", Client.m_endReason},
-         {"bytes", Discarded},
+        {{"reason", Client->m_endReason},
          {"idle_ms", std::chrono::duration_cast<Millis>(BootClock::now() -
-                                                        Client.m_idleSince)}});
+                                                        Client->m_idleSince)}});
 }
 
 asio::awaitable<bool>
