Keep idle connections for twice the limit, end them early when sockets are short

The fewer it ends, the fewer are lost; what an idle connection costs is a socket. If none is left, the connection that has been idle for longest makes room for a new one, which failed before.

ClientConnectionTest.NewConnection_NoDescriptorsLeft_IsServed plays that.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -33,10 +33,15 @@
   /// to close it. After an answer that came before the end of the request's
   /// body, it is the time that the request has left, if that is longer.
   Millis m_closeTime{300};
-  /// Time beyond the configured limit for which an idle connection stays open:
-  /// a request that was sent within the limit may be on its way, e.g. be sent
-  /// again after a loss, or wait for a host that is short of processor time.
+  /// Least time beyond the configured limit for which an idle connection stays
+  /// open: a request that was sent within the limit may be on its way, e.g. be
+  /// sent again after a loss, or wait for a host that is short of processor
+  /// time.
   Millis m_idleAllowance{3000};
+  /// The same as a multiple of the limit: some clients send later than they
+  /// should, and the fewer connections the host ends, the fewer requests cross
+  /// that. Connections are ended earlier if the process runs out of sockets.
+  int m_idleLimitFactor = 2;
   /// Number of dispatches that reach no usable server after which a request is
   /// refused.
   unsigned m_maxUnreachableAttempts = 3;
@@ -116,6 +121,9 @@
   struct ClientRequest;
   using SessionPtr = std::shared_ptr<Session>;
 
+  /// Closes the connection that has been idle for longest, to free its socket.
+  void closeLongestIdle();
+
   boost::asio::awaitable<void> acceptLoop();
   /// Serves the requests of one connection until it ends.
   boost::asio::awaitable<void> serve(SessionPtr Client);
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -76,6 +76,8 @@
       co_return;
     if (Error) {
       m_log.write("accept-failed", {{"reason", Error.message()}});
+      if (Error == asio::error::no_descriptors)
+        closeLongestIdle();
       co_await sleepFor(AcceptPause);
       continue;
     }
@@ -96,6 +98,18 @@
       Client->endIdle("stop");
 }
 
+void EdgeServer::closeLongestIdle() {
+  SessionPtr Longest;
+  for (const SessionPtr &Client : m_sessions)
+    if (Client->m_isIdle && !hasBytes(*Client) &&
+        (Longest == nullptr || Client->m_idleSince < Longest->m_idleSince))
+      Longest = Client;
+  if (Longest == nullptr)
+    return;
+  m_metrics.count("client_connections_ended", "reason=\"descriptors\"");
+  Longest->m_stream.close();
+}
+
 void EdgeServer::closeExpiredConnections() {
   const TimePoint Now = BootClock::now();
   const Millis Limit = clientLimits().m_idleTimeout;
@@ -103,8 +117,10 @@
     if (!Client->m_isIdle)
       continue;
     Client->m_idleLimit = std::max(Client->m_idleLimit, Limit);
-    const bool IsExpired = Now - Client->m_idleSince >
-                           Client->m_idleLimit + m_policy.m_idleAllowance;
+    const Millis Longest =
+        std::max(Client->m_idleLimit + m_policy.m_idleAllowance,
+                 Client->m_idleLimit * m_policy.m_idleLimitFactor);
+    const bool IsExpired = Now - Client->m_idleSince > Longest;
     // A request that has arrived is read next.
     if (IsExpired && !hasBytes(*Client))
       Client->endIdle("idle-limit");
--- a/test/gateway/client-connection-test.cc
+++ b/test/gateway/client-connection-test.cc
@@ -2,6 +2,8 @@
 
 #include "gateway-host-fixture.h"
 
+#include <sys/resource.h>
+
 namespace tamarackdrum::gateway {
 namespace {
 
@@ -93,6 +95,27 @@
   EXPECT_TRUE(isClosed(Client));
 }
 
+// Idle connections that are kept for long must not keep new clients out.
+TEST_F(ClientConnectionTest, NewConnection_NoDescriptorsLeft_IsServed) {
+  m_store.m_configuration.m_limits.m_idleTimeout = Millis(60000);
+  startAll();
+  asio::ip::tcp::socket Idle = connect();
+  ASSERT_EQ(sendOn(Idle), 200U);
+  asio::ip::tcp::socket Client(m_context);
+  Client.open(asio::ip::tcp::v4());
+  rlimit Before{};
+  ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &Before), 0);
+  // The process of the test has the sockets of the clients and servers too.
+  rlimit Full = Before;
+  Full.rlim_cur = static_cast<rlim_t>(Client.native_handle()) + 1;
+  ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &Full), 0);
+  Client.connect(m_addresses[0]);
+  const bool WasClosed = isClosed(Idle);
+  ::setrlimit(RLIMIT_NOFILE, &Before);
+  EXPECT_TRUE(WasClosed);
+  EXPECT_EQ(sendOn(Client), 200U);
+}
+
 // The timeout of the read closed the socket, and the refusal was never sent.
 TEST_F(ClientConnectionTest, Request_HeadIsNotSentInTime_IsRefused) {
   m_store.m_configuration.m_limits.m_headerTimeout = IdleLimit;
