--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -39,19 +39,24 @@
     m_hasReadTimedOut = false;
     m_stream.expires_never();
     m_readTimer.expires_after(Time);
-    m_readTimer.async_wait(
-        [Weak = weak_from_this()](boost::system::error_code Error) {
-          const std::shared_ptr<Session> Client = Weak.lock();
-          if (Error || Client == nullptr)
-            return;
-          Client->m_hasReadTimedOut = true;
-          Client->m_stream.cancel();
-        });
+    m_readTimer.async_wait([Weak = weak_from_this(), Limit = ++m_readLimit](
+                               boost::system::error_code Error) {
+      const std::shared_ptr<Session> Client = Weak.lock();
+      // A timer that has expired can no longer be cancelled.
+      if (Error || Client == nullptr || Client->m_readLimit != Limit)
+        return;
+      Client->m_hasReadTimedOut = true;
+      Client->m_stream.cancel();
+    });
+  }
+  void endReadLimit() {
+    ++m_readLimit;
+    m_readTimer.cancel();
   }
-  void endReadLimit() { m_readTimer.cancel(); }
 
   boost::beast::tcp_stream m_stream;
   boost::asio::steady_timer m_readTimer; ///< See limitReads().
+  std::uint64_t m_readLimit = 0;         ///< Number of the limit in force.
   bool m_hasReadTimedOut = false;
   boost::beast::flat_buffer m_buffer{ClientBufferBytes};
   bool m_isIdle = true; ///< There is no request on it.
