Forget the end of an idle connection whose client has sent a request

The host may end a connection after its read has got a request but before it goes on. The request was served, but its connection was then counted as ended while idle. Found by reading.

--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -227,6 +227,8 @@
     if (Error)
       co_return false;
     Client->m_buffer.commit(Count);
+    // The end of an idle connection may come after the read has ended.
+    Client->m_endReason = {};
   }
   Request->m_routeTable = m_callbacks.m_routes();
   const ClientLimits Limits = clientLimits();
