Close gaps that the review of the fixes found

- A stopping host refuses requests whose body is too long to be buffered: how long the client needs for the rest is not known, and the request could be cut at the end.
PlannedStopTest.LongBody_DuringStop_IsRefusedAsNotRun.
- A connection is ended for want of sockets only if its client has sent nothing; hosts with 1,000 connections or more end idle ones soon after the limit.
- The usual time of a route counts whole answers of served requests, not early failures or heads.
Found by reading, by one who had not seen the work; only the first has a test.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -40,8 +40,9 @@
   Millis m_idleAllowance{3000};
   /// The same as a multiple of the limit: some clients send later than they
   /// should, and the fewer connections the host ends, the fewer requests cross
-  /// that. Connections are ended earlier if the process runs out of sockets.
+  /// that. Only while there are fewer than m_manyConnections.
   int m_idleLimitFactor = 2;
+  std::size_t m_manyConnections = 1000;
   /// Number of dispatches that reach no usable server after which a request is
   /// refused.
   unsigned m_maxUnreachableAttempts = 3;
@@ -242,8 +243,8 @@
   bool m_isDraining = false;
   TimePoint m_drainEnd{}; ///< Only if m_isDraining is set.
   bool m_isRefusing = false;
-  /// Times on servers, by route.
-  std::map<std::string, DurationEstimate> m_serviceTimes;
+  /// Times from a dispatch to its whole answer, by route.
+  std::map<std::string, DurationEstimate> m_requestTimes;
   std::map<std::string, Millis> m_longestDeadlines; ///< By route.
   BackoffTracker m_restingServers;
 };
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -37,9 +37,8 @@
 /// to end before a stop. An unsafe request that is cut cannot be repeated.
 constexpr double UnsafeDeviations = 4;
 constexpr double SafeDeviations = 2;
-/// Time that a request may need on a server if neither its route's objective
-/// nor its usual time is known.
-constexpr Millis UnknownServiceTime{1000};
+/// Time that a request may need on a server if that of its route is not known.
+constexpr Millis UnknownRequestTime{1000};
 /// Servers that a request has not reached before it is sent through a peer.
 constexpr unsigned UnreachableBeforeRelay = 2;
 
@@ -113,10 +112,13 @@
 bool EdgeServer::canEndBeforeStop(const ClientRequest &Request) const {
   if (!m_isDraining)
     return true;
+  // Nobody knows how long the client needs for the rest of a long body.
+  if (!Request.m_isBodyWhole)
+    return false;
   const Route &Item = *Request.m_route;
-  const auto Found = m_serviceTimes.find(Item.m_name);
-  Millis Needed = UnknownServiceTime;
-  if (Found != m_serviceTimes.end())
+  const auto Found = m_requestTimes.find(Item.m_name);
+  Millis Needed = UnknownRequestTime;
+  if (Found != m_requestTimes.end())
     Needed = upperBound(Found->second, Item.m_kind == RequestKind::Safe
                                            ? SafeDeviations
                                            : UnsafeDeviations);
@@ -195,8 +197,14 @@
     m_admission.finish(Service, Taken, Result, ServiceTime, Report);
   };
   const std::size_t SentBytes = Upstream.m_head.size() + Upstream.m_body.size();
+  const TimePoint SentAt = BootClock::now();
   UpstreamReply Reply = co_await sendUpstream(std::move(Upstream), Request);
   co_await stopBodySource(Client, Request);
+  if (Reply.m_result == DispatchResult::Served) {
+    DurationEstimate &Known = m_requestTimes[Request->m_route->m_name];
+    Known = withSample(
+        Known, std::chrono::duration_cast<Millis>(BootClock::now() - SentAt));
+  }
   // The loss of a peer tells nothing about the server.
   m_admission.finish(Request->m_service->m_name, Taken,
                      Reply.m_isPeerLost ? DispatchResult::Withdrawn
@@ -292,11 +300,6 @@
                         {"server", Server.m_id},
                         {"service", Service},
                         {"text", Reply.m_unreadableLoad}});
-  if (Reply.m_result == DispatchResult::Served ||
-      Reply.m_result == DispatchResult::Failed) {
-    DurationEstimate &Known = m_serviceTimes[Request.m_route->m_name];
-    Known = withSample(Known, Reply.m_serviceTime);
-  }
   if (Reply.m_result == DispatchResult::Served)
     m_poison.noteAnswered(Request.m_fingerprint, bootMillis());
   else
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -27,6 +27,8 @@
 /// A connection without a request for less time may be new: its first request
 /// is on its way.
 constexpr Millis MinIdleToClose{250};
+/// Reason for the end of an idle connection.
+constexpr std::string_view OutOfSockets = "descriptors";
 
 std::optional<std::int64_t> parseNumber(std::string_view Text) {
   std::int64_t Value = 0;
@@ -104,10 +106,8 @@
     if (Client->m_isIdle && !hasBytes(*Client) &&
         (Longest == nullptr || Client->m_idleSince < Longest->m_idleSince))
       Longest = Client;
-  if (Longest == nullptr)
-    return;
-  m_metrics.count("client_connections_ended", "reason=\"descriptors\"");
-  Longest->m_stream.close();
+  if (Longest != nullptr)
+    Longest->endIdle(OutOfSockets);
 }
 
 void EdgeServer::closeExpiredConnections() {
@@ -117,9 +117,10 @@
     if (!Client->m_isIdle)
       continue;
     Client->m_idleLimit = std::max(Client->m_idleLimit, Limit);
-    const Millis Longest =
-        std::max(Client->m_idleLimit + m_policy.m_idleAllowance,
-                 Client->m_idleLimit * m_policy.m_idleLimitFactor);
+    Millis Longest = Client->m_idleLimit + m_policy.m_idleAllowance;
+    if (m_sessions.size() < m_policy.m_manyConnections)
+      Longest =
+          std::max(Longest, Client->m_idleLimit * m_policy.m_idleLimitFactor);
     const bool IsExpired = Now - Client->m_idleSince > Longest;
     // A request that has arrived is read next.
     if (IsExpired && !hasBytes(*Client))
@@ -203,7 +204,8 @@
 asio::awaitable<void> EdgeServer::awaitIdleEnd(SessionPtr Client) {
   // Bytes that come now are left unread: a client may repeat an unsafe request
   // that the host has not read.
-  co_await sleepFor(m_policy.m_closeTime);
+  if (Client->m_endReason != OutOfSockets)
+    co_await sleepFor(m_policy.m_closeTime);
   const bool HasCrossed = hasBytes(*Client);
   m_metrics.count("client_connections_ended",
                   fmt::format("reason=\"{}\",crossed=\"{}\"",
--- a/test/gateway/planned-stop-test.cc
+++ b/test/gateway/planned-stop-test.cc
@@ -81,6 +81,16 @@
   EXPECT_LT(Millis(std::stoi(Used.m_requests[0].m_deadline)), m_stopTimeout);
 }
 
+// The body of a long request is passed on while the client sends it, which may
+// take longer than the grace time.
+TEST_F(PlannedStopTest, LongBody_DuringStop_IsRefusedAsNotRun) {
+  startAll();
+  stop();
+  const Answer Got = send(post("/pay/", std::string(2U << 20U, 'x')));
+  EXPECT_EQ(Got.m_status, 503U);
+  EXPECT_EQ(webRequests(), 0U);
+}
+
 TEST_F(PlannedStopTest, RunningRequest_GraceEnds_IsAnswered) {
   m_isHeld = true;
   serveIn(Millis(0));
