Name the idle limit in answers

Both ends act on the limit: clients do not use a connection after the time that Keep-Alive names, but the gateway named none, so that clients went by the limit that they knew, or by none.

ClientConnectionTest.Answer_ConnectionIsKept_NamesTheIdleLimit failed before.

--- a/include/tamarackdrum/gateway/message-head.h
+++ b/include/tamarackdrum/gateway/message-head.h
@@ -30,9 +30,11 @@
                             Millis TimeLeft);
 
 /// Returns the head of a server's answer as it is sent to the client.
-/// \p ClosesConnection adds "Connection: close".
+/// \p ClosesConnection adds "Connection: close". Otherwise \p IdleLimit, if it
+/// is a second or more, adds "Keep-Alive": the client must not use the
+/// connection once it has been idle for that long.
 std::string makeReplyHead(const ReplyHead &Head, const Framing &Body,
-                          bool ClosesConnection);
+                          bool ClosesConnection, Millis IdleLimit = Millis(0));
 
 /// An answer that the gateway generates.
 struct GatewayAnswer {
@@ -40,6 +42,7 @@
   std::string_view m_reason;
   Millis m_retryAfter{0};          ///< 0: no Retry-After header.
   bool m_closesConnection = false; ///< Adds "Connection: close".
+  Millis m_idleLimit{0};           ///< See makeReplyHead().
 };
 
 /// Returns head and body of \p Answer to the request with id \p Id, which is
--- a/src/edge/message-head.cc
+++ b/src/edge/message-head.cc
@@ -51,6 +51,17 @@
                    *Body.m_length);
 }
 
+void appendPersistence(std::string &Out, bool ClosesConnection,
+                       Millis IdleLimit) {
+  const auto Seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(IdleLimit);
+  if (ClosesConnection)
+    Out.append("Connection: close\r\n");
+  else if (Seconds.count() > 0)
+    fmt::format_to(std::back_inserter(Out), "Keep-Alive: timeout={}\r\n",
+                   Seconds.count());
+}
+
 } // namespace
 
 std::string makeRequestHead(const RequestHead &Head, const Framing &Body,
@@ -71,12 +82,13 @@
 }
 
 std::string makeReplyHead(const ReplyHead &Head, const Framing &Body,
-                          bool ClosesConnection) {
+                          bool ClosesConnection, Millis IdleLimit) {
   std::string Out = fmt::format("HTTP/1.1 {} {}\r\n", Head.result_int(),
                                 toView(Head.reason()));
   appendHeaders(Out, Head, {});
   appendFraming(Out, Body);
-  Out.append(ClosesConnection ? "Connection: close\r\n\r\n" : "\r\n");
+  appendPersistence(Out, ClosesConnection, IdleLimit);
+  Out.append("\r\n");
   return Out;
 }
 
@@ -96,7 +108,8 @@
     fmt::format_to(std::back_inserter(Out), "Retry-After: {:.3f}\r\n",
                    static_cast<double>(Answer.m_retryAfter.count()) /
                        MsPerSecond);
-  Out.append(Answer.m_closesConnection ? "Connection: close\r\n\r\n" : "\r\n");
+  appendPersistence(Out, Answer.m_closesConnection, Answer.m_idleLimit);
+  Out.append("\r\n");
   Out.append(Body);
   return Out;
 }
--- a/test/gateway/client-connection-test.cc
+++ b/test/gateway/client-connection-test.cc
@@ -95,6 +95,17 @@
   EXPECT_TRUE(isClosed(Client));
 }
 
+// A client that knows the limit does not send at the time at which the host
+// closes the connection.
+TEST_F(ClientConnectionTest, Answer_ConnectionIsKept_NamesTheIdleLimit) {
+  m_store.m_configuration.m_limits.m_idleTimeout = Millis(15900);
+  startAll();
+  EXPECT_EQ(send(get("/web/")).m_head["Keep-Alive"], "timeout=15");
+  EXPECT_EQ(send(get("/none/")).m_head["Keep-Alive"], "timeout=15");
+  m_hosts[0]->stop([] {});
+  EXPECT_TRUE(send(get("/web/")).m_head["Keep-Alive"].empty());
+}
+
 // Idle connections that are kept for long must not keep new clients out.
 TEST_F(ClientConnectionTest, NewConnection_NoDescriptorsLeft_IsServed) {
   m_store.m_configuration.m_limits.m_idleTimeout = Millis(60000);
