Count the body of an answer into the usual time of a route

In a planned stop, a request is sent only if the usual time of its route ends before the process does. That time ended with the head of the answer, so that requests were sent whose answers took longer: unsafe ones ended with 504, streamed answers were truncated.

The time now ends with the whole answer, streamed ones included. Answers that a client or the server breaks off are not counted. A client that reads slowly makes the time longer.

The body of the existing test moved to a function that also expects whole answers.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -194,8 +194,10 @@
   /// \p Server.
   void recordReply(ClientRequest &Request, const ServerEntry &Server,
                    const UpstreamReply &Reply, std::size_t SentBytes);
+  /// Records how long the answer took that has just come whole.
+  void recordAnswerTime(const ClientRequest &Request);
   /// Returns whether a request can be expected to end before this host stops,
-  /// by the usual time of its route on a server.
+  /// by the usual time of its route.
   bool canEndBeforeStop(const ClientRequest &Request) const;
   /// Lets the deadline of a request pass before this host stops, so that the
   /// server ends its work and answers in time.
@@ -243,8 +245,8 @@
   bool m_isDraining = false;
   TimePoint m_drainEnd{}; ///< Only if m_isDraining is set.
   bool m_isRefusing = false;
-  /// Times from a dispatch to its whole answer, by route.
-  std::map<std::string, DurationEstimate> m_requestTimes;
+  /// Times from the dispatch to the end of the answer, by route.
+  std::map<std::string, DurationEstimate> m_answerTimes;
   std::map<std::string, Millis> m_longestDeadlines; ///< By route.
   BackoffTracker m_restingServers;
 };
--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -107,6 +107,7 @@
   bool m_isHostStopping = false; ///< Refused because this host stops.
   // Results of the dispatches so far:
   unsigned m_dispatches = 0;
+  TimePoint m_sentAt{}; ///< Start of the last one.
   unsigned m_unreachableAttempts = 0;
   bool m_mayHaveRun = false; ///< A server may have started to run it.
   bool m_isAnswered = false;
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -37,8 +37,8 @@
 /// to end before a stop. An unsafe request that is cut cannot be repeated.
 constexpr double UnsafeDeviations = 4;
 constexpr double SafeDeviations = 2;
-/// Time that a request may need on a server if that of its route is not known.
-constexpr Millis UnknownRequestTime{1000};
+/// Time that a request may need if the usual time of its route is not known.
+constexpr Millis UnknownAnswerTime{1000};
 /// Servers that a request has not reached before it is sent through a peer.
 constexpr unsigned UnreachableBeforeRelay = 2;
 
@@ -116,9 +116,9 @@
   if (!Request.m_isBodyWhole)
     return false;
   const Route &Item = *Request.m_route;
-  const auto Found = m_requestTimes.find(Item.m_name);
-  Millis Needed = UnknownRequestTime;
-  if (Found != m_requestTimes.end())
+  const auto Found = m_answerTimes.find(Item.m_name);
+  Millis Needed = UnknownAnswerTime;
+  if (Found != m_answerTimes.end())
     Needed = upperBound(Found->second, Item.m_kind == RequestKind::Safe
                                            ? SafeDeviations
                                            : UnsafeDeviations);
@@ -197,14 +197,9 @@
     m_admission.finish(Service, Taken, Result, ServiceTime, Report);
   };
   const std::size_t SentBytes = Upstream.m_head.size() + Upstream.m_body.size();
-  const TimePoint SentAt = BootClock::now();
+  Request->m_sentAt = BootClock::now();
   UpstreamReply Reply = co_await sendUpstream(std::move(Upstream), Request);
   co_await stopBodySource(Client, Request);
-  if (Reply.m_result == DispatchResult::Served) {
-    DurationEstimate &Known = m_requestTimes[Request->m_route->m_name];
-    Known = withSample(
-        Known, std::chrono::duration_cast<Millis>(BootClock::now() - SentAt));
-  }
   // The loss of a peer tells nothing about the server.
   m_admission.finish(Request->m_service->m_name, Taken,
                      Reply.m_isPeerLost ? DispatchResult::Withdrawn
@@ -300,12 +295,21 @@
                         {"server", Server.m_id},
                         {"service", Service},
                         {"text", Reply.m_unreadableLoad}});
+  // A server that fails may do so at once.
+  if (Reply.m_result == DispatchResult::Served && !Reply.m_hasMore)
+    recordAnswerTime(Request);
   if (Reply.m_result == DispatchResult::Served)
     m_poison.noteAnswered(Request.m_fingerprint, bootMillis());
   else
     Request.m_triedServers.push_back(Server.m_id);
 }
 
+void EdgeServer::recordAnswerTime(const ClientRequest &Request) {
+  DurationEstimate &Known = m_answerTimes[Request.m_route->m_name];
+  Known = withSample(Known, std::chrono::duration_cast<Millis>(
+                                BootClock::now() - Request.m_sentAt));
+}
+
 bool EdgeServer::shouldRetry(ClientRequest &Request) const {
   if (Request.m_isClientGone || Request.m_isStreaming)
     return false;
@@ -470,8 +474,10 @@
       std::string End = "0\r\n\r\n";
       IsSent = co_await write(Client, std::move(End));
     }
-    if (IsLast)
+    if (IsLast) {
+      recordAnswerTime(*Request);
       break;
+    }
     std::string Bytes =
         Body.m_isChunked ? makeChunk(Piece.value()) : Piece.value();
     IsSent = co_await write(Client, std::move(Bytes));
--- a/test/gateway/planned-stop-test.cc
+++ b/test/gateway/planned-stop-test.cc
@@ -25,6 +25,55 @@
     });
   }
 
+  /// As serveIn(), but the servers send the head and most of a body of \p
+  /// Length bytes at once, and the rest after \p Time.
+  void serveSlowly(std::size_t Length, Millis Time) {
+    setWeb([this, Length,
+            Time](ScriptedServer::Stream &To,
+                  const ReceivedRequest &Seen) -> asio::awaitable<bool> {
+      const bool WaitsForRelease = m_isHeld;
+      while (WaitsForRelease && m_isHeld)
+        co_await sleepFor(Millis(5));
+      std::string Text =
+          ScriptedServer::okResponse(Seen.m_id, std::string(Length, 'x'));
+      std::string Rest = Text.substr(Text.size() - 1);
+      Text.pop_back();
+      const bool IsSent = co_await ScriptedServer::send(To, std::move(Text));
+      if (!WaitsForRelease)
+        co_await sleepFor(Time);
+      const bool IsWhole = co_await ScriptedServer::send(To, std::move(Rest));
+      co_return IsSent &&IsWhole;
+    });
+  }
+
+  /// Lets requests that need 1000 ms wait until 800 ms before the end of a
+  /// stop, and expects that they are refused and that none is cut.
+  void expectWaitingAreRefused() {
+    for (int I = 0; I < 2; ++I)
+      ASSERT_EQ(send(post("/pay/", "card")).m_status, 200U);
+    m_isHeld = true;
+    std::vector<Sent> All;
+    for (int I = 0; I < 10; ++I)
+      All.push_back(sendLater(post("/pay/", "card")));
+    ASSERT_TRUE(runUntil([this] { return webRequests() >= 6; }));
+    stop();
+    wait(m_stopTimeout - m_policy.m_stopMargin - Millis(800));
+    const std::size_t Before = webRequests();
+    m_isHeld = false;
+    runToTheEnd();
+    EXPECT_EQ(webRequests(), Before);
+    int Refused = 0;
+    for (const Sent &Item : All) {
+      EXPECT_TRUE(*Item.m_isDone);
+      EXPECT_TRUE(Item.m_answer->m_isWhole);
+      EXPECT_TRUE(Item.m_answer->m_status == 200 ||
+                  Item.m_answer->m_status == 503)
+          << Item.m_answer->m_status;
+      Refused += Item.m_answer->m_status == 503 ? 1 : 0;
+    }
+    EXPECT_EQ(Refused + Before, All.size() + 2);
+  }
+
   /// Sends the signal. The platform kills the process after the stop timeout.
   void stop() {
     m_stopBegin = BootClock::now();
@@ -47,28 +96,21 @@
 TEST_F(PlannedStopTest, WaitingRequest_CannotEndInTheGrace_IsRefusedAsNotRun) {
   serveIn(Millis(1000));
   startAll();
-  for (int I = 0; I < 2; ++I)
-    ASSERT_EQ(send(post("/pay/", "card")).m_status, 200U);
-  m_isHeld = true;
-  std::vector<Sent> All;
-  for (int I = 0; I < 10; ++I)
-    All.push_back(sendLater(post("/pay/", "card")));
-  ASSERT_TRUE(runUntil([this] { return webRequests() >= 6; }));
-  stop();
-  wait(m_stopTimeout - m_policy.m_stopMargin - Millis(800));
-  const std::size_t Before = webRequests();
-  m_isHeld = false;
-  runToTheEnd();
-  EXPECT_EQ(webRequests(), Before);
-  int Refused = 0;
-  for (const Sent &Item : All) {
-    EXPECT_TRUE(*Item.m_isDone);
-    EXPECT_TRUE(Item.m_answer->m_status == 200 ||
-                Item.m_answer->m_status == 503)
-        << Item.m_answer->m_status;
-    Refused += Item.m_answer->m_status == 503 ? 1 : 0;
-  }
-  EXPECT_EQ(Refused + Before, All.size() + 2);
+  expectWaitingAreRefused();
+}
+
+// The usual time of a route ended with the head of the answer, so that requests
+// were sent whose answers were cut at the end.
+TEST_F(PlannedStopTest, WaitingRequest_BodyTakesLong_IsRefusedAsNotRun) {
+  serveSlowly(1000, Millis(1000));
+  startAll();
+  expectWaitingAreRefused();
+}
+
+TEST_F(PlannedStopTest, WaitingRequest_AnswerIsStreamed_IsRefusedAsNotRun) {
+  serveSlowly(200000, Millis(1000));
+  startAll();
+  expectWaitingAreRefused();
 }
 
 // A server that knows how much time is left ends its work and answers.
