Refuse requests whose bodies are not whole at the end of a stop

The end of a stop cancelled waits for slots and for answers, but not reads of bodies: the process ended and closed the connection without an answer. A client does not repeat an unsafe request then, though none had been sent to a server.

The read now ends, and the request is answered with 503.

Before, the new test saw a connection without an answer. Now it passes, as do the tests of client connections, which share the reading of bodies. Requests whose heads are not whole are still cut.

--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -91,7 +91,7 @@
   std::string m_body;
   bool m_isBodyWhole = true;
   bool m_isStreaming = false; ///< Part of the body has been sent unbuffered.
-  bool m_isBodyBeingRead = false; ///< A body source waits for the client.
+  bool m_isBodyBeingRead = false; ///< A read of the body is pending.
   std::shared_ptr<RouteTable> m_routeTable;
   const Route *m_route = nullptr;
   const Service *m_service = nullptr;
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -151,6 +151,8 @@
       m_admission.cancel(Request->m_admissionHandle);
     else
       Request->m_cancelToken.cancel();
+    if (Request->m_isBodyBeingRead)
+      Client->m_stream.cancel();
   }
 }
 
@@ -284,19 +286,23 @@
                      std::shared_ptr<ClientRequest> Request) {
   RequestParser &Parser = *Request->m_parser;
   std::string Piece;
-  while (!Parser.is_done() &&
+  // At the end of a stop, the request is refused without the rest.
+  while (!Parser.is_done() && !Request->m_isHostStopping &&
          Request->m_body.size() < m_policy.m_bufferedBodyBytes) {
     Piece.resize(PieceBytes);
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
     Client->limitReads(std::max(Millis(1), timeLeft(Request->m_deadline)));
+    Request->m_isBodyBeingRead = true;
     const auto [Error, Count] = co_await http::async_read_some(
         Client->m_stream, Client->m_buffer, Parser, UseTuple);
+    Request->m_isBodyBeingRead = false;
     Client->endReadLimit();
     const std::size_t Length = Piece.size() - Parser.get().body().size;
     Request->m_body.append(Piece.data(), Length);
     m_bufferedBytes += Length;
-    if (!Error || Error == http::error::need_buffer)
+    if (!Error || Error == http::error::need_buffer ||
+        Request->m_isHostStopping)
       continue;
     Client->m_mustClose = true;
     if (Error == http::error::body_limit)
--- a/test/gateway/planned-stop-test.cc
+++ b/test/gateway/planned-stop-test.cc
@@ -146,6 +146,22 @@
   EXPECT_TRUE(Item.m_answer->m_isWhole);
 }
 
+// The connection was closed without an answer, and clients do not repeat an
+// unsafe request then.
+TEST_F(PlannedStopTest, RequestBody_NotWholeWhenGraceEnds_IsRefusedAsNotRun) {
+  startAll();
+  std::string Bytes = post("/pay/", "a body of some length");
+  Bytes.pop_back();
+  const Sent Item = sendLater(Bytes);
+  wait(Millis(100));
+  stop();
+  runToTheEnd();
+  EXPECT_TRUE(*Item.m_isDone);
+  EXPECT_EQ(Item.m_answer->m_status, 503U);
+  EXPECT_TRUE(Item.m_answer->m_isWhole);
+  EXPECT_EQ(webRequests(), 0U);
+}
+
 // A client repeats an unsafe request after a refusal, but not if it could not
 // connect.
 TEST_F(PlannedStopTest, NewConnection_HostStillRuns_IsRefusedAsNotRun) {
