Take no requests of other hosts during a planned stop

A stopping host still sent requests of hosts that had not heard of its stop yet, and ended while they ran; their clients got 502. It now says that it has not tried to send them, and they are passed to another host.

Before, the new test got no answer before the link broke. Now it passes, as do the tests of a cut-off host. A second test covers what held already: the process waits for those that run when the stop begins.

--- a/include/tamarackdrum/gateway/request-relay.h
+++ b/include/tamarackdrum/gateway/request-relay.h
@@ -51,6 +51,9 @@
   boost::asio::awaitable<UpstreamReply> execute(UpstreamRequest Request,
                                                 CancelToken &Token);
 
+  /// Takes no requests of other hosts from now on; they pass them to others.
+  void beginDrain() { m_isDraining = true; }
+
   // Handlers of messages from other hosts. Link identifies the connection.
   void onRelay(std::uint32_t Link, RelayMessage &Message);
   void onAnswer(std::uint32_t Link, RelayAnswerMessage &Message);
@@ -107,6 +110,7 @@
   std::map<std::uint32_t, PendingPtr> m_pending;
   std::map<ServedId, Served> m_served; ///< By link and number.
   std::size_t m_servedBytes = 0;
+  bool m_isDraining = false;
 };
 
 } // namespace tamarackdrum::gateway
--- a/src/edge/gateway-host-stop.cc
+++ b/src/edge/gateway-host-stop.cc
@@ -33,6 +33,7 @@
   const TimePoint End =
       BootClock::now() + m_settings.m_stopTimeout - m_policy.m_stopMargin;
   m_edge.beginDrain(End);
+  m_relay.beginDrain();
   for (const auto &[Service, Runner] : m_granterRunners)
     Runner->stop();
   m_network.sendDueHeartbeats();
--- a/src/edge/request-relay.cc
+++ b/src/edge/request-relay.cc
@@ -244,8 +244,8 @@
 void RequestRelay::onRelay(std::uint32_t Link, RelayMessage &Message) {
   const ServerEntry *Server = m_findServer(Message.m_server);
   const std::size_t Bytes = Message.m_head.size() + Message.m_body.size();
-  const bool IsTaken = Server != nullptr && mayGetRequests(*Server) &&
-                       !m_contacts.isSuspected() &&
+  const bool IsTaken = !m_isDraining && Server != nullptr &&
+                       mayGetRequests(*Server) && !m_contacts.isSuspected() &&
                        Message.m_timeLeft > Millis(0) &&
                        m_served.size() < m_policy.m_maxServed &&
                        m_servedBytes + Bytes <= m_policy.m_maxServedBytes;
