--- a/test/gateway/planned-stop-test.cc
+++ b/test/gateway/planned-stop-test.cc
@@ -162,6 +162,21 @@
   EXPECT_EQ(webRequests(), 0U);
 }
 
+// Guards against an end without an answer, and against a refusal: the server
+// may have begun to run the request.
+TEST_F(PlannedStopTest, LongRequestBody_NotWholeWhenGraceEnds_IsAnswered) {
+  startAll();
+  std::string Bytes = post("/pay/", std::string(600000, 'x'));
+  Bytes.resize(Bytes.size() - 1000);
+  const Sent Item = sendLater(Bytes);
+  wait(Millis(300));
+  stop();
+  runToTheEnd();
+  EXPECT_TRUE(*Item.m_isDone);
+  EXPECT_EQ(Item.m_answer->m_status, 502U);
+  EXPECT_TRUE(Item.m_answer->m_isWhole);
+}
+
 // A client repeats an unsafe request after a refusal, but not if it could not
 // connect.
 TEST_F(PlannedStopTest, NewConnection_HostStillRuns_IsRefusedAsNotRun) {
