--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -68,6 +68,11 @@
     return m_feed.servers();
   }
 
+  /// Returns the host that gives out the slots of each service.
+  const std::map<std::string, std::string> &coordinators() const {
+    return m_admission.coordinators();
+  }
+
 private:
   boost::asio::awaitable<void> tickLoop();
   boost::asio::awaitable<void> heartbeatLoop();
