Tell the giver of a slot that its request has ended after its service is dropped

Callers saw requests without an answer or a refusal until their deadline, beside a configuration that drops a service: the coordinator went on with those that waited, but other hosts, which no longer knew a coordinator of the service, did not report the ends of their requests to it. Their slots stayed occupied until the deadline of each and one second. The report now goes back over the link on which the slot was given; a slot that was given here, or by the fallback, needs none.

WaitingRequest_OtherHostHasAllSlots_IsServed failed before (no answer in 30 s) and passes now.

--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -187,14 +187,17 @@
   if (Item.m_place == AdmissionPlace::Coordinator)
     m_dispatchers.recordOutcome(Service, Item.m_server, Item.m_route, Outcome,
                                 ServiceTime, Now, Report.m_load);
-  const auto Coordinator = m_coordinators.find(Service);
-  if (Coordinator == m_coordinators.end() ||
-      Coordinator->second == m_hosts.self().m_name ||
-      Item.m_place == AdmissionPlace::Fallback)
+  if (Item.m_place == AdmissionPlace::Fallback)
     return;
-  m_network->send(
-      Coordinator->second,
-      FinishMessage{Service, Taken.m_number, Outcome, ServiceTime, Report});
+  const FinishMessage Message{Service, Taken.m_number, Outcome, ServiceTime,
+                              Report};
+  const auto Coordinator = m_coordinators.find(Service);
+  // A service that a configuration has dropped has no coordinator, but requests
+  // may wait for this slot at the host that gave it.
+  if (Coordinator == m_coordinators.end())
+    m_network->reply(Item.m_link, Message);
+  else if (Coordinator->second != m_hosts.self().m_name)
+    m_network->send(Coordinator->second, Message);
 }
 
 void Admission::setCoordinators(
