Read on a long answer that comes before the end of an upload

The client got 502 instead of the answer of the server, although the request had run: the writer of the body was ended by closing the connection, with the rest of the answer on it. Only the pending write is cancelled now; the connection is closed once the answer is read.

LongAnswer_ClientStillSendsTheBody_ReachesTheClient failed before (502) and passes now.

--- a/include/tamarackdrum/gateway/upstream-client.h
+++ b/include/tamarackdrum/gateway/upstream-client.h
@@ -105,6 +105,10 @@
   struct WriteState;
 
   boost::asio::awaitable<void> writeRequest(std::shared_ptr<WriteState> State);
+  /// Ends the writer of a request that was answered before its end, and closes
+  /// the connection unless \p IsReadOn: the rest of the answer is read from it.
+  static void endWriter(WriteState &State, ConnectionPool::ConnectionPtr &Used,
+                        bool IsReadOn);
   boost::asio::awaitable<bool> readHead(Connection &Used,
                                         const UpstreamRequest &Request,
                                         UpstreamReply &Reply);
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -112,6 +112,20 @@
   State->m_isDone = true;
 }
 
+void UpstreamClient::endWriter(WriteState &State,
+                               ConnectionPool::ConnectionPtr &Used,
+                               bool IsReadOn) {
+  State.m_isAbandoned = true;
+  boost::system::error_code Ignored; // The writer ends in any case.
+  Used->m_stream.socket().cancel(Ignored);
+  if (IsReadOn)
+    return;
+  // Keeps the connection alive until the writer has seen the close.
+  const std::shared_ptr<Connection> Last(Used.release());
+  Last->m_stream.close();
+  asio::post(Last->m_stream.get_executor(), [Last] {});
+}
+
 asio::awaitable<bool> UpstreamClient::readHead(Connection &Used,
                                                const UpstreamRequest &Request,
                                                UpstreamReply &Reply) {
@@ -286,25 +300,16 @@
   const bool CanKeep = IsWhole && !Reply.m_hasMore && State->m_isDone &&
                        Reply.m_parser->get().keep_alive() &&
                        !Reply.m_parser->need_eof();
-  if (!State->m_isDone) {
-    State->m_isAbandoned = true;
-    // Keeps the connection alive until the writer has seen the close.
-    const std::shared_ptr<Connection> Last(Used.release());
-    Last->m_stream.close();
-    asio::post(Last->m_stream.get_executor(), [Last] {});
-  }
+  if (!State->m_isDone)
+    endWriter(*State, Used, IsWhole && Reply.m_hasMore);
   if (!IsWhole) {
     if (Token.isCancelled())
       Reply.m_result = DispatchResult::Withdrawn;
     co_return Reply;
   }
   Reply.m_result = resultOf(Reply);
-  if (Reply.m_hasMore && Used != nullptr) {
-    Reply.m_connection = std::move(Used);
-    co_return Reply;
-  }
   if (Reply.m_hasMore) {
-    Reply.m_result = DispatchResult::ConnectionLost;
+    Reply.m_connection = std::move(Used);
     co_return Reply;
   }
   if (CanKeep)
