--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -6,6 +6,7 @@
 #define TAMARACKDRUM_CLIENT_SESSION_H
 
 #include "tamarackdrum/gateway/edge-server.h"
+#include "tamarackdrum/read-limit.h"
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -19,9 +20,6 @@
 /// once.
 inline constexpr Millis StoppingRetryAfter{50};
 
-/// Pause before a cancellation that hit no read is repeated.
-inline constexpr Millis RepeatedCancelPause{5};
-
 /// Returns the time until \p Until; negative if it has passed.
 inline Millis timeLeft(TimePoint Until) {
   return std::chrono::duration_cast<Millis>(Until - BootClock::now());
@@ -32,42 +30,12 @@
     boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
 /// A client connection.
-struct EdgeServer::Session : std::enable_shared_from_this<Session> {
+struct EdgeServer::Session {
   explicit Session(boost::asio::ip::tcp::socket Socket)
-      : m_stream(std::move(Socket)), m_readTimer(m_stream.get_executor()) {}
-
-  /// Cancels the reads that are pending after \p Time, until endReadLimit().
-  /// The timeout of the stream would close the socket, and no refusal could be
-  /// sent.
-  void limitReads(Millis Time) {
-    m_hasReadTimedOut = false;
-    m_stream.expires_never();
-    cancelReadsAfter(Time, ++m_readLimit);
-  }
-  void endReadLimit() {
-    ++m_readLimit;
-    m_readTimer.cancel();
-  }
-  /// Part of limitReads(). Repeats the cancellation, because an operation may
-  /// be between two reads.
-  void cancelReadsAfter(Millis Time, std::uint64_t Limit) {
-    m_readTimer.expires_after(Time);
-    m_readTimer.async_wait(
-        [Weak = weak_from_this(), Limit](boost::system::error_code Error) {
-          const std::shared_ptr<Session> Client = Weak.lock();
-          // A timer that has expired can no longer be cancelled.
-          if (Error || Client == nullptr || Client->m_readLimit != Limit)
-            return;
-          Client->m_hasReadTimedOut = true;
-          Client->m_stream.cancel();
-          Client->cancelReadsAfter(RepeatedCancelPause, Limit);
-        });
-  }
+      : m_stream(std::move(Socket)), m_readLimit(m_stream) {}
 
   boost::beast::tcp_stream m_stream;
-  boost::asio::steady_timer m_readTimer; ///< See limitReads().
-  std::uint64_t m_readLimit = 0;         ///< Number of the limit in force.
-  bool m_hasReadTimedOut = false;
+  ReadLimit m_readLimit; ///< Of heads and buffered bodies.
   boost::beast::flat_buffer m_buffer{ClientBufferBytes};
   bool m_isIdle = true; ///< There is no request on it.
   TimePoint m_idleSince = BootClock::now();
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -241,19 +241,19 @@
   Request->m_parser = std::make_shared<RequestParser>();
   Request->m_parser->header_limit(Limits.m_maxHeaderBytes);
   Request->m_parser->body_limit(Limits.m_maxBodyBytes);
-  Client->limitReads(Limits.m_headerTimeout);
+  Client->m_readLimit.begin(Limits.m_headerTimeout);
   const auto [Error, Count] = co_await http::async_read_header(
       Client->m_stream, Client->m_buffer, *Request->m_parser, UseTuple);
-  Client->endReadLimit();
+  Client->m_readLimit.end();
   if (!Error)
     co_return true;
   Client->m_mustClose = true;
-  if (isConnectionError(Error) && !Client->m_hasReadTimedOut) {
+  if (isConnectionError(Error) && !Client->m_readLimit.hasExpired()) {
     recordOutcome(*Request, 0, "head not whole");
     co_return false;
   }
   unsigned Status = 400;
-  if (Client->m_hasReadTimedOut)
+  if (Client->m_readLimit.hasExpired())
     Status = 408;
   else if (Error == http::error::header_limit)
     Status = 431;
@@ -292,12 +292,13 @@
     Piece.resize(PieceBytes);
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
-    Client->limitReads(std::max(Millis(1), timeLeft(Request->m_deadline)));
+    Client->m_readLimit.begin(
+        std::max(Millis(1), timeLeft(Request->m_deadline)));
     Request->m_isBodyBeingRead = true;
     const auto [Error, Count] = co_await http::async_read_some(
         Client->m_stream, Client->m_buffer, Parser, UseTuple);
     Request->m_isBodyBeingRead = false;
-    Client->endReadLimit();
+    Client->m_readLimit.end();
     const std::size_t Length = Piece.size() - Parser.get().body().size;
     Request->m_body.append(Piece.data(), Length);
     m_bufferedBytes += Length;
@@ -307,7 +308,7 @@
     Client->m_mustClose = true;
     if (Error == http::error::body_limit)
       co_await sendAnswer(Client, Request, 413, "body too long", Millis(0));
-    else if (Client->m_hasReadTimedOut)
+    else if (Client->m_readLimit.hasExpired())
       co_await sendAnswer(Client, Request, 408, "body not sent in time",
                           Millis(0));
     else if (Error.category() ==
