--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -200,8 +200,9 @@
   /// by the usual time of its route.
   bool canEndBeforeStop(const ClientRequest &Request) const;
   /// Lets the deadline of a request pass before this host stops, so that the
-  /// server ends its work and answers in time.
-  void limitToStop(ClientRequest &Request) const;
+  /// server ends its work and answers in time. Returns whether the request can
+  /// be expected to end by then.
+  bool fitIntoStop(ClientRequest &Request) const;
   /// Returns whether a request whose last dispatch failed is dispatched again.
   bool shouldRetry(ClientRequest &Request) const;
   static Framing requestFraming(const ClientRequest &Request);
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -125,10 +125,12 @@
   return timeLeft(m_drainEnd) >= Needed + StopAnswerTime;
 }
 
-void EdgeServer::limitToStop(ClientRequest &Request) const {
+bool EdgeServer::fitIntoStop(ClientRequest &Request) const {
   if (m_isDraining)
     Request.m_deadline =
         std::min(Request.m_deadline, m_drainEnd - StopAnswerTime);
+  Request.m_isHostStopping = !canEndBeforeStop(Request);
+  return !Request.m_isHostStopping;
 }
 
 const ServerEntry *EdgeServer::findUsableServer(ClientRequest &Request,
@@ -158,10 +160,9 @@
 asio::awaitable<bool>
 EdgeServer::attemptDispatch(SessionPtr Client,
                             std::shared_ptr<ClientRequest> Request) {
-  limitToStop(*Request);
-  Request->m_isHostStopping = !canEndBeforeStop(*Request);
+  const bool MayEnd = fitIntoStop(*Request);
   DispatchRequest Ask = makeAsk(*Request);
-  if (Request->m_isHostStopping || Ask.m_timeLeft < MinTimeToDispatch)
+  if (!MayEnd || Ask.m_timeLeft < MinTimeToDispatch)
     co_return false;
   const TimePoint AskedAt = BootClock::now();
   const AdmissionResult Taken = co_await m_admission.acquire(
@@ -176,9 +177,7 @@
     Request->m_refusal = Taken.m_decision;
     co_return false;
   }
-  limitToStop(*Request);
-  Request->m_isHostStopping = !canEndBeforeStop(*Request);
-  if (Request->m_isHostStopping) {
+  if (!fitIntoStop(*Request)) {
     m_admission.finish(Request->m_service->m_name, Taken,
                        DispatchResult::Withdrawn, Millis(0));
     co_return false;
