Answer requests that are being received when a connection of tamarackd ends

Callers of the older product lost requests at four ends of a connection, all of them decided by somebody who did not know of the request: - a planned stop closed the connections on which a request was being read, or had been read and not yet been given to the handler, which then ran; - refusals of requests that are too long were followed by a close with unread bytes, which resets the connection; - the timeout of the stream closed the socket when a request was not sent in time, and no refusal was sent; - idle connections ended at the very limit, and the limit was not named.

A connection now has a phase. Only waits for a first byte are cancelled by a stop; the rest of a request that has been refused is read and discarded; late requests get 408; Keep-Alive names the limit, and connections are kept for twice as long. endAll() answers what is left at the end of a stop: it has no caller yet.

--- a/include/tamarackdrum/http.h
+++ b/include/tamarackdrum/http.h
@@ -37,6 +37,8 @@
 struct HttpLimits {
   std::size_t m_maxHeaderBytes = 16UL * 1024;
   std::size_t m_maxBodyBytes = 1024UL * 1024;
+  /// Time for which a connection without a request is kept, and within which a
+  /// request or an answer has to be sent.
   Millis m_idleTimeout{60000};
   std::size_t m_maxConnections = 20000;
 
@@ -105,6 +107,11 @@
   /// finish. Returns at once; poll openConnections().
   void stop();
 
+  /// Answers the requests that are still in flight: with \p NotRun those that
+  /// are not whole, with \p Unknown those that the handler has. Returns at
+  /// once.
+  void endAll(const HttpResponse &NotRun, const HttpResponse &Unknown);
+
   std::size_t openConnections() const;
   Endpoint address() const { return m_address; }
   const HttpServerCounters &counters() const { return m_counters; }
@@ -114,7 +121,22 @@
 
   boost::asio::awaitable<void> acceptLoop();
   boost::asio::awaitable<void> serve(SessionPtr Session);
+  /// Waits for the first bytes of a request. Returns false if there is none.
+  boost::asio::awaitable<bool> awaitRequest(detail::HttpSession &Session);
   boost::asio::awaitable<bool> serveOne(detail::HttpSession &Session);
+  boost::asio::awaitable<boost::beast::error_code>
+  write(detail::HttpSession &Session, HttpResponse &Response) const;
+  /// Sends an answer in place of the handler.
+  boost::asio::awaitable<void> sendLast(SessionPtr Session,
+                                        HttpResponse Response) const;
+  /// Waits until sendLast() has sent its answer.
+  static boost::asio::awaitable<void> awaitLast(detail::HttpSession &Session);
+  /// Reads and discards what the client still sends: closing a socket with
+  /// unread bytes resets the connection, and the client may lose the answer.
+  static boost::asio::awaitable<void> discardRest(detail::HttpSession &Session);
+  /// Calls \p Visit for each session on its strand.
+  void
+  forEachSession(const std::function<void(const SessionPtr &Session)> &Visit);
 
   boost::asio::io_context &m_workers;
   boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/adapter/http-server.cc
+++ b/src/adapter/http-server.cc
@@ -1,4 +1,6 @@
 #include "tamarackdrum/http.h"
+#include "tamarackdrum/read-limit.h"
+#include "tamarackdrum/sleep.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -11,14 +13,24 @@
 namespace tamarackdrum {
 namespace detail {
 
+/// What a connection is doing.
+enum class HttpPhase {
+  Idle,
+  Reading,  ///< A request is being received.
+  Running,  ///< The handler has it.
+  Answering ///< Its answer is being sent.
+};
+
 /// One client connection; used only on its strand.
 struct HttpSession {
   explicit HttpSession(asio::ip::tcp::socket Socket)
-      : m_stream(std::move(Socket)) {}
+      : m_stream(std::move(Socket)), m_readLimit(m_stream) {}
 
   beast::tcp_stream m_stream;
+  ReadLimit m_readLimit;
   beast::flat_buffer m_buffer;
-  bool m_isBusy = false;
+  HttpPhase m_phase = HttpPhase::Idle;
+  bool m_isLastAnswered = false; ///< An answer that announces the end is sent.
 };
 
 } // namespace detail
@@ -26,8 +38,18 @@
 namespace {
 
 constexpr Millis AcceptRetryDelay{20};
+constexpr std::size_t ReadBytes = 4UL * 1024;
+/// Idle connections are kept for this multiple of the limit that answers name:
+/// a request that was sent within the limit may be on its way.
+constexpr int IdleLimitFactor = 2;
+/// Longest time for which the rest of a request that has been answered is read
+/// and discarded.
+constexpr Millis DiscardTimeout{5000};
+constexpr Millis LastAnswerPoll{1};
 
 unsigned statusOf(const beast::error_code &Error) {
+  if (Error == asio::error::operation_aborted)
+    return 408;
   if (Error == http::error::body_limit)
     return 413;
   if (Error == http::error::header_limit)
@@ -42,6 +64,21 @@
          Session.m_stream.socket().available(Error) > 0;
 }
 
+/// Returns the value of the header that names the idle limit.
+std::string keepAliveText(Millis Limit) {
+  return "timeout=" +
+         std::to_string(
+             std::chrono::duration_cast<std::chrono::seconds>(Limit).count());
+}
+
+/// Makes the refusal of a request that could not be read.
+HttpResponse makeUnreadRefusal(const beast::error_code &Error) {
+  HttpResponse Response =
+      makeResponse(statusOf(Error), "{\"error\":\"" + Error.message() + "\"}");
+  Response.set("Tamarack-Outcome", "not-run");
+  return Response;
+}
+
 bool isProtocolError(const beast::error_code &Error) {
   return Error.category() ==
              make_error_code(http::error::bad_method).category() &&
@@ -84,12 +121,32 @@
     boost::system::error_code Ignored;
     m_acceptor.close(Ignored);
   });
+  // A read that has ended already is not affected, so that its request runs.
+  forEachSession([](const SessionPtr &Session) {
+    if (Session->m_phase == detail::HttpPhase::Idle && !hasArrived(*Session))
+      Session->m_stream.cancel();
+  });
+}
+
+void HttpServer::endAll(const HttpResponse &NotRun,
+                        const HttpResponse &Unknown) {
+  forEachSession([this, NotRun, Unknown](const SessionPtr &Session) {
+    const bool IsRunning = Session->m_phase == detail::HttpPhase::Running;
+    if (!IsRunning && Session->m_phase != detail::HttpPhase::Reading)
+      return;
+    Session->m_phase = detail::HttpPhase::Answering;
+    asio::co_spawn(Session->m_stream.get_executor(),
+                   sendLast(Session, IsRunning ? Unknown : NotRun),
+                   asio::detached);
+  });
+}
+
+void HttpServer::forEachSession(
+    const std::function<void(const SessionPtr &Session)> &Visit) {
   const std::lock_guard<std::mutex> Lock(m_mutex);
   for (const SessionPtr &Session : m_sessions)
-    asio::post(Session->m_stream.get_executor(), [Session] {
-      if (!Session->m_isBusy && !hasArrived(*Session))
-        Session->m_stream.close();
-    });
+    asio::post(Session->m_stream.get_executor(),
+               [Session, Visit] { Visit(Session); });
 }
 
 std::size_t HttpServer::openConnections() const {
@@ -130,46 +187,114 @@
 
 asio::awaitable<void> HttpServer::serve(SessionPtr Session) {
   bool IsOpen = true;
-  while (IsOpen && !m_stopping)
+  while (IsOpen)
     IsOpen = co_await serveOne(*Session);
   beast::error_code Ignored;
-  Session->m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both,
+  Session->m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send,
                                       Ignored);
+  if (Session->m_isLastAnswered)
+    co_await discardRest(*Session);
   Session->m_stream.close();
   const std::lock_guard<std::mutex> Lock(m_mutex);
   m_sessions.erase(Session);
 }
 
+asio::awaitable<bool> HttpServer::awaitRequest(detail::HttpSession &Session) {
+  if (Session.m_buffer.size() > 0)
+    co_return true;
+  if (m_stopping && !hasArrived(Session))
+    co_return false;
+  beast::error_code Error;
+  Session.m_readLimit.begin(m_limits.m_idleTimeout * IdleLimitFactor);
+  const std::size_t Count = co_await Session.m_stream.async_read_some(
+      Session.m_buffer.prepare(ReadBytes),
+      asio::redirect_error(asio::use_awaitable, Error));
+  Session.m_readLimit.end();
+  Session.m_buffer.commit(Count);
+  co_return !Error;
+}
+
 asio::awaitable<bool> HttpServer::serveOne(detail::HttpSession &Session) {
+  const bool HasRequest = co_await awaitRequest(Session);
+  if (!HasRequest)
+    co_return false;
+  Session.m_phase = detail::HttpPhase::Reading;
   beast::error_code Error;
   http::request_parser<http::string_body> Parser;
   Parser.header_limit(static_cast<std::uint32_t>(m_limits.m_maxHeaderBytes));
   Parser.body_limit(m_limits.m_maxBodyBytes);
-  Session.m_stream.expires_after(m_limits.m_idleTimeout);
+  Session.m_readLimit.begin(m_limits.m_idleTimeout);
   co_await http::async_read(Session.m_stream, Session.m_buffer, Parser,
                             asio::redirect_error(asio::use_awaitable, Error));
+  Session.m_readLimit.end();
+  if (Session.m_phase != detail::HttpPhase::Reading) {
+    co_await awaitLast(Session);
+    co_return false;
+  }
   HttpResponse Response;
   if (Error) {
-    if (!isProtocolError(Error))
+    const bool IsLate = Session.m_readLimit.hasExpired();
+    if (!IsLate && !isProtocolError(Error))
       co_return false;
-    const unsigned Status = statusOf(Error);
-    (Status == 400 ? m_counters.m_malformed : m_counters.m_tooLarge)
-        .fetch_add(1);
-    Response = makeResponse(Status, "{\"error\":\"" + Error.message() + "\"}");
-    Response.set("Tamarack-Outcome", "not-run");
+    const bool IsTooLarge =
+        Error == http::error::body_limit || Error == http::error::header_limit;
+    (IsTooLarge ? m_counters.m_tooLarge : m_counters.m_malformed).fetch_add(1);
+    Response = makeUnreadRefusal(Error);
     Response.keep_alive(false);
   } else {
-    Session.m_isBusy = true;
-    Session.m_stream.expires_never();
+    Session.m_phase = detail::HttpPhase::Running;
     Response = co_await m_handler(Parser.get());
+    if (Session.m_phase != detail::HttpPhase::Running) {
+      co_await awaitLast(Session);
+      co_return false;
+    }
     Response.keep_alive(Parser.get().keep_alive() && !m_stopping);
+    if (Response.keep_alive())
+      Response.set(http::field::keep_alive,
+                   keepAliveText(m_limits.m_idleTimeout));
   }
+  Session.m_phase = detail::HttpPhase::Answering;
+  Error = co_await write(Session, Response);
+  Session.m_phase = detail::HttpPhase::Idle;
+  co_return !Error && Response.keep_alive();
+}
+
+asio::awaitable<beast::error_code>
+HttpServer::write(detail::HttpSession &Session, HttpResponse &Response) const {
+  beast::error_code Error;
   Response.prepare_payload();
+  Session.m_isLastAnswered = !Response.keep_alive();
   Session.m_stream.expires_after(m_limits.m_idleTimeout);
   co_await http::async_write(Session.m_stream, Response,
                              asio::redirect_error(asio::use_awaitable, Error));
-  Session.m_isBusy = false;
-  co_return !Error && Response.keep_alive();
+  Session.m_stream.expires_never();
+  co_return Error;
+}
+
+asio::awaitable<void> HttpServer::sendLast(SessionPtr Session,
+                                           HttpResponse Response) const {
+  Response.keep_alive(false);
+  co_await write(*Session, Response);
+  Session->m_phase = detail::HttpPhase::Idle;
+  Session->m_stream.cancel(); // The read of a request that is not whole.
+}
+
+asio::awaitable<void> HttpServer::awaitLast(detail::HttpSession &Session) {
+  while (Session.m_phase == detail::HttpPhase::Answering)
+    co_await sleepFor(LastAnswerPoll);
+}
+
+asio::awaitable<void> HttpServer::discardRest(detail::HttpSession &Session) {
+  beast::error_code Error;
+  std::string Rest(ReadBytes, '\0');
+  const TimePoint End = BootClock::now() + DiscardTimeout;
+  while (!Error && BootClock::now() < End) {
+    Session.m_readLimit.begin(
+        std::chrono::duration_cast<Millis>(End - BootClock::now()));
+    co_await Session.m_stream.async_read_some(
+        asio::buffer(Rest), asio::redirect_error(asio::use_awaitable, Error));
+    Session.m_readLimit.end();
+  }
 }
 
 } // namespace tamarackdrum
