End all requests of tamarackd within its stop timeout

Requests that waited, or were sent again, during a planned stop got their full deadline, and those that were in flight at the end of the stop timeout were cut without an answer when the process ended. No request is sent to a server beyond the end of the stop any more, and what is in flight 250 ms before it is answered: 502 "stopping" if a server may have run it, 503 if it was not whole.

Stop_HasAnEnd_NoRequestIsSentBeyondIt failed before (deadline 10 s beyond the end) and passes now; so does Stop_RequestOutlastsTheStopTimeout_IsAnsweredAsUnknown (no answer before).

--- a/include/tamarackdrum/entry-host.h
+++ b/include/tamarackdrum/entry-host.h
@@ -23,8 +23,12 @@
   /// Binds both addresses and starts all activities.
   void start();
 
-  /// Stops taking calls; returns at once.
-  void beginStop();
+  /// Stops taking calls, and sends to servers only what has to end before
+  /// \p End; returns at once.
+  void beginStop(TimePoint End);
+
+  /// Answers the calls that are still in flight; returns at once.
+  void endCalls();
 
   /// Returns whether nothing is in flight any more.
   bool isIdle() const;
--- a/include/tamarackdrum/request-proxy.h
+++ b/include/tamarackdrum/request-proxy.h
@@ -37,6 +37,9 @@
   bool m_hasToken = false; ///< The next dispatch is paid for already.
 };
 
+/// Makes the answer that tells the caller \p Final.
+HttpResponse toResponse(const Verdict &Final);
+
 /// Handler of the caller address. Thread-safe.
 class RequestProxy {
 public:
@@ -48,12 +51,15 @@
   /// Answers one request, whatever happens to it.
   boost::asio::awaitable<HttpResponse> onCall(const HttpRequest &Call);
 
+  /// Lets no call be dispatched, waited for or sent again beyond \p End.
+  void limitTo(TimePoint End) { m_end = End; }
+
   const RequestCounters &counters() const { return m_counters; }
 
 private:
   Result<AdmittedCall> admit(const HttpRequest &Call, TimePoint Now) const;
   boost::asio::awaitable<Exchange> runAttempts(AdmittedCall Call);
-  boost::asio::awaitable<Exchange> attempt(const AdmittedCall &Call);
+  boost::asio::awaitable<Exchange> attempt(AdmittedCall &Call);
   boost::asio::awaitable<Result<Dispatch>> obtain(const AdmittedCall &Call);
   boost::asio::awaitable<Exchange> forward(const AdmittedCall &Call,
                                            Dispatch Granted);
@@ -69,6 +75,7 @@
   ServerHealth &m_health;
   PoisonGuard &m_poison;
   RequestCounters m_counters;
+  std::atomic<TimePoint> m_end{TimePoint::max()};
 };
 
 } // namespace tamarackdrum
--- a/src/adapter/entry-host.cc
+++ b/src/adapter/entry-host.cc
@@ -1,5 +1,7 @@
 #include "tamarackdrum/entry-host.h"
 
+#include "tamarackdrum/error.h"
+
 #include <boost/asio.hpp>
 #include <random>
 
@@ -8,6 +10,8 @@
 namespace tamarackdrum {
 namespace {
 
+constexpr unsigned StatusBadGateway = 502;
+
 std::uint64_t makeIncarnation() {
   std::random_device Device;
   constexpr int HalfBits = 32;
@@ -63,7 +67,8 @@
   asio::co_spawn(asio::make_strand(m_workers), m_sampler.run(), asio::detached);
 }
 
-void EntryHost::beginStop() {
+void EntryHost::beginStop(TimePoint End) {
+  m_proxy.limitTo(End);
   m_keeper.noteStop();
   m_prober.beginStop();
   m_balancer.beginStop();
@@ -71,6 +76,13 @@
   m_callerServer.stop();
 }
 
+void EntryHost::endCalls() {
+  const std::error_code Reason = RouteErrc::Stopping;
+  m_callerServer.endAll(
+      toResponse(verdictOfRefusal(Reason)),
+      toResponse({Outcome::Unknown, Reason, StatusBadGateway, Millis(0)}));
+}
+
 bool EntryHost::isIdle() const {
   return m_callerServer.openConnections() == 0 && m_router.inFlight() == 0 &&
          m_claims.unsettled() == 0;
--- a/src/adapter/request-proxy.cc
+++ b/src/adapter/request-proxy.cc
@@ -79,22 +79,6 @@
   return Out;
 }
 
-HttpResponse toResponse(const Verdict &Final) {
-  const std::string Reason = Final.m_reason.message();
-  HttpResponse Response = makeResponse(
-      Final.m_status, std::string("{\"outcome\":\"") + toText(Final.m_outcome) +
-                          "\",\"reason\":\"" + Reason + "\"}");
-  Response.set("Tamarack-Reason", Reason);
-  if (Final.m_retryAfter <= Millis(0))
-    return Response;
-  const std::int64_t Wait = Final.m_retryAfter.count();
-  const std::int64_t Seconds =
-      (Wait + OneSecond.count() - 1) / OneSecond.count();
-  Response.set(http::field::retry_after, std::to_string(Seconds));
-  Response.set("Tamarack-Retry-After-Ms", std::to_string(Wait));
-  return Response;
-}
-
 /// The right of a request to wait for a slot.
 class WaitRight {
 public:
@@ -118,6 +102,23 @@
 
 } // namespace
 
+HttpResponse toResponse(const Verdict &Final) {
+  const std::string Reason = Final.m_reason.message();
+  HttpResponse Response = makeResponse(
+      Final.m_status, std::string("{\"outcome\":\"") + toText(Final.m_outcome) +
+                          "\",\"reason\":\"" + Reason + "\"}");
+  Response.set("Tamarack-Outcome", toText(Final.m_outcome));
+  Response.set("Tamarack-Reason", Reason);
+  if (Final.m_retryAfter <= Millis(0))
+    return Response;
+  const std::int64_t Wait = Final.m_retryAfter.count();
+  const std::int64_t Seconds =
+      (Wait + OneSecond.count() - 1) / OneSecond.count();
+  Response.set(http::field::retry_after, std::to_string(Seconds));
+  Response.set("Tamarack-Retry-After-Ms", std::to_string(Wait));
+  return Response;
+}
+
 asio::awaitable<HttpResponse> RequestProxy::onCall(const HttpRequest &Call) {
   const Result<AdmittedCall> Admitted = admit(Call, BootClock::now());
   Exchange Done;
@@ -198,9 +199,12 @@
          (Last.m_hasToken || Call.m_routes->m_load->m_budget.take());
 }
 
-asio::awaitable<Exchange> RequestProxy::attempt(const AdmittedCall &Call) {
+asio::awaitable<Exchange> RequestProxy::attempt(AdmittedCall &Call) {
   if (m_poison.refuses(Call.m_fingerprint))
     co_return notRun(RouteErrc::Poisoned);
+  Call.m_query.m_deadline = std::min(Call.m_query.m_deadline, m_end.load());
+  if (BootClock::now() >= m_end.load())
+    co_return notRun(RouteErrc::Stopping);
   Result<Dispatch> Granted = co_await obtain(Call);
   if (!Granted)
     co_return notRun(Granted.error());
--- a/src/app/tamarackd.cc
+++ b/src/app/tamarackd.cc
@@ -30,6 +30,9 @@
 constexpr int ExitBind = 3;
 constexpr int ExitCutOff = 4;
 constexpr Millis StopPoll{20};
+/// Part of the stop timeout, at its end, for the answers to calls that have not
+/// ended by then.
+constexpr Millis LastAnswerTime{250};
 constexpr std::size_t ConnectionsPerServer = 4;
 constexpr const char *JsonLogPattern =
     R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","message":"%v"})";
@@ -124,8 +127,13 @@
 /// Finishes what is in flight, then leaves the group. Returns whether nothing
 /// was cut off.
 bool stopGracefully(EntryHost &Host, Millis Timeout) {
-  Host.beginStop();
-  const bool IsDrained = await([&] { return Host.isIdle(); }, Timeout);
+  const Millis DrainTime = std::max(Millis(0), Timeout - LastAnswerTime);
+  Host.beginStop(BootClock::now() + DrainTime);
+  const bool IsDrained = await([&] { return Host.isIdle(); }, DrainTime);
+  if (!IsDrained) {
+    Host.endCalls();
+    await([&] { return Host.isIdle(); }, LastAnswerTime);
+  }
   Host.beginLeave();
   await([&] { return Host.hasLeft(); }, Timeout);
   return IsDrained;
--- a/test/process/request-test.cc
+++ b/test/process/request-test.cc
@@ -392,6 +392,25 @@
   EXPECT_FALSE(Answer.keep_alive());
 }
 
+// A request that waits, or is sent again, during a stop was sent with its full
+// deadline and cut when the process ended.
+TEST_F(RequestTest, Stop_HasAnEnd_NoRequestIsSentBeyondIt) {
+  FakeServer Server([](FakeConnection &Connection) {
+    while (const std::optional<HttpRequest> Request = Connection.read())
+      Connection.write(
+          answerText(std::string((*Request)["Tamarack-Deadline"])));
+  });
+  addClass("find", false, {Server.address()});
+  start();
+  constexpr Millis Left{10000};
+  m_proxy->limitTo(BootClock::now() + Left);
+  const std::int64_t End = unixMillis() + Left.count();
+  EXPECT_LE(std::stoll(call("/find/a").body()), End + 1);
+  m_proxy->limitTo(BootClock::now());
+  EXPECT_EQ(outcome("/find/a"), "not-run stopping");
+  EXPECT_EQ(Server.accepted(), 1);
+}
+
 TEST_F(RequestTest, Health_OfAFailingServer_BecomesSuspect) {
   addClass("find", false, {"127.0.0.1:" + std::to_string(freePort())});
   start();
--- a/test/process/site.h
+++ b/test/process/site.h
@@ -61,6 +61,9 @@
   /// Call it before startHosts().
   void setLoadWindow(Millis Window) { m_loadWindow = Window; }
 
+  /// Call it before startHosts().
+  void setMaxDispatch(Millis Time) { m_maxDispatch = Time; }
+
   void declareClass(const ClassTarget &Target) { m_classes.push_back(Target); }
 
   void addServer(const std::string &Name, const std::string &WorkClass,
@@ -211,6 +214,7 @@
     Out["table_poll_ms"] = 200;
     Out["allow_faults"] = m_allowFaults;
     Out["load_window_ms"] = Json::Int64(m_loadWindow.count());
+    Out["lease"]["max_dispatch_ms"] = Json::Int64(m_maxDispatch.count());
     Json::Value &Bootstrap = Out["bootstrap"];
     for (std::size_t I = 0; I < m_hosts.size(); ++I)
       Bootstrap["group"].append(
@@ -227,6 +231,7 @@
   const bool m_allowFaults;
   std::uint16_t m_platformPort;
   Millis m_loadWindow{5000};
+  Millis m_maxDispatch{1000};
   std::string m_directory;
   std::optional<Child> m_platform;
   std::vector<ClassTarget> m_classes;
--- a/test/process/whole-path-test.cc
+++ b/test/process/whole-path-test.cc
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
+
 namespace tamarackdrum::test {
 namespace {
 
@@ -49,6 +51,28 @@
   }
 }
 
+// The process ended with the request in hand, and its caller got no answer.
+TEST(StoppedHostTest, Stop_RequestOutlastsTheStopTimeout_IsAnsweredAsUnknown) {
+  Site Small;
+  ClassTarget Slow;
+  Slow.m_name = "slow";
+  Slow.m_deadline = Millis(9000);
+  Small.setMaxDispatch(Slow.m_deadline);
+  Small.declareClass(Slow);
+  Small.addServer("slow-0", "slow", {"--work-ms", "60000"});
+  Small.startHosts(1);
+  ASSERT_TRUE(Small.awaitReady());
+  std::future<std::optional<HttpResponse>> Call = std::async(
+      std::launch::async, [&Small] { return Small.call(0, "/slow/a"); });
+  ASSERT_TRUE(eventually([&Small] { return Small.records(0).size() > 0; }));
+  Small.hosts()[0].m_child->signal(SIGTERM);
+  const std::optional<HttpResponse> Answer = Call.get();
+  ASSERT_TRUE(Answer);
+  EXPECT_EQ(Answer->result_int(), 502U);
+  EXPECT_EQ((*Answer)["Tamarack-Outcome"], "unknown");
+  EXPECT_EQ((*Answer)["Tamarack-Reason"], "stopping");
+}
+
 TEST_F(WholePathTest, Recall_OnceAcknowledged_SendsNothingMoreToTheServer) {
   ASSERT_TRUE(m_site.awaitReady());
   const Result<Json::Value> Recalled =
