--- a/soak/soak-site.cc
+++ b/soak/soak-site.cc
@@ -20,7 +20,6 @@
 constexpr Millis ReportInterval{870};       ///< As at the users' sites.
 constexpr Millis RegistrationTimeout{2610}; ///< Three missed reports.
 constexpr Millis LeaveServeTime{2500};
-constexpr Millis ChildPollInterval{20}; ///< For the end of a process.
 constexpr std::uint16_t ClientPort = 8080;
 constexpr std::uint16_t ReadyPort = 8081;
 constexpr std::uint16_t PeerPort = 7540;
@@ -43,10 +42,6 @@
   return {asio::ip::make_address(Ip), Port};
 }
 
-std::string toText(const Endpoint &Address) {
-  return fmt::format("{}:{}", Address.address().to_string(), Address.port());
-}
-
 Route makeRoute(const std::string &Name, const char *Service,
                 RequestKind Kind) {
   Route Out;
@@ -63,6 +58,10 @@
 
 } // namespace
 
+std::string addressText(const Endpoint &Address) {
+  return fmt::format("{}:{}", Address.address().to_string(), Address.port());
+}
+
 SoakSite::SoakSite(asio::io_context &Context, SiteOptions Options,
                    std::uint64_t Seed, History &Recorded)
     : m_context(Context), m_options(std::move(Options)), m_random(Seed),
@@ -138,6 +137,8 @@
     asio::co_spawn(m_context, nameLimits(), asio::detached);
   if (m_options.m_evacuates)
     asio::co_spawn(m_context, evacuateZones(), asio::detached);
+  if (!m_options.m_previousProgram.empty())
+    asio::co_spawn(m_context, upgradeHosts(), asio::detached);
 }
 
 asio::awaitable<void> SoakSite::evacuateZones() {
@@ -219,19 +220,6 @@
     m_backends[Index].m_server->setRateLimit(Text, Limit);
 }
 
-void SoakSite::startHost(std::size_t Index) {
-  Host &Item = m_hosts[Index];
-  const std::string &Name = Item.m_settings.m_host.m_name;
-  const std::filesystem::path File = m_options.m_directory / (Name + ".json");
-  Item.m_settings.m_isFirstStart = Item.m_incarnation == 0;
-  std::ofstream(File) << encodeSettings(Item.m_settings,
-                                        toText(Item.m_storeProxy->address()));
-  ++Item.m_incarnation;
-  Item.m_child.emplace(std::vector<std::string>{m_options.m_program,
-                                                "--settings", File.string()},
-                       (m_options.m_directory / (Name + ".log")).string());
-}
-
 void SoakSite::startServer(std::size_t Index, bool KeepsId) {
   Backend &Item = m_backends[Index];
   KeyServerOptions Options;
@@ -240,7 +228,7 @@
     ++Item.m_incarnation;
   Entry.m_id = fmt::format("server-{}-{}", Index, Item.m_incarnation);
   Entry.m_service = Item.m_service;
-  Entry.m_address = toText(Item.m_proxy->address());
+  Entry.m_address = addressText(Item.m_proxy->address());
   Entry.m_zone = Item.m_zone;
   Entry.m_slots = SlotsPerServer;
   Entry.m_startMs = unixMillis();
@@ -313,39 +301,6 @@
   m_history.m_faults[Index].m_to = BootClock::now();
 }
 
-asio::awaitable<void> SoakSite::injectHostFault(FaultEvent Event) {
-  Host &Item = m_hosts[Event.m_target];
-  if (!Item.m_child)
-    co_return;
-  switch (Event.m_kind) {
-  case FaultKind::HostKill:
-    Item.m_child.reset();
-    co_await sleepFor(Event.m_duration);
-    startHost(Event.m_target);
-    break;
-  case FaultKind::HostStop:
-    co_await stopHost(Event.m_target);
-    startHost(Event.m_target);
-    break;
-  case FaultKind::HostPause:
-    Item.m_child->signal(SIGSTOP);
-    co_await sleepFor(Event.m_duration);
-    Item.m_child->signal(SIGCONT);
-    break;
-  default:
-    Item.m_child->signal(SIGHUP);
-  }
-}
-
-asio::awaitable<void> SoakSite::stopHost(std::size_t Index) {
-  Host &Item = m_hosts[Index];
-  Item.m_child->signal(SIGTERM);
-  const TimePoint End = BootClock::now() + Item.m_settings.m_stopTimeout;
-  while (!Item.m_child->hasEnded() && BootClock::now() < End)
-    co_await sleepFor(ChildPollInterval);
-  Item.m_child.reset();
-}
-
 asio::awaitable<void> SoakSite::injectServerFault(FaultEvent Event) {
   Backend &Item = m_backends[Event.m_target];
   if (!Item.m_server)
--- a/soak/soak-site.h
+++ b/soak/soak-site.h
@@ -18,7 +18,10 @@
 namespace tamarackdrum::soak {
 
 struct SiteOptions {
-  std::string m_program;             ///< Path of tamarack-gateway.
+  std::string m_program; ///< Path of tamarack-gateway.
+  /// Path of an earlier version. All hosts start with it, and are stopped and
+  /// started with m_program one after the other. Empty: there is none.
+  std::string m_previousProgram;
   std::filesystem::path m_directory; ///< For settings and logs of the hosts.
   std::string m_network = "127.77";  ///< First two parts of all addresses.
   std::size_t m_hostCount = 6;
@@ -34,6 +37,9 @@
 /// Host header of all routes.
 inline constexpr const char *HostName = "soak.example";
 
+/// Returns \p Address as IP:PORT.
+std::string addressText(const Endpoint &Address);
+
 /// Injects faults and records events in a History. Runs on one thread.
 class SoakSite {
 public:
@@ -65,7 +71,9 @@
     std::unique_ptr<FaultProxy> m_storeProxy;
     std::optional<Child> m_child;
     unsigned m_incarnation = 0;
-    bool m_isPaused = false;
+    unsigned m_faultCount = 0;      ///< Faults of the schedule in progress.
+    bool m_isUpgraded = false;      ///< Runs m_program from its next start on.
+    bool m_isBeingReplaced = false; ///< Gets no faults of the schedule.
   };
   /// An address behind a proxy, used by one server at a time.
   struct Backend {
@@ -105,6 +113,8 @@
   boost::asio::awaitable<void> injectLinkFault(FaultProxy &Link,
                                                FaultEvent Event);
   boost::asio::awaitable<void> stopHost(std::size_t Index);
+  /// Replaces the processes of m_previousProgram.
+  boost::asio::awaitable<void> upgradeHosts();
   /// Lets a server leave and starts another one at its address.
   boost::asio::awaitable<void> replaceServer(std::size_t Index);
   std::string addressOf(unsigned Third, std::size_t Fourth) const;
--- a/soak/tamarack-soak.cc
+++ b/soak/tamarack-soak.cc
@@ -78,6 +78,9 @@
       "keep the logs of passed runs")(
       "program", po::value(&Out.m_site.m_program)->required(),
       "path of tamarack-gateway")(
+      "previous", po::value(&Out.m_site.m_previousProgram),
+      "path of an earlier version: hosts start with it and are replaced one "
+      "after the other")(
       "directory", po::value(&Out.m_directory)->default_value("soak-runs"),
       "directory of logs and records")(
       "network",
