Write requests to servers piece by piece

Found by review of, not seen: a composed write that has just sent a piece is not reached by a cancellation and goes on with the next one; if the answer was dropped meanwhile (a failure of more than 128 KiB before the end of an upload), it used a connection that had been freed. The writer now looks after each piece whether it is still wanted.

LongFailure_ClientStillSendsTheBody_IsAnswered, added with the next tests, takes that path five times; it passes in the release build. It was not run on the code before, nor yet under the address sanitizer.

--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
@@ -92,10 +91,16 @@
 asio::awaitable<void>
 UpstreamClient::writeRequest(std::shared_ptr<WriteState> State) {
   while (!State->m_isAbandoned) {
-    const auto [Error, Count] = co_await asio::async_write(
-        State->m_stream->socket(), asio::buffer(State->m_bytes), UseTuple);
-    if (Error || State->m_isAbandoned)
-      co_return;
+    // Not one composed write, which would use the stream after its owner has
+    // ended it.
+    for (std::size_t Done = 0; Done < State->m_bytes.size();) {
+      const auto [Error, Count] =
+          co_await State->m_stream->socket().async_write_some(
+              asio::buffer(State->m_bytes) + Done, UseTuple);
+      if (Error || State->m_isAbandoned)
+        co_return;
+      Done += Count;
+    }
     if (!State->m_bodySource)
       break;
     Result<std::string> Piece = co_await State->m_bodySource();
