Report ends of requests of a dropped service to its last coordinator

Found by review: after a move, the host that gave the slot is not the one that has adopted it, so that a report over the link of the slot frees nothing. The last coordinator is remembered instead. A request that is submitted here after a move also forgets the link of the former coordinator, whose decision could be taken for one of this host; the slot given here was then held for nobody until the deadline.

The acknowledgement timeout can be set by tests: with 150 ms, a slow machine lets the fallback decide in WaitingRequest_OtherHostHasAllSlots_IsServed.

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -189,6 +189,8 @@
   DispatcherRegistry m_dispatchers; ///< Of services that this host coordinates.
   DispatcherRegistry m_fallbackDispatchers;
   std::map<std::string, std::string> m_coordinators;
+  /// The coordinator of each service before the last change.
+  std::map<std::string, std::string> m_lastCoordinators;
   std::map<std::string, KeyMap> m_keyMaps;
   std::map<std::string, ColdPolicy> m_coldPolicies; ///< By service.
   std::uint32_t m_lastNumber = 0;
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -36,6 +36,7 @@
   Millis m_keyMapInterval{1000};
   FeedPolicy m_feed;
   EdgePolicy m_edge;
+  AdmissionPolicy m_admission;
 
   bool operator==(const HostPolicy &) const = default;
 };
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -100,6 +100,7 @@
   const auto Found = m_coordinators.find(Item->m_service);
   const TimePoint Now = BootClock::now();
   Item->m_sentAt = Now;
+  Item->m_link = 0;
   Item->m_isAcknowledged = false;
   if (Found != m_coordinators.end() && Found->second == m_hosts.self().m_name) {
     Item->m_place = AdmissionPlace::Here;
@@ -191,13 +192,17 @@
     return;
   const FinishMessage Message{Service, Taken.m_number, Outcome, ServiceTime,
                               Report};
-  const auto Coordinator = m_coordinators.find(Service);
   // A service that a configuration has dropped has no coordinator, but requests
-  // may wait for this slot at the host that gave it.
-  if (Coordinator == m_coordinators.end())
-    m_network->reply(Item.m_link, Message);
-  else if (Coordinator->second != m_hosts.self().m_name)
-    m_network->send(Coordinator->second, Message);
+  // may still wait for slots at its last one.
+  const auto Known = m_coordinators.find(Service);
+  const auto Last = m_lastCoordinators.find(Service);
+  std::string Coordinator;
+  if (Known != m_coordinators.end())
+    Coordinator = Known->second;
+  else if (Last != m_lastCoordinators.end())
+    Coordinator = Last->second;
+  if (!Coordinator.empty() && Coordinator != m_hosts.self().m_name)
+    m_network->send(Coordinator, Message);
 }
 
 void Admission::setCoordinators(
@@ -206,6 +211,8 @@
     return;
   const std::map<std::string, std::string> Old =
       std::exchange(m_coordinators, std::move(Coordinators));
+  for (const auto &[Service, Host] : Old)
+    m_lastCoordinators[Service] = Host;
   for (const auto &[Service, Host] : m_coordinators) {
     const auto Before = Old.find(Service);
     if (Before != Old.end() && Before->second == Host)
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -67,7 +67,7 @@
                  [this]() -> const Reachability::Servers & {
                    return m_feed.servers();
                  }),
-      m_admission(Executor, AdmissionPolicy{}, dispatchPolicy(m_settings),
+      m_admission(Executor, Policy.m_admission, dispatchPolicy(m_settings),
                   m_hosts, Log),
       m_network(Executor, PeerNetworkPolicy{}, m_hosts, m_settings.m_peerPort,
                 Log, m_metrics, peerEvents()),
