Refuse calls that do not fit into a stop of tamarackd, end its stop sooner

Found by review of: - a call that may not be repeated was sent milliseconds before the end; it is now sent only if all its time fits into the stop; - a call that waited for a slot as the stop began kept its full deadline; - a client that left its connection open after the last answer held up the stop for up to 5 s, which then counted as cut off; - the stop ended the read of the rest of a request that was refused.

The three new tests were not run on the code before.

--- a/include/tamarackdrum/http.h
+++ b/include/tamarackdrum/http.h
@@ -133,7 +133,7 @@
   static boost::asio::awaitable<void> awaitLast(detail::HttpSession &Session);
   /// Reads and discards what the client still sends: closing a socket with
   /// unread bytes resets the connection, and the client may lose the answer.
-  static boost::asio::awaitable<void> discardRest(detail::HttpSession &Session);
+  boost::asio::awaitable<void> discardRest(detail::HttpSession &Session) const;
   /// Calls \p Visit for each session on its strand.
   void
   forEachSession(const std::function<void(const SessionPtr &Session)> &Visit);
--- a/include/tamarackdrum/request-proxy.h
+++ b/include/tamarackdrum/request-proxy.h
@@ -51,7 +51,8 @@
   /// Answers one request, whatever happens to it.
   boost::asio::awaitable<HttpResponse> onCall(const HttpRequest &Call);
 
-  /// Lets no call be dispatched, waited for or sent again beyond \p End.
+  /// Lets no call be dispatched, waited for or sent again beyond \p End, and
+  /// refuses those that may not be repeated and might not end by then.
   void limitTo(TimePoint End) { m_end = End; }
 
   const RequestCounters &counters() const { return m_counters; }
@@ -59,7 +60,7 @@
 private:
   Result<AdmittedCall> admit(const HttpRequest &Call, TimePoint Now) const;
   boost::asio::awaitable<Exchange> runAttempts(AdmittedCall Call);
-  boost::asio::awaitable<Exchange> attempt(AdmittedCall &Call);
+  boost::asio::awaitable<Exchange> attempt(const AdmittedCall &Call);
   boost::asio::awaitable<Result<Dispatch>> obtain(const AdmittedCall &Call);
   boost::asio::awaitable<Exchange> forward(const AdmittedCall &Call,
                                            Dispatch Granted);
--- a/src/adapter/http-server.cc
+++ b/src/adapter/http-server.cc
@@ -16,9 +16,10 @@
 /// What a connection is doing.
 enum class HttpPhase {
   Idle,
-  Reading,  ///< A request is being received.
-  Running,  ///< The handler has it.
-  Answering ///< Its answer is being sent.
+  Reading,   ///< A request is being received.
+  Running,   ///< The handler has it.
+  Answering, ///< Its answer is being sent.
+  Discarding ///< The last answer has been sent.
 };
 
 /// One client connection; used only on its strand.
@@ -45,6 +46,8 @@
 /// Longest time for which the rest of a request that has been answered is read
 /// and discarded.
 constexpr Millis DiscardTimeout{5000};
+/// The same during a stop, which waits for the connections to end.
+constexpr Millis StopDiscardTimeout{300};
 constexpr Millis LastAnswerPoll{1};
 
 unsigned statusOf(const beast::error_code &Error) {
@@ -284,11 +287,16 @@
     co_await sleepFor(LastAnswerPoll);
 }
 
-asio::awaitable<void> HttpServer::discardRest(detail::HttpSession &Session) {
+asio::awaitable<void>
+HttpServer::discardRest(detail::HttpSession &Session) const {
   beast::error_code Error;
   std::string Rest(ReadBytes, '\0');
-  const TimePoint End = BootClock::now() + DiscardTimeout;
+  Session.m_phase = detail::HttpPhase::Discarding;
+  const TimePoint Begin = BootClock::now();
+  TimePoint End = Begin + DiscardTimeout;
   while (!Error && BootClock::now() < End) {
+    if (m_stopping)
+      End = std::min(End, Begin + StopDiscardTimeout);
     Session.m_readLimit.begin(
         std::chrono::duration_cast<Millis>(End - BootClock::now()));
     co_await Session.m_stream.async_read_some(
--- a/src/adapter/request-proxy.cc
+++ b/src/adapter/request-proxy.cc
@@ -199,11 +199,14 @@
          (Last.m_hasToken || Call.m_routes->m_load->m_budget.take());
 }
 
-asio::awaitable<Exchange> RequestProxy::attempt(AdmittedCall &Call) {
+asio::awaitable<Exchange> RequestProxy::attempt(const AdmittedCall &Call) {
   if (m_poison.refuses(Call.m_fingerprint))
     co_return notRun(RouteErrc::Poisoned);
-  Call.m_query.m_deadline = std::min(Call.m_query.m_deadline, m_end.load());
-  if (BootClock::now() >= m_end.load())
+  // A call that may not be repeated has to fit into the stop with all its time.
+  const TimePoint Latest = Call.m_routes->m_target.m_idempotent
+                               ? BootClock::now()
+                               : Call.m_query.m_deadline;
+  if (Latest > m_end.load())
     co_return notRun(RouteErrc::Stopping);
   Result<Dispatch> Granted = co_await obtain(Call);
   if (!Granted)
@@ -243,7 +246,7 @@
   HttpRequest Outgoing = Call.m_request;
   Outgoing.keep_alive(true);
   const TimePoint Start = BootClock::now();
-  const TimePoint Deadline = Granted.deadline();
+  const TimePoint Deadline = std::min(Granted.deadline(), m_end.load());
   Outgoing.set("Tamarack-Deadline",
                std::to_string(toUnixMillis(Deadline, Start, unixMillis())));
   Outgoing.set("Tamarack-Epoch", std::to_string(Granted.epoch()));
--- a/test/process/http-server-test.cc
+++ b/test/process/http-server-test.cc
@@ -145,6 +145,34 @@
   EXPECT_EQ(awaitEnd(), asio::error::eof);
 }
 
+// The end of idle connections ended the read of the rest, too.
+TEST_F(HttpServerTest, Refusal_ClientStillSendsDuringStop_IsNotReset) {
+  HttpLimits Limits;
+  Limits.m_maxBodyBytes = 1000;
+  start(Limits);
+  const std::string Piece(1000, 'x');
+  ASSERT_TRUE(send(request(100 * Piece.size())));
+  EXPECT_EQ(receive().result_int(), 413U);
+  m_server->stop();
+  for (int I = 0; I < 10; ++I) {
+    std::this_thread::sleep_for(Millis(10));
+    EXPECT_TRUE(send(Piece));
+  }
+}
+
+// Clients may keep a connection open that the server has ended.
+TEST_F(HttpServerTest, Stop_ClientLeavesConnectionOpen_IsNotHeldUp) {
+  m_mayAnswer = false;
+  start();
+  send(request(0));
+  ASSERT_TRUE(eventually([this] { return m_calls == 1; }));
+  m_server->stop();
+  m_mayAnswer = true;
+  EXPECT_EQ(receive().result_int(), 200U);
+  EXPECT_TRUE(eventually([this] { return m_server->openConnections() == 0; },
+                         Millis(4000)));
+}
+
 // A timeout of the stream closes the socket, and no refusal was sent.
 TEST_F(HttpServerTest, Request_IsNotSentInTime_IsRefused) {
   HttpLimits Limits;
--- a/test/process/request-test.cc
+++ b/test/process/request-test.cc
@@ -411,6 +411,23 @@
   EXPECT_EQ(Server.accepted(), 1);
 }
 
+// A call that may not be repeated was sent shortly before the end of a stop,
+// and its answer came too late.
+TEST_F(RequestTest, Stop_CallMayNotEndInTime_OnceOnlyIsRefused) {
+  FakeServer Server([](FakeConnection &Connection) {
+    while (Connection.read())
+      Connection.write(answerText("whole"));
+  });
+  addClass("pay", true, {Server.address()});
+  start();
+  const Headers Id{{"Idempotency-Key", "id-1"}};
+  m_proxy->limitTo(BootClock::now() + LongDeadline / 2);
+  EXPECT_EQ(outcome("/pay/a", Id), "not-run stopping");
+  EXPECT_EQ(Server.accepted(), 0);
+  m_proxy->limitTo(BootClock::now() + LongDeadline * 2);
+  EXPECT_EQ(outcome("/pay/a", Id), "answered ");
+}
+
 TEST_F(RequestTest, Health_OfAFailingServer_BecomesSuspect) {
   addClass("find", false, {"127.0.0.1:" + std::to_string(freePort())});
   start();
