Fail upgrades in which the earlier version has not run

Found by review: an earlier version that ends at once was replaced and the run passed; the run could end with hosts left to replace; faults that were left out during a replacement were recorded and excused violations.

--- a/soak/soak-hosts.cc
+++ b/soak/soak-hosts.cc
@@ -37,7 +37,7 @@
 
 asio::awaitable<void> SoakSite::injectHostFault(FaultEvent Event) {
   Host &Item = m_hosts[Event.m_target];
-  if (!Item.m_child || Item.m_isBeingReplaced)
+  if (!Item.m_child)
     co_return;
   ++Item.m_faultCount;
   switch (Event.m_kind) {
@@ -80,6 +80,8 @@
     m_history.m_faults.push_back(
         {FaultKind::HostStop, I, BootClock::now(), TimePoint::max()});
     Item.m_isBeingReplaced = true;
+    if (!Item.m_child->hasEnded())
+      ++m_replacedCount;
     co_await stopHost(I);
     Item.m_isUpgraded = true;
     startHost(I);
@@ -87,6 +89,7 @@
     m_history.m_faults[Index].m_to = BootClock::now();
     co_await sleepFor(UpgradePause);
   }
+  m_isUpgradeDone = true;
 }
 
 } // namespace tamarackdrum::soak
--- a/soak/soak-site.cc
+++ b/soak/soak-site.cc
@@ -286,11 +286,14 @@
 asio::awaitable<void> SoakSite::injectFault(FaultEvent Event) {
   const std::size_t Index = m_history.m_faults.size();
   const TimePoint Now = BootClock::now();
+  const bool IsOfHost = Event.m_kind <= FaultKind::HostReload;
+  if (IsOfHost && m_hosts[Event.m_target].m_isBeingReplaced)
+    co_return;
   m_history.m_faults.push_back(
       {Event.m_kind, Event.m_target, Now, TimePoint::max()});
   if (Event.m_kind == FaultKind::ConfigChange)
     writeConfiguration();
-  else if (Event.m_kind <= FaultKind::HostReload)
+  else if (IsOfHost)
     co_await injectHostFault(Event);
   else if (Event.m_kind <= FaultKind::ServerLinkOneWay)
     co_await injectServerFault(Event);
--- a/soak/soak-site.h
+++ b/soak/soak-site.h
@@ -56,6 +56,13 @@
   boost::asio::awaitable<void> injectFault(FaultEvent Event);
 
   std::size_t hostCount() const { return m_hosts.size(); }
+  /// Returns whether no host is left to be replaced.
+  bool isUpgradeDone() const {
+    return m_options.m_previousProgram.empty() || m_isUpgradeDone;
+  }
+  /// Returns the number of running processes of m_previousProgram that were
+  /// replaced.
+  std::size_t replacedCount() const { return m_replacedCount; }
   std::size_t serverCount() const { return m_backends.size(); }
   Endpoint clientEndpoint(std::size_t Host) const;
   Endpoint readyEndpoint(std::size_t Host) const;
@@ -131,6 +138,8 @@
   std::vector<Backend> m_backends;
   std::set<std::string> m_removedIds; ///< Servers removed from the registry.
   std::string m_evacuatedZone;        ///< Empty: none.
+  std::size_t m_replacedCount = 0;
+  bool m_isUpgradeDone = false;
 };
 
 } // namespace tamarackdrum::soak
--- a/soak/tamarack-soak.cc
+++ b/soak/tamarack-soak.cc
@@ -105,6 +105,7 @@
   double m_servedShare = 0;
   double m_servedShareAfter = 0;
   bool m_wasReady = false;
+  bool m_isUpgraded = true; ///< All hosts have run the previous program.
 };
 
 std::int64_t millisBetween(TimePoint From, TimePoint At) {
@@ -192,6 +193,8 @@
     m_context.dropPending();
     RunResult Out;
     Out.m_wasReady = m_wasReady;
+    Out.m_isUpgraded = m_siteOptions.m_previousProgram.empty() ||
+                       m_site.replacedCount() == m_site.hostCount();
     Out.m_violations = findViolations(m_history, GuaranteeBounds{});
     Out.m_requests = m_history.m_requests.size();
     Out.m_runs = m_history.m_serverRecords.m_runs.size();
@@ -239,6 +242,8 @@
     co_await sleepFor(
         std::chrono::duration_cast<Millis>(m_startAt + Wanted.m_to + CoolDown -
                                            RecoveryWindow - BootClock::now()));
+    while (!m_site.isUpgradeDone())
+      co_await sleepFor(PollInterval);
     m_recoveryFrom = BootClock::now();
     co_await sleepFor(RecoveryWindow);
     m_clients.stop();
@@ -266,13 +271,15 @@
   const RunResult Result = Run.execute();
   const bool IsRecovered = Result.m_servedShareAfter >= MinServedShare;
   const bool HasPassed = Result.m_violations.empty() && Result.m_wasReady &&
+                         Result.m_isUpgraded &&
                          (IsRecovered || !Flags.m_checksRecovery);
   fmt::print(
       "seed {} {}: {} requests, {} runs, {} faults, served {:.3f}, after "
-      "the faults {:.3f}{}\n",
+      "the faults {:.3f}{}{}\n",
       Seed, HasPassed ? "kept" : "BROKEN", Result.m_requests, Result.m_runs,
       Result.m_faults, Result.m_servedShare, Result.m_servedShareAfter,
-      Result.m_wasReady ? "" : ", hosts were not ready");
+      Result.m_wasReady ? "" : ", hosts were not ready",
+      Result.m_isUpgraded ? "" : ", the previous version has not run");
   for (const Violation &Item : Result.m_violations)
     fmt::print("  {} {}: {}\n", toText(Item.m_guarantee), Item.m_requestId,
                Item.m_detail);
