--- a/test/gateway/lost-request-test.cc
+++ b/test/gateway/lost-request-test.cc
@@ -88,6 +88,8 @@
 // A host did not tell the former coordinator that its requests had ended, so
 // that others waited for their slots until the deadlines of these.
 TEST_F(LostRequestTest, WaitingRequest_OtherHostHasAllSlots_IsServed) {
+  // A slow machine must not let the fallback decide.
+  m_policy.m_admission.m_ackTimeout = LongTime;
   holdAnswers();
   startAll(2);
   ASSERT_TRUE(runUntil([this] {
@@ -105,6 +107,29 @@
   expectAllServed();
 }
 
+/// Requests with the usual times.
+class HeldRequestTest : public LostRequestTest {
+protected:
+  HeldRequestTest() {
+    for (Route &Item : m_store.m_configuration.m_routes) {
+      Item.m_timeout = Millis(20000);
+      Item.m_objective = Millis(10000);
+    }
+  }
+};
+
+// Requests waited although all slots were free, and were then refused: each
+// server seemed too slow, and all of them together did not.
+TEST_F(HeldRequestTest, ServersAnswerAgain_AfterALongHold_WaitingAreServed) {
+  holdAnswers();
+  startAll();
+  sendMany(16);
+  ASSERT_TRUE(runUntil([this] { return webRequests() >= 4; }));
+  wait(Millis(7000));
+  m_mayAnswer = true;
+  expectAllServed();
+}
+
 /// A server that answers long requests once it has read their heads, and then
 /// reads nothing more.
 class EarlyAnswerTest : public LostRequestTest {
@@ -205,6 +230,18 @@
   EXPECT_TRUE(Got.m_head.body() == m_body);
 }
 
+// The writer of the body used the connection after the answer was dropped.
+TEST_F(EarlyAnswerTest, LongFailure_ClientStillSendsTheBody_IsAnswered) {
+  m_head = "HTTP/1.1 500 Failed\r\n";
+  m_body.assign(300000, 'y');
+  startAll();
+  for (int I = 0; I < 5; ++I) {
+    const Answer Got = uploadAndWait();
+    EXPECT_TRUE(Got.m_isWhole);
+    EXPECT_EQ(Got.m_status, 502U);
+  }
+}
+
 TEST_F(EarlyAnswerTest, Refusal_ClientStillSendsTheBody_ReachesTheClient) {
   m_head = "HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\n";
   startAll();
