--- a/test/process/http-server-test.cc
+++ b/test/process/http-server-test.cc
@@ -64,15 +64,15 @@
   HttpResponse receive() {
     HttpResponse None;
     None.result(0U);
-    HttpResponse Got;
+    http::response_parser<http::string_body> Parser;
     bool HasEnded = false;
     boost::system::error_code Error;
-    http::async_read(m_client, m_buffer, Got,
+    http::async_read(m_client, m_buffer, Parser,
                      [&](boost::system::error_code Result, std::size_t) {
                        Error = Result;
                        HasEnded = true;
                      });
-    return awaitClient(HasEnded) && !Error ? Got : None;
+    return awaitClient(HasEnded) && !Error ? Parser.release() : None;
   }
 
   /// Returns how the connection ends.
--- a/test/process/whole-path-test.cc
+++ b/test/process/whole-path-test.cc
@@ -64,7 +64,7 @@
   ASSERT_TRUE(Small.awaitReady());
   std::future<std::optional<HttpResponse>> Call = std::async(
       std::launch::async, [&Small] { return Small.call(0, "/slow/a"); });
-  ASSERT_TRUE(eventually([&Small] { return Small.records(0).size() > 0; }));
+  ASSERT_TRUE(eventually([&Small] { return !Small.records(0).empty(); }));
   Small.hosts()[0].m_child->signal(SIGTERM);
   const std::optional<HttpResponse> Answer = Call.get();
   ASSERT_TRUE(Answer);
