--- a/test/gateway/client-connection-test.cc
+++ b/test/gateway/client-connection-test.cc
@@ -19,6 +19,14 @@
     m_store.m_configuration.m_limits.m_idleTimeout = IdleLimit;
   }
 
+  /// Writes a configuration with another idle limit to the store.
+  void changeIdleLimit(Millis Limit) {
+    Configuration Next = m_store.m_configuration;
+    ++Next.m_version;
+    Next.m_limits.m_idleTimeout = Limit;
+    m_store.m_configuration = Next;
+  }
+
   /// Sends a request on a connection that stays open. Returns the status of the
   /// answer, or 0 if the gateway has closed the connection.
   unsigned sendOn(asio::ip::tcp::socket &Client) {
@@ -80,10 +88,7 @@
   startAll();
   asio::ip::tcp::socket Client = connect();
   ASSERT_EQ(sendOn(Client), 200U);
-  Configuration Next = m_store.m_configuration;
-  ++Next.m_version;
-  Next.m_limits.m_idleTimeout = Millis(60000);
-  m_store.m_configuration = Next;
+  changeIdleLimit(Millis(60000));
   wait(IdleLimit + Millis(5000));
   EXPECT_EQ(sendOn(Client), 200U);
 }
@@ -96,10 +101,7 @@
   startAll();
   asio::ip::tcp::socket Client = connect();
   ASSERT_EQ(sendOn(Client), 200U);
-  Configuration Next = m_store.m_configuration;
-  ++Next.m_version;
-  Next.m_limits.m_idleTimeout = Millis(1);
-  m_store.m_configuration = Next;
+  changeIdleLimit(Millis(1));
   wait(Millis(8000));
   EXPECT_EQ(sendOn(Client), 200U);
 }
