--- a/test/process/request-test.cc
+++ b/test/process/request-test.cc
@@ -102,6 +102,12 @@
     Connection.write(answerText(std::string(Request->target())));
 }
 
+/// Answers each request with its deadline.
+void echoDeadline(FakeConnection &Connection) {
+  while (const std::optional<HttpRequest> Request = Connection.read())
+    Connection.write(answerText(std::string((*Request)["Tamarack-Deadline"])));
+}
+
 /// A script that answers the first request of a connection and hangs up.
 FakeServer::Script answerOnce(const std::string &Text) {
   return [Text](FakeConnection &Connection) {
@@ -302,11 +308,7 @@
 }
 
 TEST_F(RequestTest, Deadline_OfTheCaller_IsPassedOnAndBounded) {
-  FakeServer Server([](FakeConnection &Connection) {
-    while (const std::optional<HttpRequest> Request = Connection.read())
-      Connection.write(
-          answerText(std::string((*Request)["Tamarack-Deadline"])));
-  });
+  FakeServer Server(echoDeadline);
   addClass("find", false, {Server.address()});
   start();
   const auto TimeLeft = [&](const std::string &Text) {
@@ -395,11 +397,7 @@
 // A request that waits, or is sent again, during a stop was sent with its full
 // deadline and cut when the process ended.
 TEST_F(RequestTest, Stop_HasAnEnd_NoRequestIsSentBeyondIt) {
-  FakeServer Server([](FakeConnection &Connection) {
-    while (const std::optional<HttpRequest> Request = Connection.read())
-      Connection.write(
-          answerText(std::string((*Request)["Tamarack-Deadline"])));
-  });
+  FakeServer Server(echoDeadline);
   addClass("find", false, {Server.address()});
   start();
   constexpr Millis Left{10000};
