Drop a service in LostRequestTest only when its requests wait

Cause: it dropped the service as soon as four of its sixteen requests had reached servers. The stand-in of the store tells of the new configuration within 10 ms; a request that is read after that finds no route and gets 404, which is right. With the address sanitizer and beside load 207 of 400 runs failed, each assertion with a 404; ruled out before: a refusal after a long hold (HeldRequestTest), which is a fault of its own.

The test now reads from the host's metrics that twelve requests wait before it drops the service, and so does the test with two hosts, which slept for 200 ms. What they expect is unchanged.

--- a/test/gateway/gateway-host-fixture.h
+++ b/test/gateway/gateway-host-fixture.h
@@ -102,10 +102,13 @@
     Ready += std::to_string(freePort());
     Settings.m_clientAddress = Client;
     Settings.m_readyAddress = Ready;
+    Settings.m_metricsAddress = Ip + ":" + std::to_string(freePort());
     Settings.m_peerPort = m_peerPort;
     Settings.m_headers = Headers;
     Settings.m_stopTimeout = m_stopTimeout;
     m_addresses.push_back(parseEndpoint(Client).value());
+    m_metricsAddresses.push_back(
+        parseEndpoint(Settings.m_metricsAddress).value());
     m_hosts.push_back(
         std::make_unique<GatewayHost>(m_context.get_executor(), m_policy,
                                       Settings, *m_storeOfNext, m_keys, m_log));
@@ -132,9 +135,15 @@
   asio::awaitable<void> exchange(std::string Bytes, int Host,
                                  std::shared_ptr<Answer> Out,
                                  std::shared_ptr<bool> IsDone) {
+    return exchange(std::move(Bytes), m_addresses[Host], std::move(Out),
+                    std::move(IsDone));
+  }
+
+  asio::awaitable<void> exchange(std::string Bytes, Endpoint To,
+                                 std::shared_ptr<Answer> Out,
+                                 std::shared_ptr<bool> IsDone) {
     boost::beast::tcp_stream Stream(m_context);
-    const auto [Error] =
-        co_await Stream.async_connect(m_addresses[Host], UseTuple);
+    const auto [Error] = co_await Stream.async_connect(To, UseTuple);
     if (!Error) {
       co_await asio::async_write(Stream, asio::buffer(Bytes), UseTuple);
       boost::beast::flat_buffer Buffer;
@@ -152,10 +161,13 @@
 
   /// Sends \p Bytes on a new connection and returns the answer.
   Answer send(const std::string &Bytes, int Host = 0) {
+    return send(Bytes, m_addresses[Host]);
+  }
+
+  Answer send(const std::string &Bytes, const Endpoint &To) {
     const std::shared_ptr<Answer> Out = std::make_shared<Answer>();
     const std::shared_ptr<bool> IsDone = std::make_shared<bool>(false);
-    asio::co_spawn(m_context, exchange(Bytes, Host, Out, IsDone),
-                   asio::detached);
+    asio::co_spawn(m_context, exchange(Bytes, To, Out, IsDone), asio::detached);
     EXPECT_TRUE(runUntil([IsDone] { return *IsDone; }));
     return *Out;
   }
@@ -205,6 +217,18 @@
     return m_web[0].m_requests.size() + m_web[1].m_requests.size();
   }
 
+  /// Returns whether \p Count requests for the web servers come to wait in the
+  /// dispatcher of a host.
+  bool comeToWait(int Count, int Host = 0) {
+    const std::string Line = "\ntamarack_gateway_waiting{service=\"web\"} " +
+                             std::to_string(Count) + "\n";
+    return runUntil([this, Host, &Line] {
+      const std::string Text =
+          send(get("/metrics"), m_metricsAddresses[Host]).m_body;
+      return Text.find(Line) != std::string::npos;
+    });
+  }
+
   /// Sends requests until \p Server has received one, and expects that it does
   /// not receive any of ten further ones.
   void expectSingleRequest(const ScriptedServer &Server) {
@@ -235,6 +259,7 @@
   Millis m_stopTimeout{6000};
   std::set<std::uint16_t> m_usedPorts;
   std::vector<Endpoint> m_addresses;
+  std::vector<Endpoint> m_metricsAddresses;
   std::vector<std::unique_ptr<GatewayHost>> m_hosts;
 };
 
--- a/test/gateway/lost-request-test.cc
+++ b/test/gateway/lost-request-test.cc
@@ -79,6 +79,8 @@
   startAll();
   sendMany(16);
   ASSERT_TRUE(runUntil([this] { return webRequests() >= 4; }));
+  // A request that is read later finds no route.
+  ASSERT_TRUE(comeToWait(12));
   dropWebService();
   EXPECT_LT(webRequests(), m_sent.size());
   m_mayAnswer = true;
@@ -100,7 +102,7 @@
   sendMany(4, 1 - Coordinator);
   ASSERT_TRUE(runUntil([this] { return webRequests() == 4; }));
   sendMany(4, Coordinator);
-  wait(Millis(200));
+  ASSERT_TRUE(comeToWait(4, Coordinator));
   EXPECT_EQ(webRequests(), 4U);
   dropWebService();
   m_mayAnswer = true;
