--- a/test/gateway/cut-off-host-test.cc
+++ b/test/gateway/cut-off-host-test.cc
@@ -230,6 +230,42 @@
   EXPECT_TRUE(runUntil([&] { return !m_hosts[m_cutHost]->isCutOff(); }));
 }
 
+// A host that turned out to be cut off gave up what its servers were at work
+// on, although the connections worked and nobody would send the request again.
+TEST_P(CutOffHostTest, RequestOnItsLastAttempt_CutOffDuringStop_IsServed) {
+  m_store.m_configuration.m_routes[0].m_attempts = 1;
+  ASSERT_TRUE(runUntil([this] {
+    return std::all_of(m_hosts.begin(), m_hosts.end(),
+                       [](const auto &Item) { return Item->isReady(); });
+  }));
+  sendRequests({0, 1, 2}, Millis(1000), Millis(100), false);
+  bool IsHeld = true;
+  std::size_t Held = 0;
+  for (ScriptedServer &Item : m_servers)
+    Item.m_script =
+        [&IsHeld, &Held](ScriptedServer::Stream &To,
+                         const ReceivedRequest &Seen) -> asio::awaitable<bool> {
+      ++Held;
+      while (IsHeld)
+        co_await sleepFor(Millis(5));
+      co_return co_await ScriptedServer::answerOk(To, Seen);
+    };
+  ++m_open;
+  asio::co_spawn(m_context,
+                 attempt(m_cutHost,
+                         "GET /web/ HTTP/1.1\r\nHost: shop.example\r\n"
+                         "Test-Id: held\r\nTest-Deadline: 3000\r\n\r\n",
+                         true),
+                 asio::detached);
+  ASSERT_TRUE(runUntil([&Held] { return Held == 1; }));
+  m_hosts[m_cutHost]->stop([] {});
+  setCut(true);
+  EXPECT_TRUE(runUntil([this] { return m_hosts[m_cutHost]->isCutOff(); }));
+  IsHeld = false;
+  EXPECT_TRUE(runUntil([this] { return m_open == 0; }));
+  EXPECT_EQ(m_served[m_cutHost], 1);
+}
+
 INSTANTIATE_TEST_SUITE_P(Connections, CutOffHostTest,
                          testing::Values(Cut::Refused, Cut::Hanging));
 
