Bound chunk lines, trailers and replies that have no end

Callers saw: a faulty server that sends a chunk line or a trailer without end fills the memory of the host that called it (HttpClient), and the requests of other clients end with the process. Callers could do the same to HttpServer and TextServer. Cause: a flat_buffer without a maximum keeps what the parser cannot consume yet, the timer of a stream ends only an operation that waits, and nothing counted the replies of all connections. Change: the buffers have a maximum, the deadline is checked between reads, and the bodies of all replies being read have a common limit of 64 MB.

--- a/include/tamarackdrum/http.h
+++ b/include/tamarackdrum/http.h
@@ -154,6 +154,8 @@
   std::size_t m_maxIdlePerPeer = 16;
   std::size_t m_maxOpenPerPeer = 64;
   std::size_t m_maxReplyBytes = 8UL * 1024 * 1024;
+  /// Limit for the bodies of all replies that are being read.
+  std::size_t m_maxReplyBytesInAll = 64UL * 1024 * 1024;
 
   bool operator==(const HttpClientLimits &) const = default;
 };
@@ -179,11 +181,13 @@
     bool m_sendsExcess = false; ///< Its connections are not reused.
   };
   class Lease;
+  class ReplyBytes;
 
   const HttpClientLimits m_limits;
   std::mutex m_mutex;
   std::map<Endpoint, PeerPool> m_pools;
   std::atomic<std::uint64_t> m_exchanges{0};
+  std::atomic<std::size_t> m_replyBytes{0}; ///< Of unfinished replies.
 };
 
 } // namespace tamarackdrum
--- a/src/adapter/http-client.cc
+++ b/src/adapter/http-client.cc
@@ -16,6 +16,8 @@
 
 constexpr unsigned FirstFinalStatus = 200;
 constexpr const char *ExchangeHeader = "Tamarack-Exchange";
+/// Limit for bytes received and not parsed yet.
+constexpr std::size_t BufferBytes = 128UL * 1024;
 
 /// Returns whether \p Reply is final and does not name another exchange.
 bool isReplyTo(const std::string &Number, const HttpResponse &Reply) {
@@ -36,6 +38,26 @@
 
 } // namespace detail
 
+/// Counts the bytes of one reply among those of all replies that are read.
+class HttpClient::ReplyBytes {
+public:
+  explicit ReplyBytes(HttpClient &Client) : m_client(Client) {}
+  ReplyBytes(const ReplyBytes &) = delete;
+  ReplyBytes &operator=(const ReplyBytes &) = delete;
+  ~ReplyBytes() { m_client.m_replyBytes -= m_count; }
+
+  /// Returns whether all replies are within the limit.
+  bool set(std::size_t Count) {
+    m_client.m_replyBytes += Count - m_count;
+    m_count = Count;
+    return m_client.m_replyBytes <= m_client.m_limits.m_maxReplyBytesInAll;
+  }
+
+private:
+  HttpClient &m_client;
+  std::size_t m_count = 0;
+};
+
 /// The right to one of the peer's connections.
 class HttpClient::Lease {
 public:
@@ -128,12 +150,23 @@
                              asio::redirect_error(asio::use_awaitable, Error));
   if (Error)
     co_return std::error_code(HttpErrc::SendFailed);
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer(BufferBytes);
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(m_limits.m_maxReplyBytes);
   Parser.skip(IsHead);
-  co_await http::async_read(Stream, Buffer, Parser,
-                            asio::redirect_error(asio::use_awaitable, Error));
+  Parser.eager(true);
+  ReplyBytes Read(*this);
+  // The timer of the stream ends only a read that waits, so that the deadline
+  // is checked between reads as well.
+  while (!Error && !Parser.is_done()) {
+    if (BootClock::now() >= Deadline)
+      co_return std::error_code(HttpErrc::TimedOut);
+    co_await http::async_read_some(
+        Stream, Buffer, Parser,
+        asio::redirect_error(asio::use_awaitable, Error));
+    if (!Read.set(Parser.get().body().size()))
+      co_return std::error_code(HttpErrc::ReplyTorn);
+  }
   if (Error == beast::error::timeout)
     co_return std::error_code(HttpErrc::TimedOut);
   if (Buffer.size() > 0)
--- a/src/adapter/http-server.cc
+++ b/src/adapter/http-server.cc
@@ -24,8 +24,10 @@
 
 /// One client connection; used only on its strand.
 struct HttpSession {
-  explicit HttpSession(asio::ip::tcp::socket Socket)
-      : m_stream(std::move(Socket)), m_readLimit(m_stream) {}
+  /// \p BufferBytes limits the bytes received and not parsed yet.
+  HttpSession(asio::ip::tcp::socket Socket, std::size_t BufferBytes)
+      : m_stream(std::move(Socket)), m_readLimit(m_stream),
+        m_buffer(BufferBytes) {}
 
   beast::tcp_stream m_stream;
   ReadLimit m_readLimit;
@@ -40,6 +42,8 @@
 
 constexpr Millis AcceptRetryDelay{20};
 constexpr std::size_t ReadBytes = 4UL * 1024;
+/// Bytes beyond the largest head that a connection may buffer.
+constexpr std::size_t ExtraBufferBytes = 64UL * 1024;
 /// Idle connections are kept for this multiple of the limit that answers name:
 /// a request that was sent within the limit may be on its way.
 constexpr int IdleLimitFactor = 2;
@@ -177,8 +181,8 @@
     }
     m_counters.m_accepted.fetch_add(1);
     Socket.set_option(asio::ip::tcp::no_delay(true), Error);
-    const SessionPtr Session =
-        std::make_shared<detail::HttpSession>(std::move(Socket));
+    const SessionPtr Session = std::make_shared<detail::HttpSession>(
+        std::move(Socket), m_limits.m_maxHeaderBytes + ExtraBufferBytes);
     {
       const std::lock_guard<std::mutex> Lock(m_mutex);
       m_sessions.insert(Session);
--- a/src/edge/text-server.cc
+++ b/src/edge/text-server.cc
@@ -20,6 +20,7 @@
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Millis AcceptPause{50};
 constexpr Millis IdleTimeout{15000};
+constexpr std::size_t MaxRequestBytes = 64U << 10U;
 
 } // namespace
 
@@ -47,7 +48,7 @@
 
 asio::awaitable<void> TextServer::serve(tcp::socket Socket) {
   beast::tcp_stream Stream(std::move(Socket));
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer(MaxRequestBytes);
   while (true) {
     http::request<http::empty_body> Request;
     Stream.expires_after(IdleTimeout);
--- a/test/process/http-server-test.cc
+++ b/test/process/http-server-test.cc
@@ -1,5 +1,6 @@
 // Connections of HttpServer that end, and the requests on them.
 
+#include "../gateway/endless-peer.h"
 #include "process-group.h"
 #include "tamarackdrum/sleep.h"
 
@@ -196,6 +197,26 @@
   EXPECT_EQ(receive().result_int(), 200U);
 }
 
+// A chunk line has no end before its line break, and the parser reads it whole.
+TEST_F(HttpServerTest, Request_EndlessChunkLine_IsRefused) {
+  HttpLimits Limits;
+  Limits.m_idleTimeout = ReadTimeout;
+  start(Limits);
+  std::size_t Sent = 0;
+  std::thread Client([this, &Sent] {
+    Sent = gateway::sendEndlessly(
+        m_client,
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        std::string(16384, 'x'));
+  });
+  EXPECT_TRUE(
+      eventually([this] { return m_server->counters().m_malformed > 0; }));
+  m_server->stop();
+  Client.join();
+  EXPECT_LT(Sent, gateway::EndlessBytes);
+  EXPECT_EQ(m_calls, 0);
+}
+
 // Requests that were in flight at the end of a stop got no answer.
 TEST_F(HttpServerTest, EndAll_RequestRuns_GetsTheUnknownAnswer) {
   m_mayAnswer = false;
