End answers of servers and of the store at their deadline and limit

Callers saw: nothing yet. A server that answers grants without end made the host keep 8 MB for each call. Cause: no limit for answers to grants, of which no part of the body is used. All readers check the deadline between reads. Evidence: KeyServerClientTest.Answer_EndlessBody fails with the change taken out by hand. The tests *_EndlessChunkLines_* pass without it as well: that a call outlives its deadline while bytes keep coming is not shown, they guard it.

--- a/include/tamarackdrum/gateway/connection.h
+++ b/include/tamarackdrum/gateway/connection.h
@@ -9,6 +9,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -66,6 +68,15 @@
   std::string m_lastRequestId;
 };
 
+using AnswerParser =
+    boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+/// Reads a whole answer into \p Answer, at most until the deadline of \p From,
+/// also if the peer sends continuously. Errors: beast::error::timeout, those of
+/// the parser and of the system.
+boost::asio::awaitable<boost::system::error_code>
+readWhole(Connection &From, AnswerParser &Answer);
+
 /// Timeouts of pooled connections.
 struct PoolPolicy {
   Millis m_connectTimeout{400};
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -35,6 +36,21 @@
                sizeof(Value));
 }
 
+boost::asio::awaitable<boost::system::error_code>
+readWhole(Connection &From, AnswerParser &Answer) {
+  Answer.eager(true);
+  while (!Answer.is_done()) {
+    if (From.isPastDeadline())
+      co_return boost::beast::error::timeout;
+    const auto [Error, Count] = co_await boost::beast::http::async_read_some(
+        From.m_stream, From.m_buffer, Answer,
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+    if (Error)
+      co_return Error;
+  }
+  co_return boost::system::error_code();
+}
+
 Millis ConnectionPool::idleLimit(const Connection &Item) const {
   if (Item.m_keepAliveTimeout.count() == 0)
     return m_policy.m_maxIdleTime;
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -175,6 +175,7 @@
                                                UpstreamReply &Reply) {
   ResponseParser &Parser = *Reply.m_parser;
   std::string Piece(PieceBytes, '\0');
+  Parser.eager(true);
   while (!Parser.is_done()) {
     if (Reply.m_body.size() >= MaxBufferedReplyBytes) {
       Reply.m_hasMore = true;
@@ -186,7 +187,8 @@
     }
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
-    const auto [Error, Count] = co_await http::async_read(
+    // Not one read of a whole piece: the lines before its chunks may be long.
+    const auto [Error, Count] = co_await http::async_read_some(
         Used.m_stream, Used.m_buffer, Parser, UseTuple);
     Reply.m_body.append(Piece.data(), Piece.size() - Parser.get().body().size);
     if (Error && Error != http::error::need_buffer) {
--- a/test/gateway/upstream-client-test.cc
+++ b/test/gateway/upstream-client-test.cc
@@ -1,5 +1,6 @@
 #include "tamarackdrum/gateway/upstream-client.h"
 
+#include "endless-peer.h"
 #include "late-reader.h"
 #include "tamarackdrum/blocking.h"
 #include "tamarackdrum/worker-context.h"
@@ -85,5 +86,16 @@
   EXPECT_EQ(m_server.readToEnd(), asio::error::eof);
 }
 
+// The lines before the chunks of a piece can be any number of bytes.
+TEST_F(UpstreamClientTest, Answer_EndlessChunkLines_EndsAtTheDeadline) {
+  EndlessServer Server("HTTP/1.1 500 Failed\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n",
+                       longChunkLine());
+  UpstreamRequest Request = makeRequest(3);
+  Request.m_server.m_address = Server.address();
+  EXPECT_EQ(execute(std::move(Request)), DispatchResult::TimedOut);
+  EXPECT_LT(Server.sentBytes(), EndlessBytes);
+}
+
 } // namespace
 } // namespace tamarackdrum::gateway
--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -1,5 +1,6 @@
 #include "platform/key-server-client.h"
 
+#include "../gateway/endless-peer.h"
 #include "../gateway/late-reader.h"
 #include "platform/standin/key-server.h"
 #include "platform/wire-decode.h"
@@ -164,5 +165,28 @@
   }
 }
 
+// A host makes many calls at the same time, and no part of the body is used.
+TEST_F(KeyServerClientTest, Answer_EndlessBody_EndsAtItsLimit) {
+  EndlessServer Server("HTTP/1.1 200 OK\r\n\r\n", std::string(16384, 'x'));
+  GrantCall Call;
+  Call.m_address = Server.address();
+  const GrantReply Reply =
+      await(m_subject.call(Call, BootClock::now() + Millis(20000)));
+  EXPECT_EQ(Reply.m_result, GrantResult::NoAnswer);
+  EXPECT_LT(Server.sentBytes(), MaxHeldBytes);
+}
+
+// The timer of a stream ends only an operation that waits.
+TEST_F(KeyServerClientTest, Answer_EndlessChunkLines_EndsAtTheDeadline) {
+  EndlessServer Server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                       longChunkLine());
+  GrantCall Call;
+  Call.m_address = Server.address();
+  const GrantReply Reply =
+      await(m_subject.call(Call, BootClock::now() + Millis(100)));
+  EXPECT_EQ(Reply.m_result, GrantResult::NoAnswer);
+  EXPECT_LT(Server.sentBytes(), EndlessBytes);
+}
+
 } // namespace
 } // namespace tamarackdrum::platform
--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -1,5 +1,6 @@
 #include "platform/store-client.h"
 
+#include "../gateway/endless-peer.h"
 #include "platform/standin/row-store.h"
 #include "platform/standin/wire-encode.h"
 #include "tamarackdrum/blocking.h"
@@ -367,5 +368,16 @@
             TableErrc::Unavailable);
 }
 
+// The timer of a stream ends only an operation that waits.
+TEST_F(StoreClientTest, Answer_EndlessChunkLines_EndsAtTheTimeout) {
+  EndlessServer Server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                       longChunkLine());
+  StorePolicy Policy;
+  Policy.m_readTimeout = Millis(100);
+  StoreClient Subject(Server.address(), Policy, m_log);
+  EXPECT_EQ(await(Subject.readServers()).error(), TableErrc::Unavailable);
+  EXPECT_LT(Server.sentBytes(), EndlessBytes);
+}
+
 } // namespace
 } // namespace tamarackdrum::platform
