Do not interrupt attempts that cannot be sent again when a host is cut off

Cause: a host that turns out to be cut off interrupted all safe attempts, so that peers send them, also those on their last attempt and those for which a stop leaves no time. An answer may still come over an open connection. Change: whether an attempt can be sent again is asked at the time of the cut, so that attempts begun before a stop are covered. Why hosts count as cut off without a cut stays open.

--- a/include/tamarackdrum/gateway/contact-monitor.h
+++ b/include/tamarackdrum/gateway/contact-monitor.h
@@ -25,10 +25,14 @@
   /// Starts to probe. \p Network outlives this.
   void start(PeerNetwork &Network);
 
+  /// Returns whether a request can be sent again if its attempt is interrupted.
+  using ResendCheck = std::function<bool()>;
+
   /// Records the start of an attempt at a server, and returns its number.
   /// Unless \p Token is null, the attempt is interrupted if this host turns out
-  /// to be cut off. \p Token stays valid until end().
-  std::uint32_t begin(CancelToken *Token);
+  /// to be cut off and \p CanResend returns true at that time. Both stay valid
+  /// until end().
+  std::uint32_t begin(CancelToken *Token, ResendCheck CanResend = nullptr);
   /// Records the end of an attempt.
   void end(std::uint32_t Number, const std::string &Server,
            const UpstreamReply &Reply);
@@ -48,6 +52,7 @@
   struct Attempt {
     TimePoint m_startedAt;
     CancelToken *m_token;
+    ResendCheck m_canResend;
   };
 
   boost::asio::awaitable<void> run();
--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -208,6 +208,9 @@
   bool fitIntoStop(ClientRequest &Request) const;
   /// Returns whether a request whose last dispatch failed is dispatched again.
   bool shouldRetry(ClientRequest &Request) const;
+  /// Returns whether a safe request can be dispatched again if the dispatch
+  /// that is under way is interrupted.
+  bool canResend(const ClientRequest &Request) const;
   static Framing requestFraming(const ClientRequest &Request);
   BodySource makeBodySource(SessionPtr Client,
                             std::shared_ptr<ClientRequest> Request) const;
--- a/src/edge/contact-monitor.cc
+++ b/src/edge/contact-monitor.cc
@@ -37,8 +37,8 @@
     asio::co_spawn(m_executor, run(), asio::detached);
 }
 
-std::uint32_t ContactMonitor::begin(CancelToken *Token) {
-  m_attempts[++m_lastNumber] = {BootClock::now(), Token};
+std::uint32_t ContactMonitor::begin(CancelToken *Token, ResendCheck CanResend) {
+  m_attempts[++m_lastNumber] = {BootClock::now(), Token, std::move(CanResend)};
   return m_lastNumber;
 }
 
@@ -82,8 +82,9 @@
               {{"relays", usableRelays(m_hosts, Now).size()},
                {"attempts", m_attempts.size()}});
   m_metrics.count("cut_off_from_servers");
+  // An answer may still come over a connection that works.
   for (const auto &[Number, Item] : m_attempts)
-    if (Item.m_token != nullptr)
+    if (Item.m_token != nullptr && Item.m_canResend())
       Item.m_token->interrupt();
   m_network->sendDueHeartbeats();
 }
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -247,7 +247,9 @@
   }
   const std::string Server = Upstream.m_server.m_id;
   const bool IsSafe = Upstream.m_isSafe && !Upstream.m_bodySource;
-  const std::uint32_t Attempt = m_contacts.begin(IsSafe ? &Token : nullptr);
+  const std::uint32_t Attempt =
+      m_contacts.begin(IsSafe ? &Token : nullptr,
+                       [this, Request] { return canResend(*Request); });
   UpstreamReply Reply =
       co_await m_upstreamClient.execute(std::move(Upstream), Token);
   m_contacts.end(Attempt, Server, Reply);
@@ -320,6 +322,11 @@
                   Request.m_route->m_attempts);
 }
 
+bool EdgeServer::canResend(const ClientRequest &Request) const {
+  return Request.m_dispatches + 1 < Request.m_route->m_attempts &&
+         canEndBeforeStop(Request);
+}
+
 asio::awaitable<void>
 EdgeServer::answerUnserved(SessionPtr Client,
                            std::shared_ptr<ClientRequest> Request) {
