Send no request to a server after its deadline

Evidence: UpstreamClientTest.Execute_DeadlinePassesWhileConnecting fails with the check taken out by hand.

--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -278,6 +278,12 @@
     }
     Used = std::move(Opened.value());
   }
+  // The process may have been frozen since the request was decided on.
+  if (BootClock::now() >= Request.m_deadline) {
+    Reply.m_result = DispatchResult::TimedOut;
+    m_pool.putIdle(Peer, std::move(Used), Request.m_maxIdleConnections);
+    co_return Reply;
+  }
   Reply.m_isSent = true;
   Reply.m_result = DispatchResult::ConnectionLost;
   Used->m_lastRequestId = Request.m_requestId;
--- a/test/gateway/upstream-client-test.cc
+++ b/test/gateway/upstream-client-test.cc
@@ -66,6 +66,29 @@
   EXPECT_LT(m_server.m_text.size(), LateReader::LongBytes);
 }
 
+// A process that is frozen while it connects must not send a request that its
+// client no longer waits for.
+TEST_F(UpstreamClientTest, Execute_DeadlinePassesWhileConnecting_IsNotSent) {
+  std::optional<UpstreamReply> Reply;
+  UpstreamRequest Request = makeRequest(3);
+  Request.m_maxIdleConnections = 0;
+  asio::co_spawn(
+      m_context,
+      [&]() -> asio::awaitable<void> {
+        Reply = co_await m_subject.execute(std::move(Request), m_token);
+      },
+      asio::detached);
+  m_context.run_one();
+  std::this_thread::sleep_for(Millis(150));
+  while (!Reply)
+    m_context.run_one();
+  EXPECT_FALSE(Reply->m_isSent);
+  EXPECT_EQ(Reply->m_result, DispatchResult::TimedOut);
+  m_server.accept();
+  m_server.readToEnd();
+  EXPECT_EQ(m_server.m_text, "");
+}
+
 // A reset after the answer could fail the next operation of the server.
 TEST_F(UpstreamClientTest, Execute_Answered_ConnectionEndsWithoutReset) {
   std::thread Server([this] {
