Do not take the write of an earlier takeover for one of the next

Change: takeovers are counted, and writes under way as well. Evidence: GranterRunnerTest.WriteFails_NextTakeOverWrites fails with the check taken out by hand.

--- a/include/tamarackdrum/gateway/granter-runner.h
+++ b/include/tamarackdrum/gateway/granter-runner.h
@@ -129,7 +129,10 @@
   bool m_isEnded = false;
   bool m_hasExtendedHolds = false; ///< See prepareExit().
   bool m_isValidating = false;
-  bool m_isWriting = false;
+  unsigned m_pendingWrites = 0;
+  /// Counts the takeovers of this process, because a takeover that is not
+  /// written and the next one may have the same term.
+  std::uint64_t m_takeOverCount = 0;
   TimePoint m_validatedAt{};
   TimePoint m_nextTakeOverAt;
   TimePoint m_nextLookupAt{};
--- a/src/edge/granter-runner.cc
+++ b/src/edge/granter-runner.cc
@@ -202,6 +202,7 @@
   const TakeOverContext Basis{Read.value().m_storeMs, wasStoreUnavailable(),
                               m_version.m_era,
                               mayHaveLostRecords(Read.value())};
+  ++m_takeOverCount;
   m_granter.takeOver(Old, State, Basis, Now);
   m_granter.setServers(serviceServers(), Now);
   m_log.write("granter-takeover",
@@ -215,12 +216,17 @@
 }
 
 asio::awaitable<void> GranterRunner::writeRecord(OwnershipRecord Record) {
-  m_isWriting = true;
+  ++m_pendingWrites;
+  const std::uint64_t TakeOver = m_takeOverCount;
+  const auto IsCurrent = [this, TakeOver, Term = Record.m_term] {
+    return m_granter.isGranter() && m_takeOverCount == TakeOver &&
+           m_granter.term() == Term;
+  };
   const TimePoint SentAt = BootClock::now();
   const Result<RowVersion> Written =
       co_await m_store.writeOwnership(m_service, Record, m_version);
-  m_isWriting = false;
-  if (!m_granter.isGranter() || m_granter.term() != Record.m_term)
+  --m_pendingWrites;
+  if (!IsCurrent())
     co_return;
   if (Written) {
     m_version = Written.value();
@@ -238,7 +244,7 @@
   // Only another read shows whether the write took effect.
   co_await validateTerm();
   co_await sleepFor(m_policy.m_retryDelay);
-  if (m_granter.isGranter())
+  if (IsCurrent())
     m_granter.onWriteFailed();
 }
 
@@ -264,7 +270,7 @@
   if (isOfEarlierEra(Found, Read.value().m_version.m_era) &&
       (m_granter.isInForce() || m_granter.isRestating())) {
     // This process knows newer records than the restored copy.
-    if (m_isWriting || m_version != Before)
+    if (m_pendingWrites > 0 || m_version != Before)
       co_return;
     m_version = Read.value().m_version;
     if (!m_granter.restate(m_version.m_era, BootClock::now())) {
@@ -282,13 +288,13 @@
   if (Found.m_term < m_granter.term()) {
     // The takeover was not written, and the record may have changed since it
     // was read. The next takeover starts from the current record.
-    if (!m_isWriting)
+    if (m_pendingWrites == 0)
       stepDown("the takeover was not written",
                {Found.m_term, Found.m_granter, Found.m_granterStartMs});
     co_return;
   }
   m_validatedAt = SentAt;
-  if (!m_isWriting)
+  if (m_pendingWrites == 0)
     m_version = Read.value().m_version;
   m_granter.onValidated(SentAt);
 }
@@ -380,7 +386,7 @@
       const bool IsDue = Now - m_validatedAt > m_policy.m_validationInterval ||
                          m_store.era() > m_version.m_era ||
                          m_granter.needsValidation();
-      if (IsDue && !m_isValidating && !m_isWriting)
+      if (IsDue && !m_isValidating && m_pendingWrites == 0)
         asio::co_spawn(m_executor, validateTerm(), asio::detached);
       publishKeyMap();
     }
--- a/test/gateway/fake-platform.h
+++ b/test/gateway/fake-platform.h
@@ -15,6 +15,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <thread>
 
 namespace tamarackdrum::gateway::test {
 
@@ -65,7 +66,9 @@
   }
   Task<RowVersion> writeOwnership(std::string, OwnershipRecord Record,
                                   RowVersion Version) override {
-    co_await sleepFor(Millis(1));
+    ++m_writesUnderWay;
+    co_await sleepFor(m_writeTime);
+    --m_writesUnderWay;
     if (!m_isUp || !m_acceptsWrites)
       co_return TableErrc::Unavailable;
     if (Version != m_ownership.m_version)
@@ -97,6 +100,8 @@
 
   bool m_isUp = true;
   bool m_acceptsWrites = true;
+  Millis m_writeTime{1};
+  unsigned m_writesUnderWay = 0;
   bool m_failsNextWait = false; ///< The next awaitConfiguration().
   std::vector<ServerRow> m_servers;
   Configuration m_configuration;
@@ -111,13 +116,18 @@
 /// Key servers that accept every grant.
 class FakeKeyServers : public KeyServers {
 public:
-  asio::awaitable<GrantReply> call(GrantCall Call, TimePoint) override {
+  asio::awaitable<GrantReply> call(GrantCall Call,
+                                   TimePoint Deadline) override {
     m_calls.push_back(std::move(Call));
+    m_deadlines.push_back(Deadline);
+    std::this_thread::sleep_for(m_busyTime);
     co_await sleepFor(Millis(1));
     co_return GrantReply{GrantResult::Done, ""};
   }
 
   std::vector<GrantCall> m_calls;
+  std::vector<TimePoint> m_deadlines; ///< Of these calls.
+  Millis m_busyTime{0};               ///< Blocks the process in each call.
 };
 
 /// A request as a server received it.
--- a/test/gateway/granter-runner-test.cc
+++ b/test/gateway/granter-runner-test.cc
@@ -152,6 +152,29 @@
   EXPECT_EQ(m_subject.knownGranter().m_host, "h2");
 }
 
+// The deadline of a call counts from the step that decided on it, not from the
+// time at which a busy process begins it.
+TEST_F(GranterRunnerTest, Call_ProcessIsBusy_DeadlineCountsFromTheStep) {
+  ServerEntry Entry = m_entries["a"];
+  Entry.m_id = "b";
+  m_entries["b"] = Entry;
+  m_servers.m_busyTime = Millis(50);
+  m_context.run_for(Millis(700));
+  ASSERT_GE(m_servers.m_deadlines.size(), 2U);
+  EXPECT_EQ(m_servers.m_deadlines[0], m_servers.m_deadlines[1]);
+}
+
+// A failed write of a takeover that has been given up must not end the write of
+// the next one: two writes would be under way with the same condition.
+TEST_F(GranterRunnerTest, WriteFails_NextTakeOverWrites_OneWriteAtATime) {
+  m_store.m_acceptsWrites = false;
+  m_store.m_writeTime = Millis(200);
+  for (int I = 0; I < 40; ++I) {
+    m_context.run_for(Millis(50));
+    EXPECT_LE(m_store.m_writesUnderWay, 1U);
+  }
+}
+
 // The next granter waits for the longest hold unless the process that ends has
 // announced a newer term before.
 TEST_F(GranterRunnerTest, PrepareExit_HoldsAreExtended_AnnouncesNoNewerTerm) {
--- a/test/platform/held-grant-test.cc
+++ b/test/platform/held-grant-test.cc
@@ -149,6 +149,7 @@
   const std::size_t Before = heldKeys("b");
   m_paths["a"]->setFault(LinkFault::Held);
   ASSERT_TRUE(waitFor([&] { return heldKeys("b") > Before; }));
+  EXPECT_NE(m_metrics.toText().find("result=\"no-answer\""), std::string::npos);
   m_paths["a"]->setFault(LinkFault::None);
   m_context.run_for(Millis(500));
   const std::vector<GrantRecord> Outdated = outdatedGrants();
