Count an unanswered grant from its latest possible arrival

Change: it counts from the latest arrival, and the time is never lowered. Keys of a server that does not answer wait up to 0.6 s longer. A connection that the server has closed delivers nothing more, so that keys of a crashed server wait as before. Evidence: the three tests of KeyGranter; the first and the third fail with the change taken out by hand.

--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -155,7 +155,9 @@
   Done,
   HigherFence, ///< The server has seen a higher fencing token.
   NotSent,     ///< No connection; the server has not received the call.
-  NoAnswer     ///< The server may have received the call, or may do so later.
+  NoAnswer,    ///< The server may have received the call, or may do so later.
+  /// The server has closed the connection and receives the call no more.
+  ConnectionLost
 };
 
 /// Actions that the caller of KeyGranter::step() has to carry out.
@@ -269,7 +271,8 @@
     TimePoint m_grantSentAt{};
     TimePoint m_confirmedAt{};  ///< When the last accepted grant was sent.
     TimePoint m_answeredAt{};   ///< When its answer came; it arrived before.
-    TimePoint m_unansweredAt{}; ///< When the last unanswered grant timed out.
+    /// Latest time at which an unanswered grant can arrive.
+    TimePoint m_unansweredAt{};
     TimePoint m_nextGrantAt{};
     TimePoint m_movedAt{};
     // State of the previous owner:
--- a/src/edge/granter-runner.cc
+++ b/src/edge/granter-runner.cc
@@ -27,6 +27,8 @@
     return "not-sent";
   case GrantResult::NoAnswer:
     return "no-answer";
+  case GrantResult::ConnectionLost:
+    return "connection-lost";
   }
   return "unknown";
 }
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -387,7 +387,10 @@
     }
     Item->m_nextGrantAt = Now + RetryDelay;
     if (Outcome == GrantResult::NoAnswer)
-      Item->m_unansweredAt = Now;
+      Item->m_unansweredAt = std::max(
+          {Item->m_unansweredAt, Now, latestArrival(Ended.m_sentAt)});
+    if (Outcome == GrantResult::ConnectionLost)
+      Item->m_unansweredAt = std::max(Item->m_unansweredAt, Now);
     if (Outcome == GrantResult::HigherFence) {
       Item->m_confirmedAt = {};
       m_needsValidation = true;
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -435,6 +435,65 @@
   EXPECT_NE(holderOf(0), "b");
 }
 
+// A call that is given up may be on its way for as long as one that is pending.
+TEST_F(KeyGranterTest, Move_GrantTimedOut_KeysWaitFromItsLatestArrival) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(600));
+  m_now += m_policy.m_renewInterval;
+  const std::vector<GrantCall> Sent = step();
+  ASSERT_EQ(Sent.size(), 1U);
+  const TimePoint SentAt = m_now;
+  m_now += m_policy.m_callTimeout;
+  m_subject.onCallResult(Sent[0].m_number, GrantResult::NoAnswer, "", m_now);
+  setServers({makeServer("b")});
+  const Millis Longest = 2 * m_policy.m_callTimeout + m_policy.m_hold;
+  while (holderOf(0) != "b" && m_now - SentAt < Longest + Millis(2000))
+    run(Millis(50));
+  EXPECT_GE(m_now - SentAt, Longest);
+  EXPECT_EQ(holderOf(0), "b");
+}
+
+// A server that has closed the connection receives the call no more.
+TEST_F(KeyGranterTest, Move_ConnectionLost_KeysWaitFromItsEnd) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(600));
+  m_now += m_policy.m_renewInterval;
+  const std::vector<GrantCall> Sent = step();
+  ASSERT_EQ(Sent.size(), 1U);
+  const TimePoint LostAt = m_now;
+  m_subject.onCallResult(Sent[0].m_number, GrantResult::ConnectionLost, "",
+                         m_now);
+  setServers({makeServer("b")});
+  while (holderOf(0) != "b" && m_now - LostAt < Millis(10000))
+    run(Millis(50));
+  EXPECT_GE(m_now - LostAt, m_policy.m_hold);
+  EXPECT_LT(m_now - LostAt, m_policy.m_hold + m_policy.m_callTimeout);
+}
+
+// A grant that fails early lowered the time until which the one before it, with
+// the earlier token, may arrive.
+TEST_F(KeyGranterTest, Restart_NextGrantFailsAtOnce_PendingGrantStillCounts) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(600));
+  m_now += m_policy.m_renewInterval;
+  ASSERT_FALSE(step().empty());
+  const TimePoint SentAt = m_now;
+  setServers({makeServer("a", 2)});
+  m_answer = [](const GrantCall &Call) {
+    return Call.m_server.m_id == "a" && !Call.m_isRelease
+               ? GrantResult::ConnectionLost
+               : GrantResult::Done;
+  };
+  run(Millis(100));
+  setServers({makeServer("b")});
+  while (holderOf(0) != "b" && m_now - SentAt < Millis(10000))
+    run(Millis(50));
+  EXPECT_GE(m_now - SentAt, 2 * m_policy.m_callTimeout + m_policy.m_hold);
+}
+
 TEST_F(KeyGranterTest, OnCallResult_HigherFence_SendsNothingUntilValidated) {
   takeOver({});
   setServers({makeServer("a")});
