Wait for the last call of an earlier granter to arrive

Evidence: TakeOver_EarlierGranterMayGrant_WaitCoversItsLastCall fails with the change taken out by hand.

--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -294,6 +294,9 @@
   /// Returns the latest time at which a pending call sent at \p SentAt can
   /// arrive.
   TimePoint latestArrival(TimePoint SentAt) const;
+  /// Returns the latest time at which a call can arrive of a granter that a
+  /// takeover begun at \p TakeOverAt replaces.
+  TimePoint lastCallArrival(TimePoint TakeOverAt) const;
   TimePoint holdEnd(TimePoint SentAt, Millis Hold) const;
   /// Returns the directory entry of \p Instance, or null if it is not listed.
   const ServerEntry *findInstance(const ServerInstance &Instance) const;
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -46,6 +46,11 @@
   return SentAt + 2 * m_policy.m_callTimeout;
 }
 
+TimePoint KeyGranter::lastCallArrival(TimePoint TakeOverAt) const {
+  return latestArrival(TakeOverAt + m_policy.m_takeOverTimeout +
+                       m_policy.m_validationTimeout);
+}
+
 TimePoint KeyGranter::holdEnd(TimePoint SentAt) const {
   return holdEnd(SentAt, m_policy.m_hold);
 }
@@ -139,8 +144,7 @@
   // The previous granter can validate its term until this one is written, and
   // renews grants for up to the validation timeout after that.
   const TimePoint OldHoldsEnd =
-      holdEnd(Now + m_policy.m_takeOverTimeout + m_policy.m_validationTimeout,
-              maxInheritedHold());
+      holdEnd(lastCallArrival(Now), maxInheritedHold());
   if (Read.m_term > 0)
     m_record.m_earlier.push_back({Read.m_term, Read.m_granter,
                                   Read.m_granterStartMs,
@@ -173,8 +177,7 @@
 
 void KeyGranter::addUnknownGranter(std::uint64_t Era, TimePoint Now) {
   const TimePoint LongestEnd =
-      holdEnd(Now + m_policy.m_takeOverTimeout + m_policy.m_validationTimeout,
-              m_policy.m_maxHold);
+      holdEnd(lastCallArrival(Now), m_policy.m_maxHold);
   m_record.m_earlier.push_back({termFloor(Era), "", 0, toStoreMs(LongestEnd)});
   m_unknownHoldsEndAt = LongestEnd;
 }
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -271,7 +271,8 @@
       [](const EarlierGranter &) { return EarlierGranterState::SteppedDown; },
       {0, false, 2, true}, m_now);
   setServers({makeServer("a"), makeServer("b")});
-  run(m_policy.m_validationTimeout + m_policy.m_maxHold);
+  run(m_policy.m_validationTimeout + m_policy.m_maxHold +
+      2 * m_policy.m_callTimeout);
   EXPECT_TRUE(m_calls.empty());
   m_subject.onValidated(m_now);
   run(m_policy.m_takeOverTimeout + Millis(1000));
@@ -494,6 +495,13 @@
   EXPECT_GE(m_now - SentAt, 2 * m_policy.m_callTimeout + m_policy.m_hold);
 }
 
+TEST_F(KeyGranterTest, TakeOver_EarlierGranterMayGrant_WaitCoversItsLastCall) {
+  takeOver({4, "h0", 5, {}, {makeRange(0, 65535, "a", 77)}}, false);
+  EXPECT_GE(m_subject.inheritedHoldsLeft(m_now),
+            m_policy.m_takeOverTimeout + m_policy.m_validationTimeout +
+                2 * m_policy.m_callTimeout + m_policy.m_hold);
+}
+
 TEST_F(KeyGranterTest, OnCallResult_HigherFence_SendsNothingUntilValidated) {
   takeOver({});
   setServers({makeServer("a")});
