Mark the first record of a term, which the store may apply late

Change: the first record of a term is marked as not confirmed; the granter writes it again once it is in force. A successor that reads one that is not confirmed counts the holds of the granter before from its own read. The member is written only where it is false, and a record without it counts as confirmed, so that versions before and after read each other's records. One more write for each takeover. Evidence: the two tests of KeyGranter; the first fails with the change taken out by hand.

--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -80,6 +80,9 @@
   std::int64_t m_granterStartMs = 0; ///< Start of its process, Unix ms.
   std::vector<EarlierGranter> m_earlier;
   std::vector<RangeRecord> m_ranges;
+  /// False in the first record of a term, which can be written long after its
+  /// times were computed; the granter then gives up its term.
+  bool m_isConfirmed = true;
 
   bool operator==(const OwnershipRecord &) const = default;
 };
--- a/src/edge/granter-runner.cc
+++ b/src/edge/granter-runner.cc
@@ -213,6 +213,7 @@
                {"from", Old.m_granter},
                {"era", Basis.m_era},
                {"record_old", Basis.m_isRecordFromEarlierEra},
+               {"record_confirmed", Old.m_isConfirmed},
                {"holds_lapse_ms", m_granter.inheritedHoldsLeft(Now).count()},
                {"ranges", Old.m_ranges.size()}});
 }
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -138,13 +138,22 @@
   m_record.m_term = std::max(Read.m_term, termFloor(Context.m_era)) + 1;
   m_record.m_granter = m_host;
   m_record.m_granterStartMs = m_processStartMs;
-  std::erase_if(m_record.m_earlier, [&Context](const EarlierGranter &Item) {
-    return Item.m_holdsEndMs <= Context.m_storeMs;
-  });
+  m_record.m_isConfirmed = false;
   // The previous granter can validate its term until this one is written, and
   // renews grants for up to the validation timeout after that.
   const TimePoint OldHoldsEnd =
       holdEnd(lastCallArrival(Now), maxInheritedHold());
+  // The granter before that could validate its term until an unconfirmed record
+  // was written.
+  const auto BeforeThat = std::find_if(
+      m_record.m_earlier.rbegin(), m_record.m_earlier.rend(),
+      [](const EarlierGranter &Item) { return !Item.m_host.empty(); });
+  if (!Read.m_isConfirmed && BeforeThat != m_record.m_earlier.rend())
+    BeforeThat->m_holdsEndMs =
+        std::max(BeforeThat->m_holdsEndMs, toStoreMs(OldHoldsEnd));
+  std::erase_if(m_record.m_earlier, [&Context](const EarlierGranter &Item) {
+    return Item.m_holdsEndMs <= Context.m_storeMs;
+  });
   if (Read.m_term > 0)
     m_record.m_earlier.push_back({Read.m_term, Read.m_granter,
                                   Read.m_granterStartMs,
@@ -244,6 +253,8 @@
     stepDown();
     return;
   }
+  m_isDirty = m_isDirty || !m_record.m_isConfirmed;
+  m_record.m_isConfirmed = true;
   m_isTermWritten = true;
   m_isRestating = false;
 }
--- a/src/gateway/record-json.cc
+++ b/src/gateway/record-json.cc
@@ -55,13 +55,15 @@
   for (const EarlierGranter &Item : Record.m_earlier)
     Earlier.push_back(
         {Item.m_term, Item.m_host, Item.m_processStartMs, Item.m_holdsEndMs});
-  return Json{{"term", Record.m_term},
+  Json Out = {{"term", Record.m_term},
               {"granter", Record.m_granter},
               {"granter_life", Record.m_granterStartMs},
               {"earlier", std::move(Earlier)},
               {"lives", Instances.json()},
-              {"ranges", std::move(Ranges)}}
-      .dump();
+              {"ranges", std::move(Ranges)}};
+  if (!Record.m_isConfirmed)
+    Out["confirmed"] = false;
+  return Out.dump();
 }
 
 Result<OwnershipRecord> ownershipFromJson(std::string_view Text) {
@@ -71,6 +73,7 @@
     Out.m_term = Value.at("term").get<std::uint64_t>();
     Out.m_granter = Value.at("granter").get<std::string>();
     Out.m_granterStartMs = Value.at("granter_life").get<std::int64_t>();
+    Out.m_isConfirmed = Value.value("confirmed", true);
     for (const Json &Item : Value.at("earlier"))
       Out.m_earlier.push_back(
           {Item.at(0).get<std::uint64_t>(), Item.at(1).get<std::string>(),
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -502,6 +502,35 @@
                 2 * m_policy.m_callTimeout + m_policy.m_hold);
 }
 
+// A takeover that the store applied late names too early an end of the holds
+// of the granter before, who could validate its term until then.
+TEST_F(KeyGranterTest, TakeOver_RecordNotConfirmed_WaitsForGranterBeforeThat) {
+  const auto State = [](const EarlierGranter &Item) {
+    return Item.m_host == "h1" ? EarlierGranterState::MayGrant
+                               : EarlierGranterState::SteppedDown;
+  };
+  OwnershipRecord Read{2, "h2", 5, {{1, "h1", 4, 100}}, {}};
+  for (const bool IsConfirmed : {true, false}) {
+    Read.m_isConfirmed = IsConfirmed;
+    m_subject.takeOver(Read, State, TakeOverContext{}, m_now);
+    EXPECT_EQ(m_subject.inheritedHoldsLeft(m_now) >
+                  m_policy.m_validationTimeout + m_policy.m_hold,
+              !IsConfirmed);
+  }
+}
+
+TEST_F(KeyGranterTest, TakeOver_IsWritten_NextRecordConfirmsIt) {
+  takeOver({});
+  const std::optional<OwnershipRecord> First = m_subject.step(m_now).m_write;
+  ASSERT_TRUE(First);
+  EXPECT_FALSE(First->m_isConfirmed);
+  m_subject.onWritten(m_now, m_now);
+  m_now += m_policy.m_writeInterval;
+  const std::optional<OwnershipRecord> Second = m_subject.step(m_now).m_write;
+  ASSERT_TRUE(Second);
+  EXPECT_TRUE(Second->m_isConfirmed);
+}
+
 TEST_F(KeyGranterTest, OnCallResult_HigherFence_SendsNothingUntilValidated) {
   takeOver({});
   setServers({makeServer("a")});
