Move no keys while a granter whose record was lost may go on

Kin: a granter that had restated its record counted as one that had stepped down, since it names a newer term, its own; and a takeover that began before the restoration was written into the row of the new era. A granter that names itself has not stepped down. A takeover of an earlier era is given up. Restate_AllOwnersRenewed_DropsUnknownGranter and the end of Restate_RecordNotWritten_RenewsButMovesNothing asked for the fault; one test with both sides of the new wait replaces them. The model now tells the state of granters as the hosts do.

--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -191,9 +191,8 @@
   /// the term was last validated too long ago: the store may then have lost a
   /// takeover by another granter.
   ///
-  /// Until the new record is written, confirmed grants are renewed and no range
-  /// moves. After that a range may move once its owner has accepted a renewal:
-  /// a server with a higher token from another granter would refuse it.
+  /// Until the new record is written and the holds of granters whose records
+  /// are lost have ended, confirmed grants are renewed and no range moves.
   bool restate(std::uint64_t Era, TimePoint Now);
   bool isRestating() const { return m_isRestating; }
   /// Updates the times at which grants of earlier granters expire. The time is
@@ -333,7 +332,8 @@
   }
   /// Adds an entry for the granters of lost records to the earlier granters.
   void addUnknownGranter(std::uint64_t Era, TimePoint Now);
-  /// Removes that entry once every owner has accepted a renewal.
+  /// Removes that entry once it has ended and every owner has accepted a
+  /// renewal.
   void dropUnknownGranters();
   /// Makes \p Owner the owner of \p Item, the current owner the previous one.
   void assign(Range &Item, const ServerInstance &Owner, TimePoint Now);
@@ -360,7 +360,6 @@
   bool m_isTermWritten = false;
   bool m_wasStoreUnavailable = false;
   bool m_isRestating = false; ///< The store has lost records of this term.
-  TimePoint m_restatedAt{};
   bool m_isExtendingHolds = false;
   bool m_isWriting = false;
   bool m_isDirty = false;  ///< Changes have not been returned by step() yet.
--- a/src/edge/granter-runner.cc
+++ b/src/edge/granter-runner.cc
@@ -106,8 +106,10 @@
       Beat->m_host.m_processStartMs != Granter.m_processStartMs)
     return EarlierGranterState::MayGrant;
   const auto Known = Beat->m_granters.find(m_service);
-  const bool KnowsNewerTerm =
-      Known != Beat->m_granters.end() && Known->second.m_term > Granter.m_term;
+  // A granter that has restated its record has a newer term itself and goes on.
+  const bool KnowsNewerTerm = Known != Beat->m_granters.end() &&
+                              Known->second.m_term > Granter.m_term &&
+                              Known->second.m_host != Granter.m_host;
   return KnowsNewerTerm ? EarlierGranterState::SteppedDown
                         : EarlierGranterState::MayGrant;
 }
@@ -288,9 +290,11 @@
                                        {"found_granter", Found.m_granter}});
     co_return;
   }
-  if (Found.m_term < m_granter.term()) {
-    // The takeover was not written, and the record may have changed since it
-    // was read. The next takeover starts from the current record.
+  const bool IsOfEarlierEra =
+      isOfEarlierEra(Found, Read.value().m_version.m_era);
+  if (Found.m_term < m_granter.term() || IsOfEarlierEra) {
+    // The takeover was not written in this era, and the record may have changed
+    // since it was read. The next takeover starts from the current record.
     if (m_pendingWrites == 0)
       stepDown("the takeover was not written",
                {Found.m_term, Found.m_granter, Found.m_granterStartMs});
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -221,7 +221,6 @@
   m_record.m_term = termFloor(Era) + 1;
   m_fenceCount = 0;
   m_isRestating = true;
-  m_restatedAt = Now;
   addUnknownGranter(Era, Now);
   for (Range &Item : m_ranges)
     Item.m_mayHaveUnknownOwner = true;
@@ -232,7 +231,6 @@
   m_isGranter = false;
   m_isTermWritten = false;
   m_isRestating = false;
-  m_restatedAt = {};
   m_isWriting = false;
   m_isDirty = false;
   m_isExtendingHolds = false;
@@ -386,7 +384,9 @@
     }
     Item->m_isGrantPending = false;
     if (Outcome == GrantResult::Done) {
-      if (Ended.m_sentAt >= m_restatedAt)
+      // Earlier, an unknown granter may still send the owner a higher token and
+      // move the range after that.
+      if (Ended.m_sentAt >= m_unknownHoldsEndAt)
         Item->m_mayHaveUnknownOwner = false;
       Item->m_confirmedAt = Ended.m_sentAt;
       Item->m_answeredAt = Now;
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -318,30 +318,38 @@
     EXPECT_FALSE(Call.m_isRelease);
     EXPECT_EQ(Call.m_fence >> 24U, Term);
   }
-  // Once the record is written and the renewals are accepted, keys move again.
+}
+
+// A granter whose record is lost may still send an owner its higher token, and
+// move the range after that: an accepted renewal shows nothing.
+TEST_F(KeyGranterTest, Restate_OwnersRenewed_KeysWaitForUnknownGranters) {
+  takeOver({});
+  setServers({makeServer("a"), makeServer("b")});
+  run(Millis(1000));
+  ASSERT_TRUE(m_subject.restate(2, m_now));
   run(m_policy.m_renewInterval + Millis(200));
-  setServers({makeServer("a")});
-  run(m_policy.m_hold + Millis(2000));
   EXPECT_TRUE(m_subject.isInForce());
+  ASSERT_EQ(m_subject.record().m_earlier.size(), 1U);
+  EXPECT_EQ(m_subject.record().m_earlier[0].m_host, "");
+  setServers({makeServer("a")});
+  m_calls.clear();
+  run(m_policy.m_validationTimeout - Millis(2000));
+  m_subject.onValidated(m_now);
+  run(m_policy.m_maxHold);
+  for (const GrantCall &Call : m_calls) {
+    EXPECT_FALSE(Call.m_isRelease);
+    EXPECT_EQ(Call.m_server.m_id, "a");
+    EXPECT_LT(Call.m_to, 65535);
+  }
+  m_subject.onValidated(m_now);
+  run(m_policy.m_takeOverTimeout + 2 * m_policy.m_callTimeout + Millis(4000));
   EXPECT_GT(m_subject.term(), termFloor(2));
   EXPECT_EQ(holderOf(65535), "a");
   const auto Moved =
       std::find_if(m_calls.rbegin(), m_calls.rend(),
                    [](const GrantCall &Call) { return Call.m_to == 65535; });
+  ASSERT_NE(Moved, m_calls.rend());
   EXPECT_GT(Moved->m_fence >> 24U, termFloor(2));
-}
-
-TEST_F(KeyGranterTest, Restate_AllOwnersRenewed_DropsUnknownGranter) {
-  takeOver({});
-  setServers({makeServer("a"), makeServer("b")});
-  run(Millis(1000));
-  ASSERT_TRUE(m_subject.restate(2, m_now));
-  std::optional<OwnershipRecord> First = m_subject.step(m_now).m_write;
-  ASSERT_TRUE(First);
-  ASSERT_EQ(First->m_earlier.size(), 1U);
-  EXPECT_EQ(First->m_earlier[0].m_host, "");
-  m_subject.onWritten(m_now, m_now);
-  run(m_policy.m_renewInterval + Millis(200));
   EXPECT_TRUE(m_subject.record().m_earlier.empty());
 }
 
--- a/test/gateway/ownership-model-test.cc
+++ b/test/gateway/ownership-model-test.cc
@@ -234,14 +234,15 @@
     }
   }
 
-  /// Returns the state of \p Old as other hosts see it. A frozen granter has
-  /// not learned of a newer term yet.
-  EarlierGranterState stateOf(const EarlierGranter &Old) const {
-    const Host &Item = m_hosts[Old.m_host.back() - '0'];
+  /// Returns the state of \p Old as host \p Viewer sees it. A frozen granter
+  /// has not learned of a newer term yet, and one that has restated its record
+  /// has a newer term itself.
+  EarlierGranterState stateOf(const EarlierGranter &Old, int Viewer) const {
+    const int Index = Old.m_host.back() - '0';
+    const Host &Item = m_hosts[Index];
     if (Item.m_processStartMs > Old.m_processStartMs)
       return EarlierGranterState::ProcessEnded;
-    const bool Grants =
-        Item.m_granter->isGranter() && Item.m_granter->term() <= Old.m_term;
+    const bool Grants = Index != Viewer && Item.m_granter->isGranter();
     return Grants ? EarlierGranterState::MayGrant
                   : EarlierGranterState::SteppedDown;
   }
@@ -260,7 +261,9 @@
             isOfEarlierEra(Read.m_record, Read.m_version.m_era) && !IsNewSite;
         Granter.takeOver(
             Read.m_record,
-            [this](const EarlierGranter &Old) { return stateOf(Old); },
+            [this, Index](const EarlierGranter &Old) {
+              return stateOf(Old, Index);
+            },
             {storeMs(), false, Read.m_version.m_era, IsOld}, m_now);
         traceLine() << "h" << Index << " takes over from "
                     << Read.m_record.m_granter << " term " << Granter.term()
@@ -273,7 +276,10 @@
       if (chance(I < 3 ? 0.3 : 0.02))
         Item.m_load.countArrival(sampledKey(I), m_now);
     Granter.updateEarlierGranters(
-        [this](const EarlierGranter &Old) { return stateOf(Old); }, m_now);
+        [this, Index](const EarlierGranter &Old) {
+          return stateOf(Old, Index);
+        },
+        m_now);
     Granter.setServers(entries(), m_now);
     Granter.plan([&] { return Item.m_load.rates(m_now); },
                  [](const std::string &) { return 8.0; }, m_now);
@@ -306,6 +312,7 @@
       return;
     }
     if (Found.m_term < Granter.term() || Found.m_term > Granter.term() ||
+        isOfEarlierEra(Found, Read.m_version.m_era) ||
         Found.m_granterStartMs != Item.m_processStartMs) {
       Granter.stepDown();
       return;
