--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -5,6 +5,7 @@
 #include "platform/standin/key-server.h"
 #include "platform/wire-decode.h"
 #include "tamarackdrum/blocking.h"
+#include "tamarackdrum/sleep.h"
 #include "tamarackdrum/worker-context.h"
 
 #include <gtest/gtest.h>
@@ -165,6 +166,74 @@
   }
 }
 
+/// Answers each call on one connection, grants twice.
+class DoublingServer {
+public:
+  explicit DoublingServer(asio::io_context &Context)
+      : m_acceptor(Context, {asio::ip::address_v4::loopback(), 0}) {
+    asio::co_spawn(Context, serve(), asio::detached);
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+  }
+
+  bool m_hasReleased = false;
+  bool m_mayRelease = false;
+
+private:
+  asio::awaitable<void> serve() {
+    boost::beast::tcp_stream Peer(
+        co_await m_acceptor.async_accept(asio::use_awaitable));
+    boost::beast::flat_buffer Buffer;
+    for (int I = 0; I < 2; ++I) {
+      http::request<http::string_body> Seen;
+      co_await http::async_read(Peer, Buffer, Seen, asio::use_awaitable);
+      http::response<http::empty_body> Answer(http::status::ok, 11);
+      Answer.prepare_payload();
+      if (Seen.target() == "/-/grant") {
+        co_await http::async_write(Peer, Answer, asio::use_awaitable);
+        continue;
+      }
+      // The second copy of the grant's answer comes after the release.
+      co_await http::async_write(Peer, Answer, asio::use_awaitable);
+      while (!m_mayRelease)
+        co_await sleepFor(Millis(5));
+      m_hasReleased = true;
+      Answer.set("X-Handover", "h");
+      co_await http::async_write(Peer, Answer, asio::use_awaitable);
+    }
+  }
+
+  asio::ip::tcp::acceptor m_acceptor;
+};
+
+// A release that counts as done too early lets the next owner have the keys
+// while the server still works on them.
+TEST_F(KeyServerClientTest, Release_CopyOfEarlierAnswerComes_IsNotTakenForIt) {
+  DoublingServer Server(m_context);
+  GrantCall Call;
+  Call.m_address = Server.address();
+  EXPECT_EQ(
+      await(m_subject.call(Call, BootClock::now() + Millis(5000))).m_result,
+      GrantResult::Done);
+  Call.m_isRelease = true;
+  std::optional<GrantReply> Reply;
+  asio::co_spawn(
+      m_context,
+      [&]() -> asio::awaitable<void> {
+        Reply = co_await m_subject.call(Call, BootClock::now() + Millis(5000));
+      },
+      asio::detached);
+  m_context.run_for(Millis(100));
+  EXPECT_FALSE(Reply);
+  Server.m_mayRelease = true;
+  while (!Reply)
+    m_context.run_one();
+  EXPECT_TRUE(Server.m_hasReleased);
+  EXPECT_EQ(Reply->m_handover, "h");
+}
+
 // A host makes many calls at the same time, and no part of the body is used.
 TEST_F(KeyServerClientTest, Answer_EndlessBody_EndsAtItsLimit) {
   EndlessServer Server("HTTP/1.1 200 OK\r\n\r\n", std::string(16384, 'x'));
