Grant a token only to the instance of a server that has taken it

Change: a connection proves the instance. A token that a server has taken, or may have taken, is sent over connections only that were open by then; without one, nothing is sent and the ranges get new tokens. The first grant of a token needs a validation within 4 s, and one after a pause of the process. The key map keeps the owner meanwhile. No other host reads any of this, so that versions before and after work together as before. Cost: a server whose connections were all closed loses its keys if the store cannot be written before their hold ends. The model plays connections now: a call that needs an old one reaches only the instance that it was opened to. Calls without that reach whichever instance is there, as before.

--- a/include/tamarackdrum/gateway/connection.h
+++ b/include/tamarackdrum/gateway/connection.h
@@ -60,6 +60,7 @@
   boost::beast::tcp_stream m_stream;
   boost::beast::flat_buffer m_buffer{BufferBytes};
   TimePoint m_deadline{};
+  TimePoint m_openedAt{};
   TimePoint m_idleSince{};
   /// Idle timeout that the peer announced; 0: none.
   Millis m_keepAliveTimeout{0};
@@ -107,9 +108,11 @@
 
   /// Removes and returns an open connection to \p Peer that has been idle for
   /// at most \p MaxIdle, or returns null. Leaves out connections whose last
-  /// request was \p RequestId, unless that is empty.
+  /// request was \p RequestId, unless that is empty, and those opened after
+  /// \p OpenedBy.
   ConnectionPtr takeIdle(const std::string &Peer, Millis MaxIdle,
-                         const std::string &RequestId = {});
+                         const std::string &RequestId = {},
+                         TimePoint OpenedBy = TimePoint::max());
 
   /// Opens a connection. Errors: HttpErrc::ConnectFailed,
   /// HttpErrc::ConnectTimedOut.
--- a/include/tamarackdrum/gateway/key-granter.h
+++ b/include/tamarackdrum/gateway/key-granter.h
@@ -149,6 +149,10 @@
   std::uint64_t m_fence = 0;
   Millis m_hold{0};
   std::string m_handover; ///< Answer of the previous owner to the release.
+  /// If set, the call may only use a connection that was open at this time: the
+  /// server had the token by then, and one that has started again since does
+  /// not know which tokens are outdated.
+  TimePoint m_connectedBy{};
 
   bool operator==(const GrantCall &) const = default;
 };
@@ -158,6 +162,7 @@
   Done,
   HigherFence, ///< The server has seen a higher fencing token.
   NotSent,     ///< No connection; the server has not received the call.
+  Unproven,    ///< Not sent, because of GrantCall::m_connectedBy.
   NoAnswer,    ///< The server may have received the call, or may do so later.
   /// The server has closed the connection and receives the call no more.
   ConnectionLost
@@ -237,9 +242,11 @@
   void renewNow(Key Value);
 
   /// Takes the result of call number \p Call and, for a release, the handover
-  /// text of the server.
+  /// text of the server. \p WrittenAt is when the call was written to its
+  /// connection, or TimePoint{} if that cannot be used again.
   void onCallResult(std::uint64_t Call, GrantResult Outcome,
-                    const std::string &Handover, TimePoint Now);
+                    const std::string &Handover, TimePoint Now,
+                    TimePoint WrittenAt = {});
 
   /// Plans moves if a round of placement is due. \p Demand returns the request
   /// rates by key, \p RateOf the requests per second that a server can serve.
@@ -271,8 +278,11 @@
     bool m_mayHaveUnknownOwner = false;
     bool m_isGrantPending = false;
     TimePoint m_grantSentAt{};
-    TimePoint m_confirmedAt{};  ///< When the last accepted grant was sent.
-    TimePoint m_answeredAt{};   ///< When its answer came; it arrived before.
+    TimePoint m_confirmedAt{}; ///< When the last accepted grant was sent.
+    TimePoint m_answeredAt{};  ///< When its answer came; it arrived before.
+    /// For the token in force; see GrantCall::m_connectedBy.
+    TimePoint m_connectedBy{};
+    bool m_isTokenNew = true; ///< No server can have taken it yet.
     /// Latest time at which an unanswered grant can arrive.
     TimePoint m_unansweredAt{};
     TimePoint m_nextGrantAt{};
@@ -339,6 +349,12 @@
   void assign(Range &Item, const ServerInstance &Owner, TimePoint Now);
   /// Sets the owner of \p Item and gives it a new fencing token.
   void regrant(Range &Item, const ServerInstance &Owner);
+  /// Gives a new token to \p Items, whose owner may have started again. The key
+  /// map names the owner until the last confirmed hold ends.
+  void replaceToken(const std::vector<Range *> &Items, TimePoint Now);
+  /// Takes the result of a grant for \p Item.
+  void onGrantResult(Range &Item, TimePoint SentAt, GrantResult Outcome,
+                     TimePoint Now, TimePoint WrittenAt);
   void move(const KeyMove &Wanted, TimePoint Now);
   /// Merges adjacent ranges of one owner if there are too many ranges.
   void mergeNeighbours();
@@ -371,6 +387,8 @@
   std::uint64_t m_offeredChange = 0; ///< Newest change in the last record.
   std::uint64_t m_writtenChange = 0;
   TimePoint m_validatedAt{};
+  TimePoint m_steppedAt{};
+  TimePoint m_resumedAt{}; ///< End of the last pause between two steps.
   TimePoint m_takeOverAt{};
   std::int64_t m_takeOverStoreMs = 0;
   TimePoint m_inheritedHoldsEndAt{}; ///< Of all earlier granters.
--- a/include/tamarackdrum/gateway/ports.h
+++ b/include/tamarackdrum/gateway/ports.h
@@ -139,6 +139,9 @@
 struct GrantReply {
   GrantResult m_result = GrantResult::NoAnswer;
   std::string m_handover;
+  /// When the call was written to its connection. TimePoint{}: not at all, or
+  /// the connection has been closed after the answer.
+  TimePoint m_writtenAt{};
 
   bool operator==(const GrantReply &) const = default;
 };
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -61,7 +61,7 @@
 
 ConnectionPool::ConnectionPtr
 ConnectionPool::takeIdle(const std::string &Peer, Millis MaxIdle,
-                         const std::string &RequestId) {
+                         const std::string &RequestId, TimePoint OpenedBy) {
   const auto Found = m_idle.find(Peer);
   if (Found == m_idle.end())
     return nullptr;
@@ -71,7 +71,8 @@
     --Item;
     if (Now - (*Item)->m_idleSince > MaxIdle)
       return nullptr;
-    if (!RequestId.empty() && (*Item)->m_lastRequestId == RequestId)
+    if ((!RequestId.empty() && (*Item)->m_lastRequestId == RequestId) ||
+        (*Item)->m_openedAt > OpenedBy)
       continue;
     ConnectionPtr Taken = std::move(*Item);
     Item = Idle.erase(Item);
@@ -108,6 +109,7 @@
                                        Ignored);
   setTcpUserTimeout(Opened->m_stream.socket(), m_policy.m_tcpUserTimeout);
   setAbortiveClose(Opened->m_stream.socket(), true);
+  Opened->m_openedAt = BootClock::now();
   co_return Opened;
 }
 
--- a/src/edge/granter-runner.cc
+++ b/src/edge/granter-runner.cc
@@ -25,6 +25,8 @@
     return "higher-fence";
   case GrantResult::NotSent:
     return "not-sent";
+  case GrantResult::Unproven:
+    return "unproven";
   case GrantResult::NoAnswer:
     return "no-answer";
   case GrantResult::ConnectionLost:
@@ -314,7 +316,7 @@
   const TimePoint Now = BootClock::now();
   m_metrics.count("grant_calls",
                   std::string("result=\"") + toText(Reply.m_result) + "\"");
-  if (m_context.m_onContact)
+  if (m_context.m_onContact && Reply.m_result != GrantResult::Unproven)
     m_context.m_onContact(Call.m_server.m_id,
                           Reply.m_result == GrantResult::Done ||
                               Reply.m_result == GrantResult::HigherFence);
@@ -328,7 +330,8 @@
                  {"fence", Call.m_fence},
                  {"result", toText(Reply.m_result)},
                  {"took_ms", Took}});
-  m_granter.onCallResult(Call.m_number, Reply.m_result, Reply.m_handover, Now);
+  m_granter.onCallResult(Call.m_number, Reply.m_result, Reply.m_handover, Now,
+                         Reply.m_writtenAt);
   publishKeyMap();
 }
 
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -13,8 +13,13 @@
 constexpr Millis RetryDelay{150};
 /// Adjacent ranges are merged if there are more ranges per server than this.
 constexpr std::size_t MaxRangesPerServer = 6;
-/// Keys are moved only if the term was validated within this time.
+/// Keys are moved, and new tokens are granted, only if the term was validated
+/// within this time. A server that has started again does not refuse the new
+/// token of an outdated granter.
 constexpr Millis MaxValidationAge{4000};
+/// After a longer time between two steps, e.g. because the process was frozen,
+/// new tokens wait for a validation.
+constexpr Millis MaxStepPause{1000};
 
 } // namespace
 
@@ -237,6 +242,8 @@
   m_needsValidation = false;
   m_writtenChange = 0;
   m_lastChange = 0;
+  m_steppedAt = {};
+  m_resumedAt = {};
   m_ranges.clear();
   m_calls.clear();
 }
@@ -291,6 +298,8 @@
   Item.m_record.m_owner = Owner;
   Item.m_record.m_fence = nextFence();
   Item.m_confirmedAt = {};
+  Item.m_connectedBy = {};
+  Item.m_isTokenNew = true;
   // A pending grant with the earlier token can still arrive, and its result is
   // ignored.
   if (Item.m_isGrantPending)
@@ -359,55 +368,93 @@
   return Out;
 }
 
+void KeyGranter::onGrantResult(Range &Item, TimePoint SentAt,
+                               GrantResult Outcome, TimePoint Now,
+                               TimePoint WrittenAt) {
+  Item.m_isGrantPending = false;
+  if (Outcome == GrantResult::Done) {
+    // Earlier, an unknown granter may still send the owner a higher token and
+    // move the range after that.
+    if (SentAt >= m_unknownHoldsEndAt)
+      Item.m_mayHaveUnknownOwner = false;
+    if (WrittenAt != TimePoint{})
+      Item.m_connectedBy = WrittenAt;
+    Item.m_isTokenNew = false;
+    Item.m_confirmedAt = SentAt;
+    Item.m_answeredAt = Now;
+    Item.m_isInherited = false;
+    Item.m_hasOwnerRestarted = false;
+    Item.m_handover.clear();
+    // Forget an earlier unanswered grant once its hold has expired.
+    if (Item.m_unansweredAt != TimePoint{} &&
+        Now >= holdEnd(Item.m_unansweredAt))
+      Item.m_unansweredAt = {};
+    return;
+  }
+  Item.m_nextGrantAt = Now + RetryDelay;
+  const bool MayHaveArrived = Outcome == GrantResult::NoAnswer ||
+                              Outcome == GrantResult::ConnectionLost;
+  if (MayHaveArrived && Item.m_isTokenNew)
+    Item.m_connectedBy = WrittenAt == TimePoint{} ? SentAt : WrittenAt;
+  Item.m_isTokenNew = Item.m_isTokenNew && !MayHaveArrived;
+  if (Outcome == GrantResult::NoAnswer)
+    Item.m_unansweredAt =
+        std::max({Item.m_unansweredAt, Now, latestArrival(SentAt)});
+  if (Outcome == GrantResult::ConnectionLost)
+    Item.m_unansweredAt = std::max(Item.m_unansweredAt, Now);
+  if (Outcome == GrantResult::HigherFence) {
+    Item.m_confirmedAt = {};
+    m_needsValidation = true;
+  }
+}
+
+void KeyGranter::replaceToken(const std::vector<Range *> &Items,
+                              TimePoint Now) {
+  std::uint64_t Fence = 0;
+  for (Range *Item : Items) {
+    Item->m_isGrantPending = false;
+    // A new instance gets keys that it does not have, not a renewal.
+    const bool MayStayConfirmed =
+        !m_isRestating && !mayUnknownGranterHold(*Item, Now);
+    const TimePoint Confirmed =
+        MayStayConfirmed ? Item->m_confirmedAt : TimePoint{};
+    regrant(*Item, Item->m_record.m_owner);
+    Item->m_confirmedAt = Confirmed;
+    if (Fence == 0)
+      Fence = Item->m_record.m_fence;
+    Item->m_record.m_fence = Fence;
+  }
+}
+
 void KeyGranter::onCallResult(std::uint64_t Number, GrantResult Outcome,
-                              const std::string &Handover, TimePoint Now) {
+                              const std::string &Handover, TimePoint Now,
+                              TimePoint WrittenAt) {
   const auto Found = m_calls.find(Number);
   if (Found == m_calls.end())
     return;
   const Call Ended = Found->second;
   m_calls.erase(Found);
+  const std::vector<Range *> Items = rangesOf(Ended.m_call);
+  if (Outcome == GrantResult::Unproven) {
+    replaceToken(Items, Now);
+    return;
+  }
   Reachability &Server = m_reachability[Ended.m_call.m_server.m_id];
   const bool IsAnswered =
       Outcome == GrantResult::Done || Outcome == GrantResult::HigherFence;
   Server.m_failures = IsAnswered ? 0 : Server.m_failures + 1;
   if (!IsAnswered)
     Server.m_lastFailure = Now;
-  for (Range *Item : rangesOf(Ended.m_call)) {
-    if (Ended.m_call.m_isRelease) {
-      Item->m_isReleasePending = false;
-      Item->m_nextReleaseAt = Now + RetryDelay;
-      if (Outcome == GrantResult::Done) {
-        Item->m_isReleased = true;
-        Item->m_handover = Handover;
-      }
+  for (Range *Item : Items) {
+    if (!Ended.m_call.m_isRelease) {
+      onGrantResult(*Item, Ended.m_sentAt, Outcome, Now, WrittenAt);
       continue;
     }
-    Item->m_isGrantPending = false;
+    Item->m_isReleasePending = false;
+    Item->m_nextReleaseAt = Now + RetryDelay;
     if (Outcome == GrantResult::Done) {
-      // Earlier, an unknown granter may still send the owner a higher token and
-      // move the range after that.
-      if (Ended.m_sentAt >= m_unknownHoldsEndAt)
-        Item->m_mayHaveUnknownOwner = false;
-      Item->m_confirmedAt = Ended.m_sentAt;
-      Item->m_answeredAt = Now;
-      Item->m_isInherited = false;
-      Item->m_hasOwnerRestarted = false;
-      Item->m_handover.clear();
-      // Forget an earlier unanswered grant once its hold has expired.
-      if (Item->m_unansweredAt != TimePoint{} &&
-          Now >= holdEnd(Item->m_unansweredAt))
-        Item->m_unansweredAt = {};
-      continue;
-    }
-    Item->m_nextGrantAt = Now + RetryDelay;
-    if (Outcome == GrantResult::NoAnswer)
-      Item->m_unansweredAt = std::max(
-          {Item->m_unansweredAt, Now, latestArrival(Ended.m_sentAt)});
-    if (Outcome == GrantResult::ConnectionLost)
-      Item->m_unansweredAt = std::max(Item->m_unansweredAt, Now);
-    if (Outcome == GrantResult::HigherFence) {
-      Item->m_confirmedAt = {};
-      m_needsValidation = true;
+      Item->m_isReleased = true;
+      Item->m_handover = Handover;
     }
   }
   dropUnknownGranters();
@@ -580,7 +627,10 @@
     const bool IsRenewal = Item.m_confirmedAt != TimePoint{};
     const bool IsSafe =
         IsRenewal || (!m_isRestating && !mayUnknownGranterHold(Item, Now));
-    return IsSafe && !Item.m_isGrantPending && isPersisted(Item) &&
+    const bool IsValid =
+        !Item.m_isTokenNew || (m_validatedAt >= m_resumedAt &&
+                               Now - m_validatedAt <= MaxValidationAge);
+    return IsSafe && IsValid && !Item.m_isGrantPending && isPersisted(Item) &&
            Item.m_record.m_previousOwner.isNone() &&
            findInstance(Item.m_record.m_owner) != nullptr;
   };
@@ -614,6 +664,7 @@
       Grant.m_fence = First.m_record.m_fence;
       Grant.m_hold = m_isExtendingHolds ? m_policy.m_maxHold : m_policy.m_hold;
       Grant.m_handover = First.m_handover;
+      Grant.m_connectedBy = First.m_connectedBy;
       for (std::size_t J = I; J < End; ++J) {
         m_ranges[J].m_isGrantPending = true;
         m_ranges[J].m_grantSentAt = Now;
@@ -669,6 +720,9 @@
   GrantActions Out;
   if (!m_isGranter)
     return Out;
+  if (Now - m_steppedAt > MaxStepPause)
+    m_resumedAt = m_steppedAt == TimePoint{} ? TimePoint{} : Now;
+  m_steppedAt = Now;
   // A call whose result was never reported counts as unanswered.
   for (auto Item = m_calls.begin(); Item != m_calls.end();) {
     const Millis Limit =
--- a/test/gateway/key-granter-test.cc
+++ b/test/gateway/key-granter-test.cc
@@ -539,6 +539,47 @@
   EXPECT_TRUE(Second->m_isConfirmed);
 }
 
+// A server that has started again does not refuse an outdated token.
+TEST_F(KeyGranterTest, Renewal_NoOldConnection_OwnerGetsNewToken) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(500));
+  m_now += m_policy.m_renewInterval;
+  std::vector<GrantCall> Sent = step();
+  ASSERT_EQ(Sent.size(), 1U);
+  const std::uint64_t Before = Sent[0].m_fence;
+  const TimePoint WrittenAt = m_now;
+  m_subject.onCallResult(Sent[0].m_number, GrantResult::Done, "", m_now,
+                         WrittenAt);
+  m_now += m_policy.m_renewInterval;
+  Sent = step();
+  ASSERT_EQ(Sent.size(), 1U);
+  EXPECT_EQ(Sent[0].m_fence, Before);
+  EXPECT_EQ(Sent[0].m_connectedBy, WrittenAt);
+  m_subject.onCallResult(Sent[0].m_number, GrantResult::Unproven, "", m_now);
+  EXPECT_EQ(holderOf(0), "a");
+  m_calls.clear();
+  run(Millis(300));
+  ASSERT_FALSE(m_calls.empty());
+  EXPECT_GT(m_calls[0].m_fence, Before);
+  EXPECT_EQ(m_calls[0].m_connectedBy, TimePoint{});
+  EXPECT_EQ(holderOf(0), "a");
+}
+
+// Another granter may have taken over while this process was frozen, and a
+// server that has started again since does not refuse an outdated token.
+TEST_F(KeyGranterTest, Step_AfterAPause_NewTokensWaitForAValidation) {
+  takeOver({});
+  setServers({makeServer("a")});
+  run(Millis(500));
+  setServers({makeServer("a", 2)});
+  step();
+  m_now += Millis(2000);
+  EXPECT_TRUE(step().empty());
+  m_subject.onValidated(m_now);
+  EXPECT_FALSE(step().empty());
+}
+
 TEST_F(KeyGranterTest, OnCallResult_HigherFence_SendsNothingUntilValidated) {
   takeOver({});
   setServers({makeServer("a")});
--- a/test/gateway/ownership-model-test.cc
+++ b/test/gateway/ownership-model-test.cc
@@ -60,6 +60,12 @@
   std::vector<Hold> m_holds = std::vector<Hold>(SampledKeys);
 };
 
+/// A connection, which ends with the instance of its server.
+struct ModelConnection {
+  TimePoint m_openedAt{};
+  std::int64_t m_serverStartMs = 0;
+};
+
 /// A scheduled action.
 struct Event {
   TimePoint m_at;
@@ -107,6 +113,8 @@
     TimePoint m_storeCutUntil{}; ///< No store access before this time.
     bool m_isWriting = false;
     KeyLoad m_load;
+    /// Open connections, by server.
+    std::map<int, ModelConnection> m_connections;
   };
 
   /// Returns the store time. Its clock differs from the clocks of the hosts.
@@ -157,6 +165,7 @@
     Item.m_granter = std::make_unique<KeyGranter>(
         GrantPolicy{}, nameOf('h', Index), Item.m_processStartMs);
     Item.m_isWriting = false;
+    Item.m_connections.clear();
     Item.m_isFirstStart = Item.m_processStartMs <= Hosts;
   }
 
@@ -379,40 +388,63 @@
                 << " fence " << Call.m_fence << " call " << Call.m_number
                 << '\n';
     const std::int64_t ProcessStartMs = m_hosts[Index].m_processStartMs;
-    const auto Report = [=, this](GrantResult Outcome, Millis Later) {
+    const auto Report = [=, this](GrantResult Outcome, Millis Later,
+                                  TimePoint WrittenAt) {
       schedule(Later, [=, this] {
         traceLine() << "h" << Index << " call " << Call.m_number << " result "
                     << static_cast<int>(Outcome) << '\n';
         if (m_hosts[Index].m_processStartMs == ProcessStartMs)
           m_hosts[Index].m_granter->onCallResult(Call.m_number, Outcome, "x",
-                                                 m_now);
+                                                 m_now, WrittenAt);
       });
     };
     const int Server = Call.m_server.m_id.back() - '0';
     if (chance(0.05)) {
-      Report(GrantResult::NotSent, delay(1, 300));
+      Report(GrantResult::NotSent, delay(1, 300), TimePoint{});
       return;
     }
+    std::map<int, ModelConnection> &Open = m_hosts[Index].m_connections;
+    if (chance(0.02))
+      Open.erase(Server);
+    const auto Known = Open.find(Server);
+    const bool HasOld =
+        Known != Open.end() && Known->second.m_openedAt <= Call.m_connectedBy;
+    if (Call.m_connectedBy != TimePoint{} && !HasOld) {
+      Report(GrantResult::Unproven, Millis(0), TimePoint{});
+      return;
+    }
+    // A call that needs no old connection uses a new one, to the instance that
+    // is there when it arrives.
+    const std::int64_t BoundTo =
+        Call.m_connectedBy == TimePoint{} ? 0 : Known->second.m_serverStartMs;
+    const TimePoint SentAt = m_now;
     const Millis Delay = chance(0.05) ? delay(100, 500) : delay(1, 20);
     const bool IsLate = chance(0.05);
     schedule(Delay, [=, this] {
       const TimePoint ArrivedAt = m_now;
-      if (!m_servers[Server].m_isUp) {
-        Report(GrantResult::NoAnswer, Millis(100));
+      const std::int64_t StartMs = m_servers[Server].m_startMs;
+      const bool IsConnected = BoundTo == 0 || BoundTo == StartMs;
+      if (!m_servers[Server].m_isUp || !IsConnected) {
+        if (m_hosts[Index].m_processStartMs == ProcessStartMs)
+          m_hosts[Index].m_connections.erase(Server);
+        Report(GrantResult::NoAnswer, Millis(100), SentAt);
         return;
       }
+      const TimePoint WrittenAt = BoundTo == 0 ? ArrivedAt : SentAt;
+      if (BoundTo == 0 && m_hosts[Index].m_processStartMs == ProcessStartMs)
+        m_hosts[Index].m_connections[Server] = {ArrivedAt, StartMs};
       if (IsLate) {
         // A call that waits in a server ends with its instance.
-        const std::int64_t StartMs = m_servers[Server].m_startMs;
         schedule(delay(200, 4000), [=, this] {
           if (m_servers[Server].m_startMs == StartMs)
             processCall(Call, Server, ArrivedAt);
         });
-        Report(GrantResult::NoAnswer, Millis(100));
+        Report(GrantResult::NoAnswer, Millis(100), WrittenAt);
         return;
       }
       const GrantResult Outcome = processCall(Call, Server, ArrivedAt);
-      Report(Outcome, Call.m_isRelease ? delay(1, 900) : delay(1, 50));
+      Report(Outcome, Call.m_isRelease ? delay(1, 900) : delay(1, 50),
+             WrittenAt);
     });
   }
 
--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -27,9 +27,10 @@
 
 class KeyServerClientTest : public testing::Test {
 protected:
-  KeyServerClientTest()
-      : m_server(m_context, {asio::ip::address_v4::loopback(), 0},
-                 makeOptions(), m_records) {}
+  KeyServerClientTest() {
+    m_server.emplace(m_context, Endpoint(asio::ip::address_v4::loopback(), 0),
+                     makeOptions(), m_records);
+  }
   ~KeyServerClientTest() override { m_context.dropPending(); }
 
   static KeyServerOptions makeOptions() {
@@ -49,7 +50,7 @@
                   Millis Hold = Millis(1000)) {
     GrantCall Call;
     Call.m_isRelease = IsRelease;
-    Call.m_address = "127.0.0.1:" + std::to_string(m_server.address().port());
+    Call.m_address = "127.0.0.1:" + std::to_string(m_server->address().port());
     Call.m_from = From;
     Call.m_to = To;
     Call.m_fence = Fence;
@@ -61,7 +62,7 @@
   asio::awaitable<unsigned> requestKey(Key Wanted) {
     const HeaderNames Names = headerNames();
     boost::beast::tcp_stream Stream(m_context);
-    co_await Stream.async_connect(m_server.address(), asio::use_awaitable);
+    co_await Stream.async_connect(m_server->address(), asio::use_awaitable);
     Request Call(http::verb::get, "/work", 11);
     Call.set(Names.m_requestId, "id");
     Call.set(Names.m_key, std::to_string(Wanted));
@@ -75,7 +76,7 @@
 
   WorkerContext m_context{1};
   ServerRecords m_records;
-  KeyServer m_server;
+  std::optional<KeyServer> m_server;
   KeyServerClient m_subject;
 };
 
@@ -234,6 +235,31 @@
   EXPECT_EQ(Reply->m_handover, "h");
 }
 
+// A server that has started again has forgotten which tokens are outdated.
+TEST_F(KeyServerClientTest, Renewal_ServerHasStartedAgain_IsNotSent) {
+  GrantCall Call;
+  Call.m_from = 0;
+  Call.m_to = 9;
+  Call.m_fence = 1;
+  Call.m_hold = Millis(1000);
+  const Endpoint Address = m_server->address();
+  Call.m_address = "127.0.0.1:" + std::to_string(Address.port());
+  const auto Send = [this](const GrantCall &Sent) {
+    return await(m_subject.call(Sent, BootClock::now() + Millis(600)));
+  };
+  const GrantReply First = Send(Call);
+  ASSERT_EQ(First.m_result, GrantResult::Done);
+  Call.m_connectedBy = First.m_writtenAt;
+  EXPECT_EQ(Send(Call).m_result, GrantResult::Done);
+  m_server.reset();
+  m_context.poll();
+  m_context.restart();
+  m_server.emplace(m_context, Address, makeOptions(), m_records);
+  EXPECT_EQ(Send(Call).m_result, GrantResult::Unproven);
+  Call.m_connectedBy = {};
+  EXPECT_EQ(Send(Call).m_result, GrantResult::Done);
+}
+
 // A host makes many calls at the same time, and no part of the body is used.
 TEST_F(KeyServerClientTest, Answer_EndlessBody_EndsAtItsLimit) {
   EndlessServer Server("HTTP/1.1 200 OK\r\n\r\n", std::string(16384, 'x'));
