--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -323,8 +323,9 @@
 }
 
 bool EdgeServer::canResend(const ClientRequest &Request) const {
-  return Request.m_dispatches + 1 < Request.m_route->m_attempts &&
-         canEndBeforeStop(Request);
+  // A stop leaves no time for a second attempt that fails as well.
+  return !m_isDraining &&
+         Request.m_dispatches + 1 < Request.m_route->m_attempts;
 }
 
 asio::awaitable<void>
