Use the latest proof of a token that several ranges share

Adjacent ranges with one token go in one call. If the first of them had not been granted yet, the call could use any connection, although others of them had the token already.

--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -664,8 +664,10 @@
       Grant.m_fence = First.m_record.m_fence;
       Grant.m_hold = m_isExtendingHolds ? m_policy.m_maxHold : m_policy.m_hold;
       Grant.m_handover = First.m_handover;
-      Grant.m_connectedBy = First.m_connectedBy;
       for (std::size_t J = I; J < End; ++J) {
+        // Some of the ranges may have the token and others not yet.
+        Grant.m_connectedBy =
+            std::max(Grant.m_connectedBy, m_ranges[J].m_connectedBy);
         m_ranges[J].m_isGrantPending = true;
         m_ranges[J].m_grantSentAt = Now;
         m_ranges[J].m_nextGrantAt = Now + m_policy.m_renewInterval;
