Compute once whether the record is of an earlier era

validateTerm() decided it twice since, and step() set the end of a pause to nothing where stepDown() has done so already. Behaviour stays: both conditions are the same.

--- a/src/edge/granter-runner.cc
+++ b/src/edge/granter-runner.cc
@@ -274,8 +274,9 @@
     stepDown("the store names another granter", m_knownGranter);
     co_return;
   }
-  if (isOfEarlierEra(Found, Read.value().m_version.m_era) &&
-      (m_granter.isInForce() || m_granter.isRestating())) {
+  const bool IsOfEarlierEra =
+      isOfEarlierEra(Found, Read.value().m_version.m_era);
+  if (IsOfEarlierEra && (m_granter.isInForce() || m_granter.isRestating())) {
     // This process knows newer records than the restored copy.
     if (m_pendingWrites > 0 || m_version != Before)
       co_return;
@@ -292,8 +293,6 @@
                                        {"found_granter", Found.m_granter}});
     co_return;
   }
-  const bool IsOfEarlierEra =
-      isOfEarlierEra(Found, Read.value().m_version.m_era);
   if (Found.m_term < m_granter.term() || IsOfEarlierEra) {
     // The takeover was not written in this era, and the record may have changed
     // since it was read. The next takeover starts from the current record.
--- a/src/gateway/key-granter.cc
+++ b/src/gateway/key-granter.cc
@@ -722,8 +722,8 @@
   GrantActions Out;
   if (!m_isGranter)
     return Out;
-  if (Now - m_steppedAt > MaxStepPause)
-    m_resumedAt = m_steppedAt == TimePoint{} ? TimePoint{} : Now;
+  if (m_steppedAt != TimePoint{} && Now - m_steppedAt > MaxStepPause)
+    m_resumedAt = Now;
   m_steppedAt = Now;
   // A call whose result was never reported counts as unanswered.
   for (auto Item = m_calls.begin(); Item != m_calls.end();) {
