Log stalls of a host, the holder of a refused key and the work of queues

Added: the line host-stalled with the processor time used meanwhile and the duties of the host, the field holder in request lines, the gauge queue_looks.

--- a/include/tamarackdrum/gateway/dispatch-state.h
+++ b/include/tamarackdrum/gateway/dispatch-state.h
@@ -54,6 +54,8 @@
   std::size_t m_slots = 0;
   std::size_t m_coldServers = 0; ///< Servers that are logged as cold.
   std::size_t m_slowServers = 0; ///< By fresh reports of their load.
+  /// Looks at a waiting request, by all decisions so far.
+  std::uint64_t m_looks = 0;
 };
 
 } // namespace tamarackdrum::gateway
--- a/include/tamarackdrum/gateway/dispatcher.h
+++ b/include/tamarackdrum/gateway/dispatcher.h
@@ -522,7 +522,8 @@
   DispatchPolicy m_policy;
   std::map<std::string, Server> m_servers;
   std::map<DispatchId, Running> m_running;
-  Queue m_waiting; ///< By priority, then by arrival.
+  Queue m_waiting;           ///< By priority, then by arrival.
+  std::uint64_t m_looks = 0; ///< See DispatchLoad.
   RetryWindow m_retries;
   KeyMap m_keys;
   KeyLoad m_keyLoad;
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -14,6 +14,8 @@
 
 struct HostPolicy {
   Millis m_tickInterval{40};
+  /// A tick that begins this late is logged: half of a heartbeat's interval.
+  Millis m_minLoggedStall{200};
   /// Interval at which the host checks which heartbeats are due.
   Millis m_heartbeatPollInterval{100};
   /// Interval at which the log is flushed and idle connections expire.
@@ -75,6 +77,9 @@
   }
 
 private:
+  /// Logs that a tick has begun \p Late, with the processor time used since the
+  /// tick before.
+  void noteStall(Millis Late, double CpuMs);
   boost::asio::awaitable<void> tickLoop();
   boost::asio::awaitable<void> heartbeatLoop();
   boost::asio::awaitable<void> flushLoop();
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -431,6 +431,9 @@
        {"places", Request.m_places},
        {"dispatches", Request.m_dispatches},
        {"key", Request.m_key ? static_cast<int>(*Request.m_key) : -1},
+       {"holder", Request.m_key
+                      ? m_admission.keyMap(Service).holderOf(*Request.m_key)
+                      : std::string()},
        {"wait_ms", Request.m_slotWait},
        {"took_ms", Took},
        {"left_ms", timeLeft(Request.m_deadline)}});
--- a/src/edge/gateway-host-metrics.cc
+++ b/src/edge/gateway-host-metrics.cc
@@ -44,6 +44,8 @@
     const std::string Labels = "{service=\"" + Service + "\"}";
     const DispatchLoad Load = Item->load();
     m_metrics.setGauge("waiting" + Labels, static_cast<double>(Load.m_waiting));
+    m_metrics.setGauge("queue_looks" + Labels,
+                       static_cast<double>(Load.m_looks));
     m_metrics.setGauge("cold_servers" + Labels,
                        static_cast<double>(Load.m_coldServers));
     m_metrics.setGauge("slow_servers" + Labels,
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <ctime>
 #include <random>
 
 namespace tamarackdrum::gateway {
@@ -23,6 +24,10 @@
 /// As above, for the bodies of requests of other hosts.
 constexpr std::size_t RelayMemoryDivisor = 32;
 
+double processCpuMs() {
+  return 1000.0 * static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
 PoisonPolicy poisonPolicy() {
   PoisonPolicy Out;
   Out.m_crashesToRefuse = CrashesToRefuse;
@@ -431,8 +436,35 @@
   }
 }
 
+void GatewayHost::noteStall(Millis Late, double CpuMs) {
+  if (Late < m_policy.m_minLoggedStall)
+    return;
+  m_metrics.count("stalls");
+  std::size_t Coordinated = 0;
+  std::size_t Waiting = 0;
+  for (const auto &[Service, Host] : m_admission.coordinators())
+    Coordinated += Host == m_hosts.self().m_name ? 1 : 0;
+  for (const auto &[Service, Item] : m_admission.dispatchers().all())
+    Waiting += Item->load().m_waiting;
+  const bool IsGranter =
+      std::any_of(m_granterRunners.begin(), m_granterRunners.end(),
+                  [](const auto &Item) { return Item.second->isGranter(); });
+  m_log.write("host-stalled", {{"late_ms", Late},
+                               {"cpu_ms", CpuMs},
+                               {"coordinated", Coordinated},
+                               {"granter", IsGranter},
+                               {"waiting", Waiting}});
+}
+
 asio::awaitable<void> GatewayHost::tickLoop() {
+  TimePoint DueAt = BootClock::now();
+  double CpuMs = processCpuMs();
   while (true) {
+    const TimePoint Now = BootClock::now();
+    noteStall(std::chrono::duration_cast<Millis>(Now - DueAt),
+              processCpuMs() - CpuMs);
+    DueAt = Now + m_policy.m_tickInterval;
+    CpuMs = processCpuMs();
     m_admission.tick();
     m_feed.tick();
     m_relay.tick();
--- a/src/gateway/dispatcher-limits.cc
+++ b/src/gateway/dispatcher-limits.cc
@@ -155,6 +155,7 @@
   const double MeanService = expectedServiceMs(Target, Now);
   return std::find_if(
       m_waiting.begin(), m_waiting.end(), [&](const Waiting &Item) {
+        ++m_looks;
         const double Service =
             MeanService * routeFactor(Item.m_request.m_route);
         const double LeftMs =
--- a/src/gateway/dispatcher-queue.cc
+++ b/src/gateway/dispatcher-queue.cc
@@ -72,6 +72,7 @@
   std::size_t All = 0;
   const std::string &Holder = m_keys.holderOf(Request.m_key.value_or(0));
   for (const Waiting &Other : m_waiting) {
+    ++m_looks;
     if (Other.m_request.m_priority > Request.m_priority)
       break;
     if (m_isKeyed &&
@@ -156,6 +157,7 @@
     return A->m_request.m_priority == B->m_request.m_priority;
   };
   for (Queue::iterator Item = m_waiting.begin(); Item != None; ++Item) {
+    ++m_looks;
     if (Urgent.m_earliest != None && !HaveSamePriority(Item, Urgent.m_earliest))
       break;
     if (Placed != None && !HaveSamePriority(Item, Placed))
@@ -261,12 +263,14 @@
     return Estimate.m_averageServiceMs * routeFactor(Item.m_request.m_route);
   };
   for (Waiting &Item : m_waiting) {
+    ++m_looks;
     SharedEstimate &Estimate = EstimateFor(Item);
     markIfLate(Item, ServiceMsOf(Estimate, Item), Now);
     // Where limits hold, requests are served in the order of the queue.
     Estimate.m_ahead += Item.m_isLate || Estimate.m_wait.m_isLimited ? 0 : 1;
   }
   for (Queue::iterator Item = m_waiting.begin(); Item != m_waiting.end();) {
+    ++m_looks;
     SharedEstimate &Estimate = EstimateFor(*Item);
     const double Left = toMs(Item->m_deadline - Now);
     const double Service = ServiceMsOf(Estimate, *Item);
