Do not count the time in which this host stood still as silence of others

A process that gets no processor time for 1.3 s sees every other host silent when it goes on, since its timers fire before it has read what they sent. It then took requests from live coordinators and terms from live granters. The same for acknowledgements of coordinators that it had not read yet.

Change: a host that was alive before a pause of this host's own loops, and counts as silent only because of it, has one heartbeat of time to be heard, once until it is. After the first of several pauses, missing acknowledgements count from the next tick on. A host that has ended is found 0.4 s later at most.

--- a/include/tamarackdrum/gateway/admission.h
+++ b/include/tamarackdrum/gateway/admission.h
@@ -17,6 +17,9 @@
   /// few round trips between zones and for the scheduling delays of a busy
   /// host.
   Millis m_ackTimeout{150};
+  /// After a longer pause between two ticks, acknowledgements may be there that
+  /// have not been read yet. The second tick in a row no longer waits for them.
+  Millis m_maxTickPause{100};
 
   bool operator==(const AdmissionPolicy &) const = default;
 };
@@ -188,6 +191,8 @@
   PeerNetwork *m_network = nullptr;
   DispatcherRegistry m_dispatchers; ///< Of services that this host coordinates.
   DispatcherRegistry m_fallbackDispatchers;
+  TimePoint m_tickedAt{};
+  bool m_hasPaused = false; ///< Before the last tick.
   std::map<std::string, std::string> m_coordinators;
   /// The coordinator of each service before the last change.
   std::map<std::string, std::string> m_lastCoordinators;
--- a/include/tamarackdrum/gateway/roster.h
+++ b/include/tamarackdrum/gateway/roster.h
@@ -61,6 +61,11 @@
   Millis m_heartbeatInterval{400};
   /// A host that is silent for this long counts as dead: three heartbeats.
   Millis m_failureTimeout{1300};
+  /// After a longer pause between two calls of noteRunning(), hosts that were
+  /// alive before it have m_pauseGrace to be heard. The loops of a host pause
+  /// for 40 to 50 ms.
+  Millis m_maxLoopPause{100};
+  Millis m_pauseGrace{400}; ///< One heartbeat.
   /// Interval of heartbeats to hosts that count as dead.
   Millis m_retryInterval{1500};
   /// Hosts that are silent and not listed for this long are removed.
@@ -83,6 +88,11 @@
   std::vector<HostInfo> addHosts(const std::vector<HostInfo> &Hosts,
                                  TimePoint Now);
 
+  /// Records that this process runs; called before decisions on silent hosts.
+  /// A process that stood still, e.g. for lack of processor time, has not read
+  /// yet what other hosts have sent meanwhile.
+  void noteRunning(TimePoint Now);
+
   void recordHeartbeat(const Heartbeat &Beat, TimePoint Now);
   /// Records that \p Host has sent a message other than a heartbeat.
   void markAlive(const std::string &Host, TimePoint Now);
@@ -139,6 +149,9 @@
     TimePoint m_addedAt{};
     TimePoint m_listedAt{};
     TimePoint m_heardAt{};
+    /// Counts as alive until then, since this host stood still while it was
+    /// silent; granted once until it is heard again.
+    TimePoint m_graceUntil{};
     TimePoint m_heartbeatSentAt{};
     bool m_isUnreachable = false;
   };
@@ -157,6 +170,7 @@
   const HostInfo m_self;
   bool m_isStopping = false;
   TimePoint m_startedAt{};
+  TimePoint m_runningAt{}; ///< Of the last noteRunning().
   std::map<std::string, Peer> m_hosts;
 };
 
--- a/src/edge/admission.cc
+++ b/src/edge/admission.cc
@@ -99,6 +99,7 @@
 void Admission::submit(const PendingRequestPtr &Item) {
   const auto Found = m_coordinators.find(Item->m_service);
   const TimePoint Now = BootClock::now();
+  m_hosts.noteRunning(Now);
   Item->m_sentAt = Now;
   Item->m_link = 0;
   Item->m_isAcknowledged = false;
@@ -403,6 +404,11 @@
 
 void Admission::tick() {
   const TimePoint Now = BootClock::now();
+  m_hosts.noteRunning(Now);
+  const bool HasPaused =
+      Now - std::exchange(m_tickedAt, Now) > m_policy.m_maxTickPause;
+  const bool HadPaused = std::exchange(m_hasPaused, HasPaused);
+  const bool IsFirstPause = HasPaused && !HadPaused;
   std::vector<PendingRequestPtr> Silent;
   for (const auto &[Number, Item] : m_pending) {
     if (Item->m_place != AdmissionPlace::Coordinator || Item->m_isDecided)
@@ -410,7 +416,7 @@
     const auto Found = m_coordinators.find(Item->m_service);
     const bool IsDead =
         Found == m_coordinators.end() || !m_hosts.isAlive(Found->second, Now);
-    if (IsDead || (!Item->m_isAcknowledged &&
+    if (IsDead || (!IsFirstPause && !Item->m_isAcknowledged &&
                    Now - Item->m_sentAt > m_policy.m_ackTimeout))
       Silent.push_back(Item);
   }
--- a/src/edge/gateway-host-metrics.cc
+++ b/src/edge/gateway-host-metrics.cc
@@ -1,7 +1,8 @@
-// The part of GatewayHost that provides the metrics.
+// The part of GatewayHost that provides the metrics and logs its stalls.
 
 #include "tamarackdrum/gateway/gateway-host.h"
 
+#include <algorithm>
 #include <spdlog/fmt/fmt.h>
 
 namespace tamarackdrum::gateway {
@@ -23,6 +24,26 @@
   m_metrics.setGauges("server_limit_held_back", std::move(HeldBack));
 }
 
+void GatewayHost::noteStall(Millis Late, double CpuMs) {
+  if (Late < m_policy.m_minLoggedStall)
+    return;
+  m_metrics.count("stalls");
+  std::size_t Coordinated = 0;
+  std::size_t Waiting = 0;
+  for (const auto &[Service, Host] : m_admission.coordinators())
+    Coordinated += Host == m_hosts.self().m_name ? 1 : 0;
+  for (const auto &[Service, Item] : m_admission.dispatchers().all())
+    Waiting += Item->load().m_waiting;
+  const bool IsGranter =
+      std::any_of(m_granterRunners.begin(), m_granterRunners.end(),
+                  [](const auto &Item) { return Item.second->isGranter(); });
+  m_log.write("host-stalled", {{"late_ms", Late},
+                               {"cpu_ms", CpuMs},
+                               {"coordinated", Coordinated},
+                               {"granter", IsGranter},
+                               {"waiting", Waiting}});
+}
+
 std::string GatewayHost::metricsText() {
   m_metrics.setGauge("active_requests",
                      static_cast<double>(m_edge.activeRequests()));
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -436,26 +436,6 @@
   }
 }
 
-void GatewayHost::noteStall(Millis Late, double CpuMs) {
-  if (Late < m_policy.m_minLoggedStall)
-    return;
-  m_metrics.count("stalls");
-  std::size_t Coordinated = 0;
-  std::size_t Waiting = 0;
-  for (const auto &[Service, Host] : m_admission.coordinators())
-    Coordinated += Host == m_hosts.self().m_name ? 1 : 0;
-  for (const auto &[Service, Item] : m_admission.dispatchers().all())
-    Waiting += Item->load().m_waiting;
-  const bool IsGranter =
-      std::any_of(m_granterRunners.begin(), m_granterRunners.end(),
-                  [](const auto &Item) { return Item.second->isGranter(); });
-  m_log.write("host-stalled", {{"late_ms", Late},
-                               {"cpu_ms", CpuMs},
-                               {"coordinated", Coordinated},
-                               {"granter", IsGranter},
-                               {"waiting", Waiting}});
-}
-
 asio::awaitable<void> GatewayHost::tickLoop() {
   TimePoint DueAt = BootClock::now();
   double CpuMs = processCpuMs();
@@ -476,6 +456,7 @@
 
 asio::awaitable<void> GatewayHost::heartbeatLoop() {
   while (true) {
+    m_hosts.noteRunning(BootClock::now());
     m_network.sendDueHeartbeats();
     co_await sleepFor(m_policy.m_heartbeatPollInterval);
   }
--- a/src/edge/granter-runner.cc
+++ b/src/edge/granter-runner.cc
@@ -372,6 +372,7 @@
 asio::awaitable<void> GranterRunner::run() {
   while (!m_isEnded) {
     const TimePoint Now = BootClock::now();
+    m_hosts.noteRunning(Now);
     if (shouldTakeOver(Now))
       co_await takeOver();
     if (m_granter.isGranter()) {
--- a/src/gateway/roster.cc
+++ b/src/gateway/roster.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace tamarackdrum::gateway {
 namespace {
@@ -43,6 +44,16 @@
   return Added;
 }
 
+void Roster::noteRunning(TimePoint Now) {
+  const TimePoint Before = std::exchange(m_runningAt, Now);
+  if (Before == TimePoint{} || Now - Before <= m_policy.m_maxLoopPause)
+    return;
+  for (auto &[Name, Item] : m_hosts)
+    if (Item.m_graceUntil == TimePoint{} && isAlive(Item, Before) &&
+        !isAlive(Item, Now))
+      Item.m_graceUntil = Now + m_policy.m_pauseGrace;
+}
+
 void Roster::recordHeartbeat(const Heartbeat &Beat, TimePoint Now) {
   if (Beat.m_host.m_name == m_self.m_name)
     return;
@@ -55,13 +66,16 @@
   Item.m_info = Beat.m_host;
   Item.m_heartbeat = Beat;
   Item.m_heardAt = Now;
+  Item.m_graceUntil = {};
   Item.m_isUnreachable = false;
 }
 
 void Roster::markAlive(const std::string &Host, TimePoint Now) {
   const auto Found = m_hosts.find(Host);
-  if (Found != m_hosts.end() && !Found->second.m_isUnreachable)
-    Found->second.m_heardAt = Now;
+  if (Found == m_hosts.end() || Found->second.m_isUnreachable)
+    return;
+  Found->second.m_heardAt = Now;
+  Found->second.m_graceUntil = {};
 }
 
 void Roster::markUnreachable(const std::string &Host) {
@@ -72,7 +86,8 @@
 
 bool Roster::isAlive(const Peer &Item, TimePoint Now) const {
   return !Item.m_isUnreachable && Item.m_heardAt != TimePoint{} &&
-         Now - Item.m_heardAt < m_policy.m_failureTimeout;
+         (Now - Item.m_heardAt < m_policy.m_failureTimeout ||
+          Now < Item.m_graceUntil);
 }
 
 bool Roster::isAlive(const std::string &Host, TimePoint Now) const {
--- a/test/gateway/roster-test.cc
+++ b/test/gateway/roster-test.cc
@@ -50,6 +50,38 @@
   EXPECT_FALSE(m_subject.isAlive("h2", m_now));
 }
 
+// Guards against a host that stands still and then takes the duties of all
+// others.
+TEST_F(RosterTest, IsAlive_ThisHostStoodStill_OthersHaveTimeToBeHeard) {
+  addHeartbeat("h2");
+  m_subject.noteRunning(m_now);
+  m_now += 2 * m_policy.m_failureTimeout;
+  m_subject.noteRunning(m_now);
+  EXPECT_TRUE(m_subject.isAlive("h2", m_now));
+  m_now += m_policy.m_pauseGrace;
+  EXPECT_FALSE(m_subject.isAlive("h2", m_now));
+}
+
+TEST_F(RosterTest, IsAlive_ThisHostOftenStandsStill_SilentHostIsFound) {
+  addHeartbeat("h2");
+  m_subject.noteRunning(m_now);
+  for (Millis Passed(0); Passed < 2 * m_policy.m_failureTimeout;
+       Passed += Millis(300)) {
+    m_now += Millis(300);
+    m_subject.noteRunning(m_now);
+  }
+  EXPECT_FALSE(m_subject.isAlive("h2", m_now));
+}
+
+TEST_F(RosterTest, IsAlive_SilentBeforeThisHostStoodStill_IsFalse) {
+  addHeartbeat("h2");
+  m_now += m_policy.m_failureTimeout;
+  m_subject.noteRunning(m_now);
+  m_now += Millis(1000);
+  m_subject.noteRunning(m_now);
+  EXPECT_FALSE(m_subject.isAlive("h2", m_now));
+}
+
 TEST_F(RosterTest, IsAlive_LinkLost_IsFalseUntilNextHeartbeat) {
   addHeartbeat("h2");
   m_subject.markUnreachable("h2");
