--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <ctime>
 #include <random>
 
 namespace tamarackdrum::gateway {
@@ -23,6 +24,10 @@
 /// As above, for the bodies of requests of other hosts.
 constexpr std::size_t RelayMemoryDivisor = 32;
 
+double processCpuMs() {
+  return 1000.0 * static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
 PoisonPolicy poisonPolicy() {
   PoisonPolicy Out;
   Out.m_crashesToRefuse = CrashesToRefuse;
@@ -432,7 +437,14 @@
 }
 
 asio::awaitable<void> GatewayHost::tickLoop() {
+  TimePoint DueAt = BootClock::now();
+  double CpuMs = processCpuMs();
   while (true) {
+    const TimePoint Now = BootClock::now();
+    noteStall(std::chrono::duration_cast<Millis>(Now - DueAt),
+              processCpuMs() - CpuMs);
+    DueAt = Now + m_policy.m_tickInterval;
+    CpuMs = processCpuMs();
     m_admission.tick();
     m_feed.tick();
     m_relay.tick();
@@ -444,6 +456,7 @@
 
 asio::awaitable<void> GatewayHost::heartbeatLoop() {
   while (true) {
+    m_hosts.noteRunning(BootClock::now());
     m_network.sendDueHeartbeats();
     co_await sleepFor(m_policy.m_heartbeatPollInterval);
   }
