--- /dev/null
+++ b/review/standin/plain-upstream.cc
@@ -0,0 +1,104 @@
+#include "plain-upstream.h"
+
+#include "platform/wire-decode.h"
+#include "tamarackdrum/endpoint.h"
+#include "tamarackdrum/sleep.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <spdlog/fmt/fmt.h>
+
+namespace tamarackdrum::review {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using namespace gateway;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint64_t MaxBodyBytes = 4 << 20;
+constexpr std::size_t BodyBytes = 400;
+
+} // namespace
+
+std::string bodyFor(const std::string &Id) {
+  std::string Out;
+  while (Out.size() < BodyBytes)
+    Out += Id + '\n';
+  return Out;
+}
+
+struct PlainUpstream::State {
+  State(asio::io_context &Context, PlainUpstreamOptions Options, Record &Notes)
+      : m_options(std::move(Options)), m_record(Notes),
+        m_acceptor(Context,
+                   parseEndpoint(m_options.m_entry.m_address).value()) {}
+
+  const PlainUpstreamOptions m_options;
+  Record &m_record;
+  const HeaderNames m_headers = platform::headerNames();
+  tcp::acceptor m_acceptor;
+
+  static Ticks accept(std::shared_ptr<State> Self) {
+    while (true) {
+      auto [Error, Socket] = co_await Self->m_acceptor.async_accept(UseTuple);
+      if (Error)
+        co_return;
+      asio::co_spawn(Self->m_acceptor.get_executor(),
+                     serve(Self, std::move(Socket)), asio::detached);
+    }
+  }
+
+  static Ticks serve(std::shared_ptr<State> Self, tcp::socket Socket) {
+    boost::beast::flat_buffer Buffer;
+    while (true) {
+      http::request_parser<http::string_body> Parser;
+      Parser.body_limit(MaxBodyBytes);
+      const auto [ReadError, Read] =
+          co_await http::async_read(Socket, Buffer, Parser, UseTuple);
+      if (ReadError)
+        co_return;
+      const http::request<http::string_body> Call = Parser.release();
+      const std::string Id(Call[Self->m_headers.m_requestId]);
+      const std::string Method(Call.method_string());
+      Self->m_record.add(fmt::format("run {} {} {} at {}", Id, Method,
+                                     std::string(Call.target()),
+                                     Self->m_options.m_entry.m_id));
+      co_await sleepFor(Self->m_options.m_workTime);
+      http::response<http::string_body> Answer(http::status::ok, 11);
+      Answer.set(Self->m_headers.m_requestId, Id);
+      Answer.set("X-Response-Signature", fmt::format("signed.{}", Id));
+      const std::string Body = bodyFor(Id);
+      Answer.content_length(Body.size());
+      if (Call.method() != http::verb::head)
+        Answer.body() = Body;
+      Answer.keep_alive(Call.keep_alive());
+      http::response_serializer<http::string_body> Out(Answer);
+      Out.split(Call.method() == http::verb::head);
+      const auto [WriteError, Written] =
+          Call.method() == http::verb::head
+              ? co_await http::async_write_header(Socket, Out, UseTuple)
+              : co_await http::async_write(Socket, Out, UseTuple);
+      if (WriteError || !Call.keep_alive())
+        co_return;
+    }
+  }
+};
+
+PlainUpstream::PlainUpstream(asio::io_context &Context,
+                             PlainUpstreamOptions Options, Record &Notes)
+    : m_state(std::make_shared<State>(Context, std::move(Options), Notes)) {
+  asio::co_spawn(Context, State::accept(m_state), asio::detached);
+}
+
+const ServerEntry &PlainUpstream::entry() const {
+  return m_state->m_options.m_entry;
+}
+
+} // namespace tamarackdrum::review
--- /dev/null
+++ b/review/standin/plain-upstream.h
@@ -0,0 +1,37 @@
+/// \file
+/// A server that runs requests one per connection and answers HEAD without a
+/// body.
+
+#ifndef TAMARACKDRUM_REVIEW_PLAIN_UPSTREAM_H
+#define TAMARACKDRUM_REVIEW_PLAIN_UPSTREAM_H
+
+#include "review-site.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+
+namespace tamarackdrum::review {
+
+struct PlainUpstreamOptions {
+  gateway::ServerEntry m_entry;
+  Millis m_workTime{30}; ///< Of each request.
+};
+
+class PlainUpstream {
+public:
+  PlainUpstream(boost::asio::io_context &Context, PlainUpstreamOptions Options,
+                Record &Notes);
+
+  const gateway::ServerEntry &entry() const;
+
+private:
+  struct State;
+  std::shared_ptr<State> m_state;
+};
+
+/// Returns the body with which a server answers the request \p Id.
+std::string bodyFor(const std::string &Id);
+
+} // namespace tamarackdrum::review
+
+#endif // TAMARACKDRUM_REVIEW_PLAIN_UPSTREAM_H
