--- a/review/standin/plain-upstream.cc
+++ b/review/standin/plain-upstream.cc
@@ -10,6 +10,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <fcntl.h>
+#include <set>
 #include <spdlog/fmt/fmt.h>
 
 namespace tamarackdrum::review {
@@ -38,26 +40,40 @@
   State(asio::io_context &Context, PlainUpstreamOptions Options, Record &Notes)
       : m_options(std::move(Options)), m_record(Notes),
         m_acceptor(Context,
-                   parseEndpoint(m_options.m_entry.m_address).value()) {}
+                   parseEndpoint(m_options.m_entry.m_address).value()) {
+    // Else the gateways keep the port open after a crash.
+    ::fcntl(m_acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+  }
 
   const PlainUpstreamOptions m_options;
   Record &m_record;
   const HeaderNames m_headers = platform::headerNames();
   tcp::acceptor m_acceptor;
+  std::set<std::shared_ptr<tcp::socket>> m_sockets;
+  std::multiset<std::string> m_running; ///< Targets.
+  bool m_hasCrashed = false;
 
   static Ticks accept(std::shared_ptr<State> Self) {
     while (true) {
       auto [Error, Socket] = co_await Self->m_acceptor.async_accept(UseTuple);
       if (Error)
         co_return;
-      asio::co_spawn(Self->m_acceptor.get_executor(),
-                     serve(Self, std::move(Socket)), asio::detached);
+      const auto Kept = std::make_shared<tcp::socket>(std::move(Socket));
+      Self->m_sockets.insert(Kept);
+      asio::co_spawn(Self->m_acceptor.get_executor(), serveUntilEnd(Self, Kept),
+                     asio::detached);
     }
   }
 
-  static Ticks serve(std::shared_ptr<State> Self, tcp::socket Socket) {
+  static Ticks serveUntilEnd(std::shared_ptr<State> Self,
+                             std::shared_ptr<tcp::socket> Socket) {
+    co_await serve(Self, *Socket);
+    Self->m_sockets.erase(Socket);
+  }
+
+  static Ticks serve(std::shared_ptr<State> Self, tcp::socket &Socket) {
     boost::beast::flat_buffer Buffer;
-    while (true) {
+    while (!Self->m_hasCrashed) {
       http::request_parser<http::string_body> Parser;
       Parser.body_limit(MaxBodyBytes);
       const auto [ReadError, Read] =
@@ -70,7 +86,11 @@
       Self->m_record.add(fmt::format("run {} {} {} at {}", Id, Method,
                                      std::string(Call.target()),
                                      Self->m_options.m_entry.m_id));
+      const auto Running = Self->m_running.insert(std::string(Call.target()));
       co_await sleepFor(Self->m_options.m_workTime);
+      Self->m_running.erase(Running);
+      if (Self->m_hasCrashed)
+        co_return;
       http::response<http::string_body> Answer(http::status::ok, 11);
       Answer.set(Self->m_headers.m_requestId, Id);
       Answer.set("X-Response-Signature", fmt::format("signed.{}", Id));
@@ -97,6 +117,22 @@
   asio::co_spawn(Context, State::accept(m_state), asio::detached);
 }
 
+void PlainUpstream::crash() {
+  m_state->m_hasCrashed = true;
+  boost::system::error_code Ignored; // The sockets are discarded in any case.
+  m_state->m_acceptor.close(Ignored);
+  for (const std::shared_ptr<tcp::socket> &Socket : m_state->m_sockets) {
+    Socket->set_option(asio::socket_base::linger(true, 0), Ignored);
+    Socket->close(Ignored);
+  }
+  m_state->m_record.add(
+      fmt::format("server {} has crashed", m_state->m_options.m_entry.m_id));
+}
+
+bool PlainUpstream::isRunning(const std::string &Target) const {
+  return m_state->m_running.count(Target) > 0;
+}
+
 const ServerEntry &PlainUpstream::entry() const {
   return m_state->m_options.m_entry;
 }
--- a/review/standin/plain-upstream.h
+++ b/review/standin/plain-upstream.h
@@ -24,6 +24,12 @@
 
   const gateway::ServerEntry &entry() const;
 
+  /// Refuses new connections and resets the others, as the end of the process
+  /// does.
+  void crash();
+  /// Returns whether it runs a request for \p Target.
+  bool isRunning(const std::string &Target) const;
+
 private:
   struct State;
   std::shared_ptr<State> m_state;
--- a/review/standin/review-site.h
+++ b/review/standin/review-site.h
@@ -65,8 +65,9 @@
   std::size_t hostCount() const { return m_hosts.size(); }
 
   void writeConfiguration(const gateway::Configuration &Config);
-  /// Registers a server and reports for it until removeServer().
+  /// Registers a server and reports for it until stopReports().
   void addServer(const gateway::ServerEntry &Entry);
+  void stopReports(const std::string &Id) { m_servers.erase(Id); }
   void removeServer(const std::string &Id);
 
   void startHost(std::size_t Host);
