--- a/review/standin/plain-upstream.cc
+++ b/review/standin/plain-upstream.cc
@@ -71,8 +71,23 @@
     Self->m_sockets.erase(Socket);
   }
 
+  /// Returns whether bytes are dropped now. If so, waits until the end of that:
+  /// the stream has a gap then, and the connection is of no use any more.
+  static asio::awaitable<bool> isCut(std::function<bool()> IsCutNow) {
+    bool Out = false;
+    while (IsCutNow && IsCutNow()) {
+      Out = true;
+      co_await sleepFor(Millis(20));
+    }
+    co_return Out;
+  }
+
   static Ticks serve(std::shared_ptr<State> Self, tcp::socket &Socket) {
     boost::beast::flat_buffer Buffer;
+    boost::system::error_code Ignored; // Port 0 belongs to no gateway.
+    const std::uint16_t Port = Socket.remote_endpoint(Ignored).port();
+    const std::function<bool()> Path =
+        Self->m_options.m_pathOf ? Self->m_options.m_pathOf(Port) : nullptr;
     while (!Self->m_hasCrashed) {
       http::request_parser<http::string_body> Parser;
       Parser.body_limit(MaxBodyBytes);
@@ -81,6 +96,9 @@
       if (ReadError)
         co_return;
       const http::request<http::string_body> Call = Parser.release();
+      const bool IsLost = co_await isCut(Path);
+      if (IsLost)
+        co_return;
       const std::string Id(Call[Self->m_headers.m_requestId]);
       const std::string Method(Call.method_string());
       Self->m_record.add(fmt::format("run {} {} {} at {}", Id, Method,
@@ -89,7 +107,8 @@
       const auto Running = Self->m_running.insert(std::string(Call.target()));
       co_await sleepFor(Self->m_options.m_workTime);
       Self->m_running.erase(Running);
-      if (Self->m_hasCrashed)
+      const bool IsAnswerLost = co_await isCut(Path);
+      if (Self->m_hasCrashed || IsAnswerLost)
         co_return;
       http::response<http::string_body> Answer(http::status::ok, 11);
       Answer.set(Self->m_headers.m_requestId, Id);
--- a/review/standin/plain-upstream.h
+++ b/review/standin/plain-upstream.h
@@ -8,6 +8,7 @@
 #include "review-site.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <memory>
 
 namespace tamarackdrum::review {
@@ -15,6 +16,10 @@
 struct PlainUpstreamOptions {
   gateway::ServerEntry m_entry;
   Millis m_workTime{30}; ///< Of each request.
+  /// Returns, for the connection from local port \p Port of a gateway, a
+  /// function that tells whether its path drops all bytes at present; may be
+  /// null.
+  std::function<std::function<bool()>(std::uint16_t Port)> m_pathOf;
 };
 
 class PlainUpstream {
