Log which crashes count against a request

A host that refused a request with "crashes servers" did not say why, and one that got a report of a crash wrote nothing. Whether the hosts of review/2 refused for want of answers, since a crash was counted twice or since the fingerprint was that of another page could not be told.

crash-counted has fingerprint, server, crashes that count, the number at which requests are refused and whether an answer is known, from the second crash of a request on; request-suspected has the same with the id of the refused request. No decision changes.

--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -103,6 +103,8 @@
   /// Counts a server's crash and, if it is new, sends the message on. \p IsOwn:
   /// this host saw the crash itself.
   void handleCrash(const CrashMessage &Message, bool IsOwn);
+  /// Logs what the crashes of a request amount to.
+  void logCrash(const CrashMessage &Message, bool IsOwn);
   /// Handles a message about a relayed request. Returns whether it is one.
   bool onRelayMessage(std::uint32_t Link, PeerMessage &Message);
   GranterRunner &makeGranterRunner(const std::string &Service);
--- a/include/tamarackdrum/poison.h
+++ b/include/tamarackdrum/poison.h
@@ -61,9 +61,19 @@
 unsigned countCrashes(const PoisonEvidence &Evidence, std::int64_t NowMs,
                       const PoisonPolicy &Policy);
 
-/// Returns whether \p Evidence is enough to refuse the request at \p NowMs.
-bool isEnough(const PoisonEvidence &Evidence, std::int64_t NowMs,
-              const PoisonPolicy &Policy);
+/// What the evidence of a fingerprint amounts to.
+struct PoisonVerdict {
+  unsigned m_crashes = 0;     ///< That count.
+  unsigned m_limit = 0;       ///< Crashes at which requests are refused.
+  bool m_wasAnswered = false; ///< Within the time to live.
+
+  bool isRefused() const { return m_crashes >= m_limit; }
+  bool operator==(const PoisonVerdict &) const = default;
+};
+
+/// Returns what \p Evidence amounts to at \p NowMs.
+PoisonVerdict judge(const PoisonEvidence &Evidence, std::int64_t NowMs,
+                    const PoisonPolicy &Policy);
 
 /// Evidence of one process and of its peers. Thread-safe. Merging is
 /// commutative and idempotent, so evidence may arrive late, twice and in any
@@ -73,8 +83,12 @@
   explicit PoisonRegistry(PoisonPolicy Policy)
       : m_policy(Policy), m_answered(Policy.m_answeredSlots) {}
 
+  PoisonVerdict verdict(Fingerprint Request, std::int64_t NowMs) const;
+
   /// Returns whether requests with this fingerprint are refused.
-  bool isPoisoned(Fingerprint Request, std::int64_t NowMs) const;
+  bool isPoisoned(Fingerprint Request, std::int64_t NowMs) const {
+    return verdict(Request, NowMs).isRefused();
+  }
 
   /// Returns the number of fingerprints that are refused.
   std::size_t countPoisoned(std::int64_t NowMs) const;
--- a/src/core/poison.cc
+++ b/src/core/poison.cc
@@ -86,18 +86,24 @@
   return Count;
 }
 
-bool isEnough(const PoisonEvidence &Evidence, std::int64_t NowMs,
-              const PoisonPolicy &Policy) {
-  const bool WasAnswered =
+PoisonVerdict judge(const PoisonEvidence &Evidence, std::int64_t NowMs,
+                    const PoisonPolicy &Policy) {
+  PoisonVerdict Out;
+  Out.m_crashes = countCrashes(Evidence, NowMs, Policy);
+  Out.m_wasAnswered =
       Evidence.m_answeredAtMs > NowMs - Policy.m_timeToLive.count();
-  return countCrashes(Evidence, NowMs, Policy) >=
-         (WasAnswered ? Policy.m_crashesIfAnswered : Policy.m_crashesToRefuse);
+  Out.m_limit =
+      Out.m_wasAnswered ? Policy.m_crashesIfAnswered : Policy.m_crashesToRefuse;
+  return Out;
 }
 
-bool PoisonRegistry::isPoisoned(Fingerprint Request, std::int64_t NowMs) const {
+PoisonVerdict PoisonRegistry::verdict(Fingerprint Request,
+                                      std::int64_t NowMs) const {
   const std::lock_guard<std::mutex> Lock(m_mutex);
   const auto Found = m_entries.find(Request);
-  return Found != m_entries.end() && isEnough(Found->second, NowMs, m_policy);
+  if (Found == m_entries.end())
+    return {0, m_policy.m_crashesToRefuse, false};
+  return judge(Found->second, NowMs, m_policy);
 }
 
 std::size_t PoisonRegistry::countPoisoned(std::int64_t NowMs) const {
@@ -105,7 +111,7 @@
   return static_cast<std::size_t>(std::count_if(
       m_entries.begin(), m_entries.end(),
       [&](const std::pair<const Fingerprint, PoisonEvidence> &Entry) {
-        return isEnough(Entry.second, NowMs, m_policy);
+        return judge(Entry.second, NowMs, m_policy).isRefused();
       }));
 }
 
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -339,7 +339,15 @@
   }
   Request->m_fingerprint =
       fingerprintOf(Head.method_string(), Head.target(), Request->m_body);
-  if (m_poison.isPoisoned(Request->m_fingerprint, bootMillis())) {
+  const PoisonVerdict Verdict =
+      m_poison.verdict(Request->m_fingerprint, bootMillis());
+  if (Verdict.isRefused()) {
+    m_log.writeRequest("request-suspected",
+                       {{"request", Request->m_id},
+                        {"fingerprint", std::to_string(Request->m_fingerprint)},
+                        {"crashes", Verdict.m_crashes},
+                        {"limit", Verdict.m_limit},
+                        {"answered", Verdict.m_wasAnswered}});
     co_await sendAnswer(Client, Request, 502, "crashes servers", Millis(0));
     co_return;
   }
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -16,8 +16,6 @@
 /// Crashes after which a request is refused. The requirements allow a request
 /// to crash three servers.
 constexpr unsigned CrashesToRefuse = 3;
-/// Number of remembered crash reports at which all are discarded.
-constexpr std::size_t MaxSeenCrashes = 4096;
 /// Bodies may take the process's memory divided by this. Without bodies, a
 /// process needs less than half of its memory.
 constexpr std::size_t BodyMemoryDivisor = 4;
@@ -357,19 +355,6 @@
   m_network.sendToFollowers(Message);
 }
 
-void GatewayHost::handleCrash(const CrashMessage &Message, bool IsOwn) {
-  if (m_seenCrashes.size() >= MaxSeenCrashes)
-    m_seenCrashes.clear();
-  // Each host sends a report on only once.
-  if (!m_seenCrashes.emplace(Message.m_fingerprint, Message.m_server).second)
-    return;
-  m_poison.noteCrash(Message.m_fingerprint, Message.m_server, bootMillis());
-  m_metrics.count("server_crashes_seen");
-  if (IsOwn)
-    m_network.sendToCandidates(Message);
-  m_network.sendToFollowers(Message);
-}
-
 bool GatewayHost::onRelayMessage(std::uint32_t Link, PeerMessage &Message) {
   if (auto *Request = std::get_if<RelayMessage>(&Message))
     m_relay.onRelay(Link, *Request);
