Do not take an unknown answer for one at the start of the clock

Cause: the time of the last answer was 0 for "never". The gateway counts from the start of the machine, so that "answered within the last ten minutes" held for 0 as well until the machine had been up for as long.

Change: the time of an answer is an optional.

Test: PoisonTest.Fingerprint_NeverAnsweredSoonAfterBoot_IsRefusedAsEver, which fails with the comparison of before.

--- a/include/tamarackdrum/poison.h
+++ b/include/tamarackdrum/poison.h
@@ -10,6 +10,7 @@
 #include <json/value.h>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace tamarackdrum {
@@ -25,7 +26,7 @@
 /// A request was in flight at a server when the server crashed.
 struct CrashMark {
   std::string m_server;
-  std::int64_t m_atMs = 0; ///< Unix time.
+  std::int64_t m_atMs = 0; ///< On the clock of the registry's callers.
 
   bool operator==(const CrashMark &) const = default;
 };
@@ -34,7 +35,8 @@
 struct PoisonEvidence {
   Fingerprint m_fingerprint = 0;
   std::vector<CrashMark> m_crashes; ///< Sorted.
-  std::int64_t m_answeredAtMs = 0;  ///< Last answer; crashes up to it are void.
+  /// Last answer that is known; crashes up to it are void.
+  std::optional<std::int64_t> m_answeredAtMs;
 
   bool operator==(const PoisonEvidence &) const = default;
 };
@@ -112,7 +114,7 @@
 
   struct Answered {
     Fingerprint m_request = 0;
-    std::int64_t m_atMs = 0;
+    std::optional<std::int64_t> m_atMs;
   };
   Answered &slotOf(Fingerprint Request) {
     return m_answered[Request % m_answered.size()];
--- a/src/core/poison.cc
+++ b/src/core/poison.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t MaxMarks = 16;
+/// Stands for "never" in messages, whose times are Unix times.
+constexpr std::int64_t NeverAnswered = 0;
 
 bool isExpired(const PoisonEvidence &Evidence, std::int64_t NowMs,
                const PoisonPolicy &Policy) {
@@ -21,7 +23,9 @@
 PoisonEvidence oneFromJson(const Json::Value &Value) {
   PoisonEvidence Out;
   Out.m_fingerprint = Value["fingerprint"].asUInt64();
-  Out.m_answeredAtMs = Value["answered_at_ms"].asInt64();
+  const std::int64_t AnsweredAtMs = Value["answered_at_ms"].asInt64();
+  if (AnsweredAtMs != NeverAnswered)
+    Out.m_answeredAtMs = AnsweredAtMs;
   for (const Json::Value &Item : Value["crashes"])
     Out.m_crashes.push_back(
         {Item["server"].asString(), Item["at_ms"].asInt64()});
@@ -43,7 +47,8 @@
   for (const PoisonEvidence &One : Evidence) {
     Json::Value Item;
     Item["fingerprint"] = Json::UInt64(One.m_fingerprint);
-    Item["answered_at_ms"] = Json::Int64(One.m_answeredAtMs);
+    Item["answered_at_ms"] =
+        Json::Int64(One.m_answeredAtMs.value_or(NeverAnswered));
     Item["crashes"] = Json::Value(Json::arrayValue);
     for (const CrashMark &Mark : One.m_crashes) {
       Json::Value Crash;
--- a/test/core/poison-test.cc
+++ b/test/core/poison-test.cc
@@ -48,6 +48,20 @@
   EXPECT_TRUE(m_registry.isPoisoned(Innocent, NowMs + 4));
 }
 
+// A host counts from the start of its machine. A request that was never
+// answered must not seem to have been until that start is longer ago than the
+// time to live.
+TEST_F(PoisonTest, Fingerprint_NeverAnsweredSoonAfterBoot_IsRefusedAsEver) {
+  const std::int64_t SoonMs = m_policy.m_timeToLive.count() / 2;
+  m_registry.noteCrash(Poison, "s1", SoonMs);
+  m_registry.noteCrash(Poison, "s2", SoonMs + 1);
+  EXPECT_TRUE(m_registry.isPoisoned(Poison, SoonMs + 1));
+  m_registry.noteAnswered(Innocent, SoonMs);
+  m_registry.noteCrash(Innocent, "s1", SoonMs + 1);
+  m_registry.noteCrash(Innocent, "s2", SoonMs + 2);
+  EXPECT_FALSE(m_registry.isPoisoned(Innocent, SoonMs + 2));
+}
+
 TEST_F(PoisonTest, Evidence_OverItsTimeToLive_IsForgotten) {
   m_registry.noteCrash(Poison, "s1", NowMs);
   m_registry.noteCrash(Poison, "s2", NowMs);
