Tell the other hosts that a suspected request has been answered

Cause: reports of crashes reach all hosts. An answer, which voids them, was known only to the host that got it. A host that counts three crashes and no answer refuses, and as it sends no such request, it never learns better.

Change: a host that gets an answer to a request with two or more crashes that have not been voided for the others sends the reports once more, marked as void. It is sent as the reports are, once a crash, and works in any order with them, since it names the crashes and no time. A single crash, the usual case of a request beside a crash, costs no message. A server process counts once, however late a copy of its report comes, and if there are more crashes than are kept, the latest stay.

Versions side by side: the mark is a third element of the message. Hosts of before take it for a copy of the report and drop it; reports are as before.

Why it works: a request that crashes each server is never answered, so that nothing of what limits it changes (RequestCrashesEachServer_..., which passes before and after: exactly three servers). A request that is answered anywhere gets below three crashes everywhere.

Tests: CrashReportTest.OneHostAnswersBetweenCrashes_OtherHosts_ServeThePage and PageBesideACrashingRequest_AtAnyHost_OnlyThatIsRefused fail with the change taken out; PoisonTest has the order of reports and voids.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -83,6 +83,7 @@
     std::function<void(const std::string &Service, Key Value)> m_onNotHeld;
     std::function<void(std::uint64_t Fingerprint, const ServerEntry &)>
         m_onCrash;
+    std::function<void(std::uint64_t Fingerprint)> m_onAnswered;
     std::function<void(const ServerEntry &)> m_onLeaving;
   };
 
@@ -180,7 +181,8 @@
              unsigned Status, std::string_view Reason, Millis RetryAfter);
   /// Returns whether all bytes were sent.
   boost::asio::awaitable<bool> write(SessionPtr Client, std::string Bytes);
-  /// Reports a crash if \p Server accepts no new connection.
+  /// Reports a crash if \p Server accepts no new connection, unless the request
+  /// has been answered since its connection broke.
   boost::asio::awaitable<void> checkForCrash(std::uint64_t Fingerprint,
                                              ServerEntry Server);
   /// Sets route and service of a request. Returns whether both were found.
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -100,9 +100,15 @@
   /// Marks a leaving server as draining and, if that is new, sends the message
   /// on. \p IsOwn: this host got the server's announcement itself.
   void handleLeaving(const LeavingMessage &Message, bool IsOwn);
-  /// Counts a server's crash and, if it is new, sends the message on. \p IsOwn:
-  /// this host saw the crash itself.
+  /// Counts a server's crash, or counts it no longer, and, if that is new,
+  /// sends the message on. \p IsOwn: this host saw the crash, or the answer,
+  /// itself.
   void handleCrash(const CrashMessage &Message, bool IsOwn);
+  /// Returns whether \p Message says what no earlier one has said.
+  bool isNews(const CrashMessage &Message);
+  /// Notes that a request was answered, and tells the other hosts which crashes
+  /// do not count against it.
+  void handleAnswered(Fingerprint Request);
   /// Logs what the crashes of a request amount to.
   void logCrash(const CrashMessage &Message, bool IsOwn);
   /// Handles a message about a relayed request. Returns whether it is one.
@@ -140,8 +146,8 @@
   TextServer m_readinessServer;
   std::unique_ptr<TextServer> m_metricsServer;
   std::map<std::string, std::unique_ptr<GranterRunner>> m_granterRunners;
-  /// Fingerprints and servers of the crashes that were sent on.
-  std::set<std::pair<std::uint64_t, std::string>> m_seenCrashes;
+  /// Whether a crash that was sent on is void, by fingerprint and server.
+  std::map<std::pair<Fingerprint, std::string>, bool> m_seenCrashes;
   std::map<std::string, KeyMapFeed> m_candidateFeeds; ///< By service.
   std::map<std::string, KeyMapFeed> m_followerFeeds;  ///< By service.
   bool m_isStopping = false;
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -167,6 +167,10 @@
 struct CrashMessage {
   std::uint64_t m_fingerprint = 0;
   std::string m_server; ///< Id and start time of the server process.
+  /// The request has been answered since: the crash does not count against it.
+  /// A process that does not know this field takes the message for a copy of
+  /// the one that reported the crash.
+  bool m_isVoid = false;
 
   bool operator==(const CrashMessage &) const = default;
 };
--- a/include/tamarackdrum/poison.h
+++ b/include/tamarackdrum/poison.h
@@ -27,6 +27,8 @@
 struct CrashMark {
   std::string m_server;
   std::int64_t m_atMs = 0; ///< On the clock of the registry's callers.
+  /// The request has been answered since, and all processes are told so.
+  bool m_isVoid = false;
 
   bool operator==(const CrashMark &) const = default;
 };
@@ -51,6 +53,9 @@
   /// For a fingerprint that has been answered within the time to live: one
   /// that many callers send is often beside the one that crashes servers.
   unsigned m_crashesIfAnswered = 4;
+  /// Crashes not told to be void at which an answer makes them so; 0: never.
+  /// An answer after a single crash, the usual case, need not be told.
+  unsigned m_crashesToVoid = 0;
   Millis m_sameCrash{2000}; ///< Marks of a server this close are one crash.
   Millis m_timeToLive{600000};
   std::size_t m_maxEntries = 4096;
@@ -99,8 +104,19 @@
   void noteCrash(Fingerprint Request, const std::string &Server,
                  std::int64_t NowMs);
 
-  /// Notes that \p Request was answered; crashes before are void.
-  void noteAnswered(Fingerprint Request, std::int64_t NowMs);
+  /// Notes that \p Request was answered; crashes before are void. Returns the
+  /// servers whose crashes the other processes must be told to be void.
+  std::vector<std::string> noteAnswered(Fingerprint Request,
+                                        std::int64_t NowMs);
+
+  /// Notes that another process has found the crash of \p Server, reported yet
+  /// or not, to be void.
+  void voidCrash(Fingerprint Request, const std::string &Server,
+                 std::int64_t NowMs);
+
+  /// Returns whether \p Request is known to have been answered after \p
+  /// SinceMs.
+  bool wasAnsweredAfter(Fingerprint Request, std::int64_t SinceMs) const;
 
   std::vector<PoisonEvidence> snapshot() const;
   void merge(const std::vector<PoisonEvidence> &Evidence, std::int64_t NowMs);
@@ -119,6 +135,11 @@
   Answered &slotOf(Fingerprint Request) {
     return m_answered[Request % m_answered.size()];
   }
+  /// Returns the time of the last answer, if it is remembered.
+  std::optional<std::int64_t> lastAnswer(Fingerprint Request) const {
+    const Answered &Slot = m_answered[Request % m_answered.size()];
+    return Slot.m_request == Request ? Slot.m_atMs : std::nullopt;
+  }
 
   const PoisonPolicy m_policy;
   mutable std::mutex m_mutex;
--- a/src/core/poison.cc
+++ b/src/core/poison.cc
@@ -20,6 +20,50 @@
       [&](const CrashMark &Mark) { return Mark.m_atMs <= Oldest; });
 }
 
+/// Returns whether \p Mark or another mark of the same crash is void.
+bool isVoid(const CrashMark &Mark, const PoisonEvidence &Evidence,
+            const PoisonPolicy &Policy) {
+  return std::any_of(Evidence.m_crashes.begin(), Evidence.m_crashes.end(),
+                     [&](const CrashMark &Other) {
+                       return Other.m_isVoid &&
+                              Other.m_server == Mark.m_server &&
+                              std::abs(Other.m_atMs - Mark.m_atMs) <=
+                                  Policy.m_sameCrash.count();
+                     });
+}
+
+/// Returns whether \p Evidence tells of an answer after \p OldestMs.
+bool hasAnswer(const PoisonEvidence &Evidence, std::int64_t OldestMs) {
+  if (Evidence.m_answeredAtMs > OldestMs)
+    return true;
+  return std::any_of(Evidence.m_crashes.begin(), Evidence.m_crashes.end(),
+                     [&](const CrashMark &Mark) {
+                       return Mark.m_isVoid && Mark.m_atMs > OldestMs;
+                     });
+}
+
+/// Sorts \p Marks and joins those of one moment; drops the oldest if there are
+/// too many.
+void normalize(std::vector<CrashMark> &Marks) {
+  const auto IsNewer = [](const CrashMark &Left, const CrashMark &Right) {
+    return std::tie(Left.m_atMs, Left.m_server, Left.m_isVoid) >
+           std::tie(Right.m_atMs, Right.m_server, Right.m_isVoid);
+  };
+  const auto IsSameMark = [](const CrashMark &Left, const CrashMark &Right) {
+    return Left.m_atMs == Right.m_atMs && Left.m_server == Right.m_server;
+  };
+  std::sort(Marks.begin(), Marks.end(), IsNewer);
+  // Of equal marks the void one comes first and stays.
+  Marks.erase(std::unique(Marks.begin(), Marks.end(), IsSameMark), Marks.end());
+  if (Marks.size() > MaxMarks)
+    Marks.resize(MaxMarks);
+  std::sort(Marks.begin(), Marks.end(),
+            [](const CrashMark &Left, const CrashMark &Right) {
+              return std::tie(Left.m_server, Left.m_atMs) <
+                     std::tie(Right.m_server, Right.m_atMs);
+            });
+}
+
 PoisonEvidence oneFromJson(const Json::Value &Value) {
   PoisonEvidence Out;
   Out.m_fingerprint = Value["fingerprint"].asUInt64();
@@ -27,8 +71,8 @@
   if (AnsweredAtMs != NeverAnswered)
     Out.m_answeredAtMs = AnsweredAtMs;
   for (const Json::Value &Item : Value["crashes"])
-    Out.m_crashes.push_back(
-        {Item["server"].asString(), Item["at_ms"].asInt64()});
+    Out.m_crashes.push_back({Item["server"].asString(), Item["at_ms"].asInt64(),
+                             Item.get("void", false).asBool()});
   return Out;
 }
 
@@ -54,6 +98,8 @@
       Json::Value Crash;
       Crash["server"] = Mark.m_server;
       Crash["at_ms"] = Json::Int64(Mark.m_atMs);
+      if (Mark.m_isVoid)
+        Crash["void"] = true;
       Item["crashes"].append(Crash);
     }
     Out.append(Item);
@@ -78,7 +124,8 @@
   unsigned Count = 0;
   const CrashMark *Last = nullptr;
   for (const CrashMark &Mark : Evidence.m_crashes) {
-    if (Mark.m_atMs <= Oldest || Mark.m_atMs <= Evidence.m_answeredAtMs)
+    if (Mark.m_atMs <= Oldest || Mark.m_atMs <= Evidence.m_answeredAtMs ||
+        isVoid(Mark, Evidence, Policy))
       continue;
     const bool IsSame =
         Last != nullptr && Last->m_server == Mark.m_server &&
@@ -95,8 +142,7 @@
                     const PoisonPolicy &Policy) {
   PoisonVerdict Out;
   Out.m_crashes = countCrashes(Evidence, NowMs, Policy);
-  Out.m_wasAnswered =
-      Evidence.m_answeredAtMs > NowMs - Policy.m_timeToLive.count();
+  Out.m_wasAnswered = hasAnswer(Evidence, NowMs - Policy.m_timeToLive.count());
   Out.m_limit =
       Out.m_wasAnswered ? Policy.m_crashesIfAnswered : Policy.m_crashesToRefuse;
   return Out;
@@ -126,20 +172,58 @@
   Evidence.m_fingerprint = Request;
   Evidence.m_crashes.push_back({Server, NowMs});
   const std::lock_guard<std::mutex> Lock(m_mutex);
-  if (slotOf(Request).m_request == Request)
-    Evidence.m_answeredAtMs = slotOf(Request).m_atMs;
+  Evidence.m_answeredAtMs = lastAnswer(Request);
   add(Evidence, NowMs);
 }
 
-void PoisonRegistry::noteAnswered(Fingerprint Request, std::int64_t NowMs) {
+std::vector<std::string> PoisonRegistry::noteAnswered(Fingerprint Request,
+                                                      std::int64_t NowMs) {
   const std::lock_guard<std::mutex> Lock(m_mutex);
   slotOf(Request) = {Request, NowMs};
   const auto Found = m_entries.find(Request);
-  if (Found == m_entries.end() ||
-      countCrashes(Found->second, NowMs, m_policy) == 0)
-    return;
-  Found->second.m_answeredAtMs = NowMs;
+  if (Found == m_entries.end())
+    return {};
+  PoisonEvidence &Known = Found->second;
+  // What processes count that have not got this answer or an earlier one.
+  PoisonEvidence Elsewhere = Known;
+  Elsewhere.m_answeredAtMs.reset();
+  const unsigned Untold = countCrashes(Elsewhere, NowMs, m_policy);
+  if (countCrashes(Known, NowMs, m_policy) > 0) {
+    Known.m_answeredAtMs = NowMs;
+    ++m_revision;
+  }
+  if (m_policy.m_crashesToVoid == 0 || Untold < m_policy.m_crashesToVoid)
+    return {};
+  std::vector<std::string> Out;
+  for (CrashMark &Mark : Known.m_crashes) {
+    if (isVoid(Mark, Elsewhere, m_policy))
+      continue;
+    Mark.m_isVoid = true;
+    Out.push_back(Mark.m_server);
+  }
   ++m_revision;
+  return Out;
+}
+
+void PoisonRegistry::voidCrash(Fingerprint Request, const std::string &Server,
+                               std::int64_t NowMs) {
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  PoisonEvidence Evidence;
+  Evidence.m_fingerprint = Request;
+  const auto Found = m_entries.find(Request);
+  if (Found != m_entries.end())
+    for (const CrashMark &Mark : Found->second.m_crashes)
+      if (Mark.m_server == Server)
+        Evidence.m_crashes.push_back({Server, Mark.m_atMs, true});
+  if (Evidence.m_crashes.empty())
+    Evidence.m_crashes.push_back({Server, NowMs, true});
+  add(Evidence, NowMs);
+}
+
+bool PoisonRegistry::wasAnsweredAfter(Fingerprint Request,
+                                      std::int64_t SinceMs) const {
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  return lastAnswer(Request) > SinceMs;
 }
 
 std::vector<PoisonEvidence> PoisonRegistry::snapshot() const {
@@ -181,17 +265,10 @@
   std::vector<CrashMark> &Marks = Joined.m_crashes;
   Marks.insert(Marks.end(), Evidence.m_crashes.begin(),
                Evidence.m_crashes.end());
-  std::sort(Marks.begin(), Marks.end(),
-            [](const CrashMark &Left, const CrashMark &Right) {
-              return std::tie(Left.m_server, Left.m_atMs) <
-                     std::tie(Right.m_server, Right.m_atMs);
-            });
-  Marks.erase(std::unique(Marks.begin(), Marks.end()), Marks.end());
   std::erase_if(Marks, [&](const CrashMark &Mark) {
     return Mark.m_atMs <= NowMs - m_policy.m_timeToLive.count();
   });
-  if (Marks.size() > MaxMarks)
-    Marks.resize(MaxMarks);
+  normalize(Marks);
   if (Joined == Known)
     return;
   Known = std::move(Joined);
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -300,7 +300,7 @@
   if (Reply.m_result == DispatchResult::Served && !Reply.m_hasMore)
     recordAnswerTime(Request);
   if (Reply.m_result == DispatchResult::Served)
-    m_poison.noteAnswered(Request.m_fingerprint, bootMillis());
+    m_callbacks.m_onAnswered(Request.m_fingerprint);
   else
     Request.m_triedServers.push_back(Server.m_id);
 }
@@ -431,19 +431,6 @@
   return Out;
 }
 
-asio::awaitable<void> EdgeServer::checkForCrash(std::uint64_t Fingerprint,
-                                                ServerEntry Server) {
-  const bool IsDown = co_await m_upstreamClient.isDown(Server.m_address);
-  m_log.writeRequest("server-broke-off",
-                     {{"server", Server.m_id},
-                      {"address", Server.m_address},
-                      {"is_down", IsDown},
-                      {"fingerprint", std::to_string(Fingerprint)}});
-  // A host that is cut off cannot tell whether a server has ended.
-  if (IsDown && !m_contacts.isSuspected())
-    m_callbacks.m_onCrash(Fingerprint, Server);
-}
-
 asio::awaitable<void>
 EdgeServer::forwardReply(SessionPtr Client,
                          std::shared_ptr<ClientRequest> Request,
--- a/src/edge/gateway-host-crashes.cc
+++ b/src/edge/gateway-host-crashes.cc
@@ -17,29 +17,48 @@
 void GatewayHost::logCrash(const CrashMessage &Message, bool IsOwn) {
   const PoisonVerdict Verdict =
       m_poison.verdict(Message.m_fingerprint, bootMillis());
-  if (Verdict.m_crashes < MinLoggedCrashes)
+  if (Verdict.m_crashes < MinLoggedCrashes && !Message.m_isVoid)
     return;
   m_log.write("crash-counted",
               {{"fingerprint", std::to_string(Message.m_fingerprint)},
                {"server", Message.m_server},
                {"own", IsOwn},
+               {"void", Message.m_isVoid},
                {"crashes", Verdict.m_crashes},
                {"limit", Verdict.m_limit},
                {"answered", Verdict.m_wasAnswered}});
 }
 
-void GatewayHost::handleCrash(const CrashMessage &Message, bool IsOwn) {
+bool GatewayHost::isNews(const CrashMessage &Message) {
   if (m_seenCrashes.size() >= MaxSeenCrashes)
     m_seenCrashes.clear();
-  // Each host sends a report on only once.
-  if (!m_seenCrashes.emplace(Message.m_fingerprint, Message.m_server).second)
+  const auto [Seen, IsNew] = m_seenCrashes.try_emplace(
+      {Message.m_fingerprint, Message.m_server}, Message.m_isVoid);
+  const bool IsChange = Message.m_isVoid && !Seen->second;
+  Seen->second = Seen->second || Message.m_isVoid;
+  return IsNew || IsChange;
+}
+
+void GatewayHost::handleCrash(const CrashMessage &Message, bool IsOwn) {
+  // Each host sends a message on only once.
+  if (!isNews(Message))
     return;
-  m_poison.noteCrash(Message.m_fingerprint, Message.m_server, bootMillis());
-  m_metrics.count("server_crashes_seen");
+  const std::int64_t Now = bootMillis();
+  if (Message.m_isVoid)
+    m_poison.voidCrash(Message.m_fingerprint, Message.m_server, Now);
+  else
+    m_poison.noteCrash(Message.m_fingerprint, Message.m_server, Now);
+  m_metrics.count(Message.m_isVoid ? "server_crashes_void"
+                                   : "server_crashes_seen");
   logCrash(Message, IsOwn);
   if (IsOwn)
     m_network.sendToCandidates(Message);
   m_network.sendToFollowers(Message);
 }
 
+void GatewayHost::handleAnswered(Fingerprint Request) {
+  for (std::string &Server : m_poison.noteAnswered(Request, bootMillis()))
+    handleCrash({Request, std::move(Server), true}, true);
+}
+
 } // namespace tamarackdrum::gateway
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -16,6 +16,8 @@
 /// Crashes after which a request is refused. The requirements allow a request
 /// to crash three servers.
 constexpr unsigned CrashesToRefuse = 3;
+/// Other hosts learn of an answer before they refuse its request.
+constexpr unsigned CrashesToVoid = CrashesToRefuse - 1;
 /// Bodies may take the process's memory divided by this. Without bodies, a
 /// process needs less than half of its memory.
 constexpr std::size_t BodyMemoryDivisor = 4;
@@ -29,6 +31,9 @@
 PoisonPolicy poisonPolicy() {
   PoisonPolicy Out;
   Out.m_crashesToRefuse = CrashesToRefuse;
+  Out.m_crashesToVoid = CrashesToVoid;
+  // A report names the start of the server process, which ends only once.
+  Out.m_sameCrash = Out.m_timeToLive;
   return Out;
 }
 
@@ -153,9 +158,12 @@
     handleLeaving({Server.m_id, Server.m_startMs}, true);
   };
   Out.m_onCrash = [this](std::uint64_t Fingerprint, const ServerEntry &Server) {
-    handleCrash(
-        {Fingerprint, Server.m_id + "@" + std::to_string(Server.m_startMs)},
-        true);
+    handleCrash({Fingerprint,
+                 Server.m_id + "@" + std::to_string(Server.m_startMs), false},
+                true);
+  };
+  Out.m_onAnswered = [this](std::uint64_t Fingerprint) {
+    handleAnswered(Fingerprint);
   };
   return Out;
 }
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -470,12 +470,16 @@
 }
 
 Json pack(const CrashMessage &Value) {
-  return packArray(Value.m_fingerprint, Value.m_server);
+  Json Out = packArray(Value.m_fingerprint, Value.m_server);
+  if (Value.m_isVoid)
+    Out.push_back(true);
+  return Out;
 }
 
 void read(ArrayReader In, CrashMessage &Out) {
   Out.m_fingerprint = In.take<std::uint64_t>();
   Out.m_server = In.take<std::string>();
+  Out.m_isVoid = In.hasNext() && In.take<bool>();
 }
 
 Json pack(const FollowMessage &Value) { return packArray(Value.m_isFollowing); }
--- a/test/core/poison-test.cc
+++ b/test/core/poison-test.cc
@@ -62,6 +62,43 @@
   EXPECT_FALSE(m_registry.isPoisoned(Innocent, SoonMs + 2));
 }
 
+TEST_F(PoisonTest, Answer_AfterTwoCrashes_VoidsThemForOthersOnce) {
+  m_policy.m_crashesToVoid = 2;
+  PoisonRegistry Own(m_policy);
+  Own.noteCrash(Innocent, "s1", NowMs);
+  EXPECT_TRUE(Own.noteAnswered(Innocent, NowMs + 1).empty());
+  Own.noteCrash(Innocent, "s2", NowMs + 2);
+  EXPECT_EQ(Own.noteAnswered(Innocent, NowMs + 3),
+            (std::vector<std::string>{"s1", "s2"}));
+  EXPECT_TRUE(Own.noteAnswered(Innocent, NowMs + 4).empty());
+  Own.noteCrash(Innocent, "s3", NowMs + 5);
+  EXPECT_TRUE(Own.noteAnswered(Innocent, NowMs + 6).empty());
+}
+
+// The report may arrive after the message that voids it.
+TEST_F(PoisonTest, VoidCrash_BeforeOrAfterItsReport_DoesNotCount) {
+  m_registry.noteCrash(Innocent, "s1", NowMs);
+  m_registry.noteCrash(Innocent, "s2", NowMs);
+  m_registry.noteCrash(Innocent, "s3", NowMs);
+  EXPECT_TRUE(m_registry.isPoisoned(Innocent, NowMs));
+  m_registry.voidCrash(Innocent, "s1", NowMs + 1);
+  m_registry.voidCrash(Innocent, "s2", NowMs + 1);
+  m_registry.voidCrash(Innocent, "s4", NowMs + 1);
+  m_registry.noteCrash(Innocent, "s4", NowMs + 2);
+  EXPECT_EQ(m_registry.verdict(Innocent, NowMs + 2),
+            (PoisonVerdict{1, m_policy.m_crashesIfAnswered, true}));
+}
+
+TEST_F(PoisonTest, Crashes_MoreThanAreKept_TheLatestCount) {
+  for (int Crash = 0; Crash < 40; ++Crash) {
+    m_registry.noteCrash(Innocent, "a" + std::to_string(Crash), NowMs + Crash);
+    m_registry.noteAnswered(Innocent, NowMs + Crash);
+  }
+  for (int Crash = 0; Crash < 4; ++Crash)
+    m_registry.noteCrash(Innocent, "z" + std::to_string(Crash), NowMs + 100);
+  EXPECT_TRUE(m_registry.isPoisoned(Innocent, NowMs + 100));
+}
+
 TEST_F(PoisonTest, Evidence_OverItsTimeToLive_IsForgotten) {
   m_registry.noteCrash(Poison, "s1", NowMs);
   m_registry.noteCrash(Poison, "s2", NowMs);
@@ -84,6 +121,7 @@
   m_registry.noteCrash(Poison, "s1", NowMs);
   m_registry.noteCrash(~Fingerprint(0), "s2", NowMs);
   m_registry.noteAnswered(Poison, NowMs + 1);
+  m_registry.voidCrash(Innocent, "s1", NowMs);
   const std::vector<PoisonEvidence> Sent = m_registry.snapshot();
   EXPECT_EQ(evidenceFromJson(toJson(Sent)).value(), Sent);
   Json::Value Bad(Json::arrayValue);
@@ -99,10 +137,14 @@
     for (int Note = 0; Note < 3; ++Note) {
       const Fingerprint Request = *rc::gen::inRange<Fingerprint>(1, 4);
       const std::int64_t At = NowMs + *rc::gen::inRange(0, 9000);
-      if (*rc::gen::inRange(0, 3) == 0)
+      const char *Server = *rc::gen::element("s1", "s2", "s3");
+      const int Kind = *rc::gen::inRange(0, 4);
+      if (Kind == 0)
         Source.noteAnswered(Request, At);
+      else if (Kind == 1)
+        Source.voidCrash(Request, Server, At);
       else
-        Source.noteCrash(Request, *rc::gen::element("s1", "s2", "s3"), At);
+        Source.noteCrash(Request, Server, At);
     }
     Out.push_back(Source.snapshot());
   }
--- /dev/null
+++ b/test/gateway/crash-report-test.cc
@@ -0,0 +1,136 @@
+// Servers that crash under requests: which requests hosts refuse afterwards.
+// The same reports reach all hosts for a request that crashes servers and for
+// one that ran beside its crashes.
+
+#include "gateway-host-fixture.h"
+
+namespace tamarackdrum::gateway {
+namespace {
+
+using namespace test;
+
+constexpr int HostCount = 3;
+/// More than any host needs to refuse a request.
+constexpr int ManyCrashes = 6;
+constexpr unsigned AllowedCrashes = 3;
+
+/// Three hosts, and servers that crash while they run chosen requests. Each is
+/// replaced by another one at once.
+class CrashReportTest : public GatewayHostTest {
+protected:
+  CrashReportTest() {
+    for (int I = 0; I < 2; ++I)
+      setScript(m_web[I], I == 0 ? "web-0" : "web-1");
+  }
+
+  void setScript(ScriptedServer &Server, const std::string &Id) {
+    Server.m_script =
+        [this, &Server,
+         Id](ScriptedServer::Stream &To,
+             const ReceivedRequest &Seen) -> asio::awaitable<bool> {
+      if (m_crashing.count(Seen.m_target) == 0)
+        co_return co_await ScriptedServer::answerOk(To, Seen);
+      if (m_crashed.insert(Id).second) {
+        ++m_crashes[Seen.m_target];
+        Server.crash();
+        replace(Id);
+      }
+      co_return false;
+    };
+  }
+
+  void replace(const std::string &Id) {
+    std::erase_if(m_store.m_servers,
+                  [&Id](const ServerRow &Row) { return Row.m_id == Id; });
+    const std::string Next = "web-" + std::to_string(2 + m_crashed.size());
+    m_added.push_back(std::make_unique<ScriptedServer>(m_context));
+    setScript(*m_added.back(), Next);
+    addServer(*m_added.back(), Next.c_str(), "web");
+  }
+
+  /// Sends an unsafe request, which is not sent again.
+  unsigned statusOf(const std::string &Target, int Host) {
+    return send(post(Target, "body"), Host).m_status;
+  }
+
+  /// Lets a server crash under a request for \p Target.
+  void crashUnder(const std::string &Target, int Host) {
+    m_crashing.insert(Target);
+    EXPECT_EQ(statusOf(Target, Host), 502U);
+    m_crashing.erase(Target);
+  }
+
+  /// Returns a counter of the host's metrics.
+  std::string counter(const std::string &Name, int Host) {
+    const std::string Start = "\ntamarack_gateway_" + Name + " ";
+    const std::string Text =
+        send(get("/metrics"), m_metricsAddresses[Host]).m_body;
+    const std::size_t Found = Text.find(Start);
+    if (Found == std::string::npos)
+      return "0";
+    const std::size_t Begin = Found + Start.size();
+    return Text.substr(Begin, Text.find('\n', Begin) - Begin);
+  }
+
+  /// Waits until all hosts have counted \p Count crashes.
+  void awaitReports(std::size_t Count) {
+    for (int Host = 0; Host < HostCount; ++Host)
+      EXPECT_TRUE(runUntil([this, Host, Count] {
+        return counter("server_crashes_seen", Host) == std::to_string(Count);
+      })) << "host "
+          << Host;
+  }
+
+  std::set<std::string> m_crashing;          ///< Targets that crash servers.
+  std::set<std::string> m_crashed;           ///< Ids of servers.
+  std::map<std::string, unsigned> m_crashes; ///< Servers, by target.
+  std::vector<std::unique_ptr<ScriptedServer>> m_added;
+};
+
+// Guards against hosts that refuse for minutes what another host serves, since
+// they have heard of the crashes and not of the answers.
+TEST_F(CrashReportTest, OneHostAnswersBetweenCrashes_OtherHosts_ServeThePage) {
+  startAll(HostCount);
+  for (int Crash = 1; Crash <= ManyCrashes; ++Crash) {
+    crashUnder("/pay/page", 0);
+    awaitReports(Crash);
+    EXPECT_EQ(statusOf("/pay/page", 0), 200U);
+  }
+  for (int Host = 1; Host < HostCount; ++Host) {
+    EXPECT_TRUE(
+        runUntil([this, Host] { return statusOf("/pay/page", Host) == 200U; }));
+    for (int I = 0; I < 5; ++I)
+      EXPECT_EQ(statusOf("/pay/page", Host), 200U);
+  }
+}
+
+// The other side of the same reports.
+TEST_F(CrashReportTest,
+       RequestCrashesEachServer_AtAnyHost_IsRefusedAfterThree) {
+  startAll(HostCount);
+  m_crashing.insert("/pay/poison");
+  for (int I = 0; I < 4 * HostCount; ++I) {
+    EXPECT_EQ(statusOf("/pay/poison", I % HostCount), 502U);
+    awaitReports(m_crashes["/pay/poison"]);
+  }
+  EXPECT_EQ(m_crashes["/pay/poison"], AllowedCrashes);
+}
+
+TEST_F(CrashReportTest,
+       PageBesideACrashingRequest_AtAnyHost_OnlyThatIsRefused) {
+  startAll(HostCount);
+  for (int Crash = 1; Crash <= ManyCrashes; ++Crash) {
+    crashUnder("/pay/page", Crash % HostCount);
+    m_crashing.insert("/pay/poison");
+    EXPECT_EQ(statusOf("/pay/poison", Crash % HostCount), 502U);
+    m_crashing.erase("/pay/poison");
+    awaitReports(Crash + m_crashes["/pay/poison"]);
+    EXPECT_EQ(statusOf("/pay/page", (Crash + 1) % HostCount), 200U);
+  }
+  EXPECT_EQ(m_crashes["/pay/poison"], AllowedCrashes);
+  for (int Host = 0; Host < HostCount; ++Host)
+    EXPECT_EQ(statusOf("/pay/page", Host), 200U);
+}
+
+} // namespace
+} // namespace tamarackdrum::gateway
--- a/test/gateway/fake-platform.h
+++ b/test/gateway/fake-platform.h
@@ -15,6 +15,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <set>
 #include <thread>
 
 namespace tamarackdrum::gateway::test {
@@ -160,6 +161,13 @@
     return Out;
   }
 
+  /// Closes all connections and refuses new ones from now on.
+  void crash() {
+    m_acceptor.close();
+    for (Stream *Item : m_streams)
+      Item->close();
+  }
+
   Script m_script = answerOk;
   std::vector<ReceivedRequest> m_requests;
   std::size_t m_connections = 0;
@@ -207,6 +215,12 @@
 
   asio::awaitable<void> serve(asio::ip::tcp::socket Socket) {
     Stream Peer(std::move(Socket));
+    m_streams.insert(&Peer);
+    co_await serveRequests(Peer);
+    m_streams.erase(&Peer);
+  }
+
+  asio::awaitable<void> serveRequests(Stream &Peer) {
     boost::beast::flat_buffer Buffer;
     while (true) {
       http::request_parser<http::string_body> Parser;
@@ -231,6 +245,7 @@
 
   asio::io_context &m_context;
   asio::ip::tcp::acceptor m_acceptor;
+  std::set<Stream *> m_streams;
 };
 
 } // namespace tamarackdrum::gateway::test
