Count a failure that a server answers with as an answer

What callers would see: a page that servers answer with 500 was refused with 502 "crashes servers" by all hosts, also those that had got the 500, after servers had crashed beside it.

Cause: only successes voided crashes. A server that answers with a failure has run the request and lives.

Change: whole answers of both kinds void the crashes before them. Refusals ("not run"), timeouts and broken connections still do not.

Test: CrashReportTest.ServersAnswer500BetweenCrashes_AnyHost_PassesItOn, which fails with the change taken out.

--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -299,9 +299,11 @@
   // A server that fails may do so at once.
   if (Reply.m_result == DispatchResult::Served && !Reply.m_hasMore)
     recordAnswerTime(Request);
-  if (Reply.m_result == DispatchResult::Served)
+  // Also a server that answers with a failure has not crashed.
+  if (Reply.m_result == DispatchResult::Served ||
+      Reply.m_result == DispatchResult::Failed)
     m_callbacks.m_onAnswered(Request.m_fingerprint);
-  else
+  if (Reply.m_result != DispatchResult::Served)
     Request.m_triedServers.push_back(Server.m_id);
 }
 
--- a/test/gateway/crash-report-test.cc
+++ b/test/gateway/crash-report-test.cc
@@ -13,6 +13,8 @@
 /// More than any host needs to refuse a request.
 constexpr int ManyCrashes = 6;
 constexpr unsigned AllowedCrashes = 3;
+/// Answered with 500.
+constexpr const char *FailingTarget = "/pay/failing";
 
 /// Three hosts, and servers that crash while they run chosen requests. Each is
 /// replaced by another one at once.
@@ -29,7 +31,7 @@
          Id](ScriptedServer::Stream &To,
              const ReceivedRequest &Seen) -> asio::awaitable<bool> {
       if (m_crashing.count(Seen.m_target) == 0)
-        co_return co_await ScriptedServer::answerOk(To, Seen);
+        co_return co_await answer(To, Seen);
       if (m_crashed.insert(Id).second) {
         ++m_crashes[Seen.m_target];
         Server.crash();
@@ -39,6 +41,16 @@
     };
   }
 
+  static asio::awaitable<bool> answer(ScriptedServer::Stream &To,
+                                      const ReceivedRequest &Seen) {
+    if (Seen.m_target != FailingTarget)
+      co_return co_await ScriptedServer::answerOk(To, Seen);
+    std::string Text("HTTP/1.1 500 Failed\r\nTest-Id: ");
+    Text += Seen.m_id;
+    Text += "\r\nContent-Length: 0\r\n\r\n";
+    co_return co_await ScriptedServer::send(To, std::move(Text));
+  }
+
   void replace(const std::string &Id) {
     std::erase_if(m_store.m_servers,
                   [&Id](const ServerRow &Row) { return Row.m_id == Id; });
@@ -104,6 +116,20 @@
   }
 }
 
+// Guards against counting a failure that a server answers with like a crash:
+// the server has run the request and lives on.
+TEST_F(CrashReportTest, ServersAnswer500BetweenCrashes_AnyHost_PassesItOn) {
+  startAll(HostCount);
+  for (int Crash = 1; Crash <= ManyCrashes; ++Crash) {
+    crashUnder(FailingTarget, 0);
+    awaitReports(Crash);
+    EXPECT_EQ(statusOf(FailingTarget, 0), 500U);
+  }
+  for (int Host = 0; Host < HostCount; ++Host)
+    EXPECT_TRUE(runUntil(
+        [this, Host] { return statusOf(FailingTarget, Host) == 500U; }));
+}
+
 // The other side of the same reports.
 TEST_F(CrashReportTest,
        RequestCrashesEachServer_AtAnyHost_IsRefusedAfterThree) {
