Take an answer for one only when it is whole

What callers would see: a request under which servers crash after the beginning of a long answer crashed every server that it was sent to, without end.

Cause: the head of an answer voided the crashes before it, and a connection that broke later was not looked at.

Change: an answer counts at its end; one that the server breaks off is looked at like a connection that breaks before the answer.

Test: CrashReportTest.ServersCrashWithinTheirAnswer_AnyHost_RefusesAfterThree, which fails with the change taken out.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -171,7 +171,8 @@
   /// Answers a request that no server has served.
   boost::asio::awaitable<void>
   answerUnserved(SessionPtr Client, std::shared_ptr<ClientRequest> Request);
-  /// Sends the answer of a server to the client.
+  /// Sends the answer of a server to the client. \p Reply has the result
+  /// ConnectionLost if the server breaks it off.
   boost::asio::awaitable<void>
   forwardReply(SessionPtr Client, std::shared_ptr<ClientRequest> Request,
                UpstreamReply &Reply);
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -207,6 +207,8 @@
   recordReply(*Request, Chosen, Reply, SentBytes);
   if (Reply.m_result == DispatchResult::Served) {
     co_await forwardReply(Client, Request, Reply);
+    if (Reply.m_result == DispatchResult::ConnectionLost)
+      co_await checkForCrash(Request->m_fingerprint, Chosen);
     co_return false;
   }
   if (Reply.m_result == DispatchResult::NotHeld && Request->m_key) {
@@ -300,8 +302,9 @@
   if (Reply.m_result == DispatchResult::Served && !Reply.m_hasMore)
     recordAnswerTime(Request);
   // Also a server that answers with a failure has not crashed.
-  if (Reply.m_result == DispatchResult::Served ||
-      Reply.m_result == DispatchResult::Failed)
+  const bool IsAnswer = Reply.m_result == DispatchResult::Served ||
+                        Reply.m_result == DispatchResult::Failed;
+  if (IsAnswer && !Reply.m_hasMore)
     m_callbacks.m_onAnswered(Request.m_fingerprint);
   if (Reply.m_result != DispatchResult::Served)
     Request.m_triedServers.push_back(Server.m_id);
@@ -458,6 +461,8 @@
   while (IsSent && Reply.m_hasMore) {
     Result<std::string> Piece = co_await m_upstreamClient.readMore(Reply);
     if (!Piece) {
+      if (Piece.error() == HttpErrc::ReplyTorn)
+        Reply.m_result = DispatchResult::ConnectionLost;
       // Closing the connection without the end of the body lets the client
       // detect the truncated answer.
       recordOutcome(*Request, Status, "torn answer");
@@ -472,6 +477,7 @@
     }
     if (IsLast) {
       recordAnswerTime(*Request);
+      m_callbacks.m_onAnswered(Request->m_fingerprint);
       break;
     }
     std::string Bytes =
--- a/test/gateway/crash-report-test.cc
+++ b/test/gateway/crash-report-test.cc
@@ -15,6 +15,8 @@
 constexpr unsigned AllowedCrashes = 3;
 /// Answered with 500.
 constexpr const char *FailingTarget = "/pay/failing";
+/// Its answer begins before the server crashes.
+constexpr const char *LongTarget = "/pay/long";
 
 /// Three hosts, and servers that crash while they run chosen requests. Each is
 /// replaced by another one at once.
@@ -32,6 +34,8 @@
              const ReceivedRequest &Seen) -> asio::awaitable<bool> {
       if (m_crashing.count(Seen.m_target) == 0)
         co_return co_await answer(To, Seen);
+      if (Seen.m_target == LongTarget)
+        co_await sendPart(To, Seen.m_id);
       if (m_crashed.insert(Id).second) {
         ++m_crashes[Seen.m_target];
         Server.crash();
@@ -51,6 +55,15 @@
     co_return co_await ScriptedServer::send(To, std::move(Text));
   }
 
+  /// Sends more of an answer than a host buffers, but not its end.
+  static asio::awaitable<void> sendPart(ScriptedServer::Stream &To,
+                                        const std::string &Id) {
+    std::string Text =
+        ScriptedServer::okResponse(Id, std::string(1U << 20U, 'x'));
+    Text.pop_back();
+    co_await ScriptedServer::send(To, std::move(Text));
+  }
+
   void replace(const std::string &Id) {
     std::erase_if(m_store.m_servers,
                   [&Id](const ServerRow &Row) { return Row.m_id == Id; });
@@ -142,6 +155,20 @@
   EXPECT_EQ(m_crashes["/pay/poison"], AllowedCrashes);
 }
 
+// Guards against taking the beginning of an answer for the whole: a server that
+// crashes later would not be counted.
+TEST_F(CrashReportTest,
+       ServersCrashWithinTheirAnswer_AnyHost_RefusesAfterThree) {
+  startAll(HostCount);
+  m_crashing.insert(LongTarget);
+  for (int I = 0; I < 4 * HostCount; ++I) {
+    EXPECT_FALSE(send(post(LongTarget, "body"), I % HostCount).m_isWhole &&
+                 m_crashes[LongTarget] < AllowedCrashes);
+    awaitReports(m_crashes[LongTarget]);
+  }
+  EXPECT_EQ(m_crashes[LongTarget], AllowedCrashes);
+}
+
 TEST_F(CrashReportTest,
        PageBesideACrashingRequest_AtAnyHost_OnlyThatIsRefused) {
   startAll(HostCount);
