Tell hosts that start later which requests crash servers

What callers would see: each host that started after a request had been refused let it crash three more servers.

Change: a host tells a new follower of the requests with two crashes or more, void or not, with the age of each. A host whose link was down learns in the same way what it has missed. At most some 256 reports are sent.

Versions side by side: the age is a fourth element that hosts of before ignore.

Test: CrashReportTest.HostStartsAfterTheCrashes_CrashingRequest_IsRefusedThere, which fails with the change taken out.

--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -109,6 +109,9 @@
   /// Notes that a request was answered, and tells the other hosts which crashes
   /// do not count against it.
   void handleAnswered(Fingerprint Request);
+  /// Tells a new follower of the requests that are or may soon be refused: the
+  /// reports came before it did.
+  void sendCrashes(std::uint32_t Link);
   /// Logs what the crashes of a request amount to.
   void logCrash(const CrashMessage &Message, bool IsOwn);
   /// Handles a message about a relayed request. Returns whether it is one.
--- a/include/tamarackdrum/gateway/peer-message.h
+++ b/include/tamarackdrum/gateway/peer-message.h
@@ -171,6 +171,7 @@
   /// A process that does not know this field takes the message for a copy of
   /// the one that reported the crash.
   bool m_isVoid = false;
+  Millis m_age{0}; ///< Since the crash, if it is reported once more.
 
   bool operator==(const CrashMessage &) const = default;
 };
--- a/src/edge/gateway-host-crashes.cc
+++ b/src/edge/gateway-host-crashes.cc
@@ -11,6 +11,10 @@
 /// Crashes of one request from which on they are logged: a single one is in the
 /// log of the host that saw it.
 constexpr unsigned MinLoggedCrashes = 2;
+/// Crashes of one request from which on new followers are told of them.
+constexpr std::size_t MinToldCrashes = 2;
+/// Reports to a new follower after which no further request is begun.
+constexpr std::size_t MaxToldCrashes = 256;
 
 } // namespace
 
@@ -43,11 +47,11 @@
   // Each host sends a message on only once.
   if (!isNews(Message))
     return;
-  const std::int64_t Now = bootMillis();
+  const std::int64_t CrashedAt = bootMillis() - Message.m_age.count();
   if (Message.m_isVoid)
-    m_poison.voidCrash(Message.m_fingerprint, Message.m_server, Now);
+    m_poison.voidCrash(Message.m_fingerprint, Message.m_server, CrashedAt);
   else
-    m_poison.noteCrash(Message.m_fingerprint, Message.m_server, Now);
+    m_poison.noteCrash(Message.m_fingerprint, Message.m_server, CrashedAt);
   m_metrics.count(Message.m_isVoid ? "server_crashes_void"
                                    : "server_crashes_seen");
   logCrash(Message, IsOwn);
@@ -58,7 +62,21 @@
 
 void GatewayHost::handleAnswered(Fingerprint Request) {
   for (std::string &Server : m_poison.noteAnswered(Request, bootMillis()))
-    handleCrash({Request, std::move(Server), true}, true);
+    handleCrash({Request, std::move(Server), true, Millis(0)}, true);
+}
+
+void GatewayHost::sendCrashes(std::uint32_t Link) {
+  const std::int64_t Now = bootMillis();
+  std::size_t Sent = 0;
+  for (const PoisonEvidence &Item : m_poison.snapshot()) {
+    if (Item.m_crashes.size() < MinToldCrashes || Sent >= MaxToldCrashes)
+      continue;
+    for (const CrashMark &Mark : Item.m_crashes)
+      m_network.reply(Link,
+                      CrashMessage{Item.m_fingerprint, Mark.m_server,
+                                   Mark.m_isVoid, Millis(Now - Mark.m_atMs)});
+    Sent += Item.m_crashes.size();
+  }
 }
 
 } // namespace tamarackdrum::gateway
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -101,6 +101,7 @@
     onServers(Change);
   };
   Out.m_onFollower = [this](std::uint32_t Link) {
+    sendCrashes(Link);
     for (const auto &[Service, Feed] : m_followerFeeds)
       if (Feed.lastSent().version() > 0)
         m_network.reply(Link,
@@ -159,7 +160,8 @@
   };
   Out.m_onCrash = [this](std::uint64_t Fingerprint, const ServerEntry &Server) {
     handleCrash({Fingerprint,
-                 Server.m_id + "@" + std::to_string(Server.m_startMs), false},
+                 Server.m_id + "@" + std::to_string(Server.m_startMs), false,
+                 Millis(0)},
                 true);
   };
   Out.m_onAnswered = [this](std::uint64_t Fingerprint) {
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -471,8 +471,11 @@
 
 Json pack(const CrashMessage &Value) {
   Json Out = packArray(Value.m_fingerprint, Value.m_server);
-  if (Value.m_isVoid)
-    Out.push_back(true);
+  const bool IsOld = Value.m_age > Millis(0);
+  if (Value.m_isVoid || IsOld)
+    Out.push_back(Value.m_isVoid);
+  if (IsOld)
+    Out.push_back(Value.m_age.count());
   return Out;
 }
 
@@ -480,6 +483,11 @@
   Out.m_fingerprint = In.take<std::uint64_t>();
   Out.m_server = In.take<std::string>();
   Out.m_isVoid = In.hasNext() && In.take<bool>();
+  if (!In.hasNext())
+    return;
+  Out.m_age = In.takeMillis();
+  if (Out.m_age < Millis(0))
+    throw std::invalid_argument("crash in the future");
 }
 
 Json pack(const FollowMessage &Value) { return packArray(Value.m_isFollowing); }
--- a/test/gateway/crash-report-test.cc
+++ b/test/gateway/crash-report-test.cc
@@ -169,6 +169,26 @@
   EXPECT_EQ(m_crashes[LongTarget], AllowedCrashes);
 }
 
+// Guards against a request that crashes three more servers for each host that
+// starts after it was refused.
+TEST_F(CrashReportTest,
+       HostStartsAfterTheCrashes_CrashingRequest_IsRefusedThere) {
+  startAll(HostCount);
+  for (unsigned Crash = 1; Crash <= AllowedCrashes; ++Crash) {
+    crashUnder("/pay/poison", 0);
+    awaitReports(Crash);
+  }
+  m_crashing.insert("/pay/poison");
+  const GatewayHost &Late = addHost(HostCount);
+  ASSERT_TRUE(runUntil([&Late] { return Late.isReady(); }));
+  EXPECT_TRUE(runUntil([this] {
+    return counter("server_crashes_seen", HostCount) ==
+           std::to_string(AllowedCrashes);
+  }));
+  EXPECT_EQ(statusOf("/pay/poison", HostCount), 502U);
+  EXPECT_EQ(m_crashes["/pay/poison"], AllowedCrashes);
+}
+
 TEST_F(CrashReportTest,
        PageBesideACrashingRequest_AtAnyHost_OnlyThatIsRefused) {
   startAll(HostCount);
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -50,8 +50,9 @@
           StateMessage{"{}", {Server}, {}},
           StateMessage{"{}", {Server}, {{1, 12}, {"zone-a", "zone-b"}}},
           EvacuationsMessage{{{0, 7}, {}}},
-          CrashMessage{~0ULL, "s-1@5", false},
-          CrashMessage{~0ULL, "s-1@5", true},
+          CrashMessage{~0ULL, "s-1@5", false, Millis(0)},
+          CrashMessage{~0ULL, "s-1@5", true, Millis(0)},
+          CrashMessage{~0ULL, "s-1@5", false, Millis(70000)},
           RelayMessage{9, "s-1", "GET / HTTP/1.1\r\n\r\n",
                        std::string{'\xff', '\0', 'x'}, "id", true, false,
                        Millis(700)},
@@ -132,6 +133,13 @@
   EXPECT_FALSE(decode(Buffer));
 }
 
+TEST(PeerMessageTest, Decode_NegativeAgeOfCrash_IsMalformed) {
+  std::string Buffer;
+  encode(CrashMessage{7, "s-1@5", false, Millis(8)}, Buffer);
+  Buffer.back() = '\xff'; // The age of 8 ms becomes -1 ms.
+  EXPECT_FALSE(decode(Buffer));
+}
+
 TEST(PeerMessageTest, Decode_LengthTooLarge_IsMalformed) {
   std::string Buffer = "\xff\xff\xff\xff";
   EXPECT_FALSE(decode(Buffer));
--- a/test/gateway/wire-compatibility-test.cc
+++ b/test/gateway/wire-compatibility-test.cc
@@ -163,7 +163,7 @@
              "0000003d93050b93a27b7d9199a27331a463617274ab31302e312e302e313a38"
              "30a27a610cc3cf0000019ae646f065ce00011170cd012c93025a92a27a62a27a"
              "63"},
-            {CrashMessage{~0ULL, "s8@5", false},
+            {CrashMessage{~0ULL, "s8@5", false, Millis(0)},
              "0000001293050c92cfffffffffffffffffa473384035"},
             {ListingMessage{30,
                             20,
@@ -328,12 +328,12 @@
 // seen the crash, so that the message tells it nothing new.
 TEST_F(WireCompatibilityTest, Encode_VoidCrash_BeginsLikeTheCrash) {
   std::string Bytes;
-  encode(CrashMessage{~0ULL, "s8@5", true}, Bytes);
+  encode(CrashMessage{~0ULL, "s8@5", true, Millis(0)}, Bytes);
   EXPECT_EQ(toHex(Bytes), "0000001393050c93cfffffffffffffffffa473384035c3");
   const Result<std::vector<PeerMessage>> Decoded = decode(Bytes);
   ASSERT_TRUE(Decoded);
   EXPECT_TRUE(Decoded.value().front() ==
-              PeerMessage(CrashMessage{~0ULL, "s8@5", true}));
+              PeerMessage(CrashMessage{~0ULL, "s8@5", true, Millis(0)}));
 }
 
 // A later version may name reasons that this one does not know.
