Try a refused request once after a time without crashes

What callers would see: if all requests for a page that are under way are lost in one outage of three servers (four, where it was answered before), every host refuses it for ten minutes: only an answer would end that, and none can come.

Change: 10 s after the last crash one host sends one such request. The hosts take turns 5 s apart, in an order that depends on the request. An answer ends the refusal everywhere; a crash 10 s or more after the verdict is that of a trial, and there is no further one.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -84,6 +84,8 @@
     std::function<void(std::uint64_t Fingerprint, const ServerEntry &)>
         m_onCrash;
     std::function<void(std::uint64_t Fingerprint)> m_onAnswered;
+    /// Returns whether a request that is refused for its crashes may be sent.
+    std::function<bool(std::uint64_t Fingerprint)> m_mayTry;
     std::function<void(const ServerEntry &)> m_onLeaving;
   };
 
@@ -182,6 +184,9 @@
              unsigned Status, std::string_view Reason, Millis RetryAfter);
   /// Returns whether all bytes were sent.
   boost::asio::awaitable<bool> write(SessionPtr Client, std::string Bytes);
+  /// Returns whether a request is refused since servers have crashed under it,
+  /// and this is not a trial.
+  bool isSuspected(const ClientRequest &Request);
   /// Reports a crash if \p Server accepts no new connection, unless the request
   /// has been answered since its connection broke.
   boost::asio::awaitable<void> checkForCrash(std::uint64_t Fingerprint,
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -36,6 +36,12 @@
   /// Least time between two key maps sent to followers, which need them only if
   /// they have to dispatch by themselves.
   Millis m_keyMapInterval{1000};
+  /// Time since the last crash under a refused request after which the first
+  /// host may send it once more, to find out whether it crashes servers.
+  Millis m_trialDelay{10000};
+  /// Time by which the next host waits longer: a crash is reported to it within
+  /// the time that a request may take.
+  Millis m_trialStep{5000};
   FeedPolicy m_feed;
   EdgePolicy m_edge;
   AdmissionPolicy m_admission;
@@ -112,6 +118,9 @@
   /// Tells a new follower of the requests that are or may soon be refused: the
   /// reports came before it did.
   void sendCrashes(std::uint32_t Link);
+  /// Returns whether this host may send a refused request once more. The hosts
+  /// take turns, in another order for each request.
+  bool mayTry(Fingerprint Request);
   /// Logs what the crashes of a request amount to.
   void logCrash(const CrashMessage &Message, bool IsOwn);
   /// Handles a message about a relayed request. Returns whether it is one.
--- a/include/tamarackdrum/poison.h
+++ b/include/tamarackdrum/poison.h
@@ -57,6 +57,9 @@
   /// An answer after a single crash, the usual case, need not be told.
   unsigned m_crashesToVoid = 0;
   Millis m_sameCrash{2000}; ///< Marks of a server this close are one crash.
+  /// Time without a crash after which a single refused request is sent, to find
+  /// out whether it crashes servers; 0: never.
+  Millis m_trialDelay{0};
   Millis m_timeToLive{600000};
   std::size_t m_maxEntries = 4096;
   std::size_t m_answeredSlots = 16384; ///< Answers remembered at most.
@@ -64,7 +67,12 @@
   bool operator==(const PoisonPolicy &) const = default;
 };
 
-/// Returns the number of crashes of \p Evidence that count at \p NowMs.
+/// Returns the times of the crashes of \p Evidence that count at \p NowMs.
+std::vector<std::int64_t> crashTimes(const PoisonEvidence &Evidence,
+                                     std::int64_t NowMs,
+                                     const PoisonPolicy &Policy);
+
+/// Returns their number.
 unsigned countCrashes(const PoisonEvidence &Evidence, std::int64_t NowMs,
                       const PoisonPolicy &Policy);
 
@@ -114,6 +122,12 @@
   void voidCrash(Fingerprint Request, const std::string &Server,
                  std::int64_t NowMs);
 
+  /// Returns whether a refused request may be sent as a trial: there was
+  /// neither a crash nor a trial for \p Wait, which is at least m_trialDelay,
+  /// and no trial has crashed a server yet.
+  bool isTrialDue(Fingerprint Request, std::int64_t NowMs, Millis Wait) const;
+  void noteTrial(Fingerprint Request, std::int64_t NowMs);
+
   /// Returns whether \p Request is known to have been answered after \p
   /// SinceMs.
   bool wasAnsweredAfter(Fingerprint Request, std::int64_t SinceMs) const;
@@ -144,7 +158,8 @@
   const PoisonPolicy m_policy;
   mutable std::mutex m_mutex;
   std::map<Fingerprint, PoisonEvidence> m_entries;
-  std::vector<Answered> m_answered; ///< Last answers, by hash.
+  std::map<Fingerprint, std::int64_t> m_trials; ///< Times of the last ones.
+  std::vector<Answered> m_answered;             ///< Last answers, by hash.
   std::uint64_t m_revision = 0;
 };
 
--- a/src/core/poison.cc
+++ b/src/core/poison.cc
@@ -118,10 +118,11 @@
   return Out;
 }
 
-unsigned countCrashes(const PoisonEvidence &Evidence, std::int64_t NowMs,
-                      const PoisonPolicy &Policy) {
+std::vector<std::int64_t> crashTimes(const PoisonEvidence &Evidence,
+                                     std::int64_t NowMs,
+                                     const PoisonPolicy &Policy) {
   const std::int64_t Oldest = NowMs - Policy.m_timeToLive.count();
-  unsigned Count = 0;
+  std::vector<std::int64_t> Out;
   const CrashMark *Last = nullptr;
   for (const CrashMark &Mark : Evidence.m_crashes) {
     if (Mark.m_atMs <= Oldest || Mark.m_atMs <= Evidence.m_answeredAtMs ||
@@ -133,9 +134,14 @@
     if (IsSame)
       continue;
     Last = &Mark;
-    ++Count;
+    Out.push_back(Mark.m_atMs);
   }
-  return Count;
+  return Out;
+}
+
+unsigned countCrashes(const PoisonEvidence &Evidence, std::int64_t NowMs,
+                      const PoisonPolicy &Policy) {
+  return static_cast<unsigned>(crashTimes(Evidence, NowMs, Policy).size());
 }
 
 PoisonVerdict judge(const PoisonEvidence &Evidence, std::int64_t NowMs,
@@ -220,6 +226,36 @@
   add(Evidence, NowMs);
 }
 
+bool PoisonRegistry::isTrialDue(Fingerprint Request, std::int64_t NowMs,
+                                Millis Wait) const {
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  const auto Found = m_entries.find(Request);
+  if (m_policy.m_trialDelay == Millis(0) || Found == m_entries.end())
+    return false;
+  const PoisonVerdict Verdict = judge(Found->second, NowMs, m_policy);
+  if (!Verdict.isRefused())
+    return false;
+  std::vector<std::int64_t> Times = crashTimes(Found->second, NowMs, m_policy);
+  std::sort(Times.begin(), Times.end());
+  const std::int64_t RefusedSince = Times[Verdict.m_limit - 1];
+  // So late a crash is that of a trial.
+  if (Times.back() - RefusedSince >= m_policy.m_trialDelay.count())
+    return false;
+  const auto Trial = m_trials.find(Request);
+  const std::int64_t Last = Trial == m_trials.end()
+                                ? Times.back()
+                                : std::max(Times.back(), Trial->second);
+  return NowMs - Last >= Wait.count();
+}
+
+void PoisonRegistry::noteTrial(Fingerprint Request, std::int64_t NowMs) {
+  const std::lock_guard<std::mutex> Lock(m_mutex);
+  std::erase_if(m_trials, [&](const auto &Item) {
+    return Item.second <= NowMs - m_policy.m_timeToLive.count();
+  });
+  m_trials[Request] = NowMs;
+}
+
 bool PoisonRegistry::wasAnsweredAfter(Fingerprint Request,
                                       std::int64_t SinceMs) const {
   const std::lock_guard<std::mutex> Lock(m_mutex);
--- a/src/edge/edge-crash.cc
+++ b/src/edge/edge-crash.cc
@@ -1,10 +1,26 @@
 // The part of EdgeServer that finds out whether a server has crashed under a
-// request.
+// request, and refuses requests that crash servers.
 
-#include "tamarackdrum/gateway/edge-server.h"
+#include "client-session.h"
 
 namespace tamarackdrum::gateway {
 
+bool EdgeServer::isSuspected(const ClientRequest &Request) {
+  const PoisonVerdict Verdict =
+      m_poison.verdict(Request.m_fingerprint, bootMillis());
+  if (!Verdict.isRefused())
+    return false;
+  const bool IsTrial = m_callbacks.m_mayTry(Request.m_fingerprint);
+  m_log.writeRequest("request-suspected",
+                     {{"request", Request.m_id},
+                      {"fingerprint", std::to_string(Request.m_fingerprint)},
+                      {"crashes", Verdict.m_crashes},
+                      {"limit", Verdict.m_limit},
+                      {"answered", Verdict.m_wasAnswered},
+                      {"trial", IsTrial}});
+  return !IsTrial;
+}
+
 boost::asio::awaitable<void>
 EdgeServer::checkForCrash(std::uint64_t Fingerprint, ServerEntry Server) {
   const std::int64_t BrokeAtMs = bootMillis();
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -339,15 +339,7 @@
   }
   Request->m_fingerprint =
       fingerprintOf(Head.method_string(), Head.target(), Request->m_body);
-  const PoisonVerdict Verdict =
-      m_poison.verdict(Request->m_fingerprint, bootMillis());
-  if (Verdict.isRefused()) {
-    m_log.writeRequest("request-suspected",
-                       {{"request", Request->m_id},
-                        {"fingerprint", std::to_string(Request->m_fingerprint)},
-                        {"crashes", Verdict.m_crashes},
-                        {"limit", Verdict.m_limit},
-                        {"answered", Verdict.m_wasAnswered}});
+  if (isSuspected(*Request)) {
     co_await sendAnswer(Client, Request, 502, "crashes servers", Millis(0));
     co_return;
   }
--- a/src/edge/gateway-host-crashes.cc
+++ b/src/edge/gateway-host-crashes.cc
@@ -65,6 +65,27 @@
     handleCrash({Request, std::move(Server), true, Millis(0)}, true);
 }
 
+bool GatewayHost::mayTry(Fingerprint Request) {
+  const std::int64_t Now = bootMillis();
+  if (!m_poison.isTrialDue(Request, Now, m_policy.m_trialDelay))
+    return false;
+  const auto Place = [Request](const HostInfo &Host) {
+    return hashKey(Host.m_name + std::to_string(Request));
+  };
+  const std::vector<HostInfo> All = m_hosts.allHosts();
+  const auto HostsBefore =
+      std::count_if(All.begin(), All.end(),
+                    [&, Own = Place(m_hosts.self())](const HostInfo &Item) {
+                      return Place(Item) < Own;
+                    });
+  const Millis Wait =
+      m_policy.m_trialDelay + HostsBefore * m_policy.m_trialStep;
+  if (!m_poison.isTrialDue(Request, Now, Wait))
+    return false;
+  m_poison.noteTrial(Request, Now);
+  return true;
+}
+
 void GatewayHost::sendCrashes(std::uint32_t Link) {
   const std::int64_t Now = bootMillis();
   std::size_t Sent = 0;
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -28,12 +28,13 @@
   return 1000.0 * static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
 }
 
-PoisonPolicy poisonPolicy() {
+PoisonPolicy poisonPolicy(const HostPolicy &Policy) {
   PoisonPolicy Out;
   Out.m_crashesToRefuse = CrashesToRefuse;
   Out.m_crashesToVoid = CrashesToVoid;
   // A report names the start of the server process, which ends only once.
   Out.m_sameCrash = Out.m_timeToLive;
+  Out.m_trialDelay = Policy.m_trialDelay;
   return Out;
 }
 
@@ -66,7 +67,8 @@
                          KeyServers &Servers, EventLog &Log)
     : m_executor(Executor), m_policy(Policy), m_settings(std::move(Settings)),
       m_store(Store), m_keyServers(Servers), m_log(Log),
-      m_poison(poisonPolicy()), m_hosts(RosterPolicy{}, m_settings.m_host),
+      m_poison(poisonPolicy(Policy)),
+      m_hosts(RosterPolicy{}, m_settings.m_host),
       m_feed(Executor, Policy.m_feed, m_settings, Store, m_hosts, Log,
              m_metrics, feedEvents()),
       m_pool(PoolPolicy{}), m_upstreams(m_pool, m_settings.m_headers),
@@ -167,6 +169,9 @@
   Out.m_onAnswered = [this](std::uint64_t Fingerprint) {
     handleAnswered(Fingerprint);
   };
+  Out.m_mayTry = [this](std::uint64_t Fingerprint) {
+    return mayTry(Fingerprint);
+  };
   return Out;
 }
 
--- a/test/core/poison-test.cc
+++ b/test/core/poison-test.cc
@@ -99,6 +99,23 @@
   EXPECT_TRUE(m_registry.isPoisoned(Innocent, NowMs + 100));
 }
 
+TEST_F(PoisonTest, Trial_AfterTimeWithoutCrash_IsDueUntilOneCrashes) {
+  m_policy.m_trialDelay = Millis(100);
+  const Millis Wait(150);
+  PoisonRegistry Own(m_policy);
+  Own.noteCrash(Poison, "s1", NowMs);
+  EXPECT_FALSE(Own.isTrialDue(Poison, NowMs + 1000, Wait));
+  Own.noteCrash(Poison, "s2", NowMs);
+  Own.noteCrash(Poison, "s3", NowMs + 50);
+  EXPECT_FALSE(Own.isTrialDue(Poison, NowMs + 199, Wait));
+  EXPECT_TRUE(Own.isTrialDue(Poison, NowMs + 200, Wait));
+  Own.noteTrial(Poison, NowMs + 200);
+  EXPECT_FALSE(Own.isTrialDue(Poison, NowMs + 349, Wait));
+  EXPECT_TRUE(Own.isTrialDue(Poison, NowMs + 350, Wait));
+  Own.noteCrash(Poison, "s4", NowMs + 210);
+  EXPECT_FALSE(Own.isTrialDue(Poison, NowMs + 1000, Wait));
+}
+
 TEST_F(PoisonTest, Evidence_OverItsTimeToLive_IsForgotten) {
   m_registry.noteCrash(Poison, "s1", NowMs);
   m_registry.noteCrash(Poison, "s2", NowMs);
--- a/test/gateway/crash-report-test.cc
+++ b/test/gateway/crash-report-test.cc
@@ -23,6 +23,7 @@
 class CrashReportTest : public GatewayHostTest {
 protected:
   CrashReportTest() {
+    m_policy.m_trialDelay = Millis(3600000); // Not within a test.
     for (int I = 0; I < 2; ++I)
       setScript(m_web[I], I == 0 ? "web-0" : "web-1");
   }
@@ -189,6 +190,42 @@
   EXPECT_EQ(m_crashes["/pay/poison"], AllowedCrashes);
 }
 
+// Guards against a refusal that cannot end: with all its requests lost in one
+// outage, a page that no host sends gets no answer that would clear it.
+TEST_F(CrashReportTest, AllRequestsForAPageLostAtOnce_SomeTimeLater_IsServed) {
+  m_policy.m_trialDelay = Millis(500);
+  m_policy.m_trialStep = Millis(200);
+  startAll(HostCount);
+  for (unsigned Crash = 1; Crash <= AllowedCrashes; ++Crash) {
+    crashUnder("/pay/page", 0);
+    awaitReports(Crash);
+  }
+  EXPECT_EQ(statusOf("/pay/page", 1), 502U);
+  for (int Host = 0; Host < HostCount; ++Host)
+    EXPECT_TRUE(
+        runUntil([this, Host] { return statusOf("/pay/page", Host) == 200U; }));
+}
+
+TEST_F(CrashReportTest, TrialCrashesAServer_Later_ThereIsNoFurtherTrial) {
+  m_policy.m_trialDelay = Millis(500);
+  m_policy.m_trialStep = Millis(2000);
+  startAll(HostCount);
+  m_crashing.insert("/pay/poison");
+  const auto SendToAll = [this] {
+    for (int Host = 0; Host < HostCount; ++Host)
+      EXPECT_EQ(statusOf("/pay/poison", Host), 502U);
+    return m_crashes["/pay/poison"];
+  };
+  EXPECT_TRUE(runUntil([&] { return SendToAll() > AllowedCrashes; }));
+  awaitReports(AllowedCrashes + 1);
+  const TimePoint End = BootClock::now() + HostCount * m_policy.m_trialStep;
+  EXPECT_FALSE(runUntil([&] {
+                 return BootClock::now() >= End ||
+                        SendToAll() > AllowedCrashes + 1;
+               }) &&
+               BootClock::now() < End);
+}
+
 TEST_F(CrashReportTest,
        PageBesideACrashingRequest_AtAnyHost_OnlyThatIsRefused) {
   startAll(HostCount);
