Count the crashes of servers that end one after the other

What callers would see: on a host with little other traffic a request crashed one server after the other, and only the first of them was counted.

Cause: a host reports no crash while it suspects to be cut off from the servers, which it does as soon as two of them have failed since the last success. Two servers that a request has crashed look just like that.

Change: the host waits until its probes have told whether it is cut off, 2 s at most, and then looks once more whether the server has ended. A host that is cut off still reports nothing.

Tests: the fixture now has a contact bound. With it, and without this change, RequestCrashesEachServer_..., PageBesideACrashingRequest_..., HostStartsAfter..., AllRequestsForAPage..., TrialCrashesAServer_... and ServersAnswer500... fail ("2 crashes; host 0 has counted 1"). Long answers are not passed on by peers, so that ServersCrashWithin... runs without the bound.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -117,6 +117,10 @@
   /// Closes the connections that have been idle for longer than clients may
   /// count on.
   void closeExpiredConnections();
+  /// Reports a crash if \p Server accepts no new connection, unless the request
+  /// has been answered since its connection broke.
+  boost::asio::awaitable<void> checkForCrash(std::uint64_t Fingerprint,
+                                             ServerEntry Server);
   std::size_t activeRequests() const { return m_activeRequests; }
   std::size_t connectionCount() const { return m_sessions.size(); }
 
@@ -187,10 +191,9 @@
   /// Returns whether a request is refused since servers have crashed under it,
   /// and this is not a trial.
   bool isSuspected(const ClientRequest &Request);
-  /// Reports a crash if \p Server accepts no new connection, unless the request
-  /// has been answered since its connection broke.
-  boost::asio::awaitable<void> checkForCrash(std::uint64_t Fingerprint,
-                                             ServerEntry Server);
+  /// Returns whether \p Server accepts no new connection while this host
+  /// reaches other servers.
+  boost::asio::awaitable<bool> hasEnded(ServerEntry Server);
   /// Sets route and service of a request. Returns whether both were found.
   bool selectRoute(ClientRequest &Request) const;
   UpstreamRequest makeRequest(SessionPtr Client,
--- a/src/edge/edge-crash.cc
+++ b/src/edge/edge-crash.cc
@@ -3,7 +3,17 @@
 
 #include "client-session.h"
 
+#include "tamarackdrum/sleep.h"
+
 namespace tamarackdrum::gateway {
+namespace {
+
+/// Time after which a host that suspects to be cut off has found out: several
+/// rounds of probes.
+constexpr Millis MaxSuspicion{2000};
+constexpr Millis SuspicionPollInterval{50};
+
+} // namespace
 
 bool EdgeServer::isSuspected(const ClientRequest &Request) {
   const PoisonVerdict Verdict =
@@ -21,19 +31,32 @@
   return !IsTrial;
 }
 
+boost::asio::awaitable<bool> EdgeServer::hasEnded(ServerEntry Server) {
+  const bool IsDown = co_await m_upstreamClient.isDown(Server.m_address);
+  if (!IsDown || !m_contacts.isSuspected())
+    co_return IsDown;
+  // A host that is cut off cannot tell. Servers that end one after the other
+  // look like that at first.
+  const TimePoint End = BootClock::now() + MaxSuspicion;
+  while (m_contacts.isSuspected() && BootClock::now() < End)
+    co_await sleepFor(SuspicionPollInterval);
+  if (m_contacts.isSuspected())
+    co_return false;
+  co_return co_await m_upstreamClient.isDown(Server.m_address);
+}
+
 boost::asio::awaitable<void>
 EdgeServer::checkForCrash(std::uint64_t Fingerprint, ServerEntry Server) {
   const std::int64_t BrokeAtMs = bootMillis();
-  const bool IsDown = co_await m_upstreamClient.isDown(Server.m_address);
+  const bool HasEnded = co_await hasEnded(Server);
   const bool IsAnswered = m_poison.wasAnsweredAfter(Fingerprint, BrokeAtMs);
   m_log.writeRequest("server-broke-off",
                      {{"server", Server.m_id},
                       {"address", Server.m_address},
-                      {"is_down", IsDown},
+                      {"is_down", HasEnded},
                       {"fingerprint", std::to_string(Fingerprint)},
                       {"answered", IsAnswered}});
-  // A host that is cut off cannot tell whether a server has ended.
-  if (IsDown && !IsAnswered && !m_contacts.isSuspected())
+  if (HasEnded && !IsAnswered)
     m_callbacks.m_onCrash(Fingerprint, Server);
 }
 
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -274,7 +274,7 @@
   const bool MayHaveRun = Reply.m_isSent && !isRefusal(Reply.m_result);
   Request.m_mayHaveRun = Request.m_mayHaveRun || MayHaveRun;
   if (Reply.m_result == DispatchResult::ConnectionLost &&
-      !m_contacts.isSuspected() && !Reply.m_isPeerLost)
+      !m_contacts.isCutOff() && !Reply.m_isPeerLost)
     asio::co_spawn(m_executor, checkForCrash(Request.m_fingerprint, Server),
                    asio::detached);
   if (Reply.m_isLeaving)
--- a/test/gateway/crash-report-test.cc
+++ b/test/gateway/crash-report-test.cc
@@ -24,6 +24,7 @@
 protected:
   CrashReportTest() {
     m_policy.m_trialDelay = Millis(3600000); // Not within a test.
+    m_contactBound = Millis(3000);
     for (int I = 0; I < 2; ++I)
       setScript(m_web[I], I == 0 ? "web-0" : "web-1");
   }
@@ -103,8 +104,9 @@
     for (int Host = 0; Host < HostCount; ++Host)
       EXPECT_TRUE(runUntil([this, Host, Count] {
         return counter("server_crashes_seen", Host) == std::to_string(Count);
-      })) << "host "
-          << Host;
+      })) << Count
+          << " crashes; host " << Host << " has counted "
+          << counter("server_crashes_seen", Host);
   }
 
   std::set<std::string> m_crashing;          ///< Targets that crash servers.
@@ -160,6 +162,7 @@
 // crashes later would not be counted.
 TEST_F(CrashReportTest,
        ServersCrashWithinTheirAnswer_AnyHost_RefusesAfterThree) {
+  m_contactBound = Millis(0); // Peers do not pass on long answers.
   startAll(HostCount);
   m_crashing.insert(LongTarget);
   for (int I = 0; I < 4 * HostCount; ++I) {
--- a/test/gateway/gateway-host-fixture.h
+++ b/test/gateway/gateway-host-fixture.h
@@ -106,6 +106,7 @@
     Settings.m_peerPort = m_peerPort;
     Settings.m_headers = Headers;
     Settings.m_stopTimeout = m_stopTimeout;
+    Settings.m_contactBound = m_contactBound;
     m_addresses.push_back(parseEndpoint(Client).value());
     m_metricsAddresses.push_back(
         parseEndpoint(Settings.m_metricsAddress).value());
@@ -257,6 +258,7 @@
   std::vector<std::string> m_seedIps;
   std::uint16_t m_peerPort = 0;
   Millis m_stopTimeout{6000};
+  Millis m_contactBound{0}; ///< 0: hosts do not find out that they are cut off.
   std::set<std::uint16_t> m_usedPorts;
   std::vector<Endpoint> m_addresses;
   std::vector<Endpoint> m_metricsAddresses;
