Count crashes under requests that a peer sends

What callers would see: a request that reaches a host which is cut off crashed each server that a peer sent it to, without end. The other way round, a host that cannot reach two servers took the loss of a relayed answer for a crash of a server, since its own probe could not reach it either: it blamed the request.

Cause: whether a server has ended was looked at by the host of the client alone.

Change: the peer that sent the request looks, and reports with the fingerprint of the request that it was given.

Test: CrashReportTest.HostIsCutOff_CrashingRequest_IsRefusedAfterThree.

--- a/include/tamarackdrum/gateway/request-relay.h
+++ b/include/tamarackdrum/gateway/request-relay.h
@@ -10,6 +10,7 @@
 #define TAMARACKDRUM_GATEWAY_REQUEST_RELAY_H
 
 #include "tamarackdrum/gateway/contact-monitor.h"
+#include "tamarackdrum/poison.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -35,11 +36,14 @@
 class RequestRelay {
 public:
   using FindServer = std::function<const ServerEntry *(const std::string &Id)>;
+  /// Called if a server breaks off a request of another host.
+  using BrokenHandler =
+      std::function<void(Fingerprint Request, const ServerEntry &)>;
 
   RequestRelay(boost::asio::any_io_executor Executor, RelayPolicy Policy,
                Roster &Hosts, UpstreamClient &Upstreams,
                ContactMonitor &Contacts, EventLog &Log, GatewayMetrics &Metrics,
-               FindServer Find);
+               FindServer Find, BrokenHandler OnBroken);
 
   void setNetwork(PeerNetwork &Network) { m_network = &Network; }
 
@@ -105,6 +109,7 @@
   EventLog &m_log;
   GatewayMetrics &m_metrics;
   const FindServer m_findServer;
+  const BrokenHandler m_onBroken;
   PeerNetwork *m_network = nullptr;
   std::uint32_t m_lastNumber = 0;
   std::map<std::uint32_t, PendingPtr> m_pending;
--- a/include/tamarackdrum/gateway/upstream-client.h
+++ b/include/tamarackdrum/gateway/upstream-client.h
@@ -43,6 +43,7 @@
 struct UpstreamReply {
   DispatchResult m_result = DispatchResult::Unreachable;
   bool m_isSent = false;     ///< The request may have reached the server.
+  bool m_isRelayed = false;  ///< Sent by a peer.
   bool m_isPeerLost = false; ///< A peer that was to send it has ended.
   bool m_hasMore = false;    ///< m_body is not whole; see readMore().
   Millis m_serviceTime{0};
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -273,8 +273,9 @@
     ++Request.m_dispatches;
   const bool MayHaveRun = Reply.m_isSent && !isRefusal(Reply.m_result);
   Request.m_mayHaveRun = Request.m_mayHaveRun || MayHaveRun;
+  // Of a relayed request the peer knows better.
   if (Reply.m_result == DispatchResult::ConnectionLost &&
-      !m_contacts.isCutOff() && !Reply.m_isPeerLost)
+      !m_contacts.isCutOff() && !Reply.m_isRelayed)
     asio::co_spawn(m_executor, checkForCrash(Request.m_fingerprint, Server),
                    asio::detached);
   if (Reply.m_isLeaving)
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -81,9 +81,14 @@
                   m_hosts, Log),
       m_network(Executor, PeerNetworkPolicy{}, m_hosts, m_settings.m_peerPort,
                 Log, m_metrics, peerEvents()),
-      m_relay(Executor, relayPolicy(m_settings), m_hosts, m_upstreams,
-              m_contacts, Log, m_metrics,
-              [this](const std::string &Id) { return findServer(Id); }),
+      m_relay(
+          Executor, relayPolicy(m_settings), m_hosts, m_upstreams, m_contacts,
+          Log, m_metrics,
+          [this](const std::string &Id) { return findServer(Id); },
+          [this](Fingerprint Request, const ServerEntry &Server) {
+            asio::co_spawn(m_executor, m_edge.checkForCrash(Request, Server),
+                           asio::detached);
+          }),
       m_edge(Executor, edgePolicy(Policy.m_edge, m_settings), m_settings,
              m_admission, m_upstreams, m_poison, Log, m_metrics, m_hosts,
              m_contacts, m_relay, edgeView()),
--- a/src/edge/request-relay.cc
+++ b/src/edge/request-relay.cc
@@ -23,6 +23,17 @@
   return std::chrono::duration_cast<Millis>(End - BootClock::now());
 }
 
+/// Returns the fingerprint of a request that another host has sent.
+Fingerprint fingerprintOf(const RelayMessage &Message) {
+  const std::string_view Head = Message.m_head;
+  const std::size_t MethodEnd = std::min(Head.find(' '), Head.size());
+  const std::string_view Rest =
+      Head.substr(std::min(MethodEnd + 1, Head.size()));
+  return tamarackdrum::fingerprintOf(Head.substr(0, MethodEnd),
+                                     Rest.substr(0, Rest.find(' ')),
+                                     Message.m_body);
+}
+
 /// Returns the head of an answer as a relaying host passes it back.
 std::string headOf(const UpstreamReply &Reply, bool IsToHead) {
   const ReplyHead &Head = Reply.m_parser->get();
@@ -92,10 +103,12 @@
 RequestRelay::RequestRelay(asio::any_io_executor Executor, RelayPolicy Policy,
                            Roster &Hosts, UpstreamClient &Upstreams,
                            ContactMonitor &Contacts, EventLog &Log,
-                           GatewayMetrics &Metrics, FindServer Find)
+                           GatewayMetrics &Metrics, FindServer Find,
+                           BrokenHandler OnBroken)
     : m_executor(std::move(Executor)), m_policy(Policy), m_hosts(Hosts),
       m_upstreams(Upstreams), m_contacts(Contacts), m_log(Log),
-      m_metrics(Metrics), m_findServer(std::move(Find)) {}
+      m_metrics(Metrics), m_findServer(std::move(Find)),
+      m_onBroken(std::move(OnBroken)) {}
 
 std::size_t RequestRelay::pendingAt(const std::string &Peer) const {
   return static_cast<std::size_t>(
@@ -190,6 +203,7 @@
                        : Item->m_isCancelled ? DispatchResult::Withdrawn
                                              : DispatchResult::TimedOut;
     }
+    Reply.m_isRelayed = true;
     m_metrics.count("relayed",
                     Item->m_answer ? "result=\"answered\"" : "result=\"lost\"");
     m_log.writeRequest("relayed",
@@ -271,6 +285,7 @@
   const TimePoint End = BootClock::now() + Message.m_timeLeft;
   m_served[Id] = {Token, Message.m_isSafe};
   m_servedBytes += Bytes;
+  const Fingerprint Print = fingerprintOf(Message);
   UpstreamRequest Request;
   Request.m_server = Server;
   Request.m_head = std::move(Message.m_head);
@@ -284,6 +299,9 @@
   const UpstreamReply Reply =
       co_await m_upstreams.execute(std::move(Request), *Token);
   m_contacts.end(Attempt, Server.m_id, Reply);
+  // The other host cannot look whether the server has ended.
+  if (Reply.m_result == DispatchResult::ConnectionLost)
+    m_onBroken(Print, Server);
   const RelayAnswerMessage Answer =
       makeAnswer(Message.m_number, Reply, Message.m_isHeadRequest);
   while (m_network->queuedBytes(Link) > m_policy.m_maxQueuedBytes &&
--- a/test/gateway/crash-report-test.cc
+++ b/test/gateway/crash-report-test.cc
@@ -193,6 +193,26 @@
   EXPECT_EQ(m_crashes["/pay/poison"], AllowedCrashes);
 }
 
+// Guards against crashes that nobody counts: a host that is cut off cannot look
+// whether a server has ended, and the peer that sends its requests did not.
+TEST_F(CrashReportTest, HostIsCutOff_CrashingRequest_IsRefusedAfterThree) {
+  startAll(HostCount);
+  m_hosts[0]->setAddressMap([](const std::string &) { return "127.0.0.1:1"; });
+  for (int Host = 1; Host < HostCount; ++Host)
+    EXPECT_EQ(statusOf("/pay/page", Host), 200U);
+  EXPECT_TRUE(runUntil([this] {
+    statusOf("/pay/page", 0);
+    return m_hosts[0]->isCutOff();
+  }));
+  m_crashing.insert("/pay/poison");
+  for (int I = 0; I < 4 * HostCount; ++I) {
+    EXPECT_NE(statusOf("/pay/poison", 0), 200U);
+    awaitReports(m_crashes["/pay/poison"]);
+  }
+  EXPECT_EQ(m_crashes["/pay/poison"], AllowedCrashes);
+  EXPECT_EQ(statusOf("/pay/page", 0), 200U);
+}
+
 // Guards against a refusal that cannot end: with all its requests lost in one
 // outage, a page that no host sends gets no answer that would clear it.
 TEST_F(CrashReportTest, AllRequestsForAPageLostAtOnce_SomeTimeLater_IsServed) {
