Tell new followers of no void crash, and bound the age of a report

Found on reading the diff: a host of the version before that starts during an upgrade does not know the third element of the message about a crash and has not seen the report, so that it would count each void crash that a new follower is told of. Void ones are left out; what such a host then misses is made up for by a trial.

Test: PeerMessageTest.Decode_AgeOfCrashOutOfRange_IsMalformed; the first part has none, as no test runs a build of before.

--- a/src/edge/gateway-host-crashes.cc
+++ b/src/edge/gateway-host-crashes.cc
@@ -12,7 +12,7 @@
 /// log of the host that saw it.
 constexpr unsigned MinLoggedCrashes = 2;
 /// Crashes of one request from which on new followers are told of them.
-constexpr std::size_t MinToldCrashes = 2;
+constexpr unsigned MinToldCrashes = 2;
 /// Reports to a new follower after which no further request is begun.
 constexpr std::size_t MaxToldCrashes = 256;
 
@@ -90,13 +90,17 @@
   const std::int64_t Now = bootMillis();
   std::size_t Sent = 0;
   for (const PoisonEvidence &Item : m_poison.snapshot()) {
-    if (Item.m_crashes.size() < MinToldCrashes || Sent >= MaxToldCrashes)
+    const PoisonVerdict Verdict = m_poison.verdict(Item.m_fingerprint, Now);
+    if (Verdict.m_crashes < MinToldCrashes || Sent >= MaxToldCrashes)
       continue;
-    for (const CrashMark &Mark : Item.m_crashes)
-      m_network.reply(Link,
-                      CrashMessage{Item.m_fingerprint, Mark.m_server,
-                                   Mark.m_isVoid, Millis(Now - Mark.m_atMs)});
-    Sent += Item.m_crashes.size();
+    for (const CrashMark &Mark : Item.m_crashes) {
+      // A follower of the version before would count a void one.
+      if (Mark.m_isVoid)
+        continue;
+      m_network.reply(Link, CrashMessage{Item.m_fingerprint, Mark.m_server,
+                                         false, Millis(Now - Mark.m_atMs)});
+      ++Sent;
+    }
   }
 }
 
--- a/src/gateway/peer-message.cc
+++ b/src/gateway/peer-message.cc
@@ -14,6 +14,8 @@
 /// Enough for a state message with 1,000 servers.
 constexpr std::uint32_t MaxMessageBytes = 4 << 20;
 constexpr std::size_t LengthBytes = 4;
+/// Far above the time for which crashes count.
+constexpr Millis MaxCrashAge = std::chrono::hours(24);
 
 using Json = nlohmann::json;
 
@@ -486,8 +488,8 @@
   if (!In.hasNext())
     return;
   Out.m_age = In.takeMillis();
-  if (Out.m_age < Millis(0))
-    throw std::invalid_argument("crash in the future");
+  if (Out.m_age < Millis(0) || Out.m_age > MaxCrashAge)
+    throw std::invalid_argument("age of a crash out of range");
 }
 
 Json pack(const FollowMessage &Value) { return packArray(Value.m_isFollowing); }
--- a/test/gateway/peer-message-test.cc
+++ b/test/gateway/peer-message-test.cc
@@ -133,11 +133,14 @@
   EXPECT_FALSE(decode(Buffer));
 }
 
-TEST(PeerMessageTest, Decode_NegativeAgeOfCrash_IsMalformed) {
-  std::string Buffer;
-  encode(CrashMessage{7, "s-1@5", false, Millis(8)}, Buffer);
-  Buffer.back() = '\xff'; // The age of 8 ms becomes -1 ms.
-  EXPECT_FALSE(decode(Buffer));
+TEST(PeerMessageTest, Decode_AgeOfCrashOutOfRange_IsMalformed) {
+  std::string Negative;
+  encode(CrashMessage{7, "s-1@5", false, Millis(8)}, Negative);
+  Negative.back() = '\xff'; // The age of 8 ms becomes -1 ms.
+  EXPECT_FALSE(decode(Negative));
+  std::string Long;
+  encode(CrashMessage{7, "s-1@5", false, Millis::max()}, Long);
+  EXPECT_FALSE(decode(Long));
 }
 
 TEST(PeerMessageTest, Decode_LengthTooLarge_IsMalformed) {
