Send a trial to one server only

What callers would see: the trial of a refused safe request crashed as many servers as its route has attempts.

Change: a trial that may have run is not sent again.

Test: CrashReportTest.TrialOfASafeRequest_ServerCrashes_IsNotSentAgain, which fails without the change.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -190,7 +190,7 @@
   boost::asio::awaitable<bool> write(SessionPtr Client, std::string Bytes);
   /// Returns whether a request is refused since servers have crashed under it,
   /// and this is not a trial.
-  bool isSuspected(const ClientRequest &Request);
+  bool isSuspected(ClientRequest &Request);
   /// Returns whether \p Server accepts no new connection while this host
   /// reaches other servers.
   boost::asio::awaitable<bool> hasEnded(ServerEntry Server);
--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -80,6 +80,7 @@
   unsigned m_unreachableAttempts = 0;
   bool m_mayHaveRun = false; ///< A server may have started to run it.
   bool m_isAnswered = false;
+  bool m_isTrial = false; ///< May crash the server that gets it.
   std::vector<std::string> m_triedServers;
   std::string m_lastServer;
   Millis m_slotWait{0};
--- a/src/edge/edge-crash.cc
+++ b/src/edge/edge-crash.cc
@@ -15,20 +15,20 @@
 
 } // namespace
 
-bool EdgeServer::isSuspected(const ClientRequest &Request) {
+bool EdgeServer::isSuspected(ClientRequest &Request) {
   const PoisonVerdict Verdict =
       m_poison.verdict(Request.m_fingerprint, bootMillis());
   if (!Verdict.isRefused())
     return false;
-  const bool IsTrial = m_callbacks.m_mayTry(Request.m_fingerprint);
+  Request.m_isTrial = m_callbacks.m_mayTry(Request.m_fingerprint);
   m_log.writeRequest("request-suspected",
                      {{"request", Request.m_id},
                       {"fingerprint", std::to_string(Request.m_fingerprint)},
                       {"crashes", Verdict.m_crashes},
                       {"limit", Verdict.m_limit},
                       {"answered", Verdict.m_wasAnswered},
-                      {"trial", IsTrial}});
-  return !IsTrial;
+                      {"trial", Request.m_isTrial}});
+  return !Request.m_isTrial;
 }
 
 boost::asio::awaitable<bool> EdgeServer::hasEnded(ServerEntry Server) {
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -318,7 +318,8 @@
 }
 
 bool EdgeServer::shouldRetry(ClientRequest &Request) const {
-  if (Request.m_isClientGone || Request.m_isStreaming)
+  const bool IsTrialSent = Request.m_isTrial && Request.m_mayHaveRun;
+  if (Request.m_isClientGone || Request.m_isStreaming || IsTrialSent)
     return false;
   if (Request.m_lastResult == DispatchResult::Unreachable &&
       ++Request.m_unreachableAttempts >= m_policy.m_maxUnreachableAttempts)
@@ -330,7 +331,7 @@
 
 bool EdgeServer::canResend(const ClientRequest &Request) const {
   // A stop leaves no time for a second attempt that fails as well.
-  return !m_isDraining &&
+  return !m_isDraining && !Request.m_isTrial &&
          Request.m_dispatches + 1 < Request.m_route->m_attempts;
 }
 
--- a/test/gateway/crash-report-test.cc
+++ b/test/gateway/crash-report-test.cc
@@ -249,6 +249,23 @@
                BootClock::now() < End);
 }
 
+// A safe request is sent to a second server when the first one breaks off.
+TEST_F(CrashReportTest, TrialOfASafeRequest_ServerCrashes_IsNotSentAgain) {
+  m_policy.m_trialDelay = Millis(1000);
+  startAll(HostCount);
+  m_crashing.insert("/web/poison");
+  const auto Send = [this] {
+    EXPECT_EQ(send(get("/web/poison"), 0).m_status, 502U);
+    awaitReports(m_crashes["/web/poison"]);
+    return m_crashes["/web/poison"];
+  };
+  while (Send() < AllowedCrashes) {
+  }
+  const unsigned Before = m_crashes["/web/poison"];
+  EXPECT_TRUE(runUntil([&] { return Send() > Before; }));
+  EXPECT_EQ(m_crashes["/web/poison"], Before + 1);
+}
+
 TEST_F(CrashReportTest,
        PageBesideACrashingRequest_AtAnyHost_OnlyThatIsRefused) {
   startAll(HostCount);
