Start the check for a crash in one place

Found on reading the whole change. The check was started in three places: beside a request whose connection broke, after a torn answer, and for a request that a peer has sent. The second one waited for it within the request of the client, which then counted as active for up to 2 s longer on a host that suspected to be cut off, also during a stop; and it lacked the guard of its twin, that a host which is cut off does not look.

Change: EdgeServer::handleBrokenOff() has the guard and starts the check beside the request, for all three. What is reported is as before. The slot of an answer is computed once, and headers that are no longer used are left out.

--- a/include/tamarackdrum/gateway/edge-server.h
+++ b/include/tamarackdrum/gateway/edge-server.h
@@ -117,10 +117,9 @@
   /// Closes the connections that have been idle for longer than clients may
   /// count on.
   void closeExpiredConnections();
-  /// Reports a crash if \p Server accepts no new connection, unless the request
-  /// has been answered since its connection broke.
-  boost::asio::awaitable<void> checkForCrash(std::uint64_t Fingerprint,
-                                             ServerEntry Server);
+  /// Notes that \p Server has broken off a request, and reports a crash if that
+  /// is what it turns out to be.
+  void handleBrokenOff(Fingerprint Request, const ServerEntry &Server);
   std::size_t activeRequests() const { return m_activeRequests; }
   std::size_t connectionCount() const { return m_sessions.size(); }
 
@@ -191,6 +190,10 @@
   /// Returns whether a request is refused since servers have crashed under it,
   /// and this is not a trial.
   bool isSuspected(ClientRequest &Request);
+  /// Reports a crash if \p Server has ended, unless the request has been
+  /// answered since its connection broke.
+  boost::asio::awaitable<void> checkForCrash(Fingerprint Request,
+                                             ServerEntry Server);
   /// Returns whether \p Server accepts no new connection while this host
   /// reaches other servers.
   boost::asio::awaitable<bool> hasEnded(ServerEntry Server);
--- a/include/tamarackdrum/poison.h
+++ b/include/tamarackdrum/poison.h
@@ -146,12 +146,12 @@
     Fingerprint m_request = 0;
     std::optional<std::int64_t> m_atMs;
   };
-  Answered &slotOf(Fingerprint Request) {
-    return m_answered[Request % m_answered.size()];
+  std::size_t slotOf(Fingerprint Request) const {
+    return Request % m_answered.size();
   }
   /// Returns the time of the last answer, if it is remembered.
   std::optional<std::int64_t> lastAnswer(Fingerprint Request) const {
-    const Answered &Slot = m_answered[Request % m_answered.size()];
+    const Answered &Slot = m_answered[slotOf(Request)];
     return Slot.m_request == Request ? Slot.m_atMs : std::nullopt;
   }
 
--- a/src/core/poison.cc
+++ b/src/core/poison.cc
@@ -3,6 +3,7 @@
 #include "tamarackdrum/error.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <tuple>
 
 namespace tamarackdrum {
@@ -185,7 +186,7 @@
 std::vector<std::string> PoisonRegistry::noteAnswered(Fingerprint Request,
                                                       std::int64_t NowMs) {
   const std::lock_guard<std::mutex> Lock(m_mutex);
-  slotOf(Request) = {Request, NowMs};
+  m_answered[slotOf(Request)] = {Request, NowMs};
   const auto Found = m_entries.find(Request);
   if (Found == m_entries.end())
     return {};
--- a/src/edge/edge-crash.cc
+++ b/src/edge/edge-crash.cc
@@ -5,9 +5,14 @@
 
 #include "tamarackdrum/sleep.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace tamarackdrum::gateway {
 namespace {
 
+namespace asio = boost::asio;
+
 /// Time after which a host that suspects to be cut off has found out: several
 /// rounds of probes.
 constexpr Millis MaxSuspicion{2000};
@@ -31,12 +36,11 @@
   return !Request.m_isTrial;
 }
 
-boost::asio::awaitable<bool> EdgeServer::hasEnded(ServerEntry Server) {
+asio::awaitable<bool> EdgeServer::hasEnded(ServerEntry Server) {
   const bool IsDown = co_await m_upstreamClient.isDown(Server.m_address);
   if (!IsDown || !m_contacts.isSuspected())
     co_return IsDown;
-  // A host that is cut off cannot tell. Servers that end one after the other
-  // look like that at first.
+  // Servers that end one after the other look like a cut at first.
   const TimePoint End = BootClock::now() + MaxSuspicion;
   while (m_contacts.isSuspected() && BootClock::now() < End)
     co_await sleepFor(SuspicionPollInterval);
@@ -45,19 +49,26 @@
   co_return co_await m_upstreamClient.isDown(Server.m_address);
 }
 
-boost::asio::awaitable<void>
-EdgeServer::checkForCrash(std::uint64_t Fingerprint, ServerEntry Server) {
+void EdgeServer::handleBrokenOff(Fingerprint Request,
+                                 const ServerEntry &Server) {
+  // A host that is cut off cannot tell whether a server has ended.
+  if (!m_contacts.isCutOff())
+    asio::co_spawn(m_executor, checkForCrash(Request, Server), asio::detached);
+}
+
+asio::awaitable<void> EdgeServer::checkForCrash(Fingerprint Request,
+                                                ServerEntry Server) {
   const std::int64_t BrokeAtMs = bootMillis();
   const bool HasEnded = co_await hasEnded(Server);
-  const bool IsAnswered = m_poison.wasAnsweredAfter(Fingerprint, BrokeAtMs);
+  const bool IsAnswered = m_poison.wasAnsweredAfter(Request, BrokeAtMs);
   m_log.writeRequest("server-broke-off",
                      {{"server", Server.m_id},
                       {"address", Server.m_address},
                       {"is_down", HasEnded},
-                      {"fingerprint", std::to_string(Fingerprint)},
+                      {"fingerprint", std::to_string(Request)},
                       {"answered", IsAnswered}});
   if (HasEnded && !IsAnswered)
-    m_callbacks.m_onCrash(Fingerprint, Server);
+    m_callbacks.m_onCrash(Request, Server);
 }
 
 } // namespace tamarackdrum::gateway
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -7,8 +7,6 @@
 #include "tamarackdrum/sleep.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <spdlog/fmt/fmt.h>
 
@@ -208,7 +206,7 @@
   if (Reply.m_result == DispatchResult::Served) {
     co_await forwardReply(Client, Request, Reply);
     if (Reply.m_result == DispatchResult::ConnectionLost)
-      co_await checkForCrash(Request->m_fingerprint, Chosen);
+      handleBrokenOff(Request->m_fingerprint, Chosen);
     co_return false;
   }
   if (Reply.m_result == DispatchResult::NotHeld && Request->m_key) {
@@ -274,10 +272,8 @@
   const bool MayHaveRun = Reply.m_isSent && !isRefusal(Reply.m_result);
   Request.m_mayHaveRun = Request.m_mayHaveRun || MayHaveRun;
   // Of a relayed request the peer knows better.
-  if (Reply.m_result == DispatchResult::ConnectionLost &&
-      !m_contacts.isCutOff() && !Reply.m_isRelayed)
-    asio::co_spawn(m_executor, checkForCrash(Request.m_fingerprint, Server),
-                   asio::detached);
+  if (Reply.m_result == DispatchResult::ConnectionLost && !Reply.m_isRelayed)
+    handleBrokenOff(Request.m_fingerprint, Server);
   if (Reply.m_isLeaving)
     m_callbacks.m_onLeaving(Server);
   if (Reply.m_restTime > Millis(0)) {
--- a/src/edge/gateway-host-crashes.cc
+++ b/src/edge/gateway-host-crashes.cc
@@ -3,6 +3,8 @@
 
 #include "tamarackdrum/gateway/gateway-host.h"
 
+#include <algorithm>
+
 namespace tamarackdrum::gateway {
 namespace {
 
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -86,8 +86,7 @@
           Log, m_metrics,
           [this](const std::string &Id) { return findServer(Id); },
           [this](Fingerprint Request, const ServerEntry &Server) {
-            asio::co_spawn(m_executor, m_edge.checkForCrash(Request, Server),
-                           asio::detached);
+            m_edge.handleBrokenOff(Request, Server);
           }),
       m_edge(Executor, edgePolicy(Policy.m_edge, m_settings), m_settings,
              m_admission, m_upstreams, m_poison, Log, m_metrics, m_hosts,
