End answers of endless chunk lines at their deadline on a busy thread

Callers saw: a request, a grant or a read of the store whose server sends chunk lines without end and at full speed outlived its deadline for as long as the host had other work.

Cause: the parsers were eager. Such a parser consumes whole chunks and reports that it needs more whenever the bytes end within the next line, and async_read_some() then reads on without returning, so that the check of the deadline between reads is not reached. The timer of the stream does not end it either: its handler runs after the completion of a read that found bytes at once, and is void by then. It worked only while the reader was faster than the sender and sometimes waited.

Change: parsers of answers are not eager; each read ends with one element of the body, at most after the buffer of a connection. The three readers with that cause: readWhole() (grants, store), UpstreamClient::readBody(), HttpClient. The readers of requests were not eager.

--- a/src/adapter/http-client.cc
+++ b/src/adapter/http-client.cc
@@ -154,10 +154,11 @@
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(m_limits.m_maxReplyBytes);
   Parser.skip(IsHead);
-  Parser.eager(true);
-  ReplyBytes Read(*this);
   // The timer of the stream ends only a read that waits, so that the deadline
-  // is checked between reads as well.
+  // is checked between reads as well. An eager parser reads on as long as the
+  // bytes end within a chunk line.
+  Parser.eager(false);
+  ReplyBytes Read(*this);
   while (!Error && !Parser.is_done()) {
     if (BootClock::now() >= Deadline)
       co_return std::error_code(HttpErrc::TimedOut);
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -38,7 +38,9 @@
 
 boost::asio::awaitable<boost::system::error_code>
 readWhole(Connection &From, AnswerParser &Answer) {
-  Answer.eager(true);
+  // An eager parser reads on as long as the bytes end within a chunk line, so
+  // that the deadline would not be checked.
+  Answer.eager(false);
   while (!Answer.is_done()) {
     if (From.isPastDeadline())
       co_return boost::beast::error::timeout;
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -175,7 +175,8 @@
                                                UpstreamReply &Reply) {
   ResponseParser &Parser = *Reply.m_parser;
   std::string Piece(PieceBytes, '\0');
-  Parser.eager(true);
+  // See readWhole().
+  Parser.eager(false);
   while (!Parser.is_done()) {
     if (Reply.m_body.size() >= MaxBufferedReplyBytes) {
       Reply.m_hasMore = true;
--- a/test/gateway/endless-peer.h
+++ b/test/gateway/endless-peer.h
@@ -8,7 +8,9 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <string>
 #include <thread>
 #include <vector>
@@ -92,6 +94,24 @@
   return "1;" + std::string(LineBytes, 'x') + "\r\nx\r\n";
 }
 
+/// Uses the thread of \p Context until \p End, with short pauses for its other
+/// handlers. A reader on that thread finds bytes whenever it reads, so that the
+/// timer of its stream does not end the read.
+inline void keepBusy(boost::asio::io_context &Context,
+                     std::chrono::steady_clock::time_point End) {
+  boost::asio::post(Context, [&Context, End] {
+    const auto Start = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - Start <
+           std::chrono::milliseconds(1))
+      continue;
+    if (Start < End)
+      keepBusy(Context, End);
+  });
+}
+
+/// Longer than a read with a deadline of 0.1 s may take on a slow machine.
+inline constexpr std::chrono::seconds BusyTime{3};
+
 } // namespace tamarackdrum::gateway
 
 #endif // TAMARACKDRUM_TEST_GATEWAY_ENDLESS_PEER_H
--- a/test/gateway/upstream-client-test.cc
+++ b/test/gateway/upstream-client-test.cc
@@ -120,5 +120,19 @@
   EXPECT_LT(Server.sentBytes(), EndlessBytes);
 }
 
+// A busy thread never waits for bytes, and the timer of the stream does not end
+// the read: a request keeps its slot long after its deadline.
+TEST_F(UpstreamClientTest, Answer_EndlessChunkLinesOnBusyThread_EndsInTime) {
+  EndlessServer Server("HTTP/1.1 500 Failed\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n",
+                       longChunkLine());
+  UpstreamRequest Request = makeRequest(3);
+  Request.m_server.m_address = Server.address();
+  const auto BusyUntil = std::chrono::steady_clock::now() + BusyTime;
+  keepBusy(m_context, BusyUntil);
+  EXPECT_EQ(execute(std::move(Request)), DispatchResult::TimedOut);
+  EXPECT_LT(std::chrono::steady_clock::now(), BusyUntil);
+}
+
 } // namespace
 } // namespace tamarackdrum::gateway
--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -283,5 +283,20 @@
   EXPECT_LT(Server.sentBytes(), EndlessBytes);
 }
 
+// A busy thread never waits for bytes, and the timer of the stream does not end
+// the read: a grant stays open long after its deadline.
+TEST_F(KeyServerClientTest, Answer_EndlessChunkLinesOnBusyThread_EndsInTime) {
+  EndlessServer Server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                       longChunkLine());
+  GrantCall Call;
+  Call.m_address = Server.address();
+  const auto BusyUntil = std::chrono::steady_clock::now() + BusyTime;
+  keepBusy(m_context, BusyUntil);
+  const GrantReply Reply =
+      await(m_subject.call(Call, BootClock::now() + Millis(100)));
+  EXPECT_EQ(Reply.m_result, GrantResult::NoAnswer);
+  EXPECT_LT(std::chrono::steady_clock::now(), BusyUntil);
+}
+
 } // namespace
 } // namespace tamarackdrum::platform
--- a/test/process/http-client-test.cc
+++ b/test/process/http-client-test.cc
@@ -65,6 +65,19 @@
   EXPECT_LT(Server.sentBytes(), EndlessBytes);
 }
 
+// A busy thread never waits for bytes, and the timer of the stream does not end
+// the read: a call outlives its deadline.
+TEST_F(HttpClientTest, Answer_EndlessChunkLinesOnBusyThread_EndsInTime) {
+  EndlessServer Server(ChunkedHead, longChunkLine());
+  asio::io_context Context;
+  const auto BusyUntil = std::chrono::steady_clock::now() + gateway::BusyTime;
+  gateway::keepBusy(Context, BusyUntil);
+  const Result<HttpResponse> Got =
+      runBlocking(Context, request(Server, Millis(100)));
+  EXPECT_EQ(Got.error(), HttpErrc::TimedOut);
+  EXPECT_LT(std::chrono::steady_clock::now(), BusyUntil);
+}
+
 // The limit of one reply, times all connections, is more than a host has.
 TEST_F(HttpClientTest, Answers_ManyEndlessBodies_EndAtTheirCommonLimit) {
   constexpr unsigned Count = 8;
