--- a/include/tamarackdrum/gateway/message-head.h
+++ b/include/tamarackdrum/gateway/message-head.h
@@ -43,6 +43,7 @@
   Millis m_retryAfter{0};          ///< 0: no Retry-After header.
   bool m_closesConnection = false; ///< Adds "Connection: close".
   Millis m_idleLimit{0};           ///< See makeReplyHead().
+  bool m_isToHeadRequest = false;  ///< HEAD: the answer has no body.
 };
 
 /// Returns head and body of \p Answer to the request with id \p Id, which is
--- a/src/adapter/http-server.cc
+++ b/src/adapter/http-server.cc
@@ -34,6 +34,7 @@
   beast::flat_buffer m_buffer;
   HttpPhase m_phase = HttpPhase::Idle;
   bool m_isLastAnswered = false; ///< An answer that announces the end is sent.
+  bool m_isHeadRequest = false;  ///< Of the request that was read last.
 };
 
 } // namespace detail
@@ -226,6 +227,7 @@
   if (!HasRequest)
     co_return false;
   Session.m_phase = detail::HttpPhase::Reading;
+  Session.m_isHeadRequest = false;
   beast::error_code Error;
   http::request_parser<http::string_body> Parser;
   Parser.header_limit(static_cast<std::uint32_t>(m_limits.m_maxHeaderBytes));
@@ -234,6 +236,7 @@
   co_await http::async_read(Session.m_stream, Session.m_buffer, Parser,
                             asio::redirect_error(asio::use_awaitable, Error));
   Session.m_readLimit.end();
+  Session.m_isHeadRequest = Parser.get().method() == http::verb::head;
   if (Session.m_phase != detail::HttpPhase::Reading) {
     co_await awaitLast(Session);
     co_return false;
@@ -272,8 +275,16 @@
   Response.prepare_payload();
   Session.m_isLastAnswered = !Response.keep_alive();
   Session.m_stream.expires_after(m_limits.m_idleTimeout);
-  co_await http::async_write(Session.m_stream, Response,
-                             asio::redirect_error(asio::use_awaitable, Error));
+  http::response_serializer<http::string_body> Out(Response);
+  Out.split(Session.m_isHeadRequest);
+  if (Session.m_isHeadRequest)
+    co_await http::async_write_header(
+        Session.m_stream, Out,
+        asio::redirect_error(asio::use_awaitable, Error));
+  else
+    co_await http::async_write(
+        Session.m_stream, Out,
+        asio::redirect_error(asio::use_awaitable, Error));
   Session.m_stream.expires_never();
   co_return Error;
 }
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -389,9 +389,10 @@
   Request->m_isAnswered = true;
   if (m_isDraining || !Request->m_parser->is_done())
     Client->m_mustClose = true;
-  std::string Out = makeAnswer(
-      {Status, Reason, RetryAfter, Client->m_mustClose, nameIdleLimit(*Client)},
-      m_settings.m_headers, Request->m_id);
+  const bool IsToHead = Request->head().method() == http::verb::head;
+  std::string Out = makeAnswer({Status, Reason, RetryAfter, Client->m_mustClose,
+                                nameIdleLimit(*Client), IsToHead},
+                               m_settings.m_headers, Request->m_id);
   const bool IsSent = co_await write(Client, std::move(Out));
   if (!IsSent)
     Request->m_isClientGone = true;
--- a/src/edge/message-head.cc
+++ b/src/edge/message-head.cc
@@ -110,7 +110,8 @@
                        MsPerSecond);
   appendPersistence(Out, Answer.m_closesConnection, Answer.m_idleLimit);
   Out.append("\r\n");
-  Out.append(Body);
+  if (!Answer.m_isToHeadRequest)
+    Out.append(Body);
   return Out;
 }
 
--- a/src/edge/text-server.cc
+++ b/src/edge/text-server.cc
@@ -63,8 +63,12 @@
     Reply.body() = Made.m_body;
     Reply.keep_alive(Request.keep_alive());
     Reply.prepare_payload();
+    http::response_serializer<http::string_body> Out(Reply);
+    const bool IsToHead = Request.method() == http::verb::head;
+    Out.split(IsToHead);
     const auto [WriteError, Written] =
-        co_await http::async_write(Stream, Reply, UseTuple);
+        IsToHead ? co_await http::async_write_header(Stream, Out, UseTuple)
+                 : co_await http::async_write(Stream, Out, UseTuple);
     if (WriteError || !Request.keep_alive())
       co_return;
   }
--- a/test/gateway/client-connection-test.cc
+++ b/test/gateway/client-connection-test.cc
@@ -50,6 +50,37 @@
     return *Status;
   }
 
+  /// Sends a HEAD request with \p Target and then a GET request on one
+  /// connection. Returns the statuses of both answers; 0: none that can be
+  /// read.
+  std::pair<unsigned, unsigned> sendHeadThenGet(const std::string &Target) {
+    using Statuses = std::pair<unsigned, unsigned>;
+    const std::shared_ptr<Statuses> Out = std::make_shared<Statuses>();
+    const std::shared_ptr<bool> IsDone = std::make_shared<bool>(false);
+    asio::co_spawn(
+        m_context,
+        [](asio::ip::tcp::socket To, std::string Head, std::string Get,
+           std::shared_ptr<Statuses> Got,
+           std::shared_ptr<bool> HasEnded) -> asio::awaitable<void> {
+          boost::beast::flat_buffer Buffer;
+          co_await asio::async_write(To, asio::buffer(Head), UseTuple);
+          http::response_parser<http::empty_body> First;
+          First.skip(true);
+          const auto [Error, Count] =
+              co_await http::async_read(To, Buffer, First, UseTuple);
+          Got->first = Error ? 0 : First.get().result_int();
+          co_await asio::async_write(To, asio::buffer(Get), UseTuple);
+          http::response<http::string_body> Second;
+          const auto [NextError, NextCount] =
+              co_await http::async_read(To, Buffer, Second, UseTuple);
+          Got->second = NextError ? 0 : Second.result_int();
+          *HasEnded = true;
+        }(connect(), "HEAD" + get(Target).substr(3), get("/web/"), Out, IsDone),
+        asio::detached);
+    EXPECT_TRUE(runUntil([IsDone] { return *IsDone; }));
+    return *Out;
+  }
+
   /// Returns whether the gateway closes \p Client while it is idle.
   bool isClosed(asio::ip::tcp::socket &Client) {
     const std::shared_ptr<bool> HasEnded = std::make_shared<bool>(false);
@@ -124,6 +155,15 @@
   EXPECT_TRUE(send(get("/web/")).m_head["Keep-Alive"].empty());
 }
 
+// Guards issue 2, review/1 (MIXED): a body after the gateway's own answer to a
+// HEAD request was read as the beginning of the next answer.
+TEST_F(ClientConnectionTest, Request_AfterOwnAnswerToHead_IsServed) {
+  startAll();
+  EXPECT_EQ(sendHeadThenGet("/none/"), std::make_pair(404U, 200U));
+  EXPECT_EQ(sendHeadThenGet("/stock/"), std::make_pair(400U, 200U));
+  EXPECT_EQ(sendHeadThenGet("/web/"), std::make_pair(200U, 200U));
+}
+
 // Idle connections that are kept for long must not keep new clients out.
 TEST_F(ClientConnectionTest, NewConnection_NoDescriptorsLeft_IsServed) {
   m_store.m_configuration.m_limits.m_idleTimeout = Millis(60000);
--- a/test/gateway/message-head-test.cc
+++ b/test/gateway/message-head-test.cc
@@ -106,6 +106,15 @@
   EXPECT_THAT(Text, Not(HasSubstr("Retry-After")));
 }
 
+// A client reads a body after the answer to HEAD as its next answer.
+TEST_F(MessageHeadTest, Answer_ToHeadRequest_HasLengthAndNoBody) {
+  GatewayAnswer Answer{503, "overloaded", Millis(250)};
+  Answer.m_isToHeadRequest = true;
+  const std::string Text = makeAnswer(Answer, m_names, "r-1");
+  EXPECT_THAT(Text, HasSubstr("Content-Length: 11\r\n"));
+  EXPECT_THAT(Text, EndsWith("\r\n\r\n"));
+}
+
 TEST_F(MessageHeadTest, Chunk_OfTwentyBytes_HasHexLength) {
   EXPECT_EQ(makeChunk(std::string(20, 'x')),
             "14\r\n" + std::string(20, 'x') + "\r\n");
--- a/test/process/http-server-test.cc
+++ b/test/process/http-server-test.cc
@@ -62,10 +62,11 @@
   }
 
   /// Reads one answer. Returns status 0 if there is none.
-  HttpResponse receive() {
+  HttpResponse receive(bool IsToHead = false) {
     HttpResponse None;
     None.result(0U);
     http::response_parser<http::string_body> Parser;
+    Parser.skip(IsToHead);
     bool HasEnded = false;
     boost::system::error_code Error;
     http::async_read(m_client, m_buffer, Parser,
@@ -197,6 +198,17 @@
   EXPECT_EQ(receive().result_int(), 200U);
 }
 
+// A client reads a body after the answer to HEAD as its next answer.
+TEST_F(HttpServerTest, Request_AfterHead_IsAnswered) {
+  start();
+  send("HEAD /a HTTP/1.1\r\nHost: a\r\n\r\n");
+  const HttpResponse ToHead = receive(true);
+  EXPECT_EQ(ToHead.result_int(), 200U);
+  EXPECT_EQ(ToHead[http::field::content_length], "4");
+  send(request(0));
+  EXPECT_EQ(receive().body(), "done");
+}
+
 // A chunk line has no end before its line break, and the parser reads it whole.
 TEST_F(HttpServerTest, Request_EndlessChunkLine_IsRefused) {
   HttpLimits Limits;
