--- a/include/tamarackdrum/gateway/configuration.h
+++ b/include/tamarackdrum/gateway/configuration.h
@@ -44,6 +44,8 @@
   std::string m_name;
   unsigned m_maxConnections = 0; ///< Total of all hosts.
   bool m_isKeyed = false;        ///< Servers hold ranges of keys.
+  /// Path of the health checks of its servers; empty: they have none.
+  std::string m_healthPath;
   ColdPolicy m_cold;
 
   bool operator==(const Service &) const = default;
--- a/include/tamarackdrum/gateway/contact-monitor.h
+++ b/include/tamarackdrum/gateway/contact-monitor.h
@@ -16,11 +16,14 @@
 class ContactMonitor {
 public:
   using ServersSource = std::function<const Reachability::Servers &()>;
+  /// Returns the path of the health checks of a service; empty if it has none.
+  using HealthPathSource = std::function<std::string(const std::string &)>;
 
   /// Does nothing if \p IsEnabled is false.
   ContactMonitor(boost::asio::any_io_executor Executor, bool IsEnabled,
                  Roster &Hosts, UpstreamClient &Upstreams, EventLog &Log,
-                 GatewayMetrics &Metrics, ServersSource Servers);
+                 GatewayMetrics &Metrics, ServersSource Servers,
+                 HealthPathSource HealthPaths);
 
   /// Starts to probe. \p Network outlives this.
   void start(PeerNetwork &Network);
@@ -56,7 +59,7 @@
   };
 
   boost::asio::awaitable<void> run();
-  boost::asio::awaitable<void> probe(std::string Id, std::string Address);
+  boost::asio::awaitable<void> probe(ServerEntry Server);
   void update(TimePoint Now);
   /// Opens links to the hosts that may relay, and asks more of them.
   void preparePeers(TimePoint Now);
@@ -68,6 +71,7 @@
   EventLog &m_log;
   GatewayMetrics &m_metrics;
   const ServersSource m_servers;
+  const HealthPathSource m_healthPaths;
   PeerNetwork *m_network = nullptr;
   Reachability m_reachability;
   std::uint32_t m_lastNumber = 0;
--- a/include/tamarackdrum/gateway/gateway-host.h
+++ b/include/tamarackdrum/gateway/gateway-host.h
@@ -126,6 +126,8 @@
   /// Handles a message about a relayed request. Returns whether it is one.
   bool onRelayMessage(std::uint32_t Link, PeerMessage &Message);
   GranterRunner &makeGranterRunner(const std::string &Service);
+  /// Returns an empty text if the service is not known or has no path.
+  std::string healthPathOf(const std::string &Service) const;
   void sendKeyMap(std::uint32_t Link, const std::string &Service);
   /// Sends changed holders to the candidates, as granter, and to the followers.
   void sendKeyMapChanges();
--- a/include/tamarackdrum/gateway/reachability.h
+++ b/include/tamarackdrum/gateway/reachability.h
@@ -49,10 +49,15 @@
 
   explicit Reachability(ReachabilityPolicy Policy = {}) : m_policy(Policy) {}
 
-  /// Records an answer, or a connection, of \p Server.
+  /// Records an answer of \p Server. A connection is none: it may end at a
+  /// proxy whose path to the server is cut.
   void recordReached(const std::string &Server, TimePoint Now);
   /// Records an attempt at \p Server that failed without an answer.
   void recordFailed(const std::string &Server, TimePoint Now);
+  /// Records a probe of \p Server that has got a connection and no answer since
+  /// \p Start. It is a failure unless another server has answered since then:
+  /// servers that are full answer late.
+  void recordSilent(const std::string &Server, TimePoint Start, TimePoint Now);
 
   /// Returns the servers to probe now, of different services and zones, and
   /// records the round. \p OldestWaiting: start of the oldest attempt without
--- a/include/tamarackdrum/gateway/upstream-client.h
+++ b/include/tamarackdrum/gateway/upstream-client.h
@@ -83,6 +83,14 @@
   bool m_isCancelled = false;
 };
 
+/// How a probe of a server has ended.
+enum class ProbeResult {
+  Answered,    ///< The server has answered, whatever it says of its health.
+  Unreachable, ///< No connection.
+  Silent,      ///< A connection, and no byte in time.
+  BrokenOff    ///< The connection has ended without a byte.
+};
+
 /// Sends requests to backend servers over pooled connections.
 class UpstreamClient {
 public:
@@ -99,9 +107,15 @@
   boost::asio::awaitable<Result<std::string>> readMore(UpstreamReply &Reply);
 
   /// Returns whether \p Address refuses or does not answer a new connection,
-  /// which means that its server has ended.
+  /// which means that its server has ended. A connection does not show that its
+  /// server is reached; see probe().
   boost::asio::awaitable<bool> isDown(std::string Address);
 
+  /// Sends a health check for \p HealthPath to the server at \p Address. With
+  /// an empty path, a connection counts as an answer.
+  boost::asio::awaitable<ProbeResult> probe(std::string Address,
+                                            std::string HealthPath);
+
 private:
   struct WriteState;
 
--- a/src/edge/contact-monitor.cc
+++ b/src/edge/contact-monitor.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <spdlog/fmt/fmt.h>
 
 namespace tamarackdrum::gateway {
 namespace {
@@ -21,15 +22,30 @@
 /// relay. Spreads the requests of a zone over most hosts of the others.
 constexpr std::size_t ProspectCount = 8;
 
+const char *toText(ProbeResult Result) {
+  switch (Result) {
+  case ProbeResult::Answered:
+    return "reached";
+  case ProbeResult::Unreachable:
+    return "failed";
+  case ProbeResult::Silent:
+    return "silent";
+  case ProbeResult::BrokenOff:
+    return "broken-off";
+  }
+  return "";
+}
+
 } // namespace
 
 ContactMonitor::ContactMonitor(asio::any_io_executor Executor, bool IsEnabled,
                                Roster &Hosts, UpstreamClient &Upstreams,
                                EventLog &Log, GatewayMetrics &Metrics,
-                               ServersSource Servers)
+                               ServersSource Servers,
+                               HealthPathSource HealthPaths)
     : m_executor(std::move(Executor)), m_isEnabled(IsEnabled), m_hosts(Hosts),
       m_upstreams(Upstreams), m_log(Log), m_metrics(Metrics),
-      m_servers(std::move(Servers)) {}
+      m_servers(std::move(Servers)), m_healthPaths(std::move(HealthPaths)) {}
 
 void ContactMonitor::start(PeerNetwork &Network) {
   m_network = &Network;
@@ -60,12 +76,19 @@
     m_reachability.recordFailed(Server, BootClock::now());
 }
 
-asio::awaitable<void> ContactMonitor::probe(std::string Id,
-                                            std::string Address) {
-  const bool IsDown = co_await m_upstreams.isDown(Address);
+asio::awaitable<void> ContactMonitor::probe(ServerEntry Server) {
+  const TimePoint Start = BootClock::now();
+  const ProbeResult Result = co_await m_upstreams.probe(
+      Server.m_address, m_healthPaths(Server.m_service));
   m_metrics.count("server_probes",
-                  IsDown ? "result=\"failed\"" : "result=\"reached\"");
-  record(Id, !IsDown);
+                  fmt::format("result=\"{}\"", toText(Result)));
+  const TimePoint Now = BootClock::now();
+  if (Result == ProbeResult::Answered)
+    m_reachability.recordReached(Server.m_id, Now);
+  else if (Result == ProbeResult::Unreachable)
+    m_reachability.recordFailed(Server.m_id, Now);
+  else if (Result == ProbeResult::Silent)
+    m_reachability.recordSilent(Server.m_id, Start, Now);
 }
 
 void ContactMonitor::update(TimePoint Now) {
@@ -106,8 +129,7 @@
         m_attempts.empty() ? Now : m_attempts.begin()->second.m_startedAt;
     for (const std::string &Id :
          m_reachability.takeDueProbes(m_servers(), Oldest, Now))
-      asio::co_spawn(m_executor, probe(Id, m_servers().at(Id).m_address),
-                     asio::detached);
+      asio::co_spawn(m_executor, probe(m_servers().at(Id)), asio::detached);
     update(Now);
     if (isSuspected())
       m_preparesUntil = Now + PrepareTime;
--- a/src/edge/gateway-host.cc
+++ b/src/edge/gateway-host.cc
@@ -72,11 +72,13 @@
       m_feed(Executor, Policy.m_feed, m_settings, Store, m_hosts, Log,
              m_metrics, feedEvents()),
       m_pool(PoolPolicy{}), m_upstreams(m_pool, m_settings.m_headers),
-      m_contacts(Executor, m_settings.m_contactBound > Millis(0), m_hosts,
-                 m_upstreams, Log, m_metrics,
-                 [this]() -> const Reachability::Servers & {
-                   return m_feed.servers();
-                 }),
+      m_contacts(
+          Executor, m_settings.m_contactBound > Millis(0), m_hosts, m_upstreams,
+          Log, m_metrics,
+          [this]() -> const Reachability::Servers & {
+            return m_feed.servers();
+          },
+          [this](const std::string &Service) { return healthPathOf(Service); }),
       m_admission(Executor, Policy.m_admission, dispatchPolicy(m_settings),
                   m_hosts, Log),
       m_network(Executor, PeerNetworkPolicy{}, m_hosts, m_settings.m_peerPort,
@@ -281,6 +283,13 @@
   return *m_granterRunners.emplace(Service, std::move(Runner)).first->second;
 }
 
+std::string GatewayHost::healthPathOf(const std::string &Service) const {
+  const std::shared_ptr<RouteTable> &Routes = m_feed.routes();
+  const gateway::Service *Found =
+      Routes == nullptr ? nullptr : Routes->findService(Service);
+  return Found == nullptr ? "" : Found->m_healthPath;
+}
+
 void GatewayHost::sendKeyMap(std::uint32_t Link, const std::string &Service) {
   const KeyMap &Known = m_admission.keyMap(Service);
   if (Known.version() > 0)
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
+#include <spdlog/fmt/fmt.h>
 
 namespace tamarackdrum::gateway {
 namespace {
@@ -38,6 +39,9 @@
 /// its work by itself at the deadline.
 constexpr Millis AnswerGrace{80};
 constexpr Millis ProbeTimeout{250};
+/// A health check waits for a slot of its server.
+constexpr Millis HealthTimeout{600};
+constexpr std::size_t MaxHealthAnswerBytes = 64U << 10U;
 /// Upper limit of the time without requests that a server can ask for; guards
 /// against invalid values.
 constexpr std::chrono::hours MaxRestTime{1};
@@ -370,4 +374,28 @@
   co_return false;
 }
 
+asio::awaitable<ProbeResult> UpstreamClient::probe(std::string Address,
+                                                   std::string HealthPath) {
+  Result<ConnectionPool::ConnectionPtr> Opened =
+      co_await m_pool.open(Address, ProbeTimeout);
+  if (!Opened)
+    co_return ProbeResult::Unreachable;
+  Connection &Used = *Opened.value();
+  if (!HealthPath.empty()) {
+    Used.setDeadline(BootClock::now() + HealthTimeout);
+    const std::string Request = fmt::format(
+        "GET {} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\nConnection: close\r\n\r\n",
+        HealthPath, Address, m_headers.m_deadlineMs, HealthTimeout.count());
+    co_await asio::async_write(Used.m_stream, asio::buffer(Request), UseTuple);
+    AnswerParser Answer;
+    Answer.body_limit(MaxHealthAnswerBytes);
+    const boost::system::error_code Error = co_await readWhole(Used, Answer);
+    if (!Answer.got_some())
+      co_return Error == beast::error::timeout ? ProbeResult::Silent
+                                               : ProbeResult::BrokenOff;
+  }
+  m_pool.putIdle(Address, std::move(Opened.value()), 0);
+  co_return ProbeResult::Answered;
+}
+
 } // namespace tamarackdrum::gateway
--- a/src/gateway/reachability.cc
+++ b/src/gateway/reachability.cc
@@ -15,6 +15,12 @@
   m_recovered.clear();
 }
 
+void Reachability::recordSilent(const std::string &Server, TimePoint Start,
+                                TimePoint Now) {
+  if (m_reachedAt < Start)
+    recordFailed(Server, Now);
+}
+
 std::vector<std::string> Reachability::takeDueProbes(const Servers &Known,
                                                      TimePoint OldestWaiting,
                                                      TimePoint Now) {
--- a/test/gateway/cut-off-host-test.cc
+++ b/test/gateway/cut-off-host-test.cc
@@ -28,8 +28,9 @@
   bool m_isCut = false;
 };
 
-/// How new connections of a cut-off host end.
-enum class Cut { Refused, Hanging };
+/// How new connections of a cut-off host end. Silent: they are accepted, e.g.
+/// by a proxy in the path, and nothing comes back over them.
+enum class Cut { Refused, Hanging, Silent };
 
 /// Three hosts and four servers of two services in two zones. One host, the
 /// granter, is cut off from all servers.
@@ -43,6 +44,8 @@
         makeRoute("keyed", "/stock/", RequestKind::Safe, "stock")};
     m_store.m_configuration.m_services["web"] = {"web", 100, false};
     m_store.m_configuration.m_services["stock"] = {"stock", 100, true};
+    for (auto &[Name, Item] : m_store.m_configuration.m_services)
+      Item.m_healthPath = ScriptedServer::HealthPath;
     for (std::size_t I = 0; I < m_servers.size(); ++I) {
       ServerEntry Entry;
       Entry.m_service = I < 2 ? "web" : "stock";
@@ -118,13 +121,17 @@
 
   void setCut(bool IsCut) {
     m_keys[m_cutHost].m_isCut = IsCut;
-    const std::string Port =
-        GetParam() == Cut::Hanging
-            ? std::to_string(m_full.local_endpoint().port())
-            : "1";
-    m_hosts[m_cutHost]->setAddressMap([=](const std::string &Address) {
-      return IsCut ? "127.0.0.1:" + Port : Address;
-    });
+    const std::string Target = "127.0.0.1:" + std::to_string(cutPort());
+    m_hosts[m_cutHost]->setAddressMap(
+        [=](const std::string &Address) { return IsCut ? Target : Address; });
+  }
+
+  std::uint16_t cutPort() const {
+    if (GetParam() == Cut::Refused)
+      return 1;
+    return (GetParam() == Cut::Hanging ? m_full : m_silent)
+        .local_endpoint()
+        .port();
   }
 
   /// Sends a first attempt to \p Host and counts its end.
@@ -180,6 +187,9 @@
       ScriptedServer(m_context), ScriptedServer(m_context)};
   std::list<asio::ip::tcp::acceptor> m_probes; ///< Keep their ports reserved.
   asio::ip::tcp::acceptor m_full{m_context};
+  /// The kernel accepts its connections; nobody reads from them.
+  asio::ip::tcp::acceptor m_silent{
+      m_context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
   std::array<asio::ip::tcp::socket, 3> m_fillers{
       asio::ip::tcp::socket(m_context), asio::ip::tcp::socket(m_context),
       asio::ip::tcp::socket(m_context)};
@@ -267,7 +277,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Connections, CutOffHostTest,
-                         testing::Values(Cut::Refused, Cut::Hanging));
+                         testing::Values(Cut::Refused, Cut::Hanging,
+                                         Cut::Silent));
 
 } // namespace
 } // namespace tamarackdrum::gateway
--- a/test/gateway/fake-platform.h
+++ b/test/gateway/fake-platform.h
@@ -144,6 +144,9 @@
 /// A backend server whose answers the test defines.
 class ScriptedServer {
 public:
+  /// Health checks are answered at once and not recorded.
+  static constexpr const char *HealthPath = "/health";
+
   using Stream = boost::beast::tcp_stream;
   /// Answers one request. Returns false to close the connection.
   using Script =
@@ -236,6 +239,10 @@
                                  std::string(Request["Test-Server"]),
                                  std::string(Request["Test-Deadline"]),
                                  Request.body()};
+      if (Seen.m_target == HealthPath) {
+        co_await answerOk(Peer, Seen);
+        continue;
+      }
       m_requests.push_back(Seen);
       const bool IsKept = co_await m_script(Peer, Seen);
       if (!IsKept)
--- a/test/gateway/reachability-test.cc
+++ b/test/gateway/reachability-test.cc
@@ -111,6 +111,26 @@
     })) << Interval.count();
 }
 
+// Guards issue 2, review/3 (RECOVER): a path that accepts connections and drops
+// what comes over them.
+TEST_F(ReachabilityTest, AllProbesStaySilent_Always_IsCutOff) {
+  const TimePoint Start = m_now + Millis(1);
+  for (const auto &[Id, Entry] : m_servers)
+    m_subject.recordSilent(Id, Start, m_now + Millis(600));
+  EXPECT_TRUE(m_subject.update(m_servers, true, m_now + Millis(600)));
+  EXPECT_TRUE(m_subject.isCutOff());
+}
+
+// Health checks wait for a slot, so that many stay silent at full servers.
+TEST_F(ReachabilityTest, ProbesStaySilent_OneServerAnswers_IsNotCutOff) {
+  const TimePoint Start = m_now;
+  m_subject.recordReached("cstock1", m_now + Millis(10));
+  for (const auto &[Id, Entry] : m_servers)
+    m_subject.recordSilent(Id, Start, m_now + Millis(600));
+  EXPECT_FALSE(m_subject.update(m_servers, true, m_now + Millis(600)));
+  EXPECT_FALSE(m_subject.isSuspected());
+}
+
 TEST_F(ReachabilityTest, CutOff_ServersAnswerAgain_EndsAfterTwo) {
   ASSERT_TRUE(
       run(Millis(3000), Millis(50), [](const ServerEntry &) { return false; }));
--- a/test/platform/wire-decode-test.cc
+++ b/test/platform/wire-decode-test.cc
@@ -70,6 +70,22 @@
   EXPECT_FALSE(decode());
 }
 
+// A configuration in force must not be refused for a path that only probes use.
+TEST_F(DecodeConfigurationTest, HealthPath_NotUsable_CountsAsNone) {
+  m_value["services"]["sheets"]["health_path"] = "/healthz";
+  EXPECT_EQ(
+      decode().value().m_configuration.m_services.at("sheets").m_healthPath,
+      "/healthz");
+  for (const Json &Path : {Json(), Json(7), Json(""), Json("healthz"),
+                           Json("/a b"), Json("/a\r\nb")}) {
+    m_value["services"]["sheets"]["health_path"] = Path;
+    const Result<DecodedConfiguration> Read = decode();
+    ASSERT_TRUE(Read) << m_reason;
+    EXPECT_EQ(Read.value().m_configuration.m_services.at("sheets").m_healthPath,
+              "");
+  }
+}
+
 TEST_F(DecodeConfigurationTest, Weight_Negative_IsNamed) {
   part(0)["weight"] = -1;
   EXPECT_FALSE(decode());
