End the read of requests with endless chunk lines at their limit

Callers saw: a client that sends chunk lines without end and at full speed kept its request, and its share of a busy host's thread, long after the deadline: the limit of the body counts the bytes of chunks and not those of lines, so that the buffered part of a body alone may come with some 4 GB of lines (read).

The timer that ends a read cancels an operation that waits; on a thread with other work a read of such a client finds bytes at once and never waits. EdgeServer::readBody() set the limit anew for each piece and did not compare the deadline itself; HttpServer read with an eager parser.

Change: both compare the time after each read. A body that is not whole at its deadline is refused with 408 as before. Looked through: heads are bounded by the header limit; TextServer takes no body; the rest of a long body is read at the pace of its server, whose answer ends at the deadline.

Evidence: ClientConnectionTest and HttpServerTest .Request_EndlessChunkLinesOnBusyThread_IsRefused fail without the change (4.8 s, with other work for 3 s) and pass with it (0.3 s and 0.6 s).

--- a/src/adapter/http-server.cc
+++ b/src/adapter/http-server.cc
@@ -94,6 +94,28 @@
          Error != http::error::partial_message;
 }
 
+using RequestParser = http::request_parser<http::string_body>;
+
+/// Reads a whole request within \p Limit. Returns whether it was in time.
+asio::awaitable<bool> readInTime(detail::HttpSession &Session,
+                                 RequestParser &Parser, Millis Limit,
+                                 beast::error_code &Error) {
+  const TimePoint End = BootClock::now() + Limit;
+  bool IsLate = false;
+  Session.m_readLimit.begin(Limit);
+  while (!Error && !Parser.is_done()) {
+    co_await http::async_read_some(
+        Session.m_stream, Session.m_buffer, Parser,
+        asio::redirect_error(asio::use_awaitable, Error));
+    // The limit ends only a read that waits.
+    IsLate = Session.m_readLimit.hasExpired() || BootClock::now() >= End;
+    if (IsLate && !Error && !Parser.is_done())
+      Error = asio::error::operation_aborted;
+  }
+  Session.m_readLimit.end();
+  co_return !IsLate;
+}
+
 } // namespace
 
 HttpResponse makeResponse(unsigned Status, std::string Body,
@@ -229,13 +251,11 @@
   Session.m_phase = detail::HttpPhase::Reading;
   Session.m_isHeadRequest = false;
   beast::error_code Error;
-  http::request_parser<http::string_body> Parser;
+  RequestParser Parser;
   Parser.header_limit(static_cast<std::uint32_t>(m_limits.m_maxHeaderBytes));
   Parser.body_limit(m_limits.m_maxBodyBytes);
-  Session.m_readLimit.begin(m_limits.m_idleTimeout);
-  co_await http::async_read(Session.m_stream, Session.m_buffer, Parser,
-                            asio::redirect_error(asio::use_awaitable, Error));
-  Session.m_readLimit.end();
+  const bool IsInTime =
+      co_await readInTime(Session, Parser, m_limits.m_idleTimeout, Error);
   Session.m_isHeadRequest = Parser.get().method() == http::verb::head;
   if (Session.m_phase != detail::HttpPhase::Reading) {
     co_await awaitLast(Session);
@@ -243,8 +263,7 @@
   }
   HttpResponse Response;
   if (Error) {
-    const bool IsLate = Session.m_readLimit.hasExpired();
-    if (!IsLate && !isProtocolError(Error))
+    if (IsInTime && !isProtocolError(Error))
       co_return false;
     const bool IsTooLarge =
         Error == http::error::body_limit || Error == http::error::header_limit;
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -242,13 +242,17 @@
     const std::size_t Length = Piece.size() - Parser.get().body().size;
     Request->m_body.append(Piece.data(), Length);
     m_bufferedBytes += Length;
-    if (!Error || Error == http::error::need_buffer ||
+    // The limit ends only a read that waits.
+    const bool IsLate = Client->m_readLimit.hasExpired() ||
+                        timeLeft(Request->m_deadline) <= Millis(0);
+    const bool IsReadOn = !Error || Error == http::error::need_buffer;
+    if ((IsReadOn && (!IsLate || Parser.is_done())) ||
         Request->m_isHostStopping)
       continue;
     Client->m_mustClose = true;
     if (Error == http::error::body_limit)
       co_await sendAnswer(Client, Request, 413, "body too long", Millis(0));
-    else if (Client->m_readLimit.hasExpired())
+    else if (IsLate)
       co_await sendAnswer(Client, Request, 408, "body not sent in time",
                           Millis(0));
     else if (Error.category() ==
--- a/test/gateway/client-connection-test.cc
+++ b/test/gateway/client-connection-test.cc
@@ -1,5 +1,6 @@
 // When the gateway closes the connections of its clients.
 
+#include "endless-peer.h"
 #include "gateway-host-fixture.h"
 
 #include <sys/resource.h>
@@ -212,5 +213,30 @@
   EXPECT_EQ(send(Bytes).m_status, 504U);
 }
 
+// A busy thread never waits for bytes, and the limit of the read does not end
+// it: a request stays long after its deadline.
+TEST_F(ClientConnectionTest, Request_EndlessChunkLinesOnBusyThread_IsRefused) {
+  m_policy.m_edge.m_closeTime = Millis(100);
+  startAll();
+  std::atomic<bool> IsClosed{false};
+  std::thread Sender([&IsClosed, To = m_addresses[0]] {
+    asio::io_context Own;
+    asio::ip::tcp::socket Client(Own);
+    Client.connect(To);
+    sendEndlessly(Client,
+                  "POST /pay/ HTTP/1.1\r\nHost: shop.example\r\n"
+                  "Test-Id: id-1\r\nTest-Deadline: 200\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n",
+                  longChunkLine());
+    IsClosed = true;
+  });
+  const auto BusyUntil = std::chrono::steady_clock::now() + BusyTime;
+  keepBusy(m_context, BusyUntil);
+  EXPECT_TRUE(runUntil([&IsClosed] { return IsClosed.load(); }));
+  EXPECT_LT(std::chrono::steady_clock::now(), BusyUntil);
+  Sender.join();
+  EXPECT_EQ(webRequests(), 0U);
+}
+
 } // namespace
 } // namespace tamarackdrum::gateway
--- a/test/gateway/endless-peer.h
+++ b/test/gateway/endless-peer.h
@@ -91,7 +91,10 @@
 /// Chunks of one byte, each after a line of \p LineBytes: the reader gets much
 /// and keeps little.
 inline std::string longChunkLine(std::size_t LineBytes = 16U << 10U) {
-  return "1;" + std::string(LineBytes, 'x') + "\r\nx\r\n";
+  std::string Out("1;");
+  Out.append(LineBytes, 'x');
+  Out.append("\r\nx\r\n");
+  return Out;
 }
 
 /// Uses the thread of \p Context until \p End, with short pauses for its other
--- a/test/process/http-server-test.cc
+++ b/test/process/http-server-test.cc
@@ -229,6 +229,28 @@
   EXPECT_EQ(m_calls, 0);
 }
 
+// A busy thread never waits for bytes, and the limit of the read does not end
+// it: a request is read long after its limit.
+TEST_F(HttpServerTest, Request_EndlessChunkLinesOnBusyThread_IsRefused) {
+  HttpLimits Limits;
+  Limits.m_idleTimeout = Millis(300);
+  const auto BusyUntil = std::chrono::steady_clock::now() + gateway::BusyTime;
+  gateway::keepBusy(m_context, BusyUntil);
+  start(Limits);
+  std::thread Client([this] {
+    gateway::sendEndlessly(
+        m_client,
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+        gateway::longChunkLine());
+  });
+  EXPECT_TRUE(
+      eventually([this] { return m_server->counters().m_malformed > 0; }));
+  EXPECT_LT(std::chrono::steady_clock::now(), BusyUntil);
+  m_server->stop();
+  Client.join();
+  EXPECT_EQ(m_calls, 0);
+}
+
 // Requests that were in flight at the end of a stop got no answer.
 TEST_F(HttpServerTest, EndAll_RequestRuns_GetsTheUnknownAnswer) {
   m_mayAnswer = false;
