--- a/test/gateway/upstream-client-test.cc
+++ b/test/gateway/upstream-client-test.cc
@@ -82,6 +82,15 @@
     return runBlocking(m_context, std::move(Task)).m_result;
   }
 
+  DispatchResult executeAt(const EndlessServer &Server) {
+    UpstreamRequest Request = makeRequest(3);
+    Request.m_server.m_address = Server.address();
+    return execute(std::move(Request));
+  }
+
+  static constexpr const char *ChunkedHead =
+      "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n";
+
   WorkerContext m_context{1};
   LateReader m_server;
   ConnectionPool m_pool{PoolPolicy{}};
@@ -178,26 +187,18 @@
 
 // The lines before the chunks of a piece can be any number of bytes.
 TEST_F(UpstreamClientTest, Answer_EndlessChunkLines_EndsAtTheDeadline) {
-  EndlessServer Server("HTTP/1.1 500 Failed\r\n"
-                       "Transfer-Encoding: chunked\r\n\r\n",
-                       longChunkLine());
-  UpstreamRequest Request = makeRequest(3);
-  Request.m_server.m_address = Server.address();
-  EXPECT_EQ(execute(std::move(Request)), DispatchResult::TimedOut);
+  EndlessServer Server(ChunkedHead, longChunkLine());
+  EXPECT_EQ(executeAt(Server), DispatchResult::TimedOut);
   EXPECT_LT(Server.sentBytes(), EndlessBytes);
 }
 
 // A busy thread never waits for bytes, and the timer of the stream does not end
 // the read: a request keeps its slot long after its deadline.
 TEST_F(UpstreamClientTest, Answer_EndlessChunkLinesOnBusyThread_EndsInTime) {
-  EndlessServer Server("HTTP/1.1 500 Failed\r\n"
-                       "Transfer-Encoding: chunked\r\n\r\n",
-                       longChunkLine());
-  UpstreamRequest Request = makeRequest(3);
-  Request.m_server.m_address = Server.address();
+  EndlessServer Server(ChunkedHead, longChunkLine());
   const auto BusyUntil = std::chrono::steady_clock::now() + BusyTime;
   keepBusy(m_context, BusyUntil);
-  EXPECT_EQ(execute(std::move(Request)), DispatchResult::TimedOut);
+  EXPECT_EQ(executeAt(Server), DispatchResult::TimedOut);
   EXPECT_LT(std::chrono::steady_clock::now(), BusyUntil);
 }
 
