--- a/include/tamarackdrum/gateway/request-relay.h
+++ b/include/tamarackdrum/gateway/request-relay.h
@@ -33,6 +33,9 @@
   bool operator==(const RelayPolicy &) const = default;
 };
 
+/// Returns the answer of a peer as if this host had got it from the server.
+UpstreamReply makeRelayedReply(RelayAnswerMessage Message, bool IsToHead);
+
 class RequestRelay {
 public:
   using FindServer = std::function<const ServerEntry *(const std::string &Id)>;
--- a/src/adapter/http-client.cc
+++ b/src/adapter/http-client.cc
@@ -1,3 +1,4 @@
+#include "tamarackdrum/answer-reader.h"
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/http.h"
 
@@ -155,16 +156,13 @@
   Parser.body_limit(m_limits.m_maxReplyBytes);
   Parser.skip(IsHead);
   // The timer of the stream ends only a read that waits, so that the deadline
-  // is checked between reads as well. An eager parser reads on as long as the
-  // bytes end within a chunk line.
+  // is checked between reads as well.
   Parser.eager(false);
   ReplyBytes Read(*this);
   while (!Error && !Parser.is_done()) {
     if (BootClock::now() >= Deadline)
       co_return std::error_code(HttpErrc::TimedOut);
-    co_await http::async_read_some(
-        Stream, Buffer, Parser,
-        asio::redirect_error(asio::use_awaitable, Error));
+    Error = co_await readSome(Stream, Buffer, Parser);
     if (!Read.set(Parser.get().body().size()))
       co_return std::error_code(HttpErrc::ReplyTorn);
   }
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -1,16 +1,22 @@
 #include "tamarackdrum/gateway/connection.h"
 
+#include "tamarackdrum/answer-reader.h"
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/peek.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace tamarackdrum::gateway {
+namespace {
+
+constexpr unsigned FirstFinalStatus = 200;
+
+} // namespace
+
 std::error_code openAcceptor(boost::asio::ip::tcp::acceptor &Acceptor,
                              const Endpoint &Address) {
   boost::system::error_code Error;
@@ -38,18 +44,18 @@
 
 boost::asio::awaitable<boost::system::error_code>
 readWhole(Connection &From, AnswerParser &Answer) {
-  // An eager parser reads on as long as the bytes end within a chunk line, so
-  // that the deadline would not be checked.
   Answer.eager(false);
   while (!Answer.is_done()) {
     if (From.isPastDeadline())
       co_return boost::beast::error::timeout;
-    const auto [Error, Count] = co_await boost::beast::http::async_read_some(
-        From.m_stream, From.m_buffer, Answer,
-        boost::asio::as_tuple(boost::asio::use_awaitable));
+    const boost::system::error_code Error =
+        co_await readSome(From.m_stream, From.m_buffer, Answer);
     if (Error)
       co_return Error;
   }
+  // The callers ask for no interim answer.
+  if (Answer.get().result_int() < FirstFinalStatus)
+    co_return boost::beast::http::error::bad_status;
   co_return boost::system::error_code();
 }
 
--- a/src/edge/request-relay.cc
+++ b/src/edge/request-relay.cc
@@ -1,5 +1,6 @@
 #include "tamarackdrum/gateway/request-relay.h"
 
+#include "tamarackdrum/answer-reader.h"
 #include "tamarackdrum/gateway/message-head.h"
 #include "tamarackdrum/gateway/relay-peers.h"
 #include "tamarackdrum/sleep.h"
@@ -73,8 +74,9 @@
   return Out;
 }
 
-/// Returns the answer of a peer as if this host had got it from the server.
-UpstreamReply makeReply(RelayAnswerMessage Message, bool IsToHead) {
+} // namespace
+
+UpstreamReply makeRelayedReply(RelayAnswerMessage Message, bool IsToHead) {
   UpstreamReply Out;
   Out.m_result = Message.m_result;
   Out.m_isSent = Message.m_isSent;
@@ -89,7 +91,8 @@
   Out.m_parser->skip(IsToHead);
   boost::system::error_code Error;
   Out.m_parser->put(asio::buffer(Message.m_head), Error);
-  if (!Out.m_parser->is_header_done()) {
+  // A peer of an earlier version passes on what is no answer.
+  if (!Out.m_parser->is_header_done() || checkHead(Out.m_parser->get())) {
     Out.m_parser = nullptr;
     Out.m_result = DispatchResult::ConnectionLost;
     return Out;
@@ -98,8 +101,6 @@
   return Out;
 }
 
-} // namespace
-
 RequestRelay::RequestRelay(asio::any_io_executor Executor, RelayPolicy Policy,
                            Roster &Hosts, UpstreamClient &Upstreams,
                            ContactMonitor &Contacts, EventLog &Log,
@@ -193,7 +194,8 @@
       continue;
     }
     if (Item->m_answer) {
-      Reply = makeReply(std::move(*Item->m_answer), Shared->m_isHeadRequest);
+      Reply =
+          makeRelayedReply(std::move(*Item->m_answer), Shared->m_isHeadRequest);
     } else {
       Reply.m_isSent = true;
       Reply.m_isPeerLost = Item->m_isLost;
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -1,5 +1,6 @@
 #include "tamarackdrum/gateway/upstream-client.h"
 
+#include "tamarackdrum/answer-reader.h"
 #include "tamarackdrum/error.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -144,12 +145,15 @@
     Parser->header_limit(HeaderBytes);
     Parser->body_limit(boost::none);
     Parser->skip(Request.m_isHeadRequest);
-    const auto [Error, Count] = co_await http::async_read_header(
-        Used.m_stream, Used.m_buffer, *Parser, UseTuple);
-    if (Error == beast::error::timeout)
-      Reply.m_result = DispatchResult::TimedOut;
-    if (Error)
-      co_return false;
+    Parser->eager(false);
+    while (!Parser->is_header_done()) {
+      const boost::system::error_code Error =
+          co_await readSome(Used.m_stream, Used.m_buffer, *Parser);
+      if (Error == beast::error::timeout)
+        Reply.m_result = DispatchResult::TimedOut;
+      if (Error)
+        co_return false;
+    }
     const http::response_header<> &Head = Parser->get();
     if (Head.result_int() / 100 == 1) {
       if (++Interim > MaxInterimReplies)
@@ -179,8 +183,6 @@
                                                UpstreamReply &Reply) {
   ResponseParser &Parser = *Reply.m_parser;
   std::string Piece(PieceBytes, '\0');
-  // See readWhole().
-  Parser.eager(false);
   while (!Parser.is_done()) {
     if (Reply.m_body.size() >= MaxBufferedReplyBytes) {
       Reply.m_hasMore = true;
@@ -193,10 +195,10 @@
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
     // Not one read of a whole piece: the lines before its chunks may be long.
-    const auto [Error, Count] = co_await http::async_read_some(
-        Used.m_stream, Used.m_buffer, Parser, UseTuple);
+    const boost::system::error_code Error =
+        co_await readSome(Used.m_stream, Used.m_buffer, Parser);
     Reply.m_body.append(Piece.data(), Piece.size() - Parser.get().body().size);
-    if (Error && Error != http::error::need_buffer) {
+    if (Error) {
       if (Error == beast::error::timeout)
         Reply.m_result = DispatchResult::TimedOut;
       co_return false;
@@ -348,13 +350,12 @@
       co_return HttpErrc::TimedOut;
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
-    const auto [Error, Count] = co_await http::async_read_some(
-        Reply.m_connection->m_stream, Reply.m_connection->m_buffer, Parser,
-        UseTuple);
+    const boost::system::error_code Error = co_await readSome(
+        Reply.m_connection->m_stream, Reply.m_connection->m_buffer, Parser);
     const std::size_t Length = Piece.size() - Parser.get().body().size;
     if (Error == beast::error::timeout)
       co_return HttpErrc::TimedOut;
-    if (Error && Error != http::error::need_buffer)
+    if (Error)
       co_return HttpErrc::ReplyTorn;
     if (Length > 0) {
       Piece.resize(Length);
--- a/test/gateway/relayed-stop-test.cc
+++ b/test/gateway/relayed-stop-test.cc
@@ -112,5 +112,23 @@
   EXPECT_EQ(webRequests(), 0U);
 }
 
+class RelayedAnswerTest : public RelayedStopTest {};
+
+TEST_F(RelayedAnswerTest, Answer_StatusOutOfRange_IsNotPassedOn) {
+  setWeb([](ScriptedServer::Stream &To,
+            const ReceivedRequest &) -> asio::awaitable<bool> {
+    std::string Text("HTTP/1.1 600 OK\r\nTest-Id: id-1\r\n"
+                     "Content-Length: 5\r\n\r\nhello");
+    co_return co_await ScriptedServer::send(To, std::move(Text));
+  });
+  startAll();
+  connect();
+  relay(1);
+  ASSERT_TRUE(runUntil([this] { return !m_answers.empty(); }));
+  EXPECT_EQ(m_answers[0].m_result, DispatchResult::ConnectionLost);
+  EXPECT_EQ(m_answers[0].m_head, "");
+  EXPECT_EQ(m_answers[0].m_body, "");
+}
+
 } // namespace
 } // namespace tamarackdrum::gateway
--- a/test/gateway/stale-answer-test.cc
+++ b/test/gateway/stale-answer-test.cc
@@ -83,6 +83,17 @@
   EXPECT_EQ(execute("second"), DispatchResult::ConnectionLost);
 }
 
+// Where its bytes end, and the next answer begins, is not known.
+TEST_F(StaleAnswerTest, KeptConnection_NoStatusInFront_ProvesNothing) {
+  for (const char *Status : {"000", "099", "600"}) {
+    m_server.m_script = ScriptedServer::answerOk;
+    ASSERT_EQ(execute("first"), DispatchResult::Served);
+    sendFirst("HTTP/1.1 " + std::string(Status) +
+              " OK\r\nTest-Id: other\r\nContent-Length: 4\r\n\r\nbusy");
+    EXPECT_EQ(execute("second"), DispatchResult::ConnectionLost) << Status;
+  }
+}
+
 // The copy bears the id of the request, since that is sent again.
 TEST_F(StaleAnswerTest, RefusedRequest_SentAgain_CopyOfRefusalIsNotItsAnswer) {
   m_server.m_script = ScriptedServer::refuse;
--- a/test/gateway/upstream-client-test.cc
+++ b/test/gateway/upstream-client-test.cc
@@ -2,6 +2,7 @@
 
 #include "endless-peer.h"
 #include "late-reader.h"
+#include "one-answer.h"
 #include "tamarackdrum/blocking.h"
 #include "tamarackdrum/worker-context.h"
 
@@ -10,44 +11,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/read_until.hpp>
 
 namespace tamarackdrum::gateway {
 namespace {
 
 namespace asio = boost::asio;
 
-/// Answers one request with a text and closes the connection.
-class OneAnswer {
-public:
-  explicit OneAnswer(std::string Text)
-      : m_text(std::move(Text)),
-        m_acceptor(m_context, {asio::ip::address_v4::loopback(), 0}),
-        m_thread([this] { serve(); }) {}
-  ~OneAnswer() { m_thread.join(); }
-
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-  }
-
-  const std::string &request() const { return m_request; }
-
-private:
-  void serve() {
-    asio::ip::tcp::socket Peer(m_context);
-    boost::system::error_code Error;
-    m_acceptor.accept(Peer, Error);
-    asio::read_until(Peer, asio::dynamic_buffer(m_request), "\r\n\r\n", Error);
-    asio::write(Peer, asio::buffer(m_text), Error);
-  }
-
-  const std::string m_text;
-  std::string m_request;
-  asio::io_context m_context;
-  asio::ip::tcp::acceptor m_acceptor;
-  std::thread m_thread;
-};
-
 /// A connection that ends by a reset drops what its sender's kernel has not
 /// sent; after the usual close, a server would receive that later.
 class UpstreamClientTest : public testing::Test {
@@ -173,7 +142,8 @@
 TEST_F(UpstreamClientTest, Probe_AnyAnswer_CountsAsAnswered) {
   for (const char *Text : {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
                            "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
-                           "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"}) {
+                           "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+                           "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n"}) {
     const OneAnswer Server(Text);
     EXPECT_EQ(probe(Server.address()), ProbeResult::Answered);
     EXPECT_THAT(Server.request(), testing::StartsWith("GET /health HTTP/1.1"));
--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -2,6 +2,7 @@
 
 #include "../gateway/endless-peer.h"
 #include "../gateway/late-reader.h"
+#include "../gateway/one-answer.h"
 #include "platform/standin/key-server.h"
 #include "platform/wire-decode.h"
 #include "tamarackdrum/blocking.h"
@@ -260,6 +261,24 @@
   EXPECT_EQ(Send(Call).m_result, GrantResult::Done);
 }
 
+// Neither an interim answer nor one with another status says that a call is
+// done, or which keys its server holds.
+TEST_F(KeyServerClientTest, Answer_NoFinalStatus_ProvesNothing) {
+  for (const char *Status : {"000", "099", "100", "199", "600", "999"})
+    for (const bool IsRelease : {false, true}) {
+      const OneAnswer Server("HTTP/1.1 " + std::string(Status) +
+                             " OK\r\nX-Handover: h\r\n"
+                             "Content-Length: 0\r\n\r\n");
+      GrantCall Call;
+      Call.m_isRelease = IsRelease;
+      Call.m_address = Server.address();
+      const GrantReply Reply =
+          await(m_subject.call(Call, BootClock::now() + Millis(5000)));
+      EXPECT_EQ(Reply.m_result, GrantResult::NoAnswer) << Status;
+      EXPECT_EQ(Reply.m_handover, "") << Status;
+    }
+}
+
 // A host makes many calls at the same time, and no part of the body is used.
 TEST_F(KeyServerClientTest, Answer_EndlessBody_EndsAtItsLimit) {
   EndlessServer Server("HTTP/1.1 200 OK\r\n\r\n", std::string(16384, 'x'));
--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -1,6 +1,7 @@
 #include "platform/store-client.h"
 
 #include "../gateway/endless-peer.h"
+#include "../gateway/one-answer.h"
 #include "platform/standin/row-store.h"
 #include "platform/standin/wire-encode.h"
 #include "tamarackdrum/blocking.h"
@@ -368,6 +369,19 @@
             TableErrc::Unavailable);
 }
 
+// The record may have been written: a granter that takes it for not written
+// counts on the record before it.
+TEST_F(StoreClientTest, WriteOwnership_NoFinalStatus_IsUnsettled) {
+  for (const char *Status : {"000", "099", "100", "199", "600", "999"}) {
+    const OneAnswer Server("HTTP/1.1 " + std::string(Status) +
+                           " OK\r\nContent-Length: 0\r\n\r\n");
+    StoreClient Subject(Server.address(), StorePolicy{}, m_log);
+    EXPECT_EQ(await(Subject.writeOwnership("stock", makeRecord(1), {})).error(),
+              TableErrc::Unsettled)
+        << Status;
+  }
+}
+
 // The timer of a stream ends only an operation that waits.
 TEST_F(StoreClientTest, Answer_EndlessChunkLines_EndsAtTheTimeout) {
   EndlessServer Server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
--- a/test/process/http-client-test.cc
+++ b/test/process/http-client-test.cc
@@ -1,6 +1,8 @@
-// Answers without end, which HttpClient must not keep.
+// Answers without end, which HttpClient must not keep, and bytes that are no
+// answer.
 
 #include "../gateway/endless-peer.h"
+#include "../gateway/one-answer.h"
 #include "tamarackdrum/blocking.h"
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/http.h"
@@ -24,11 +26,12 @@
 
 class HttpClientTest : public testing::Test {
 protected:
-  asio::awaitable<Result<HttpResponse>> request(const EndlessServer &Server,
+  template <typename Server>
+  asio::awaitable<Result<HttpResponse>> request(const Server &To,
                                                 Millis Timeout) {
     HttpRequest Request(http::verb::get, "/a", 11);
     Request.set(http::field::host, "a");
-    return m_subject.send(Server.endpoint(), std::move(Request),
+    return m_subject.send(To.endpoint(), std::move(Request),
                           BootClock::now() + Timeout);
   }
 
@@ -100,5 +103,25 @@
   EXPECT_LT(Server.sentBytes(), Count * MaxHeldBytes);
 }
 
+TEST_F(HttpClientTest, Answer_StatusOutOfRange_IsTorn) {
+  for (const char *Status : {"000", "099", "600", "999"}) {
+    const gateway::OneAnswer Server("HTTP/1.1 " + std::string(Status) +
+                                    " OK\r\nContent-Length: 5\r\n\r\nhello");
+    const Result<HttpResponse> Got = runBlocking(request(Server, LongTimeout));
+    EXPECT_EQ(Got.error(), HttpErrc::ReplyTorn) << Status;
+  }
+}
+
+TEST_F(HttpClientTest, Answer_OddButLegal_IsWhole) {
+  for (const char *Head :
+       {"299 Odd\r\nContent-Length: 5", "200 \r\nA:", "599 "}) {
+    const gateway::OneAnswer Server("HTTP/1.1 " + std::string(Head) +
+                                    "\r\n\r\nhello");
+    const Result<HttpResponse> Got = runBlocking(request(Server, LongTimeout));
+    ASSERT_TRUE(Got) << Head;
+    EXPECT_EQ(Got.value().body(), "hello") << Head;
+  }
+}
+
 } // namespace
 } // namespace tamarackdrum::test
