--- a/include/tamarackdrum/gateway/connection.h
+++ b/include/tamarackdrum/gateway/connection.h
@@ -4,12 +4,12 @@
 #ifndef TAMARACKDRUM_GATEWAY_CONNECTION_H
 #define TAMARACKDRUM_GATEWAY_CONNECTION_H
 
+#include "tamarackdrum/answer-reader.h"
 #include "tamarackdrum/endpoint.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <map>
@@ -36,6 +36,13 @@
 /// a socket with the option SO_LINGER is destroyed.
 void setAbortiveClose(boost::asio::ip::tcp::socket &Socket, bool IsAbortive);
 
+/// State of the writes that run beside the reads of their connection.
+struct WriteStatus {
+  bool m_isPending = false;
+  bool m_isAbandoned = false;        ///< No further write begins.
+  boost::system::error_code m_error; ///< Of the last write.
+};
+
 /// An HTTP/1.1 connection that carries one request at a time. Closing it during
 /// a request resets it, so that no part of a request that is given up can
 /// arrive later.
@@ -64,6 +71,8 @@
   TimePoint m_idleSince{};
   /// Idle timeout that the peer announced; 0: none.
   Millis m_keepAliveTimeout{0};
+  /// Shared with the writer, which may end after the connection.
+  std::shared_ptr<WriteStatus> m_writes = std::make_shared<WriteStatus>();
   bool m_isReused = false;
   /// Id of the last request. Its answer may arrive a second time.
   std::string m_lastRequestId;
@@ -72,6 +81,26 @@
 using AnswerParser =
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+/// Ends the writes of \p From and returns whether one of them got the report of
+/// a reset. The system reports a reset once, and reads end as after an orderly
+/// close from then on.
+boost::asio::awaitable<bool> endWrites(Connection &From);
+
+/// Reads the next part of an answer from \p From; see readSome() above. An
+/// answer without a length that a reset ends is an error.
+template <typename Body>
+boost::asio::awaitable<boost::system::error_code>
+readSome(Connection &From, boost::beast::http::response_parser<Body> &Answer) {
+  const boost::system::error_code Error =
+      co_await tamarackdrum::readSome(From.m_stream, From.m_buffer, Answer);
+  if (Error || !Answer.is_done() || !Answer.need_eof())
+    co_return Error;
+  const bool IsReset = co_await endWrites(From);
+  if (IsReset)
+    co_return boost::asio::error::connection_reset;
+  co_return Error;
+}
+
 /// Reads a whole answer into \p Answer, at most until the deadline of \p From,
 /// also if the peer sends continuously. Errors: beast::error::timeout, those of
 /// the parser and of the system.
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -1,11 +1,11 @@
 #include "tamarackdrum/gateway/connection.h"
 
-#include "tamarackdrum/answer-reader.h"
 #include "tamarackdrum/error.h"
 #include "tamarackdrum/peek.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -42,14 +42,29 @@
                sizeof(Value));
 }
 
+boost::asio::awaitable<bool> endWrites(Connection &From) {
+  const std::shared_ptr<WriteStatus> Writes = From.m_writes;
+  Writes->m_isAbandoned = true;
+  boost::system::error_code Ignored; // The writes end in any case.
+  From.m_stream.socket().cancel(Ignored);
+  // The result of a write may be delivered after that of a later read.
+  while (Writes->m_isPending)
+    co_await boost::asio::post(From.m_stream.get_executor(),
+                               boost::asio::use_awaitable);
+  const boost::system::error_code &Error = Writes->m_error;
+  const bool IsOwn = Error == boost::asio::error::operation_aborted;
+  // The peer had ended its side in order before it reset the other.
+  const bool IsAfterEnd = Error == boost::asio::error::broken_pipe;
+  co_return Error && !IsOwn && !IsAfterEnd;
+}
+
 boost::asio::awaitable<boost::system::error_code>
 readWhole(Connection &From, AnswerParser &Answer) {
   Answer.eager(false);
   while (!Answer.is_done()) {
     if (From.isPastDeadline())
       co_return boost::beast::error::timeout;
-    const boost::system::error_code Error =
-        co_await readSome(From.m_stream, From.m_buffer, Answer);
+    const boost::system::error_code Error = co_await readSome(From, Answer);
     if (Error)
       co_return Error;
   }
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -1,6 +1,5 @@
 #include "tamarackdrum/gateway/upstream-client.h"
 
-#include "tamarackdrum/answer-reader.h"
 #include "tamarackdrum/error.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -87,31 +86,34 @@
 /// State of writing a request, shared by the writer and the reader.
 struct UpstreamClient::WriteState {
   beast::tcp_stream *m_stream = nullptr;
+  std::shared_ptr<WriteStatus> m_writes;
   std::string m_bytes;
   BodySource m_bodySource;
   bool m_isDone = false;
-  bool m_isAbandoned = false;
 };
 
 asio::awaitable<void>
 UpstreamClient::writeRequest(std::shared_ptr<WriteState> State) {
-  while (!State->m_isAbandoned) {
+  while (!State->m_writes->m_isAbandoned) {
     // Not one composed write, which would use the stream after its owner has
     // ended it.
     for (std::size_t Done = 0; Done < State->m_bytes.size();) {
+      State->m_writes->m_isPending = true;
       const auto [Error, Count] =
           co_await State->m_stream->socket().async_write_some(
               asio::buffer(State->m_bytes) + Done, UseTuple);
-      if (Error || State->m_isAbandoned)
+      State->m_writes->m_isPending = false;
+      State->m_writes->m_error = Error;
+      if (Error || State->m_writes->m_isAbandoned)
         co_return;
       Done += Count;
     }
     if (!State->m_bodySource)
       break;
     Result<std::string> Piece = co_await State->m_bodySource();
-    if (!Piece || State->m_isAbandoned) {
+    if (!Piece || State->m_writes->m_isAbandoned) {
       // Closes the connection so that the server sees a truncated body.
-      if (!State->m_isAbandoned)
+      if (!State->m_writes->m_isAbandoned)
         State->m_stream->close();
       co_return;
     }
@@ -125,7 +127,7 @@
 void UpstreamClient::endWriter(WriteState &State,
                                ConnectionPool::ConnectionPtr &Used,
                                bool IsReadOn) {
-  State.m_isAbandoned = true;
+  State.m_writes->m_isAbandoned = true;
   boost::system::error_code Ignored; // The writer ends in any case.
   Used->m_stream.socket().cancel(Ignored);
   if (IsReadOn)
@@ -147,8 +149,7 @@
     Parser->skip(Request.m_isHeadRequest);
     Parser->eager(false);
     while (!Parser->is_header_done()) {
-      const boost::system::error_code Error =
-          co_await readSome(Used.m_stream, Used.m_buffer, *Parser);
+      const boost::system::error_code Error = co_await readSome(Used, *Parser);
       if (Error == beast::error::timeout)
         Reply.m_result = DispatchResult::TimedOut;
       if (Error)
@@ -195,8 +196,7 @@
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
     // Not one read of a whole piece: the lines before its chunks may be long.
-    const boost::system::error_code Error =
-        co_await readSome(Used.m_stream, Used.m_buffer, Parser);
+    const boost::system::error_code Error = co_await readSome(Used, Parser);
     Reply.m_body.append(Piece.data(), Piece.size() - Parser.get().body().size);
     if (Error) {
       if (Error == beast::error::timeout)
@@ -298,6 +298,7 @@
 
   const std::shared_ptr<WriteState> State = std::make_shared<WriteState>();
   State->m_stream = &Used->m_stream;
+  State->m_writes = Used->m_writes;
   State->m_bytes = std::move(Request.m_head);
   State->m_bytes += Request.m_body;
   State->m_bodySource = Request.m_bodySource;
@@ -350,8 +351,8 @@
       co_return HttpErrc::TimedOut;
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
-    const boost::system::error_code Error = co_await readSome(
-        Reply.m_connection->m_stream, Reply.m_connection->m_buffer, Parser);
+    const boost::system::error_code Error =
+        co_await readSome(*Reply.m_connection, Parser);
     const std::size_t Length = Piece.size() - Parser.get().body().size;
     if (Error == beast::error::timeout)
       co_return HttpErrc::TimedOut;
