--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -279,6 +279,20 @@
     }
 }
 
+TEST_F(KeyServerClientTest, Answer_BlankInFieldName_ProvesNothing) {
+  for (const char *Line : {"X-Odd : 3", "X Odd: 3", " X-Odd: 3", "X-\1Odd: 3"})
+    for (const bool IsRelease : {false, true}) {
+      const OneAnswer Server("HTTP/1.1 200 OK\r\n" + std::string(Line) +
+                             "\r\nContent-Length: 0\r\n\r\n");
+      GrantCall Call;
+      Call.m_isRelease = IsRelease;
+      Call.m_address = Server.address();
+      const GrantReply Reply =
+          await(m_subject.call(Call, BootClock::now() + Millis(5000)));
+      EXPECT_EQ(Reply.m_result, GrantResult::NoAnswer) << Line;
+    }
+}
+
 // A host makes many calls at the same time, and no part of the body is used.
 TEST_F(KeyServerClientTest, Answer_EndlessBody_EndsAtItsLimit) {
   EndlessServer Server("HTTP/1.1 200 OK\r\n\r\n", std::string(16384, 'x'));
--- a/test/platform/store-client-test.cc
+++ b/test/platform/store-client-test.cc
@@ -382,6 +382,18 @@
   }
 }
 
+TEST_F(StoreClientTest, WriteOwnership_BlankInFieldName_IsUnsettled) {
+  for (const char *Line :
+       {"X-Odd : 3", "X Odd: 3", " X-Odd: 3", "X-\1Odd: 3"}) {
+    const OneAnswer Server("HTTP/1.1 412 Changed\r\n" + std::string(Line) +
+                           "\r\nContent-Length: 0\r\n\r\n");
+    StoreClient Subject(Server.address(), StorePolicy{}, m_log);
+    EXPECT_EQ(await(Subject.writeOwnership("stock", makeRecord(1), {})).error(),
+              TableErrc::Unsettled)
+        << Line;
+  }
+}
+
 // The timer of a stream ends only an operation that waits.
 TEST_F(StoreClientTest, Answer_EndlessChunkLines_EndsAtTheTimeout) {
   EndlessServer Server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
--- a/test/process/http-client-test.cc
+++ b/test/process/http-client-test.cc
@@ -112,6 +112,16 @@
   }
 }
 
+TEST_F(HttpClientTest, Answer_BlankInFieldName_IsTorn) {
+  for (const char *Line :
+       {"X-Odd : 3", "X Odd: 3", " X-Odd: 3", "X-\1Odd: 3"}) {
+    const gateway::OneAnswer Server("HTTP/1.1 200 OK\r\n" + std::string(Line) +
+                                    "\r\nContent-Length: 5\r\n\r\nhello");
+    const Result<HttpResponse> Got = runBlocking(request(Server, LongTimeout));
+    EXPECT_EQ(Got.error(), HttpErrc::ReplyTorn) << Line;
+  }
+}
+
 TEST_F(HttpClientTest, Answer_OddButLegal_IsWhole) {
   for (const char *Head :
        {"299 Odd\r\nContent-Length: 5", "200 \r\nA:", "599 "}) {
