Share the scripts of the tests of broken answers

Each stands once now. Bytes, statuses and assertions are the same; the sources of the product are unchanged.

--- a/test/gateway/broken-head-test.cc
+++ b/test/gateway/broken-head-test.cc
@@ -9,6 +9,16 @@
 
 using namespace test;
 
+/// Sends \p Text and closes the connection.
+ScriptedServer::Script sendRaw(const std::string &Text) {
+  return [Text](ScriptedServer::Stream &To,
+                const ReceivedRequest &) -> asio::awaitable<bool> {
+    std::string Bytes = Text;
+    co_await ScriptedServer::send(To, std::move(Bytes));
+    co_return false;
+  };
+}
+
 /// Servers whose answers have a head that HTTP does not allow. Such bytes are
 /// no answer: the client gets none of them.
 class BrokenHeadTest : public GatewayHostTest {
@@ -23,15 +33,6 @@
            "Content-Length: 5\r\n\r\nhello";
   }
 
-  static ScriptedServer::Script sendRaw(const std::string &Text) {
-    return [Text](ScriptedServer::Stream &To,
-                  const ReceivedRequest &) -> asio::awaitable<bool> {
-      std::string Bytes = Text;
-      co_await ScriptedServer::send(To, std::move(Bytes));
-      co_return false;
-    };
-  }
-
   /// Returns the answer to a request that may run once only.
   Answer sendOnce(const std::string &Text) {
     setWeb(sendRaw(Text));
@@ -136,13 +137,7 @@
   ~BrokenFieldTest() override { m_context.dropPending(); }
 
   DispatchResult execute(const std::string &Answer) {
-    m_server.m_script =
-        [Answer](ScriptedServer::Stream &To,
-                 const ReceivedRequest &) -> asio::awaitable<bool> {
-      std::string Bytes = Answer;
-      co_await ScriptedServer::send(To, std::move(Bytes));
-      co_return false;
-    };
+    m_server.m_script = sendRaw(Answer);
     UpstreamRequest Request;
     Request.m_server.m_id = "server";
     Request.m_server.m_address = m_server.address();
--- a/test/platform/key-server-client-test.cc
+++ b/test/platform/key-server-client-test.cc
@@ -59,6 +59,13 @@
     return await(m_subject.call(Call, BootClock::now() + Millis(600)));
   }
 
+  GrantReply callAt(const std::string &Address, bool IsRelease) {
+    GrantCall Call;
+    Call.m_isRelease = IsRelease;
+    Call.m_address = Address;
+    return await(m_subject.call(Call, BootClock::now() + Millis(5000)));
+  }
+
   /// Returns the status of a request for key \p Wanted.
   asio::awaitable<unsigned> requestKey(Key Wanted) {
     const HeaderNames Names = headerNames();
@@ -269,11 +276,7 @@
       const OneAnswer Server("HTTP/1.1 " + std::string(Status) +
                              " OK\r\nX-Handover: h\r\n"
                              "Content-Length: 0\r\n\r\n");
-      GrantCall Call;
-      Call.m_isRelease = IsRelease;
-      Call.m_address = Server.address();
-      const GrantReply Reply =
-          await(m_subject.call(Call, BootClock::now() + Millis(5000)));
+      const GrantReply Reply = callAt(Server.address(), IsRelease);
       EXPECT_EQ(Reply.m_result, GrantResult::NoAnswer) << Status;
       EXPECT_EQ(Reply.m_handover, "") << Status;
     }
@@ -284,11 +287,7 @@
     for (const bool IsRelease : {false, true}) {
       const OneAnswer Server("HTTP/1.1 200 OK\r\n" + std::string(Line) +
                              "\r\nContent-Length: 0\r\n\r\n");
-      GrantCall Call;
-      Call.m_isRelease = IsRelease;
-      Call.m_address = Server.address();
-      const GrantReply Reply =
-          await(m_subject.call(Call, BootClock::now() + Millis(5000)));
+      const GrantReply Reply = callAt(Server.address(), IsRelease);
       EXPECT_EQ(Reply.m_result, GrantResult::NoAnswer) << Line;
     }
 }
