Log the connections on which a request was sent

Whether another request used the connection between the attempts could not be told from any log, and that decides between two causes (the connection forgets the request; the connection is taken although the request was its last one).

Each connection of a pool now has a number, and the line `request` names those on which the request was sent, as `places` names the dispatchers.

The 7 tests of StaleAnswerTest pass.

--- a/include/tamarackdrum/gateway/connection.h
+++ b/include/tamarackdrum/gateway/connection.h
@@ -66,6 +66,7 @@
 
   boost::beast::tcp_stream m_stream;
   boost::beast::flat_buffer m_buffer{BufferBytes};
+  std::uint64_t m_number = 0; ///< Of those that its pool has opened, from 1.
   TimePoint m_deadline{};
   TimePoint m_openedAt{};
   TimePoint m_idleSince{};
--- a/include/tamarackdrum/gateway/upstream-client.h
+++ b/include/tamarackdrum/gateway/upstream-client.h
@@ -42,7 +42,10 @@
 /// The answer of a backend server, or the reason why there is none.
 struct UpstreamReply {
   DispatchResult m_result = DispatchResult::Unreachable;
-  bool m_isSent = false;     ///< The request may have reached the server.
+  bool m_isSent = false; ///< The request may have reached the server.
+  /// Connection::m_number of the connection on which it was sent; 0: none of
+  /// this process.
+  std::uint64_t m_connectionNumber = 0;
   bool m_isRelayed = false;  ///< Sent by a peer.
   bool m_isPeerLost = false; ///< A peer that was to send it has ended.
   bool m_hasMore = false;    ///< m_body is not whole; see readMore().
--- a/src/edge/client-session.h
+++ b/src/edge/client-session.h
@@ -88,6 +88,8 @@
   DispatchDecision m_refusal;
   /// Dispatchers that decided on it, in order and separated by commas.
   std::string m_places;
+  /// Numbers of the connections to servers on which it was sent, likewise.
+  std::string m_connections;
   UpstreamReply m_lastReply; ///< m_parser may be null.
 
   const RequestHead &head() const { return m_parser->get(); }
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -119,7 +119,7 @@
   const boost::asio::any_io_executor Executor =
       co_await boost::asio::this_coro::executor;
   ConnectionPtr Opened = std::make_unique<Connection>(Executor);
-  ++m_openedCount;
+  Opened->m_number = ++m_openedCount;
   Opened->m_stream.expires_after(Timeout);
   const auto [Error] = co_await Opened->m_stream.async_connect(
       Peer.value(), boost::asio::as_tuple(boost::asio::use_awaitable));
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -267,8 +267,11 @@
                               static_cast<int>(Reply.m_result)));
   Request.m_lastServer = Server.m_id;
   Request.m_lastResult = Reply.m_result;
-  if (Reply.m_isSent)
+  if (Reply.m_isSent) {
     ++Request.m_dispatches;
+    Request.m_connections.append(Request.m_connections.empty() ? "" : ",")
+        .append(std::to_string(Reply.m_connectionNumber));
+  }
   const bool MayHaveRun = Reply.m_isSent && !isRefusal(Reply.m_result);
   Request.m_mayHaveRun = Request.m_mayHaveRun || MayHaveRun;
   // Of a relayed request the peer knows better.
--- a/src/edge/edge-server.cc
+++ b/src/edge/edge-server.cc
@@ -435,6 +435,7 @@
        {"server", Request.m_lastServer},
        {"places", Request.m_places},
        {"dispatches", Request.m_dispatches},
+       {"connections", Request.m_connections},
        {"key", Request.m_key ? static_cast<int>(*Request.m_key) : -1},
        {"holder", Request.m_key
                       ? m_admission.keyMap(Service).holderOf(*Request.m_key)
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -292,6 +292,7 @@
     co_return Reply;
   }
   Reply.m_isSent = true;
+  Reply.m_connectionNumber = Used->m_number;
   Reply.m_result = DispatchResult::ConnectionLost;
   Used->m_lastRequestId = Request.m_requestId;
   Token.m_stream = &Used->m_stream;
--- a/test/gateway/stale-answer-test.cc
+++ b/test/gateway/stale-answer-test.cc
@@ -16,9 +16,13 @@
   ~StaleAnswerTest() override { m_context.dropPending(); }
 
   DispatchResult execute(const std::string &Id) {
+    return execute(Id, m_server.address());
+  }
+
+  DispatchResult execute(const std::string &Id, const std::string &Address) {
     UpstreamRequest Request;
     Request.m_server.m_id = "server";
-    Request.m_server.m_address = m_server.address();
+    Request.m_server.m_address = Address;
     Request.m_head = "POST /work HTTP/1.1\r\nHost: a\r\nTest-Id: ";
     Request.m_head += Id;
     Request.m_head += "\r\nContent-Length: 0\r\n\r\n";
@@ -29,6 +33,7 @@
     asio::awaitable<UpstreamReply> Task =
         m_subject.execute(std::move(Request), m_token);
     const UpstreamReply Reply = runBlocking(m_context, std::move(Task));
+    m_connection = Reply.m_connectionNumber;
     m_status =
         Reply.m_parser == nullptr ? 0 : Reply.m_parser->get().result_int();
     return Reply.m_result;
@@ -54,7 +59,8 @@
   ConnectionPool m_pool{PoolPolicy{}};
   UpstreamClient m_subject{m_pool, Headers};
   CancelToken m_token;
-  unsigned m_status = 0; ///< Of the last answer; 0: there was none.
+  unsigned m_status = 0;          ///< Of the last answer; 0: there was none.
+  std::uint64_t m_connection = 0; ///< Number of the last one used.
 };
 
 TEST_F(StaleAnswerTest, KeptConnection_RefusalWithoutId_IsSkipped) {
@@ -115,6 +121,17 @@
   EXPECT_EQ(m_server.m_connections, 1U);
 }
 
+TEST_F(StaleAnswerTest, Reply_EachConnection_HasItsNumber) {
+  ASSERT_EQ(execute("first"), DispatchResult::Served);
+  EXPECT_EQ(m_connection, 1U);
+  ASSERT_EQ(execute("second"), DispatchResult::Served);
+  EXPECT_EQ(m_connection, 1U);
+  const std::string Address = m_server.address();
+  m_server.crash();
+  EXPECT_EQ(execute("third", Address), DispatchResult::Unreachable);
+  EXPECT_EQ(m_connection, 0U);
+}
+
 // A server that rejects before it has read the id has no id to echo.
 TEST_F(StaleAnswerTest, NewConnection_RefusalWithoutId_IsTheAnswer) {
   m_server.m_script = [](ScriptedServer::Stream &To,
