Use no connection twice for a request that may be sent again

Cause: an answer names the request and not the attempt. After a rejection the request was sent again on the same connection, and a late second copy of the rejection bears the same id. A connection was left out only for the last request that it had carried; any other request in between made it forget.

Change: a connection keeps the ids of all requests that it carried and that may be sent again (all that were not served) and is not taken for any of them, however late a copy comes. After 512 of them it is replaced. The pool is the one place: requests that are sent for another host use it too, so that nothing changes between hosts.

--- a/include/tamarackdrum/gateway/connection.h
+++ b/include/tamarackdrum/gateway/connection.h
@@ -7,6 +7,7 @@
 #include "tamarackdrum/answer-reader.h"
 #include "tamarackdrum/endpoint.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -60,6 +61,25 @@
   /// operation that waits, and none waits if the peer sends continuously.
   bool isPastDeadline() const { return BootClock::now() >= m_deadline; }
 
+  /// Records that \p RequestId was answered here and may be sent again. A
+  /// second copy of the answer can arrive at any later time and bears the same
+  /// id, so that it would pass for the answer to another attempt.
+  void noteRepeatable(const std::string &RequestId) {
+    m_repeatableRequests.push_back(std::hash<std::string>()(RequestId));
+  }
+
+  /// Returns whether a copy of an earlier answer to \p RequestId may arrive.
+  /// Ids with equal hashes are not told apart.
+  bool mayRepeatAnswerTo(const std::string &RequestId) const {
+    return std::find(m_repeatableRequests.begin(), m_repeatableRequests.end(),
+                     std::hash<std::string>()(RequestId)) !=
+           m_repeatableRequests.end();
+  }
+
+  /// Limit for repeatable requests of a connection: one that has reached it
+  /// takes no further request.
+  static constexpr std::size_t MaxRepeatableRequests = 512;
+
   /// Limit for bytes received and not parsed yet: the largest head and a piece
   /// of a body.
   static constexpr std::size_t BufferBytes = 128U << 10U;
@@ -75,8 +95,8 @@
   /// Shared with the writer, which may end after the connection.
   std::shared_ptr<WriteStatus> m_writes = std::make_shared<WriteStatus>();
   bool m_isReused = false;
-  /// Id of the last request. Its answer may arrive a second time.
-  std::string m_lastRequestId;
+  /// Hashes of the ids that noteRepeatable() was called with.
+  std::vector<std::size_t> m_repeatableRequests;
 };
 
 using AnswerParser =
@@ -137,9 +157,9 @@
   void setAddressMap(AddressMap Map) { m_addressMap = std::move(Map); }
 
   /// Removes and returns an open connection to \p Peer that has been idle for
-  /// at most \p MaxIdle, or returns null. Leaves out connections whose last
-  /// request was \p RequestId, unless that is empty, and those opened after
-  /// \p OpenedBy.
+  /// at most \p MaxIdle, or returns null. Leaves out connections on which a
+  /// copy of an earlier answer to \p RequestId may arrive, and those opened
+  /// after \p OpenedBy.
   ConnectionPtr takeIdle(const std::string &Peer, Millis MaxIdle,
                          const std::string &RequestId = {},
                          TimePoint OpenedBy = TimePoint::max());
@@ -149,8 +169,9 @@
   boost::asio::awaitable<Result<ConnectionPtr>> open(std::string Address,
                                                      Millis Timeout);
 
-  /// Adds a connection without a request to the pool. Closes the connection of
-  /// \p Peer that has been idle longest if there are \p MaxIdle already. It and
+  /// Adds a connection without a request to the pool, unless it has reached
+  /// its limit for repeatable requests. Closes the connection of \p Peer that
+  /// has been idle longest if there are \p MaxIdle already. It and
   /// all idle connections are closed without a reset: a server may still be
   /// writing or may report a reset as a failure.
   void putIdle(const std::string &Peer, ConnectionPtr Kept,
--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -94,8 +94,7 @@
     --Item;
     if (Now - (*Item)->m_idleSince > MaxIdle)
       return nullptr;
-    if ((!RequestId.empty() && (*Item)->m_lastRequestId == RequestId) ||
-        (*Item)->m_openedAt > OpenedBy)
+    if ((*Item)->mayRepeatAnswerTo(RequestId) || (*Item)->m_openedAt > OpenedBy)
       continue;
     ConnectionPtr Taken = std::move(*Item);
     Item = Idle.erase(Item);
@@ -139,7 +138,8 @@
 void ConnectionPool::putIdle(const std::string &Peer, ConnectionPtr Kept,
                              std::size_t MaxIdle) {
   setAbortiveClose(Kept->m_stream.socket(), false);
-  if (Kept->m_buffer.size() > 0 || MaxIdle == 0)
+  if (Kept->m_buffer.size() > 0 || MaxIdle == 0 ||
+      Kept->m_repeatableRequests.size() >= Connection::MaxRepeatableRequests)
     return;
   Kept->m_idleSince = BootClock::now();
   std::vector<ConnectionPtr> &Idle = m_idle[Peer];
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -294,7 +294,6 @@
   Reply.m_isSent = true;
   Reply.m_connectionNumber = Used->m_number;
   Reply.m_result = DispatchResult::ConnectionLost;
-  Used->m_lastRequestId = Request.m_requestId;
   Token.m_stream = &Used->m_stream;
 
   const std::shared_ptr<WriteState> State = std::make_shared<WriteState>();
@@ -334,12 +333,15 @@
     Reply.m_connection = std::move(Used);
     co_return Reply;
   }
+  if (Used == nullptr)
+    co_return Reply;
+  if (Reply.m_result != DispatchResult::Served)
+    Used->noteRepeatable(Request.m_requestId);
   if (CanKeep)
     Used->m_keepAliveTimeout =
         keepAliveTime(Reply.m_parser->get()[http::field::keep_alive]);
-  if (Used != nullptr)
-    m_pool.putIdle(Peer, std::move(Used),
-                   CanKeep ? Request.m_maxIdleConnections : 0);
+  m_pool.putIdle(Peer, std::move(Used),
+                 CanKeep ? Request.m_maxIdleConnections : 0);
   co_return Reply;
 }
 
--- a/test/gateway/gateway-host-fixture.h
+++ b/test/gateway/gateway-host-fixture.h
@@ -218,11 +218,11 @@
     return m_web[0].m_requests.size() + m_web[1].m_requests.size();
   }
 
-  /// Returns whether \p Count requests for the web servers come to wait in the
-  /// dispatcher of a host.
-  bool comeToWait(int Count, int Host = 0) {
-    const std::string Line = "\ntamarack_gateway_waiting{service=\"web\"} " +
-                             std::to_string(Count) + "\n";
+  /// Returns whether \p Count requests for the servers of a service come to
+  /// wait in the dispatcher of a host.
+  bool comeToWait(int Count, int Host = 0, const std::string &Service = "web") {
+    const std::string Line = "\ntamarack_gateway_waiting{service=\"" + Service +
+                             "\"} " + std::to_string(Count) + "\n";
     return runUntil([this, Host, &Line] {
       const std::string Text =
           send(get("/metrics"), m_metricsAddresses[Host]).m_body;
--- a/test/gateway/relayed-stop-test.cc
+++ b/test/gateway/relayed-stop-test.cc
@@ -46,14 +46,15 @@
   }
 
   /// Passes an unsafe request to the host.
-  void relay(std::uint32_t Number) {
+  void relay(std::uint32_t Number, const std::string &Id = "id-1") {
     RelayMessage Message;
     Message.m_number = Number;
     Message.m_server = "web-0";
-    Message.m_head = "POST /pay/ HTTP/1.1\r\nHost: shop.example\r\n"
-                     "Test-Id: id-1\r\nContent-Length: 4\r\n\r\n";
+    Message.m_head =
+        "POST /pay/ HTTP/1.1\r\nHost: shop.example\r\nTest-Id: " + Id +
+        "\r\nContent-Length: 4\r\n\r\n";
     Message.m_body = "card";
-    Message.m_requestId = "id-1";
+    Message.m_requestId = Id;
     Message.m_isSafe = false;
     Message.m_timeLeft = Millis(15000);
     send(Message);
@@ -112,7 +113,35 @@
   EXPECT_EQ(webRequests(), 0U);
 }
 
-class RelayedAnswerTest : public RelayedStopTest {};
+class RelayedAnswerTest : public RelayedStopTest {
+protected:
+  /// Passes a request to the host and returns the result that it reports.
+  DispatchResult relayAndWait(const std::string &Id) {
+    const std::size_t Count = m_answers.size() + 1;
+    relay(static_cast<std::uint32_t>(Count), Id);
+    EXPECT_TRUE(runUntil([this, Count] { return m_answers.size() == Count; }));
+    return m_answers.back().m_result;
+  }
+};
+
+// A host that is cut off passes on both attempts, and the second could get the
+// late copy of the rejection of the first as its answer.
+TEST_F(RelayedAnswerTest,
+       RefusedRequest_SentAgainAfterAnother_CopyIsNotItsAnswer) {
+  setWeb(ScriptedServer::refuse);
+  startAll();
+  connect();
+  ASSERT_EQ(relayAndWait("id-1"), DispatchResult::Refused);
+  ASSERT_EQ(relayAndWait("id-2"), DispatchResult::Refused);
+  ASSERT_EQ(m_web[0].m_connections, 1U);
+  setWeb([this](ScriptedServer::Stream &To,
+                const ReceivedRequest &Seen) -> asio::awaitable<bool> {
+    if (m_web[0].m_connections == 1)
+      co_await ScriptedServer::refuse(To, Seen);
+    co_return co_await ScriptedServer::answerOk(To, Seen);
+  });
+  EXPECT_EQ(relayAndWait("id-1"), DispatchResult::Served);
+}
 
 TEST_F(RelayedAnswerTest, Answer_StatusOutOfRange_IsNotPassedOn) {
   setWeb([](ScriptedServer::Stream &To,
--- a/test/gateway/stale-answer-test.cc
+++ b/test/gateway/stale-answer-test.cc
@@ -39,6 +39,31 @@
     return Reply.m_result;
   }
 
+  /// Answers without a body. \p StatusAndMark is the status line from the
+  /// status on and, in a line of its own, a header that says "not run".
+  static ScriptedServer::Script answerWith(std::string StatusAndMark) {
+    return
+        [StatusAndMark](ScriptedServer::Stream &To,
+                        const ReceivedRequest &Seen) -> asio::awaitable<bool> {
+          std::string Text("HTTP/1.1 ");
+          Text += StatusAndMark + "\r\nTest-Id: " + Seen.m_id +
+                  "\r\nContent-Length: 0\r\n\r\n";
+          co_return co_await ScriptedServer::send(To, std::move(Text));
+        };
+  }
+
+  /// On its first connection, the server answers twice from now on: with
+  /// \p Earlier, then with success.
+  void sendCopyFirst(const ScriptedServer::Script &Earlier) {
+    m_server.m_script =
+        [this, Earlier](ScriptedServer::Stream &To,
+                        const ReceivedRequest &Seen) -> asio::awaitable<bool> {
+      if (m_server.m_connections == 1)
+        co_await Earlier(To, Seen);
+      co_return co_await ScriptedServer::answerOk(To, Seen);
+    };
+  }
+
   /// Answers with \p Before in front of the usual answer. Every "ID" in it is
   /// replaced by the id of the request.
   void sendFirst(const std::string &Before) {
@@ -104,16 +129,61 @@
 TEST_F(StaleAnswerTest, RefusedRequest_SentAgain_CopyOfRefusalIsNotItsAnswer) {
   m_server.m_script = ScriptedServer::refuse;
   ASSERT_EQ(execute("same"), DispatchResult::Refused);
-  m_server.m_script =
-      [this](ScriptedServer::Stream &To,
-             const ReceivedRequest &Seen) -> asio::awaitable<bool> {
-    if (m_server.m_connections == 1)
-      co_await ScriptedServer::refuse(To, Seen);
-    co_return co_await ScriptedServer::answerOk(To, Seen);
-  };
+  sendCopyFirst(ScriptedServer::refuse);
   EXPECT_EQ(execute("same"), DispatchResult::Served);
 }
 
+/// Answers after which a request may be sent again.
+class RepeatedRequestTest : public StaleAnswerTest,
+                            public testing::WithParamInterface<const char *> {};
+
+// Guards against "not run" of work that runs: the copy of a rejection passes
+// for the answer to the second attempt once others have used the connection.
+TEST_P(RepeatedRequestTest,
+       SentAgain_OthersWereServedBetween_CopyIsNotItsAnswer) {
+  m_server.m_script = answerWith(GetParam());
+  ASSERT_NE(execute("same"), DispatchResult::Served);
+  m_server.m_script = ScriptedServer::answerOk;
+  for (const char *Other : {"other-1", "other-2", "other-3"}) {
+    ASSERT_EQ(execute(Other), DispatchResult::Served);
+    ASSERT_EQ(m_connection, 1U);
+  }
+  sendCopyFirst(answerWith(GetParam()));
+  EXPECT_EQ(execute("same"), DispatchResult::Served);
+}
+
+TEST_P(RepeatedRequestTest,
+       SentAgain_OthersWereRefusedBetween_CopyIsNotItsAnswer) {
+  m_server.m_script = answerWith(GetParam());
+  ASSERT_NE(execute("same"), DispatchResult::Served);
+  for (int I = 0; I < 100; ++I) {
+    ASSERT_NE(execute("other-" + std::to_string(I)), DispatchResult::Served);
+    ASSERT_EQ(m_connection, 1U);
+  }
+  sendCopyFirst(answerWith(GetParam()));
+  EXPECT_EQ(execute("same"), DispatchResult::Served);
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, RepeatedRequestTest,
+                         testing::Values("503 Busy\r\nTest-Not-Run: 1",
+                                         "429 Many\r\nTest-Not-Run: 1",
+                                         "421 Other\r\nTest-Not-Run: 1",
+                                         "421 Other", "500 Failed",
+                                         "503 Failed"));
+
+// A connection forgets no refused request, so that it takes only so many.
+TEST_F(StaleAnswerTest, RefusedRequests_LimitIsReached_ConnectionIsReplaced) {
+  constexpr std::size_t Limit = Connection::MaxRepeatableRequests;
+  for (std::size_t I = 0; I < 2 * Limit; ++I)
+    ASSERT_EQ(execute("served-" + std::to_string(I)), DispatchResult::Served);
+  m_server.m_script = ScriptedServer::refuse;
+  for (std::size_t I = 0; I < Limit; ++I)
+    ASSERT_EQ(execute("refused-" + std::to_string(I)), DispatchResult::Refused);
+  EXPECT_EQ(m_connection, 1U);
+  EXPECT_EQ(execute("last"), DispatchResult::Refused);
+  EXPECT_EQ(m_connection, 2U);
+}
+
 TEST_F(StaleAnswerTest, RefusedRequest_AnotherFollows_ConnectionIsKept) {
   m_server.m_script = ScriptedServer::refuse;
   ASSERT_EQ(execute("first"), DispatchResult::Refused);
