Promise "not run" only where the server has said so

Safe requests got the 429, too, and no other server was asked.

Cause: which answers say "not run" was decided at two places with two lists, resultOf() (429 and 503 with the header) and forwardReply() (503 without it). 408 was in neither, 429 not in the second.

A failure is sent to another server if the request is safe, and becomes a 502 in the end. A host that sends a request for another one keeps such an answer back, since hosts of the version before would forward it, and takes what they report as served for a failure.

--- a/include/tamarackdrum/gateway/message-head.h
+++ b/include/tamarackdrum/gateway/message-head.h
@@ -51,6 +51,10 @@
 std::string makeAnswer(const GatewayAnswer &Answer, const HeaderNames &Names,
                        const std::string &Id);
 
+/// Returns whether an answer with \p Status tells a client that its request has
+/// not run and never will.
+bool promisesNotRun(unsigned Status);
+
 /// Returns \p Piece as a chunk of chunked encoding, e.g. "5\r\nhello\r\n".
 std::string makeChunk(const std::string &Piece);
 
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -348,7 +348,9 @@
   if (Request->m_mayHaveRun) {
     const bool IsLate = Request->m_lastResult == DispatchResult::TimedOut;
     const unsigned Status = IsLate ? 504 : 502;
-    const std::string_view Reason = IsLate ? "no answer in time"
+    const bool HasFailed = Request->m_lastResult == DispatchResult::Failed;
+    const std::string_view Reason = IsLate      ? "no answer in time"
+                                    : HasFailed ? "server failed"
                                     : Request->m_isHostStopping
                                         ? "stopped before the answer"
                                         : "connection broke";
@@ -444,11 +446,10 @@
   Request->m_isAnswered = true;
   const ReplyHead &Head = Reply.m_parser->get();
   unsigned Status = Head.result_int();
-  // A 503 answer promises that the request has not run. The server has not said
-  // so, so the client gets a 502.
-  if (Reply.m_result == DispatchResult::Failed && Status == 503) {
-    co_await sendAnswer(Client, Request, 502, "server failed with 503",
-                        Millis(0));
+  // The server has not said that the request did not run; see resultOf().
+  if (promisesNotRun(Status)) {
+    const std::string Reason = fmt::format("server failed with {}", Status);
+    co_await sendAnswer(Client, Request, 502, Reason, Millis(0));
     co_return;
   }
   if (m_isDraining || !Request->m_parser->is_done())
--- a/src/edge/message-head.cc
+++ b/src/edge/message-head.cc
@@ -115,6 +115,10 @@
   return Out;
 }
 
+bool promisesNotRun(unsigned Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 std::string makeChunk(const std::string &Piece) {
   return fmt::format("{:x}\r\n{}\r\n", Piece.size(), Piece);
 }
--- a/src/edge/request-relay.cc
+++ b/src/edge/request-relay.cc
@@ -64,10 +64,14 @@
                          Reply.m_result == DispatchResult::Failed ||
                          Reply.m_result == DispatchResult::Refused ||
                          Reply.m_result == DispatchResult::NotHeld;
+  // An answer that no client gets, see EdgeServer::forwardReply(), is not
+  // passed on: hosts of earlier versions would forward it.
+  const bool IsKeptBack = Reply.m_result == DispatchResult::Failed &&
+                          promisesNotRun(Reply.m_parser->get().result_int());
   if (Reply.m_hasMore) {
     // Too long to be buffered: the request has run, but its answer is lost.
     Out.m_result = DispatchResult::ConnectionLost;
-  } else if (HasAnswer && Reply.m_parser != nullptr) {
+  } else if (HasAnswer && Reply.m_parser != nullptr && !IsKeptBack) {
     Out.m_head = headOf(Reply, IsToHead);
     Out.m_body = Reply.m_body;
   }
@@ -97,6 +101,11 @@
     Out.m_result = DispatchResult::ConnectionLost;
     return Out;
   }
+  // A peer of an earlier version takes every 408 and 429 for a served request
+  // unless it is a rejection.
+  if (Out.m_result == DispatchResult::Served &&
+      promisesNotRun(Out.m_parser->get().result_int()))
+    Out.m_result = DispatchResult::Failed;
   Out.m_body = std::move(Message.m_body);
   return Out;
 }
@@ -213,7 +222,9 @@
                         {"server", Shared->m_server.m_id},
                         {"peer", Peer},
                         {"result", static_cast<int>(Reply.m_result)}});
-    if (Reply.m_parser != nullptr && Shared->m_onHead)
+    const bool IsAnswer =
+        Reply.m_parser != nullptr || Reply.m_result == DispatchResult::Failed;
+    if (IsAnswer && Shared->m_onHead)
       Shared->m_onHead(Reply.m_result, Reply.m_serviceTime, Reply.m_report);
     break;
   }
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -1,6 +1,7 @@
 #include "tamarackdrum/gateway/upstream-client.h"
 
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/gateway/message-head.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -210,12 +211,14 @@
 DispatchResult UpstreamClient::resultOf(const UpstreamReply &Reply) const {
   const http::response_header<> &Head = Reply.m_parser->get();
   const unsigned Status = Head.result_int();
-  const bool IsNotRun = Head.count(m_headers.m_notRun) > 0 || Status == 421;
   if (Status == 421)
     return DispatchResult::NotHeld;
-  if (IsNotRun && (Status == 503 || Status == 429))
+  // Without the header, the server may have run the request.
+  const bool IsPromise = promisesNotRun(Status);
+  if (IsPromise && Head.count(m_headers.m_notRun) > 0)
     return DispatchResult::Refused;
-  return Status >= 500 ? DispatchResult::Failed : DispatchResult::Served;
+  return IsPromise || Status >= 500 ? DispatchResult::Failed
+                                    : DispatchResult::Served;
 }
 
 std::optional<NamedLimit>
--- a/test/gateway/relayed-stop-test.cc
+++ b/test/gateway/relayed-stop-test.cc
@@ -143,6 +143,40 @@
   EXPECT_EQ(relayAndWait("id-1"), DispatchResult::Served);
 }
 
+// Guards against REFUSED: a host of an earlier version forwards any answer that
+// it gets from a peer.
+TEST_F(RelayedAnswerTest, Answer_PromiseWithoutMark_IsNotPassedOn) {
+  startAll();
+  connect();
+  for (const char *Status : {"408", "429", "503"}) {
+    setWeb([Status](ScriptedServer::Stream &To,
+                    const ReceivedRequest &Seen) -> asio::awaitable<bool> {
+      std::string Text("HTTP/1.1 ");
+      Text += std::string(Status) + " Odd\r\nTest-Id: " + Seen.m_id +
+              "\r\nContent-Length: 4\r\n\r\nbusy";
+      co_return co_await ScriptedServer::send(To, std::move(Text));
+    });
+    EXPECT_EQ(relayAndWait(Status), DispatchResult::Failed) << Status;
+    EXPECT_TRUE(m_answers.back().m_isSent) << Status;
+    EXPECT_EQ(m_answers.back().m_head, "") << Status;
+    EXPECT_EQ(m_answers.back().m_body, "") << Status;
+  }
+}
+
+TEST_F(RelayedAnswerTest, Answer_Failure_IsPassedOn) {
+  setWeb([](ScriptedServer::Stream &To,
+            const ReceivedRequest &Seen) -> asio::awaitable<bool> {
+    std::string Text("HTTP/1.1 500 Failed\r\nTest-Id: ");
+    Text += Seen.m_id + "\r\nContent-Length: 4\r\n\r\nbusy";
+    co_return co_await ScriptedServer::send(To, std::move(Text));
+  });
+  startAll();
+  connect();
+  EXPECT_EQ(relayAndWait("id-1"), DispatchResult::Failed);
+  EXPECT_TRUE(m_answers.back().m_head.starts_with("HTTP/1.1 500 "));
+  EXPECT_EQ(m_answers.back().m_body, "busy");
+}
+
 TEST_F(RelayedAnswerTest, Answer_StatusOutOfRange_IsNotPassedOn) {
   setWeb([](ScriptedServer::Stream &To,
             const ReceivedRequest &) -> asio::awaitable<bool> {
--- a/test/gateway/request-relay-test.cc
+++ b/test/gateway/request-relay-test.cc
@@ -30,6 +30,17 @@
   }
 }
 
+// A peer of an earlier version reports as served what may have run and says
+// that it has not.
+TEST_F(RelayedReplyTest, Head_PromiseOfServedRequest_IsAFailure) {
+  for (const char *Status : {"408", "429", "503"}) {
+    const UpstreamReply Reply = replyOf("HTTP/1.1 " + std::string(Status) +
+                                        " Odd\r\nContent-Length: 5\r\n\r\n");
+    EXPECT_EQ(Reply.m_result, DispatchResult::Failed) << Status;
+    EXPECT_TRUE(Reply.m_isSent) << Status;
+  }
+}
+
 TEST_F(RelayedReplyTest, Head_OddButLegal_IsTheAnswer) {
   for (const char *Status : {"200 ", "299 Odd", "500 Failed", "599 Odd"}) {
     const UpstreamReply Reply = replyOf("HTTP/1.1 " + std::string(Status) +
