--- a/src/edge/connection.cc
+++ b/src/edge/connection.cc
@@ -94,8 +94,7 @@
     --Item;
     if (Now - (*Item)->m_idleSince > MaxIdle)
       return nullptr;
-    if ((!RequestId.empty() && (*Item)->m_lastRequestId == RequestId) ||
-        (*Item)->m_openedAt > OpenedBy)
+    if ((*Item)->mayRepeatAnswerTo(RequestId) || (*Item)->m_openedAt > OpenedBy)
       continue;
     ConnectionPtr Taken = std::move(*Item);
     Item = Idle.erase(Item);
@@ -119,7 +118,7 @@
   const boost::asio::any_io_executor Executor =
       co_await boost::asio::this_coro::executor;
   ConnectionPtr Opened = std::make_unique<Connection>(Executor);
-  ++m_openedCount;
+  Opened->m_number = ++m_openedCount;
   Opened->m_stream.expires_after(Timeout);
   const auto [Error] = co_await Opened->m_stream.async_connect(
       Peer.value(), boost::asio::as_tuple(boost::asio::use_awaitable));
@@ -139,7 +138,8 @@
 void ConnectionPool::putIdle(const std::string &Peer, ConnectionPtr Kept,
                              std::size_t MaxIdle) {
   setAbortiveClose(Kept->m_stream.socket(), false);
-  if (Kept->m_buffer.size() > 0 || MaxIdle == 0)
+  if (Kept->m_buffer.size() > 0 || MaxIdle == 0 ||
+      Kept->m_repeatableRequests.size() >= Connection::MaxRepeatableRequests)
     return;
   Kept->m_idleSince = BootClock::now();
   std::vector<ConnectionPtr> &Idle = m_idle[Peer];
--- a/src/edge/edge-dispatch.cc
+++ b/src/edge/edge-dispatch.cc
@@ -267,8 +267,11 @@
                               static_cast<int>(Reply.m_result)));
   Request.m_lastServer = Server.m_id;
   Request.m_lastResult = Reply.m_result;
-  if (Reply.m_isSent)
+  if (Reply.m_isSent) {
     ++Request.m_dispatches;
+    Request.m_connections.append(Request.m_connections.empty() ? "" : ",")
+        .append(std::to_string(Reply.m_connectionNumber));
+  }
   const bool MayHaveRun = Reply.m_isSent && !isRefusal(Reply.m_result);
   Request.m_mayHaveRun = Request.m_mayHaveRun || MayHaveRun;
   // Of a relayed request the peer knows better.
@@ -345,7 +348,9 @@
   if (Request->m_mayHaveRun) {
     const bool IsLate = Request->m_lastResult == DispatchResult::TimedOut;
     const unsigned Status = IsLate ? 504 : 502;
-    const std::string_view Reason = IsLate ? "no answer in time"
+    const bool HasFailed = Request->m_lastResult == DispatchResult::Failed;
+    const std::string_view Reason = IsLate      ? "no answer in time"
+                                    : HasFailed ? "server failed"
                                     : Request->m_isHostStopping
                                         ? "stopped before the answer"
                                         : "connection broke";
@@ -441,11 +446,10 @@
   Request->m_isAnswered = true;
   const ReplyHead &Head = Reply.m_parser->get();
   unsigned Status = Head.result_int();
-  // A 503 answer promises that the request has not run. The server has not said
-  // so, so the client gets a 502.
-  if (Reply.m_result == DispatchResult::Failed && Status == 503) {
-    co_await sendAnswer(Client, Request, 502, "server failed with 503",
-                        Millis(0));
+  // The server has not said that the request did not run; see resultOf().
+  if (promisesNotRun(Status)) {
+    const std::string Reason = fmt::format("server failed with {}", Status);
+    co_await sendAnswer(Client, Request, 502, Reason, Millis(0));
     co_return;
   }
   if (m_isDraining || !Request->m_parser->is_done())
--- a/src/edge/upstream-client.cc
+++ b/src/edge/upstream-client.cc
@@ -1,6 +1,7 @@
 #include "tamarackdrum/gateway/upstream-client.h"
 
 #include "tamarackdrum/error.h"
+#include "tamarackdrum/gateway/message-head.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -210,12 +211,14 @@
 DispatchResult UpstreamClient::resultOf(const UpstreamReply &Reply) const {
   const http::response_header<> &Head = Reply.m_parser->get();
   const unsigned Status = Head.result_int();
-  const bool IsNotRun = Head.count(m_headers.m_notRun) > 0 || Status == 421;
   if (Status == 421)
     return DispatchResult::NotHeld;
-  if (IsNotRun && (Status == 503 || Status == 429))
+  // Without the header, the server may have run the request.
+  const bool IsPromise = promisesNotRun(Status);
+  if (IsPromise && Head.count(m_headers.m_notRun) > 0)
     return DispatchResult::Refused;
-  return Status >= 500 ? DispatchResult::Failed : DispatchResult::Served;
+  return IsPromise || Status >= 500 ? DispatchResult::Failed
+                                    : DispatchResult::Served;
 }
 
 std::optional<NamedLimit>
@@ -292,8 +295,8 @@
     co_return Reply;
   }
   Reply.m_isSent = true;
+  Reply.m_connectionNumber = Used->m_number;
   Reply.m_result = DispatchResult::ConnectionLost;
-  Used->m_lastRequestId = Request.m_requestId;
   Token.m_stream = &Used->m_stream;
 
   const std::shared_ptr<WriteState> State = std::make_shared<WriteState>();
@@ -333,12 +336,15 @@
     Reply.m_connection = std::move(Used);
     co_return Reply;
   }
+  if (Used == nullptr)
+    co_return Reply;
+  if (Reply.m_result != DispatchResult::Served)
+    Used->noteRepeatable(Request.m_requestId);
   if (CanKeep)
     Used->m_keepAliveTimeout =
         keepAliveTime(Reply.m_parser->get()[http::field::keep_alive]);
-  if (Used != nullptr)
-    m_pool.putIdle(Peer, std::move(Used),
-                   CanKeep ? Request.m_maxIdleConnections : 0);
+  m_pool.putIdle(Peer, std::move(Used),
+                 CanKeep ? Request.m_maxIdleConnections : 0);
   co_return Reply;
 }
 
