--- a/review/standin-3/review-site.cc
+++ b/review/standin-3/review-site.cc
@@ -292,7 +292,18 @@
 
 void Site::addServer(const ServerEntry &Entry) {
   m_reporting[Entry.m_id] = true;
-  asio::co_spawn(m_context, writeHeartbeats(Entry), asio::detached);
+  m_entries[Entry.m_id] = Entry;
+  asio::co_spawn(m_context, writeHeartbeats(Entry.m_id), asio::detached);
+}
+
+void Site::drainServer(const std::string &Id) {
+  m_entries[Id].m_isDraining = true;
+  writeHeartbeat(Id);
+}
+
+void Site::removeServer(const std::string &Id) {
+  m_reporting[Id] = false;
+  m_store->remove(ServerTable, Id);
 }
 
 asio::awaitable<void> Site::awaitHeartbeat(std::string Id) {
@@ -303,19 +314,24 @@
 
 void Site::endHeartbeats(const std::string &Id) { m_reporting[Id] = false; }
 
-asio::awaitable<void> Site::writeHeartbeats(ServerEntry Entry) {
+void Site::writeHeartbeat(const std::string &Id) {
+  ServerEntry &Entry = m_entries[Id];
+  m_heartbeats[Id] = ++Entry.m_reportNumber;
+  m_store->put(ServerTable, Id, encodeServer(Entry));
+}
+
+asio::awaitable<void> Site::writeHeartbeats(std::string Id) {
   TimePoint Last{};
   constexpr int LostIntervals = 3;
-  while (m_reporting[Entry.m_id]) {
-    m_heartbeats[Entry.m_id] = ++Entry.m_reportNumber;
-    m_store->put(ServerTable, Entry.m_id, encodeServer(Entry));
+  while (m_reporting[Id]) {
+    writeHeartbeat(Id);
     Last = BootClock::now();
     co_await sleepFor(HeartbeatInterval);
   }
   co_await sleepFor(std::chrono::duration_cast<Millis>(
       Last + LostIntervals * HeartbeatInterval - BootClock::now()));
-  m_store->remove(ServerTable, Entry.m_id);
-  m_log.write(fmt::format("entry of {} lapses", Entry.m_id));
+  m_store->remove(ServerTable, Id);
+  m_log.write(fmt::format("entry of {} lapses", Id));
 }
 
 Route makeRoute(const std::string &Name, const std::string &Service,
--- a/review/standin-3/review-site.h
+++ b/review/standin-3/review-site.h
@@ -108,6 +108,10 @@
 
   /// Registers a server and writes its heartbeats from now on.
   void addServer(const gateway::ServerEntry &Entry);
+  /// Lets a server report that it drains, at once and from now on.
+  void drainServer(const std::string &Id);
+  /// Removes the entry of a server that has left.
+  void removeServer(const std::string &Id);
   /// Waits for the next heartbeat of a server.
   boost::asio::awaitable<void> awaitHeartbeat(std::string Id);
   /// Ends the heartbeats of a server. Its entry lapses after three intervals.
@@ -123,7 +127,8 @@
 
   bool isFree(const std::string &Network) const;
   std::string makeSettings(const Host &Item) const;
-  boost::asio::awaitable<void> writeHeartbeats(gateway::ServerEntry Entry);
+  boost::asio::awaitable<void> writeHeartbeats(std::string Id);
+  void writeHeartbeat(const std::string &Id);
 
   boost::asio::io_context &m_context;
   Record &m_log;
@@ -134,6 +139,7 @@
   std::optional<platform::standin::RowStore> m_store;
   std::map<std::string, bool> m_reporting;           ///< By server.
   std::map<std::string, std::uint64_t> m_heartbeats; ///< Likewise.
+  std::map<std::string, gateway::ServerEntry> m_entries;
 };
 
 /// Returns a route whose prefix is "/NAME/".
